--- a/src/bin/pumicespring-adapter.rs
+++ b/src/bin/basaltloom-adapter.rs
@@ -1,6 +1,6 @@
 //! Translates the bench's wire to the interface of the decision module and back. It decides nothing.
 
-use pumicespring::{
+use basaltloom::{
     Action, Class, Entry, Event, HostId, Kind, Late, Limits, Listing, Outcome, Relay, Repeat, Settings,
 };
 use serde::Deserialize;
@@ -326,7 +326,7 @@
 
 fn main() {
     if let Err(why) = run() {
-        eprintln!("pumicespring-adapter: {why}");
+        eprintln!("basaltloom-adapter: {why}");
         std::process::exit(1);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! The module does no I/O and has no clock: the relay tells it what happened and carries out what it asks.
 //!
 //! ```
-//! use pumicespring::{Action, Class, Entry, Event, Kind, Late, Limits, Listing, Outcome, Relay, Repeat, Settings};
+//! use basaltloom::{Action, Class, Entry, Event, Kind, Late, Limits, Listing, Outcome, Relay, Repeat, Settings};
 //!
 //! let second = 1_000_000_000;
 //! let class = Class { aim: 3 * second, deadline: 20 * second, worth: 1.0, late_worth: 0.4,
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -10,7 +10,7 @@
 "services":[{"aim":3000000000,"deadline":20000000000,"importance":1.0,"late_worth":0.4,"repeat":"pure"}]}"#;
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pumicespring-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_basaltloom-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,6 +1,6 @@
 //! The module by its behaviour: each guard of the six rules at its edges, and each failure found.
 
-use pumicespring::*;
+use basaltloom::*;
 
 const MS: u64 = 1_000_000;
 const SEC: u64 = 1_000 * MS;
