--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,8 +28,12 @@
 #[cfg(test)]
 mod by_hand;
 mod interface;
+pub mod program;
+pub mod protocol;
+pub mod routing;
 mod rules;
 mod state;
+pub mod transport;
 
 pub use interface::*;
 pub use rules::Relay;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    basaltloom::program::main()
+}
--- /dev/null
+++ b/src/program/config.rs
@@ -0,0 +1,164 @@
+//! The configuration, decoded once into the values that the program uses.
+
+use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
+use crate::protocol::discovery::{self, Names};
+use crate::protocol::fields::{flag, list, num, text};
+use crate::routing::RouteNews;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use tinyjson::JsonValue;
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub seed: u64,
+    pub sockets: usize,
+    pub disk_bytes: u64,
+    pub settings: Settings,
+    pub classes: Vec<String>,
+    pub names: Names,
+    pub connect_timeout: Nanos,
+    pub known: RouteNews,
+}
+
+type Res<T> = Result<T, String>;
+
+pub fn read(path: &Path) -> Res<Config> {
+    let said = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let raw = std::fs::read_to_string(path).map_err(|e| said(&e))?;
+    let value: JsonValue = raw.parse().map_err(|e| said(&e))?;
+    decode(&value).map_err(|e| said(&e))
+}
+
+fn need<T>(value: Option<T>, what: &str) -> Res<T> {
+    value.ok_or_else(|| format!("`{what}` is missing or of the wrong kind"))
+}
+
+fn address(text: &str, what: &str) -> Res<SocketAddr> {
+    text.parse().map_err(|_| format!("`{what}`: {text:?} is no address with a port"))
+}
+
+pub fn decode(v: &JsonValue) -> Res<Config> {
+    let names = Names { kinds: texts(v, "settings.kinds"), zones: texts(v, "settings.azs") };
+    let services = list(v, "settings.services");
+    let name = |s: &JsonValue| need(text(s, "name").map(str::to_string), "settings.services[].name");
+    let known = crate::protocol::fields::at(v, "known").and_then(|k| discovery::news(k, &names));
+    Ok(Config {
+        name: text(v, "name").unwrap_or("relay").to_string(),
+        listen: address(need(text(v, "listen"), "listen")?, "listen")?,
+        discovery: address(need(text(v, "discovery"), "discovery")?, "discovery")?,
+        state: PathBuf::from(text(v, "state").unwrap_or(".")),
+        seed: seed(text(v, "seed").unwrap_or("")),
+        sockets: num(v, "limits.sockets").unwrap_or(1024.0) as usize,
+        disk_bytes: (num(v, "limits.disk_mb").unwrap_or(3.0) * 1e6) as u64,
+        settings: settings(v, services)?,
+        classes: services.iter().map(name).collect::<Res<_>>()?,
+        names,
+        connect_timeout: span(v, "settings.limits.connect_timeout").unwrap_or(1_500_000_000),
+        known: known.unwrap_or_default(),
+    })
+}
+
+fn texts(v: &JsonValue, path: &str) -> Vec<String> {
+    list(v, path).iter().filter_map(|t| t.get::<String>().cloned()).collect()
+}
+
+fn span(v: &JsonValue, path: &str) -> Option<Nanos> {
+    num(v, path).map(|n| n as Nanos)
+}
+
+/// Hexadecimal, or any text at all.
+fn seed(text: &str) -> u64 {
+    let mixed = || {
+        text.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    };
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| mixed())
+}
+
+fn settings(v: &JsonValue, services: &[JsonValue]) -> Res<Settings> {
+    let s = need(crate::protocol::fields::at(v, "settings"), "settings")?;
+    let number = |path: &str| need(num(s, path), &format!("settings.{path}"));
+    let per_call = list(s, "domain.per_call");
+    let apart = list(s, "domain.separate_routes");
+    let kind = |i: usize| Kind {
+        apart: apart.get(i).and_then(|a| a.get::<bool>()) == Some(&true),
+        per_call: per_call.get(i).and_then(|n| n.get::<f64>()).map_or(1, |n| *n as usize),
+    };
+    let heeded = flag(s, "limits.retry_after").unwrap_or(false);
+    let settings = Settings {
+        senders: number("fleet_size")? as u32,
+        slots: number("domain.calls_out")? as usize,
+        max_held: number("limits.max_open")? as usize,
+        max_attempts: number("limits.most_tries")? as u32,
+        may_cancel: flag(s, "limits.cancel").unwrap_or(false),
+        must_subscribe: false,
+        keepalive: span(s, "limits.keepalive").unwrap_or(0),
+        max_come_back: span(s, "limits.max_retry_after").filter(|_| heeded).unwrap_or(0),
+        limits: match text(s, "weights") {
+            Some("nominal") => Limits::Exact,
+            Some("rough") => Limits::Rough,
+            _ => Limits::Unlisted,
+        },
+        late: if text(s, "domain.late") == Some("by_half") { Late::Halves } else { Late::Even },
+        classes: services.iter().map(class).collect::<Res<_>>()?,
+        kinds: (0..per_call.len().max(apart.len())).map(kind).collect(),
+        zone_fee: list(s, "domain.route_fee").iter().filter_map(|f| f.get::<f64>().copied()).collect(),
+        cold_share: number("rules.cold_share")?,
+        warm_up: number("rules.warm_up")? as Nanos,
+        overload_factor: number("rules.overload_factor")?,
+        fall: number("rules.fall")? as Nanos,
+        key_rest: span(s, "rules.key_rest").unwrap_or(0),
+    };
+    if settings.slots == 0 || settings.max_held == 0 || settings.classes.is_empty() {
+        return Err("`settings` leave no slot, no room or no class".to_string());
+    }
+    Ok(settings)
+}
+
+fn class(s: &JsonValue) -> Res<Class> {
+    let number = |path: &str| need(num(s, path), &format!("settings.services[].{path}"));
+    let repeat = match need(text(s, "repeat"), "settings.services[].repeat")? {
+        "pure" => Repeat::Safe,
+        "token" => Repeat::Keyed {
+            memory: span(s, "memory_span").unwrap_or(0),
+            zone_only: text(s, "group").is_some_and(|g| g != "all"),
+        },
+        "side_effect" => Repeat::Unsafe,
+        other => return Err(format!("`settings.services[].repeat`: {other:?} is not known")),
+    };
+    Ok(Class {
+        aim: number("aim")? as Nanos,
+        deadline: number("deadline")? as Nanos,
+        worth: number("importance")?,
+        late_worth: number("late_worth")?,
+        repeat,
+        in_order: flag(s, "in_order") == Some(true),
+    })
+}
+
+impl Config {
+    /// What the environment says stands above the file.
+    pub fn heed_environment(&mut self, get: impl Fn(&str) -> Option<String>) -> Res<()> {
+        if let Some(name) = get("LB_NAME") {
+            self.name = name;
+        }
+        if let Some(listen) = get("LB_LISTEN") {
+            self.listen = address(&listen, "LB_LISTEN")?;
+        }
+        if let Some(discovery) = get("LB_DISCOVERY") {
+            self.discovery = address(&discovery, "LB_DISCOVERY")?;
+        }
+        if let Some(state) = get("LB_STATE") {
+            self.state = PathBuf::from(state);
+        }
+        Ok(())
+    }
+
+    pub fn summary(&self) -> String {
+        let (classes, hops) = (self.classes.join(", "), self.known.next_hops.len());
+        format!("{}: listens on {}, classes {classes}, {hops} next hops known", self.name, self.listen)
+    }
+}
--- /dev/null
+++ b/src/program/mod.rs
@@ -0,0 +1,9 @@
+//! The program: its command line, configuration, log, signals, and what is wired to what.
+
+mod cli;
+pub mod config;
+pub mod log;
+mod signals;
+mod wiring;
+
+pub use cli::main;
--- /dev/null
+++ b/src/protocol/discovery.rs
@@ -0,0 +1,98 @@
+//! Discovery's list and its watch.
+
+use super::fields::{list, num, text};
+use crate::routing::{NextHop, RouteNews, Standing};
+use crate::transport::connection::read_body;
+use crate::transport::Line;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tinyjson::JsonValue;
+use tokio::time::{sleep, timeout};
+
+const HOLD: Duration = Duration::from_secs(20);
+/// The agent answers at once, unless discovery is down: then it is asked again from time to time.
+const PATIENCE: Duration = Duration::from_secs(2);
+const RETRY: Duration = Duration::from_millis(100);
+const MOST: usize = 4 << 20;
+
+/// Kinds and zones by name, as the settings list them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+/// Decodes a list or its changes. Entries that cannot be used are left out.
+pub fn news(value: &JsonValue, names: &Names) -> Option<RouteNews> {
+    let whole = super::fields::flag(value, "whole")?;
+    let next_hops = list(value, "hosts").iter().filter_map(|h| next_hop(h, names)).collect();
+    Some(RouteNews { seq: num(value, "seq")? as u64, whole, next_hops })
+}
+
+fn next_hop(h: &JsonValue, names: &Names) -> Option<NextHop> {
+    let place = |names: &[String], name: Option<&str>| names.iter().position(|n| Some(n.as_str()) == name);
+    let standing = match text(h, "health")? {
+        "active" => Standing::Active,
+        "leaving" => Standing::Leaving,
+        _ => Standing::Left,
+    };
+    Some(NextHop {
+        id: 0,
+        name: text(h, "host")?.to_string(),
+        dial: text(h, "dial")?.parse().ok()?,
+        dest: num(h, "block")? as u64,
+        kind: place(&names.kinds, text(h, "class")).unwrap_or(usize::MAX),
+        zone: place(&names.zones, text(h, "site")).unwrap_or(0),
+        standing,
+        share: num(h, "share").unwrap_or(1.0),
+    })
+}
+
+/// Follows the list for good: the whole of it first, then watches, each following the last answer at once.
+pub async fn follow(agent: SocketAddr, names: Names, mut learn: impl FnMut(RouteNews), log: impl Fn(&str)) {
+    let mut seq = None;
+    let mut line = None;
+    let mut failing = false;
+    loop {
+        match ask(agent, &mut line, seq).await.and_then(|v| news(&v, &names)) {
+            Some(told) => {
+                if std::mem::take(&mut failing) {
+                    log("discovery answers again");
+                }
+                if seq != Some(told.seq) || told.whole {
+                    seq = Some(told.seq);
+                    learn(told);
+                }
+            }
+            None => {
+                line = None;
+                if !std::mem::replace(&mut failing, true) {
+                    log("discovery does not answer");
+                }
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn ask(agent: SocketAddr, line: &mut Option<Line>, seq: Option<u64>) -> Option<JsonValue> {
+    let (path, patience) = match seq {
+        None => ("/v1/endpoints".to_string(), PATIENCE),
+        Some(seq) => (format!("/v1/endpoints?from={seq}&hold_ms={}", HOLD.as_millis()), HOLD + PATIENCE),
+    };
+    if !line.as_ref().is_some_and(Line::usable) {
+        *line = Some(Line::open(agent, PATIENCE).await.ok()?);
+    }
+    let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new())).ok()?;
+    let asked = async {
+        let response = line.as_mut()?.send(request, 0).await.ok()?;
+        let ok = response.status() == 200;
+        let body = read_body(response.into_body(), MOST).await?;
+        let text = std::str::from_utf8(&body).ok()?;
+        text.parse::<JsonValue>().ok().filter(|_| ok)
+    };
+    timeout(patience, asked).await.ok().flatten()
+}
--- /dev/null
+++ b/src/protocol/hook.rs
@@ -0,0 +1,79 @@
+//! Calls to next hops: `/hook` for one branch, `/hook/batch` for several.
+
+use super::fields::{seconds, span_text};
+use crate::interface::{Nanos, Outcome};
+use crate::routing::core::{Letter, Reply};
+use crate::routing::Branch;
+use bytes::{BufMut, Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode};
+use std::net::SocketAddr;
+
+/// The request of a call, and its body's length.
+pub fn request(
+    dial: SocketAddr,
+    letters: &[Letter],
+    timeout: Nanos,
+) -> Option<(Request<Full<Bytes>>, usize)> {
+    let (path, body) = match letters {
+        [one] => ("/hook", one.body.clone()),
+        _ => ("/hook/batch", batch(letters)),
+    };
+    let len = body.len();
+    let mut request = Request::post(path).header("host", dial.to_string());
+    if let [one] = letters {
+        request = request.header("x-request-id", one.id.as_str());
+        if let Some(key) = &one.idempotency {
+            request = request.header("idempotency-key", key.as_str());
+        }
+    }
+    let request = request.header("x-timeout", span_text(timeout)).body(Full::new(body)).ok()?;
+    Some((request, len))
+}
+
+fn batch(letters: &[Letter]) -> Bytes {
+    let mut out = BytesMut::with_capacity(letters.iter().map(|l| l.body.len() + 160).sum());
+    for l in letters {
+        let key = l.idempotency.as_deref().unwrap_or("-");
+        out.put_slice(format!("{} {key} {}\r\n", l.id, l.body.len()).as_bytes());
+        out.put_slice(&l.body);
+        out.put_slice(b"\r\n");
+    }
+    out.freeze()
+}
+
+/// What an answer says of a call with one branch, or of all of a batch when all fared the same.
+pub fn reply(status: StatusCode, headers: &HeaderMap) -> Reply {
+    let wait = wait(headers);
+    match status.as_u16() {
+        200 => Reply::of(Outcome::Served),
+        503 if headers.get("x-line-busy").is_some_and(|v| v == "1") => Reply::of(Outcome::NotSent),
+        429 | 503 => Reply::of(Outcome::Full { wait }),
+        504 => Reply::of(Outcome::Spent),
+        410 => Reply { outcome: Outcome::NotSent, over: true },
+        // What could not be read or was too much has not run.
+        400 | 413 => Reply::of(Outcome::NotSent),
+        _ => Reply::of(Outcome::Error),
+    }
+}
+
+fn wait(headers: &HeaderMap) -> Nanos {
+    let told = headers.get("retry-after").and_then(|v| v.to_str().ok());
+    told.and_then(seconds).unwrap_or(0)
+}
+
+/// What the answer to a batch says of each branch; one that it does not name may have run.
+pub fn replies(headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Vec<(Branch, Reply)> {
+    let wait = wait(headers);
+    let text = String::from_utf8_lossy(body);
+    let ends: Vec<(&str, &str)> = text.lines().filter_map(|l| l.trim().split_once(' ')).collect();
+    let end = |l: &Letter| ends.iter().find(|e| e.0 == l.id).map(|e| e.1.trim());
+    let reply = |l: &Letter| match end(l) {
+        Some("accepted") => Reply::of(Outcome::Served),
+        Some("deferred") => Reply::of(Outcome::Full { wait }),
+        Some("expired") => Reply { outcome: Outcome::NotSent, over: true },
+        Some("no_more") => Reply::of(Outcome::Spent),
+        _ => Reply::of(Outcome::Error),
+    };
+    letters.iter().map(|l| (l.branch, reply(l))).collect()
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,7 @@
+//! The fronts: what is said on the wire, to callers, next hops and the platform.
+
+pub mod discovery;
+pub mod fields;
+pub mod hook;
+pub mod notices;
+pub mod platform;
--- /dev/null
+++ b/src/protocol/notices.rs
@@ -0,0 +1,77 @@
+//! Notices to the platform: how transactions ended that were not delivered. Each is told until the platform
+//! has acknowledged it.
+
+use crate::routing::transactions::Ending;
+use crate::routing::End;
+use crate::transport::connection::read_body;
+use crate::transport::Line;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Notices in one request at most.
+pub const MOST: usize = 200;
+
+/// One line of the request.
+pub fn line(id: &str, ending: Ending, into: &mut String) {
+    let id = escaped(id);
+    let result = match ending {
+        Ending::Undelivered(End::Returned { after: 0 }) => {
+            writeln!(into, r#"{{"id":"{id}","state":"returned"}}"#)
+        }
+        Ending::Undelivered(End::Returned { after }) => {
+            writeln!(into, r#"{{"id":"{id}","state":"returned","after_ms":{}}}"#, after.div_ceil(1_000_000))
+        }
+        // A delivery is never told to the platform; if one came here, `failed` would be the safe word.
+        Ending::Delivered | Ending::Undelivered(End::Failed) => {
+            writeln!(into, r#"{{"id":"{id}","state":"failed"}}"#)
+        }
+    };
+    debug_assert!(result.is_ok());
+}
+
+fn escaped(id: &str) -> String {
+    id.chars().fold(String::new(), |mut s, c| {
+        if c == '"' || c == '\\' {
+            s.push('\\');
+        }
+        s.push(c);
+        s
+    })
+}
+
+/// Posts lines; true once the platform has acknowledged them.
+pub async fn post(
+    agent: SocketAddr,
+    kept: &mut Option<Line>,
+    lines: String,
+) -> Result<(), Option<StatusCode>> {
+    let told = async {
+        if !kept.as_ref().is_some_and(Line::usable) {
+            *kept = Some(Line::open(agent, PATIENCE).await.ok()?);
+        }
+        let body = Bytes::from(lines);
+        let len = body.len();
+        let request = Request::post("/v1/notices")
+            .header("host", agent.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .ok()?;
+        let response = kept.as_mut()?.send(request, len).await.ok()?;
+        let status = response.status();
+        read_body(response.into_body(), 64 * 1024).await?;
+        Some(status)
+    };
+    match timeout(PATIENCE, told).await.ok().flatten() {
+        Some(StatusCode::NO_CONTENT) => Ok(()),
+        other => {
+            *kept = None;
+            Err(other)
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/core.rs
@@ -0,0 +1,321 @@
+//! The core: takes transactions on, has the module decide, keeps the journal ahead of what is done.
+
+use super::facade::{Ask, Branch, Call, End, Facade, NextHopId, Picked};
+use super::journal::{Journal, Record, Replayed};
+use super::route_set::{NextHop, RouteNews, RouteSet};
+use super::transactions::{Ending, Transaction, TransactionNo, Transactions};
+use crate::interface::{Nanos, Outcome, Settings};
+use bytes::Bytes;
+
+/// Advice for those turned away before the module was asked.
+const DOOR_ADVICE: Nanos = 1_000_000_000;
+
+/// A transaction as a caller hands it in.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    pub id: String,
+    pub class: usize,
+    pub dest: u64,
+    pub key: Option<String>,
+    pub idempotency: Option<String>,
+    pub time_left: Nanos,
+    pub body: Bytes,
+    pub owner: String,
+}
+
+/// The answer to an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Taken on and journaled.
+    On(TransactionNo),
+    /// It was taken on before, under this id.
+    Already,
+    /// Turned away; to offer it again is harmless, best after this time.
+    Refused { after: Nanos },
+    /// It cannot be delivered, and no promise is made.
+    Failed,
+}
+
+/// What the network is to do now.
+#[derive(Debug, Default)]
+pub struct Work {
+    pub calls: Vec<(Call, NextHop)>,
+    /// Transactions whose end is now owed to whoever handed them in.
+    pub ended: Vec<TransactionNo>,
+    pub dropped: Vec<(TransactionNo, u32)>,
+    pub distrusted: Vec<NextHopId>,
+    pub notes: Vec<String>,
+}
+
+/// How a branch ended. `over`: the next hop says that nothing more is owed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub outcome: Outcome,
+    pub over: bool,
+}
+
+impl Reply {
+    pub fn of(outcome: Outcome) -> Self {
+        Reply { outcome, over: false }
+    }
+}
+
+/// What is about to be written for a branch.
+#[derive(Clone, Debug)]
+pub struct Letter {
+    pub branch: Branch,
+    pub id: String,
+    pub idempotency: Option<String>,
+    pub body: Bytes,
+}
+
+pub struct Core {
+    facade: Facade,
+    route_set: RouteSet,
+    transactions: Transactions,
+    journal: Journal,
+    next_no: TransactionNo,
+    /// A delivery, too, is told to whoever handed the transaction in, and stays owed until acknowledged.
+    tells_delivery: bool,
+    work: Work,
+}
+
+impl Core {
+    /// Starts from what an earlier life left, with the route set as last known.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        journal: Journal,
+        replayed: Replayed,
+        known: &RouteNews,
+        tells_delivery: bool,
+        now: Nanos,
+    ) -> Core {
+        let classes = settings.classes.len();
+        let Replayed { transactions, next_no, torn } = replayed;
+        let facade = Facade::new(settings, seed);
+        let (route_set, work) = (RouteSet::default(), Work::default());
+        let mut core = Core { facade, route_set, transactions, journal, next_no, tells_delivery, work };
+        if torn > 0 {
+            core.work.notes.push(format!("journal: {torn} bytes at the end were no whole record"));
+        }
+        core.learn(now, known);
+        core.restore(classes, now);
+        core
+    }
+
+    /// A branch without an outcome may have run. What has its end only needs to tell it again.
+    fn restore(&mut self, classes: usize, now: Nanos) {
+        let mut asks = Vec::new();
+        let mut strange = Vec::new();
+        let nos: Vec<TransactionNo> = self.transactions.iter().map(|(no, _)| no).collect();
+        for no in nos {
+            let Some(t) = self.transactions.get_mut(no) else { continue };
+            t.may_have_run = t.may_have_run.or(t.out.take());
+            if t.ending.is_some() {
+                self.work.ended.push(no);
+            } else if t.class >= classes {
+                strange.push(no);
+            } else {
+                let ran = t.may_have_run.map(|(at, zone)| (now.saturating_sub(at), zone));
+                asks.push(Ask {
+                    transaction: no,
+                    class: t.class,
+                    dest: t.dest,
+                    key: t.key.clone(),
+                    time_left: t.deadline.saturating_sub(now),
+                    past: Some((t.attempts, ran)),
+                });
+            }
+        }
+        if !self.transactions.is_empty() {
+            let (all, held) = (self.transactions.len(), asks.len());
+            self.work.notes.push(format!("journal: {all} transactions restored, {held} still to deliver"));
+        }
+        let picked = self.facade.pick(now, asks);
+        self.absorb(picked);
+        strange.into_iter().for_each(|no| self.end(no, Ending::Undelivered(End::Failed)));
+    }
+
+    pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
+        if self.transactions.find(&offer.id).is_some() {
+            return Taken::Already;
+        }
+        let Offer { id, class, dest, key, idempotency, time_left, body, owner } = offer;
+        let deadline = now.saturating_add(time_left);
+        let t = Transaction {
+            id,
+            class,
+            dest,
+            key: key.clone(),
+            idempotency,
+            deadline,
+            body,
+            owner,
+            attempts: 0,
+            may_have_run: None,
+            out: None,
+            ending: None,
+        };
+        if self.facade.full() || !self.journal.has_room(&t, &self.transactions) {
+            return Taken::Refused { after: DOOR_ADVICE };
+        }
+        let no = self.next_no;
+        if let Err(e) = self.journal.write(no, &Record::Taken(&t)) {
+            self.work.notes.push(format!("journal: cannot take a transaction on: {e}"));
+            return Taken::Refused { after: DOOR_ADVICE };
+        }
+        self.next_no += 1;
+        self.transactions.insert(no, t);
+        let ask = Ask { transaction: no, class, dest, key, time_left, past: None };
+        let mut picked = self.facade.pick(now, vec![ask]);
+        let at_once = picked.ends.iter().position(|(of, _)| *of == no).map(|i| picked.ends.remove(i).1);
+        self.absorb(picked);
+        match at_once {
+            None => Taken::On(no),
+            Some(end) => {
+                self.over(no);
+                match end {
+                    End::Returned { after } => Taken::Refused { after },
+                    End::Failed => Taken::Failed,
+                }
+            }
+        }
+    }
+
+    /// Whoever handed it in is gone, or never heard that it was taken on.
+    pub fn withdraw(&mut self, now: Nanos, no: TransactionNo) {
+        if self.transactions.get(no).is_some_and(|t| t.ending.is_none()) {
+            self.over(no);
+            let picked = self.facade.withdraw(now, no);
+            self.absorb(picked);
+        }
+    }
+
+    pub fn learn(&mut self, now: Nanos, news: &RouteNews) {
+        let known = self.route_set.learn(news);
+        let picked = self.facade.learn(now, news.whole, &known);
+        self.absorb(picked);
+    }
+
+    /// Called when a call can be written, before its first byte: the branches that may still go, journaled
+    /// as out. What is not among them was never sent.
+    pub fn begin(&mut self, now: Nanos, call: &Call) -> Vec<Letter> {
+        let Some(hop) = self.route_set.get(call.next_hop) else { return Vec::new() };
+        if !self.facade.still_open(call.next_hop, now) {
+            return Vec::new();
+        }
+        let (dest, zone) = (hop.dest, hop.zone);
+        let mut letters = Vec::new();
+        for branch in &call.branches {
+            let no = branch.transaction;
+            let Some(t) = self.transactions.get_mut(no) else { continue };
+            if t.ending.is_some() || t.dest != dest || t.deadline <= now {
+                continue;
+            }
+            if let Err(e) = self.journal.write(no, &Record::Out { at: now, zone }) {
+                self.work.notes.push(format!("journal: cannot begin a branch: {e}"));
+                continue;
+            }
+            (t.attempts, t.out) = (t.attempts + 1, Some((now, zone)));
+            let (id, idempotency, body) = (t.id.clone(), t.idempotency.clone(), t.body.clone());
+            letters.push(Letter { branch: *branch, id, idempotency, body });
+        }
+        letters
+    }
+
+    /// The outcomes of a call's branches, all in one report.
+    pub fn report(&mut self, now: Nanos, replies: &[(Branch, Reply)], took: Nanos) {
+        let mut told = Vec::new();
+        for (branch, reply) in replies {
+            let no = branch.transaction;
+            told.push((*branch, reply.outcome, reply.over));
+            let Some(t) = self.transactions.get_mut(no) else { continue };
+            let ran = !reply.outcome.never_ran();
+            if let Some(out) = t.out.take() {
+                t.may_have_run = t.may_have_run.or(Some(out).filter(|_| ran));
+                let done = reply.over || reply.outcome == Outcome::Served;
+                if !done && self.journal.write(no, &Record::Back { may_have_run: ran }).is_err() {
+                    self.work.notes.push("journal: an outcome could not be written".to_string());
+                }
+            }
+            match reply.outcome {
+                Outcome::Served if self.tells_delivery => self.end(no, Ending::Delivered),
+                Outcome::Served => self.over(no),
+                _ if reply.over => self.over(no),
+                _ => {}
+            }
+        }
+        let picked = self.facade.report(now, &told, took);
+        self.absorb(picked);
+    }
+
+    pub fn tick(&mut self, now: Nanos) {
+        let picked = self.facade.tick(now);
+        self.absorb(picked);
+    }
+
+    /// When `tick` is wanted next.
+    pub fn due(&self) -> Nanos {
+        self.facade.due()
+    }
+
+    /// The end of this transaction has reached whoever it was owed to.
+    pub fn acknowledged(&mut self, no: TransactionNo) {
+        self.over(no);
+    }
+
+    pub fn transaction(&self, no: TransactionNo) -> Option<&Transaction> {
+        self.transactions.get(no)
+    }
+
+    pub fn next_hop(&self, id: NextHopId) -> Option<&NextHop> {
+        self.route_set.get(id)
+    }
+
+    /// Transactions not yet over.
+    pub fn open(&self) -> usize {
+        self.transactions.len()
+    }
+
+    pub fn work(&mut self) -> Work {
+        std::mem::take(&mut self.work)
+    }
+
+    fn absorb(&mut self, picked: Picked) {
+        for call in picked.calls {
+            if let Some(hop) = self.route_set.get(call.next_hop).cloned() {
+                self.work.calls.push((call, hop));
+            }
+        }
+        self.work.dropped.extend(picked.dropped);
+        self.work.distrusted.extend(picked.distrusted);
+        self.work.notes.extend(picked.notes);
+        for (no, end) in picked.ends {
+            self.end(no, Ending::Undelivered(end));
+        }
+    }
+
+    /// The end is decided and owed until acknowledged; one that was told already stands.
+    fn end(&mut self, no: TransactionNo, ending: Ending) {
+        let Some(t) = self.transactions.get_mut(no) else { return };
+        if t.ending.is_some() {
+            return;
+        }
+        t.ending = Some(ending);
+        if let Err(e) = self.journal.write(no, &Record::Ending(ending)) {
+            self.work.notes.push(format!("journal: an end could not be written: {e}"));
+        }
+        self.work.ended.push(no);
+    }
+
+    fn over(&mut self, no: TransactionNo) {
+        if self.transactions.remove(no).is_none() {
+            return;
+        }
+        if let Err(e) = self.journal.write(no, &Record::Over) {
+            self.work.notes.push(format!("journal: {e}"));
+        }
+        self.journal.tidy(&self.transactions);
+    }
+}
--- /dev/null
+++ b/src/routing/desk.rs
@@ -0,0 +1,134 @@
+//! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
+
+use super::core::{Core, Letter, Reply, Work};
+use super::facade::{Branch, Call, NextHopId};
+use super::route_set::NextHop;
+use super::transactions::TransactionNo;
+use super::Clock;
+use crate::interface::{Nanos, Outcome};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// What stands before the core: it carries calls to next hops and tells ends to whoever is owed them.
+pub trait Front: Sized + 'static {
+    /// Carries a call; the replies may leave out branches that were never begun.
+    fn carry(&self, passage: Passage<'_, Self>) -> impl Future<Output = Vec<(Branch, Reply)>>;
+    /// These transactions have their end, which is to be told until it is acknowledged.
+    fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
+    /// Idle connections to this next hop are not to be used any more.
+    fn distrust(&self, next_hop: NextHopId);
+    fn log(&self, text: &str);
+}
+
+pub struct Desk<F> {
+    pub clock: Clock,
+    pub front: F,
+    core: RefCell<Core>,
+    /// A sooner due time than the timer waits for.
+    sooner: Notify,
+    /// The calls that are out, by each of their branches.
+    out: RefCell<HashMap<(TransactionNo, u32), Rc<Notify>>>,
+}
+
+/// A call on its way.
+pub struct Passage<'a, F> {
+    pub desk: &'a Rc<Desk<F>>,
+    pub call: &'a Call,
+    pub hop: &'a NextHop,
+    cancel: &'a Notify,
+}
+
+impl<F: Front> Passage<'_, F> {
+    /// Right before the first byte: the branches that may still go, journaled as out.
+    pub fn begin(&self) -> Vec<Letter> {
+        self.desk.act(|core, now| core.begin(now, self.call))
+    }
+
+    /// Completes when the core gives the call up.
+    pub async fn cancelled(&self) {
+        self.cancel.notified().await
+    }
+}
+
+impl<F: Front> Desk<F> {
+    pub fn new(core: Core, clock: Clock, front: F) -> Rc<Self> {
+        let (core, out) = (RefCell::new(core), RefCell::default());
+        Rc::new(Desk { clock, front, core, sooner: Notify::new(), out })
+    }
+
+    /// Does something to the core and sets going what comes of it.
+    pub fn act<R>(self: &Rc<Self>, f: impl FnOnce(&mut Core, Nanos) -> R) -> R {
+        let (result, work, due) = {
+            let mut core = self.core.borrow_mut();
+            let before = core.due();
+            let result = f(&mut core, self.clock.now());
+            (result, core.work(), core.due() < before)
+        };
+        if due {
+            self.sooner.notify_one();
+        }
+        self.set_going(work);
+        result
+    }
+
+    /// Looks something up.
+    pub fn see<R>(&self, f: impl FnOnce(&Core) -> R) -> R {
+        f(&self.core.borrow())
+    }
+
+    /// Calls that are out.
+    pub fn calls_out(&self) -> usize {
+        self.out.borrow().len()
+    }
+
+    fn set_going(self: &Rc<Self>, work: Work) {
+        work.notes.iter().for_each(|text| self.front.log(text));
+        work.distrusted.into_iter().for_each(|hop| self.front.distrust(hop));
+        for branch in work.dropped {
+            if let Some(cancel) = self.out.borrow().get(&branch) {
+                cancel.notify_one();
+            }
+        }
+        for (call, hop) in work.calls {
+            let cancel = Rc::new(Notify::new());
+            let mut out = self.out.borrow_mut();
+            out.extend(call.branches.iter().map(|b| ((b.transaction, b.attempt), cancel.clone())));
+            spawn_local(self.clone().carry(call, hop, cancel));
+        }
+        if !work.ended.is_empty() {
+            self.front.ended(self, work.ended);
+        }
+    }
+
+    async fn carry(self: Rc<Self>, call: Call, hop: NextHop, cancel: Rc<Notify>) {
+        let from = self.clock.now();
+        let passage = Passage { desk: &self, call: &call, hop: &hop, cancel: &cancel };
+        let mut replies = self.front.carry(passage).await;
+        for branch in &call.branches {
+            if !replies.iter().any(|(b, _)| b == branch) {
+                replies.push((*branch, Reply::of(Outcome::NotSent)));
+            }
+            self.out.borrow_mut().remove(&(branch.transaction, branch.attempt));
+        }
+        let took = self.clock.now().saturating_sub(from);
+        self.act(|core, now| core.report(now, &replies, took));
+    }
+
+    /// Wakes the core when it wants to be.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let due = self.see(Core::due);
+            tokio::select! {
+                () = sleep_until(self.clock.instant(due)), if due < Nanos::MAX => {
+                    self.act(|core, now| core.tick(now));
+                }
+                () = self.sooner.notified() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,18 @@
+//! The core: requests, attempts and their outcomes. It knows no wire.
+
+pub mod clock;
+pub mod core;
+pub mod desk;
+pub mod facade;
+pub mod journal;
+pub mod route_set;
+pub mod transactions;
+
+pub use crate::interface::{Class, Kind, Late, Limits, Nanos, Outcome, Repeat, Settings};
+pub use clock::Clock;
+pub use core::{Core, Offer, Taken, Work};
+pub use desk::{Desk, Front};
+pub use facade::{Branch, Call, End, NextHopId};
+pub use journal::Journal;
+pub use route_set::{NextHop, RouteNews, RouteSet, Standing};
+pub use transactions::{Transaction, TransactionNo};
--- /dev/null
+++ b/src/routing/transactions.rs
@@ -0,0 +1,86 @@
+//! The transactions that the relay owes an end, with all that must outlast the process.
+
+use super::facade::End;
+use crate::interface::Nanos;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap};
+
+/// A transaction's place in the order taken, across restarts.
+pub type TransactionNo = u64;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Transaction {
+    /// The id under which its client handed it in.
+    pub id: String,
+    /// The class by its place in the settings; the journal keeps the name.
+    pub class: usize,
+    pub dest: u64,
+    pub key: Option<String>,
+    pub idempotency: Option<String>,
+    /// Wall clock.
+    pub deadline: Nanos,
+    pub body: Bytes,
+    /// Whoever is owed the end, in the front's own words; empty where the front needs none.
+    pub owner: String,
+    /// Branches begun.
+    pub attempts: u32,
+    /// Wall time and zone of the first branch that may have run.
+    pub may_have_run: Option<(Nanos, usize)>,
+    /// The branch that is out, not known to have ended: when it began and in which zone.
+    pub out: Option<(Nanos, usize)>,
+    /// The end that is owed and not yet acknowledged; `None` while it may still be delivered.
+    pub ending: Option<Ending>,
+}
+
+/// The final answer, once there is one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Delivered,
+    Undelivered(End),
+}
+
+#[derive(Debug, Default)]
+pub struct Transactions {
+    by_no: BTreeMap<TransactionNo, Transaction>,
+    by_id: HashMap<String, TransactionNo>,
+}
+
+impl Transactions {
+    pub fn insert(&mut self, no: TransactionNo, t: Transaction) {
+        self.by_id.insert(t.id.clone(), no);
+        self.by_no.insert(no, t);
+    }
+
+    pub fn remove(&mut self, no: TransactionNo) -> Option<Transaction> {
+        let t = self.by_no.remove(&no)?;
+        if self.by_id.get(&t.id) == Some(&no) {
+            self.by_id.remove(&t.id);
+        }
+        Some(t)
+    }
+
+    pub fn get(&self, no: TransactionNo) -> Option<&Transaction> {
+        self.by_no.get(&no)
+    }
+
+    pub fn get_mut(&mut self, no: TransactionNo) -> Option<&mut Transaction> {
+        self.by_no.get_mut(&no)
+    }
+
+    pub fn find(&self, id: &str) -> Option<TransactionNo> {
+        self.by_id.get(id).copied()
+    }
+
+    /// In the order taken.
+    pub fn iter(&self) -> impl Iterator<Item = (TransactionNo, &Transaction)> {
+        self.by_no.iter().map(|(no, t)| (*no, t))
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_no.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_no.is_empty()
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -102,6 +102,11 @@
                 Event::Taken { id, class, dest, key, time_left } => {
                     self.taken(*id, *class, *dest, key.clone(), *time_left)
                 }
+                Event::Restored { id, class, dest, key, time_left, attempts, may_have_run } => {
+                    self.taken(*id, *class, *dest, key.clone(), *time_left);
+                    let past = may_have_run.map(|(ago, zone)| (self.now.saturating_sub(ago), zone));
+                    self.book.restore(*id, *attempts, past);
+                }
                 Event::Ended { id, attempt, outcome, latency, over } => {
                     self.ended(*id, *attempt, *outcome, *latency, *over)
                 }
@@ -441,6 +446,13 @@
         })
     }
 
+    /// Whether a call decided on a moment ago may still be written: its connection may have been slow to come
+    /// up, and the host may be leaving or a wait for it may run by now.
+    pub fn still_open(&self, host: HostId, now: Nanos) -> bool {
+        let Some(h) = self.book.hosts.get(&host) else { return false };
+        h.state == Listing::Ready && self.book.routes.get(&h.route).is_none_or(|r| r.wait <= now)
+    }
+
     /// Heuristics on top of the gate: pace, own rest, overdue answers, one trial at a time.
     fn may_call(&self, host: HostId) -> bool {
         let h = &self.book.hosts[&host];
@@ -577,6 +589,9 @@
             return;
         };
         m.out = false;
+        if outcome == Outcome::Spent {
+            m.attempts = m.attempts.max(self.set.max_attempts);
+        }
         if !outcome.never_ran() && m.may_have_run.is_none() {
             m.may_have_run = Some((a.sent, zone));
         }
@@ -596,7 +611,7 @@
             f.done += 1.0;
             f.cost += COST_GAIN * (latency as f64 - f.cost);
         }
-        if !matches!(outcome, Outcome::Full { .. } | Outcome::NotSent) {
+        if !matches!(outcome, Outcome::Full { .. } | Outcome::NotSent | Outcome::Spent) {
             f.calls += 1.0;
             f.served += f64::from(u8::from(served));
         }
@@ -618,7 +633,7 @@
             }
             Outcome::TimedOut => self.failed(host, false),
             Outcome::Cancelled | Outcome::NoConnection => self.failed(host, true),
-            Outcome::NotSent => {}
+            Outcome::NotSent | Outcome::Spent => {}
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -237,6 +237,13 @@
         self.waiting.insert(dest);
     }
 
+    /// Gives a message the past that it had before a restart.
+    pub fn restore(&mut self, id: MsgId, attempts: u32, may_have_run: Option<(Nanos, usize)>) {
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        (m.attempts, m.may_have_run) = (attempts, may_have_run);
+        self.next_end = 0;
+    }
+
     /// A held message leaves unsent: the last tag goes, so that those before it keep their places.
     pub fn unhold(&mut self, id: MsgId, dest: DestId) {
         let Some(f) = self.flows.get_mut(&dest) else { return };
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,9 @@
+//! Sockets: listeners with their caller legs, connections, pools of connections to next hops.
+
+pub mod connection;
+pub mod listener;
+pub mod pool;
+
+pub use connection::{Line, Unsent};
+pub use listener::Legs;
+pub use pool::Pool;
--- /dev/null
+++ b/src/transport/pool.rs
@@ -0,0 +1,115 @@
+//! Connections to next hops that wait for their next call.
+
+use super::connection::Line;
+use crate::routing::NextHopId;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep_until, Instant};
+
+/// A pool of idle lines by next hop. Each carries one call at a time and is closed before the other side
+/// would close it.
+pub struct Pool {
+    idle: RefCell<HashMap<NextHopId, Vec<(SocketAddr, Line)>>>,
+    /// Lines that are open or opening.
+    open: Cell<usize>,
+    most: usize,
+    keepalive: Duration,
+    connect_timeout: Duration,
+}
+
+/// A line taken out of the pool; dropped, it closes.
+pub struct Lease {
+    pool: Rc<Pool>,
+    next_hop: NextHopId,
+    dial: SocketAddr,
+    line: Option<Line>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.pool.open.set(self.pool.open.get() - 1);
+    }
+}
+
+impl Lease {
+    pub fn line(&mut self) -> Option<&mut Line> {
+        self.line.as_mut()
+    }
+
+    /// Puts the line back for the next call.
+    pub fn give_back(mut self) {
+        if let Some(mut line) = self.line.take() {
+            line.idle_since = Instant::now();
+            self.pool.open.set(self.pool.open.get() + 1);
+            self.pool.idle.borrow_mut().entry(self.next_hop).or_default().push((self.dial, line));
+        }
+    }
+}
+
+impl Pool {
+    pub fn new(most: usize, keepalive: Duration, connect_timeout: Duration) -> Rc<Self> {
+        let (idle, open) = (RefCell::default(), Cell::new(0));
+        Rc::new(Pool { idle, open, most, keepalive, connect_timeout })
+    }
+
+    /// A line to this next hop: the one used last of those that wait, else a new one.
+    pub async fn lease(self: &Rc<Self>, next_hop: NextHopId, dial: SocketAddr) -> io::Result<Lease> {
+        while let Some((at, line)) = self.pop(next_hop) {
+            let mut lease = Lease { pool: self.clone(), next_hop, dial, line: Some(line) };
+            let fresh = |l: &Line| l.usable() && l.idle_since.elapsed() < self.keepalive;
+            if at == dial && lease.line.as_ref().is_some_and(fresh) {
+                return Ok(lease);
+            }
+            lease.line = None;
+        }
+        if self.open.get() >= self.most && !self.close_oldest() {
+            return Err(io::Error::other("too many connections"));
+        }
+        self.open.set(self.open.get() + 1);
+        let mut lease = Lease { pool: self.clone(), next_hop, dial, line: None };
+        lease.line = Some(Line::open(dial, self.connect_timeout).await?);
+        Ok(lease)
+    }
+
+    fn pop(&self, next_hop: NextHopId) -> Option<(SocketAddr, Line)> {
+        self.idle.borrow_mut().get_mut(&next_hop)?.pop()
+    }
+
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let first =
+            |(hop, lines): (&NextHopId, &Vec<(SocketAddr, Line)>)| Some((lines.first()?.1.idle_since, *hop));
+        let Some((_, hop)) = idle.iter().filter_map(first).min() else { return false };
+        if let Some(lines) = idle.get_mut(&hop) {
+            lines.remove(0);
+            self.open.set(self.open.get() - 1);
+        }
+        true
+    }
+
+    /// Closes what waits for this next hop.
+    pub fn close_idle(&self, next_hop: NextHopId) {
+        let lines = self.idle.borrow_mut().remove(&next_hop).unwrap_or_default();
+        self.open.set(self.open.get() - lines.len());
+    }
+
+    /// Closes lines that have waited too long or that the other side has closed.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            sleep_until(Instant::now() + self.keepalive / 8).await;
+            let mut idle = self.idle.borrow_mut();
+            let mut closed = 0;
+            for lines in idle.values_mut() {
+                let before = lines.len();
+                lines.retain(|(_, l)| l.usable() && l.idle_since.elapsed() < self.keepalive);
+                closed += before - lines.len();
+            }
+            idle.retain(|_, lines| !lines.is_empty());
+            self.open.set(self.open.get() - closed);
+        }
+    }
+}
