--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,14 +129,12 @@
     Cancelled,
     /// It was never sent.
     NotSent,
-    /// It was not let through, as the message has had all its attempts.
-    Spent,
 }
 
 impl Outcome {
     /// It is certain that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full { .. } | Outcome::NoConnection | Outcome::NotSent | Outcome::Spent)
+        matches!(self, Outcome::Full { .. } | Outcome::NoConnection | Outcome::NotSent)
     }
 }
 
@@ -147,6 +145,10 @@
     Listed { whole: bool, entries: Vec<Entry> },
     /// A message was handed in and now awaits its final answer.
     Taken { id: MsgId, class: usize, dest: DestId, key: Option<String>, time_left: Nanos },
+    /// An attempt ended; `over` says that its message has had its final answer.
+    Ended { id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool },
+    /// Nobody waits for this message any more.
+    Withdrawn { id: MsgId },
     /// A message of an earlier life of this relay: attempts made then, and how long ago and in which zone
     /// the first of them that may have run was sent.
     Restored {
@@ -158,10 +160,8 @@
         attempts: u32,
         may_have_run: Option<(Nanos, usize)>,
     },
-    /// An attempt ended; `over` says that its message has had its final answer.
-    Ended { id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool },
-    /// Nobody waits for this message any more.
-    Withdrawn { id: MsgId },
+    /// The destination lets no further attempt of this message through.
+    Spent { id: MsgId },
     /// A wake-up asked for falls due.
     Woken,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 #[cfg(test)]
 mod by_hand;
 mod interface;
+mod live;
 pub mod program;
 pub mod protocol;
 pub mod routing;
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -46,14 +46,14 @@
 pub fn reply(status: StatusCode, headers: &HeaderMap) -> Reply {
     let wait = wait(headers);
     match status.as_u16() {
-        200 => Reply::of(Outcome::Served),
-        503 if headers.get("x-line-busy").is_some_and(|v| v == "1") => Reply::of(Outcome::NotSent),
-        429 | 503 => Reply::of(Outcome::Full { wait }),
-        504 => Reply::of(Outcome::Spent),
-        410 => Reply { outcome: Outcome::NotSent, over: true },
+        200 => Reply::Ended(Outcome::Served),
+        503 if headers.get("x-line-busy").is_some_and(|v| v == "1") => Reply::Ended(Outcome::NotSent),
+        429 | 503 => Reply::Ended(Outcome::Full { wait }),
+        504 => Reply::Spent,
+        410 => Reply::Over,
         // What could not be read or was too much has not run.
-        400 | 413 => Reply::of(Outcome::NotSent),
-        _ => Reply::of(Outcome::Error),
+        400 | 413 => Reply::Ended(Outcome::NotSent),
+        _ => Reply::Ended(Outcome::Error),
     }
 }
 
@@ -69,11 +69,11 @@
     let ends: Vec<(&str, &str)> = text.lines().filter_map(|l| l.trim().split_once(' ')).collect();
     let end = |l: &Letter| ends.iter().find(|e| e.0 == l.id).map(|e| e.1.trim());
     let reply = |l: &Letter| match end(l) {
-        Some("accepted") => Reply::of(Outcome::Served),
-        Some("deferred") => Reply::of(Outcome::Full { wait }),
-        Some("expired") => Reply { outcome: Outcome::NotSent, over: true },
-        Some("no_more") => Reply::of(Outcome::Spent),
-        _ => Reply::of(Outcome::Error),
+        Some("accepted") => Reply::Ended(Outcome::Served),
+        Some("deferred") => Reply::Ended(Outcome::Full { wait }),
+        Some("expired") => Reply::Over,
+        Some("no_more") => Reply::Spent,
+        _ => Reply::Ended(Outcome::Error),
     };
     letters.iter().map(|l| (l.branch, reply(l))).collect()
 }
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -48,7 +48,7 @@
     async fn carry(&self, passage: Passage<'_, Self>) -> Vec<(Branch, Reply)> {
         let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
-        let all = |outcome| passage.call.branches.iter().map(|b| (*b, Reply::of(outcome))).collect();
+        let all = |outcome| passage.call.branches.iter().map(|b| (*b, Reply::Ended(outcome))).collect();
         let hop = passage.hop;
         let leased = tokio::select! {
             leased = self.pool.lease(hop.id, hop.dial) => leased,
@@ -64,7 +64,7 @@
             return Vec::new();
         };
         let each = |reply: Reply| letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>();
-        let Some(line) = lease.line() else { return each(Reply::of(Outcome::NoConnection)) };
+        let Some(line) = lease.line() else { return each(Reply::Ended(Outcome::NoConnection)) };
         let answered = async {
             let response = line.send(request, len).await?;
             let status = response.status();
@@ -79,11 +79,11 @@
         let (replies, rest) = tokio::select! {
             answered = answered => match answered {
                 Ok(answered) => answered,
-                Err(Unsent::Never) => return each(Reply::of(Outcome::NoConnection)),
-                Err(Unsent::Perhaps) => return each(Reply::of(Outcome::Broken)),
+                Err(Unsent::Never) => return each(Reply::Ended(Outcome::NoConnection)),
+                Err(Unsent::Perhaps) => return each(Reply::Ended(Outcome::Broken)),
             },
-            () = sleep(Duration::from_nanos(left)) => return each(Reply::of(Outcome::TimedOut)),
-            () = passage.cancelled() => return each(Reply::of(Outcome::Cancelled)),
+            () = sleep(Duration::from_nanos(left)) => return each(Reply::Ended(Outcome::TimedOut)),
+            () = passage.cancelled() => return each(Reply::Ended(Outcome::Cancelled)),
         };
         match rest {
             Some(body) if !body.is_end_stream() => drop(spawn_local(drain(lease, body))),
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -47,16 +47,27 @@
     pub notes: Vec<String>,
 }
 
-/// How a branch ended. `over`: the next hop says that nothing more is owed.
+/// How a branch ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Reply {
-    pub outcome: Outcome,
-    pub over: bool,
+pub enum Reply {
+    Ended(Outcome),
+    /// It was not let through, and nothing more is owed.
+    Over,
+    /// It was not let through, since its transaction has had all its branches.
+    Spent,
 }
 
 impl Reply {
-    pub fn of(outcome: Outcome) -> Self {
-        Reply { outcome, over: false }
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Reply::Ended(outcome) => outcome,
+            Reply::Over | Reply::Spent => Outcome::NotSent,
+        }
+    }
+
+    /// Nothing more is owed for the transaction.
+    pub fn settles(self) -> bool {
+        matches!(self, Reply::Over | Reply::Ended(Outcome::Served))
     }
 }
 
@@ -226,27 +237,23 @@
 
     /// The outcomes of a call's branches, all in one report.
     pub fn report(&mut self, now: Nanos, replies: &[(Branch, Reply)], took: Nanos) {
-        let mut told = Vec::new();
         for (branch, reply) in replies {
             let no = branch.transaction;
-            told.push((*branch, reply.outcome, reply.over));
             let Some(t) = self.transactions.get_mut(no) else { continue };
-            let ran = !reply.outcome.never_ran();
+            let ran = !reply.outcome().never_ran();
             if let Some(out) = t.out.take() {
                 t.may_have_run = t.may_have_run.or(Some(out).filter(|_| ran));
-                let done = reply.over || reply.outcome == Outcome::Served;
-                if !done && self.journal.write(no, &Record::Back { may_have_run: ran }).is_err() {
+                if !reply.settles() && self.journal.write(no, &Record::Back { may_have_run: ran }).is_err() {
                     self.work.notes.push("journal: an outcome could not be written".to_string());
                 }
             }
-            match reply.outcome {
-                Outcome::Served if self.tells_delivery => self.end(no, Ending::Delivered),
-                Outcome::Served => self.over(no),
-                _ if reply.over => self.over(no),
+            match reply {
+                Reply::Ended(Outcome::Served) if self.tells_delivery => self.end(no, Ending::Delivered),
+                reply if reply.settles() => self.over(no),
                 _ => {}
             }
         }
-        let picked = self.facade.report(now, &told, took);
+        let picked = self.facade.report(now, replies, took);
         self.absorb(picked);
     }
 
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -111,7 +111,7 @@
         let mut replies = self.front.carry(passage).await;
         for branch in &call.branches {
             if !replies.iter().any(|(b, _)| b == branch) {
-                replies.push((*branch, Reply::of(Outcome::NotSent)));
+                replies.push((*branch, Reply::Ended(Outcome::NotSent)));
             }
             self.out.borrow_mut().remove(&(branch.transaction, branch.attempt));
         }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -2,9 +2,10 @@
 //!
 //! Whoever calls them gets back what is to be done now; the module's events and actions stay in this file.
 
+use super::core::Reply;
 use super::route_set::{NextHop, Standing};
 use super::transactions::TransactionNo;
-use crate::interface::{Action, Entry, Event, HostId, Listing, Nanos, Outcome, Settings};
+use crate::interface::{Action, Entry, Event, HostId, Listing, Nanos, Settings};
 use crate::rules::Relay;
 use std::collections::{BTreeSet, HashMap};
 
@@ -115,16 +116,15 @@
         self.step(now, &events)
     }
 
-    /// Tells how branches ended: those of one call in one report. `over` says that nothing more is owed.
-    pub fn report(&mut self, now: Nanos, ended: &[(Branch, Outcome, bool)], took: Nanos) -> Picked {
-        let event = |(b, outcome, over): &(Branch, Outcome, bool)| {
-            let (id, attempt, outcome) = (b.transaction, b.attempt, *outcome);
-            Event::Ended { id, attempt, outcome, latency: took, over: *over || outcome == Outcome::Served }
-        };
-        let events: Vec<Event> = ended.iter().map(event).collect();
-        for (b, outcome, over) in ended {
-            if *over || *outcome == Outcome::Served {
-                self.attempts.remove(&b.transaction);
+    /// Tells how branches ended: those of one call in one report.
+    pub fn report(&mut self, now: Nanos, ended: &[(Branch, Reply)], took: Nanos) -> Picked {
+        let mut events = Vec::new();
+        for (branch, reply) in ended {
+            let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
+            events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
+            events.push(Event::Ended { id, attempt, outcome: reply.outcome(), latency: took, over });
+            if over {
+                self.attempts.remove(&id);
             }
         }
         self.step(now, &events)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -67,10 +67,10 @@
 /// The decision module of one relay.
 #[derive(Debug)]
 pub struct Relay {
-    set: Settings,
+    pub(crate) set: Settings,
     dice: Dice,
-    now: Nanos,
-    book: Book,
+    pub(crate) now: Nanos,
+    pub(crate) book: Book,
     slowness: f64,
     mean_cost: f64,
     actions: Vec<Action>,
@@ -102,16 +102,11 @@
                 Event::Taken { id, class, dest, key, time_left } => {
                     self.taken(*id, *class, *dest, key.clone(), *time_left)
                 }
-                Event::Restored { id, class, dest, key, time_left, attempts, may_have_run } => {
-                    self.taken(*id, *class, *dest, key.clone(), *time_left);
-                    let past = may_have_run.map(|(ago, zone)| (self.now.saturating_sub(ago), zone));
-                    self.book.restore(*id, *attempts, past);
-                }
                 Event::Ended { id, attempt, outcome, latency, over } => {
                     self.ended(*id, *attempt, *outcome, *latency, *over)
                 }
                 Event::Withdrawn { id } => self.forget(*id),
-                Event::Woken => {}
+                rare => self.rare(rare),
             }
         }
         if self.now >= self.book.next_interval {
@@ -171,7 +166,7 @@
 
     // ---- Taking a message: tags by equations 2 to 4 ----
 
-    fn taken(&mut self, id: MsgId, class: usize, dest: DestId, key: Option<String>, time_left: Nanos) {
+    pub(crate) fn taken(&mut self, id: MsgId, class: usize, dest: DestId, key: Option<String>, left: Nanos) {
         let Some(c) = self.set.classes.get(class) else {
             self.actions.push(Action::Refuse { id, come_back: 0 });
             return;
@@ -179,7 +174,7 @@
         if self.book.messages.contains_key(&id) {
             return;
         }
-        let deadline = self.now.saturating_add(time_left);
+        let deadline = self.now.saturating_add(left);
         let key = key.filter(|_| c.in_order);
         let aim_at = deadline.saturating_add(c.aim).saturating_sub(c.deadline);
         let flow = Flow::new(c.aim as f64);
@@ -446,13 +441,6 @@
         })
     }
 
-    /// Whether a call decided on a moment ago may still be written: its connection may have been slow to come
-    /// up, and the host may be leaving or a wait for it may run by now.
-    pub fn still_open(&self, host: HostId, now: Nanos) -> bool {
-        let Some(h) = self.book.hosts.get(&host) else { return false };
-        h.state == Listing::Ready && self.book.routes.get(&h.route).is_none_or(|r| r.wait <= now)
-    }
-
     /// Heuristics on top of the gate: pace, own rest, overdue answers, one trial at a time.
     fn may_call(&self, host: HostId) -> bool {
         let h = &self.book.hosts[&host];
@@ -589,9 +577,6 @@
             return;
         };
         m.out = false;
-        if outcome == Outcome::Spent {
-            m.attempts = m.attempts.max(self.set.max_attempts);
-        }
         if !outcome.never_ran() && m.may_have_run.is_none() {
             m.may_have_run = Some((a.sent, zone));
         }
@@ -611,7 +596,7 @@
             f.done += 1.0;
             f.cost += COST_GAIN * (latency as f64 - f.cost);
         }
-        if !matches!(outcome, Outcome::Full { .. } | Outcome::NotSent | Outcome::Spent) {
+        if !matches!(outcome, Outcome::Full { .. } | Outcome::NotSent) {
             f.calls += 1.0;
             f.served += f64::from(u8::from(served));
         }
@@ -633,7 +618,7 @@
             }
             Outcome::TimedOut => self.failed(host, false),
             Outcome::Cancelled | Outcome::NoConnection => self.failed(host, true),
-            Outcome::NotSent | Outcome::Spent => {}
+            Outcome::NotSent => {}
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -244,6 +244,12 @@
         self.next_end = 0;
     }
 
+    pub fn spend_attempts(&mut self, id: MsgId, all: u32) {
+        if let Some(m) = self.messages.get_mut(&id) {
+            m.attempts = m.attempts.max(all);
+        }
+    }
+
     /// A held message leaves unsent: the last tag goes, so that those before it keep their places.
     pub fn unhold(&mut self, id: MsgId, dest: DestId) {
         let Some(f) = self.flows.get_mut(&dest) else { return };
