--- a/src/interface.rs
+++ b/src/interface.rs
@@ -162,6 +162,10 @@
     },
     /// The destination lets no further attempt of this message through.
     Spent { id: MsgId },
+    /// The destination will never take this message; its attempt has ended.
+    Rejected { id: MsgId },
+    /// The relay may be killed from then on, and comes back later.
+    Closing { at: Nanos },
     /// A wake-up asked for falls due.
     Woken,
 }
--- a/src/live.rs
+++ b/src/live.rs
@@ -1,5 +1,5 @@
-//! Decisions that only a relay on real sockets needs: after a restart, and between a decision and its
-//! first byte. Part of the module of `src/rules.rs`.
+//! Decisions that only a relay on real sockets needs: after a restart, before one, and between a decision
+//! and its first byte. Part of the module of `src/rules.rs`.
 
 use crate::interface::*;
 use crate::rules::Relay;
@@ -13,6 +13,11 @@
                 self.book.restore(*id, *attempts, past);
             }
             Event::Spent { id } => self.book.spend_attempts(*id, self.set.max_attempts),
+            Event::Rejected { id } => {
+                self.actions.push(Action::Fail { id: *id });
+                self.forget(*id);
+            }
+            Event::Closing { at } => self.book.closing = Some(*at),
             _ => {}
         }
     }
@@ -23,4 +28,24 @@
         let Some(h) = self.book.hosts.get(&host) else { return false };
         h.state == Listing::Ready && self.book.routes.get(&h.route).is_none_or(|r| r.wait <= now)
     }
+
+    /// A call that would be out when the relay is killed may have run, and nobody would know.
+    pub(crate) fn too_late(&self, host: HostId) -> bool {
+        self.book.closing.is_some_and(|at| self.now.saturating_add(self.overdue_after(host)) > at)
+    }
+
+    /// The last of each step. Before a planned end, messages that cannot go any more are handed back where
+    /// that is harmless: other relays will have them sooner than this one is back.
+    pub(crate) fn wind_up(&mut self) {
+        self.reclaim();
+        if self.book.closing.is_none() {
+            return;
+        }
+        let dests =
+            self.book.waiting.iter().filter(|d| self.book.hosts_of(**d).iter().all(|h| self.too_late(*h)));
+        let held = dests.flat_map(|d| self.book.flows[d].held.iter());
+        let back =
+            held.filter(|id| self.may_refuse(&self.book.messages[id])).copied().collect::<Vec<MsgId>>();
+        back.into_iter().for_each(|id| self.give_up(id));
+    }
 }
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,9 +1,12 @@
 //! The command line.
 
-use super::{config, log, wiring};
+use super::{config, log, signals, wiring};
+use crate::routing::Clock;
+use crate::transport::network::Tcp;
 use argh::FromArgs;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 /// A relay that delivers messages to destinations it does not control.
 #[derive(FromArgs)]
@@ -69,5 +72,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start the event loop: {e}"))?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, wiring::serve(config))
+    local.block_on(&runtime, async {
+        wiring::run(config, Rc::new(Tcp), Clock::system(), signals::told_to_end()).await
+    })
 }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -4,6 +4,6 @@
 pub mod config;
 pub mod log;
 mod signals;
-mod wiring;
+pub mod wiring;
 
 pub use cli::main;
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -3,6 +3,7 @@
 use super::fields::{list, num, text};
 use crate::routing::{NextHop, RouteNews, Standing};
 use crate::transport::connection::read_body;
+use crate::transport::network::Net;
 use crate::transport::Line;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -52,12 +53,18 @@
 }
 
 /// Follows the list for good: the whole of it first, then watches, each following the last answer at once.
-pub async fn follow(agent: SocketAddr, names: Names, mut learn: impl FnMut(RouteNews), log: impl Fn(&str)) {
+pub async fn follow(
+    net: Net,
+    agent: SocketAddr,
+    names: Names,
+    mut learn: impl FnMut(RouteNews),
+    log: impl Fn(&str),
+) {
     let mut seq = None;
     let mut line = None;
     let mut failing = false;
     loop {
-        match ask(agent, &mut line, seq).await.and_then(|v| news(&v, &names)) {
+        match ask(&net, agent, &mut line, seq).await.and_then(|v| news(&v, &names)) {
             Some(told) => {
                 if std::mem::take(&mut failing) {
                     log("discovery answers again");
@@ -78,13 +85,13 @@
     }
 }
 
-async fn ask(agent: SocketAddr, line: &mut Option<Line>, seq: Option<u64>) -> Option<JsonValue> {
+async fn ask(net: &Net, agent: SocketAddr, line: &mut Option<Line>, seq: Option<u64>) -> Option<JsonValue> {
     let (path, patience) = match seq {
         None => ("/v1/endpoints".to_string(), PATIENCE),
         Some(seq) => (format!("/v1/endpoints?from={seq}&hold_ms={}", HOLD.as_millis()), HOLD + PATIENCE),
     };
     if !line.as_ref().is_some_and(Line::usable) {
-        *line = Some(Line::open(agent, PATIENCE).await.ok()?);
+        *line = Some(Line::open(net, agent, PATIENCE).await.ok()?);
     }
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new())).ok()?;
     let asked = async {
--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -4,6 +4,7 @@
 use crate::routing::transactions::Ending;
 use crate::routing::End;
 use crate::transport::connection::read_body;
+use crate::transport::network::Net;
 use crate::transport::Line;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -45,15 +46,16 @@
     })
 }
 
-/// Posts lines; true once the platform has acknowledged them.
+/// Posts lines; `Ok` once the platform has acknowledged them, else the answer that it gave, if any.
 pub async fn post(
+    net: &Net,
     agent: SocketAddr,
     kept: &mut Option<Line>,
     lines: String,
 ) -> Result<(), Option<StatusCode>> {
     let told = async {
         if !kept.as_ref().is_some_and(Line::usable) {
-            *kept = Some(Line::open(agent, PATIENCE).await.ok()?);
+            *kept = Some(Line::open(net, agent, PATIENCE).await.ok()?);
         }
         let body = Bytes::from(lines);
         let len = body.len();
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -7,7 +7,8 @@
 use crate::routing::{Branch, Desk, Front, NextHopId, Offer, Taken, TransactionNo};
 use crate::transport::connection::{read_body, Unsent};
 use crate::transport::listener::Leg;
-use crate::transport::pool::Lease;
+use crate::transport::network::Net;
+use crate::transport::pool::{Lease, NoLease};
 use crate::transport::Pool;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -29,6 +30,7 @@
 const NOTICE_RETRY: Duration = Duration::from_millis(50);
 
 pub struct Platform {
+    net: Net,
     pub pool: Rc<Pool>,
     pub classes: Vec<String>,
     pub agent: SocketAddr,
@@ -38,9 +40,9 @@
 }
 
 impl Platform {
-    pub fn new(pool: Rc<Pool>, classes: Vec<String>, agent: SocketAddr, log: fn(&str)) -> Self {
+    pub fn new(net: Net, pool: Rc<Pool>, classes: Vec<String>, agent: SocketAddr, log: fn(&str)) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
-        Platform { pool, classes, agent, owed, more_owed, log }
+        Platform { net, pool, classes, agent, owed, more_owed, log }
     }
 }
 
@@ -55,7 +57,11 @@
             () = passage.cancelled() => return all(Outcome::NoConnection),
             () = sleep(Duration::from_nanos(longest)) => return all(Outcome::NoConnection),
         };
-        let Ok(mut lease) = leased else { return all(Outcome::NoConnection) };
+        let mut lease = match leased {
+            Ok(lease) => lease,
+            Err(NoLease::NotUp) => return all(Outcome::NoConnection),
+            Err(NoLease::OutOfRoom) => return all(Outcome::NotSent),
+        };
         let letters = passage.begin();
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
         let Some((request, len)) = hook::request(hop.dial, &letters, left).filter(|_| !letters.is_empty())
@@ -116,11 +122,11 @@
 /// Tells the platform of ends, those that come meanwhile together, until each is acknowledged.
 pub async fn tell_ends(desk: Rc<Desk<Platform>>) {
     let front = &desk.front;
-    let mut line = None;
+    let (mut line, mut most) = (None, notices::MOST);
     loop {
         let mut batch: Vec<TransactionNo> = Vec::new();
         let mut text = String::new();
-        while batch.len() < notices::MOST {
+        while batch.len() < most {
             let Some(no) = front.owed.borrow_mut().pop_front() else { break };
             let owed = desk.see(|core| core.transaction(no).and_then(|t| Some((t.id.clone(), t.ending?))));
             if let Some((id, ending)) = owed {
@@ -132,13 +138,22 @@
             front.more_owed.notified().await;
             continue;
         }
-        match notices::post(front.agent, &mut line, text).await {
-            Ok(()) => desk.act(|core, _| batch.into_iter().for_each(|no| core.acknowledged(no))),
+        match notices::post(&front.net, front.agent, &mut line, text).await {
+            Ok(()) => {
+                most = notices::MOST;
+                desk.act(|core, _| batch.into_iter().for_each(|no| core.acknowledged(no)));
+            }
             Err(status) => {
+                // What cannot be read must not hold up the rest: one by one until one is taken.
+                most = if status == Some(StatusCode::BAD_REQUEST) { 1 } else { most };
                 if let Some(status) = status {
                     front.log(&format!("notices: answered with {status}"));
                 }
-                batch.into_iter().rev().for_each(|no| front.owed.borrow_mut().push_front(no));
+                let mut put_back = |no| match most {
+                    1 => front.owed.borrow_mut().push_back(no),
+                    _ => front.owed.borrow_mut().push_front(no),
+                };
+                batch.into_iter().rev().for_each(&mut put_back);
                 sleep(NOTICE_RETRY).await;
             }
         }
@@ -186,7 +201,7 @@
         }
         Taken::Already => plain(StatusCode::ACCEPTED),
         Taken::Failed => plain(StatusCode::GATEWAY_TIMEOUT),
-        Taken::Refused { after } => refusal(after),
+        Taken::Refused { after, .. } => refusal(after),
     }
 }
 
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -30,8 +30,8 @@
     On(TransactionNo),
     /// It was taken on before, under this id.
     Already,
-    /// Turned away; to offer it again is harmless, best after this time.
-    Refused { after: Nanos },
+    /// Turned away; to offer it again is harmless, best after this time. `full`: for want of room.
+    Refused { after: Nanos, full: bool },
     /// It cannot be delivered, and no promise is made.
     Failed,
 }
@@ -55,13 +55,17 @@
     Over,
     /// It was not let through, since its transaction has had all its branches.
     Spent,
+    /// The next hop will never take it, for a reason in the front's own terms.
+    Rejected {
+        reason: u32,
+    },
 }
 
 impl Reply {
     pub fn outcome(self) -> Outcome {
         match self {
             Reply::Ended(outcome) => outcome,
-            Reply::Over | Reply::Spent => Outcome::NotSent,
+            Reply::Over | Reply::Spent | Reply::Rejected { .. } => Outcome::NotSent,
         }
     }
 
@@ -167,14 +171,15 @@
             may_have_run: None,
             out: None,
             ending: None,
+            reason: 0,
         };
         if self.facade.full() || !self.journal.has_room(&t, &self.transactions) {
-            return Taken::Refused { after: DOOR_ADVICE };
+            return Taken::Refused { after: DOOR_ADVICE, full: true };
         }
         let no = self.next_no;
         if let Err(e) = self.journal.write(no, &Record::Taken(&t)) {
             self.work.notes.push(format!("journal: cannot take a transaction on: {e}"));
-            return Taken::Refused { after: DOOR_ADVICE };
+            return Taken::Refused { after: DOOR_ADVICE, full: true };
         }
         self.next_no += 1;
         self.transactions.insert(no, t);
@@ -187,7 +192,7 @@
             Some(end) => {
                 self.over(no);
                 match end {
-                    End::Returned { after } => Taken::Refused { after },
+                    End::Returned { after } => Taken::Refused { after, full: false },
                     End::Failed => Taken::Failed,
                 }
             }
@@ -209,6 +214,12 @@
         self.absorb(picked);
     }
 
+    /// The relay may be killed from `at` on, and comes back later.
+    pub fn closing(&mut self, now: Nanos, at: Nanos) {
+        let picked = self.facade.closing(now, at);
+        self.absorb(picked);
+    }
+
     /// Called when a call can be written, before its first byte: the branches that may still go, journaled
     /// as out. What is not among them was never sent.
     pub fn begin(&mut self, now: Nanos, call: &Call) -> Vec<Letter> {
@@ -247,6 +258,9 @@
                     self.work.notes.push("journal: an outcome could not be written".to_string());
                 }
             }
+            if let Reply::Rejected { reason } = reply {
+                t.reason = *reason;
+            }
             match reply {
                 Reply::Ended(Outcome::Served) if self.tells_delivery => self.end(no, Ending::Delivered),
                 reply if reply.settles() => self.over(no),
@@ -310,7 +324,7 @@
             return;
         }
         t.ending = Some(ending);
-        if let Err(e) = self.journal.write(no, &Record::Ending(ending)) {
+        if let Err(e) = self.journal.write(no, &Record::Ending(ending, t.reason)) {
             self.work.notes.push(format!("journal: an end could not be written: {e}"));
         }
         self.work.ended.push(no);
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -123,6 +123,7 @@
             let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
             events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
             events.push(Event::Ended { id, attempt, outcome: reply.outcome(), latency: took, over });
+            events.extend(matches!(reply, Reply::Rejected { .. }).then_some(Event::Rejected { id }));
             if over {
                 self.attempts.remove(&id);
             }
@@ -135,6 +136,11 @@
         self.step(now, &[Event::Woken])
     }
 
+    /// The relay may be killed from `at` on, and comes back later.
+    pub fn closing(&mut self, now: Nanos, at: Nanos) -> Picked {
+        self.step(now, &[Event::Closing { at }])
+    }
+
     /// Nobody waits for this transaction any more.
     pub fn withdraw(&mut self, now: Nanos, id: TransactionNo) -> Picked {
         self.attempts.remove(&id);
--- a/src/routing/journal.rs
+++ b/src/routing/journal.rs
@@ -37,7 +37,7 @@
         may_have_run: bool,
     },
     /// The end is decided and owed.
-    Ending(Ending),
+    Ending(Ending, u32),
     /// Nothing more is owed.
     Over,
 }
@@ -211,7 +211,7 @@
     out.extend((zone as u32).to_le_bytes());
 }
 
-fn put_ending(out: &mut Vec<u8>, ending: Option<Ending>) {
+fn put_ending(out: &mut Vec<u8>, ending: Option<Ending>, reason: u32) {
     let (code, after) = match ending {
         None => (0, 0),
         Some(Ending::Delivered) => (1, 0),
@@ -220,6 +220,7 @@
     };
     out.push(code);
     out.extend(after.to_le_bytes());
+    out.extend(reason.to_le_bytes());
 }
 
 fn encode(no: TransactionNo, record: &Record, classes: &[String]) -> Vec<u8> {
@@ -233,7 +234,7 @@
             out.extend(t.attempts.to_le_bytes());
             put_moment(&mut out, t.may_have_run);
             put_moment(&mut out, t.out);
-            put_ending(&mut out, t.ending);
+            put_ending(&mut out, t.ending, t.reason);
             put(&mut out, classes.get(t.class).map_or("", |c| c).as_bytes());
             put(&mut out, t.id.as_bytes());
             put(&mut out, t.owner.as_bytes());
@@ -246,9 +247,9 @@
             put_moment(&mut out, Some((*at, *zone)));
         }
         Record::Back { may_have_run } => out.extend([3, u8::from(*may_have_run)]),
-        Record::Ending(e) => {
+        Record::Ending(e, reason) => {
             out.push(4);
-            put_ending(&mut out, Some(*e));
+            put_ending(&mut out, Some(*e), *reason);
         }
         Record::Over => out.push(5),
     }
@@ -300,14 +301,15 @@
         Some(some.then_some(moment))
     }
 
-    fn ending(&mut self) -> Option<Option<Ending>> {
-        let (code, after) = (self.u8()?, self.u64()?);
-        Some(match code {
+    fn ending(&mut self) -> Option<(Option<Ending>, u32)> {
+        let (code, after, reason) = (self.u8()?, self.u64()?, self.u32()?);
+        let ending = match code {
             1 => Some(Ending::Delivered),
             2 => Some(Ending::Undelivered(End::Failed)),
             3 => Some(Ending::Undelivered(End::Returned { after })),
             _ => None,
-        })
+        };
+        Some((ending, reason))
     }
 }
 
@@ -344,7 +346,7 @@
             t.may_have_run = t.may_have_run.or(t.out.filter(|_| ran));
             t.out = None;
         }
-        4 => t.ending = r.ending()?,
+        4 => (t.ending, t.reason) = r.ending()?,
         5 => drop(into.transactions.remove(no)),
         _ => return None,
     }
@@ -353,7 +355,7 @@
 
 fn taken(mut r: Reader, classes: &[String]) -> Option<Transaction> {
     let (dest, deadline, attempts) = (r.u64()?, r.u64()?, r.u32()?);
-    let (may_have_run, out, ending) = (r.moment()?, r.moment()?, r.ending()?);
+    let (may_have_run, out, (ending, reason)) = (r.moment()?, r.moment()?, r.ending()?);
     let class = r.text()?;
     Some(Transaction {
         class: classes.iter().position(|c| *c == class).unwrap_or(usize::MAX),
@@ -368,5 +370,6 @@
         may_have_run,
         out,
         ending,
+        reason,
     })
 }
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -30,6 +30,8 @@
     pub out: Option<(Nanos, usize)>,
     /// The end that is owed and not yet acknowledged; `None` while it may still be delivered.
     pub ending: Option<Ending>,
+    /// Why a next hop rejected it for good, in the front's own terms; 0 where none did.
+    pub reason: u32,
 }
 
 /// The final answer, once there is one.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -73,7 +73,7 @@
     pub(crate) book: Book,
     slowness: f64,
     mean_cost: f64,
-    actions: Vec<Action>,
+    pub(crate) actions: Vec<Action>,
 }
 
 impl Relay {
@@ -116,7 +116,7 @@
         self.end_hopeless();
         self.make_room();
         self.release();
-        self.reclaim();
+        self.wind_up();
         self.plan_wake();
         std::mem::take(&mut self.actions)
     }
@@ -430,7 +430,7 @@
     /// Listed as ready (to a draining one nothing is sent at all), not within a wait, not within a cold gap.
     fn opens_at(&self, host: HostId) -> Nanos {
         let h = &self.book.hosts[&host];
-        if h.state != Listing::Ready {
+        if h.state != Listing::Ready || self.too_late(host) {
             return Nanos::MAX;
         }
         let wait = self.book.routes.get(&h.route).map_or(0, |r| r.wait);
@@ -524,7 +524,7 @@
     }
 
     /// Slots run out while others wait: the call that was silent longest gives its slot back, one a step.
-    fn reclaim(&mut self) {
+    pub(crate) fn reclaim(&mut self) {
         if !self.set.may_cancel || self.book.calls.len() < self.set.slots {
             return;
         }
@@ -738,7 +738,7 @@
     }
 
     /// Latency beyond which an answer is overdue; looser when all hosts are slow together.
-    fn overdue_after(&self, host: HostId) -> Nanos {
+    pub(crate) fn overdue_after(&self, host: HostId) -> Nanos {
         let slow = self.slowness.max(1.0);
         match self.book.hosts.get(&host).and_then(|h| h.latency) {
             Some((mean, dev)) => (((mean + OVERDUE_DEVIATIONS * dev) * slow) as Nanos).max(OVERDUE_LEAST),
@@ -877,7 +877,7 @@
     }
 
     /// Refused where no effect can be repeated by it, with advice on when to come back; else failed.
-    fn give_up(&mut self, id: MsgId) {
+    pub(crate) fn give_up(&mut self, id: MsgId) {
         let Some(m) = self.book.messages.get(&id) else { return };
         if self.may_refuse(m) && m.deadline > self.now + SEC {
             let horizon = self.book.flows.get(&m.dest).map_or(HORIZON_LEAST, |f| self.horizon(f));
@@ -889,7 +889,7 @@
         self.forget(id);
     }
 
-    fn may_refuse(&self, m: &Message) -> bool {
+    pub(crate) fn may_refuse(&self, m: &Message) -> bool {
         let clean = m.may_have_run.is_none() && !m.out;
         match self.set.classes[m.class].repeat {
             Repeat::Safe => true,
@@ -898,7 +898,7 @@
         }
     }
 
-    fn forget(&mut self, id: MsgId) {
+    pub(crate) fn forget(&mut self, id: MsgId) {
         let Some(m) = self.book.messages.remove(&id) else { return };
         if !m.out {
             self.book.unhold(id, m.dest);
--- a/src/state.rs
+++ b/src/state.rs
@@ -173,6 +173,8 @@
     pub next_end: Nanos,
     /// Idle time after which connections are not trusted; none while they prove sound.
     pub idle_safe: Option<Nanos>,
+    /// From when on the relay may be killed.
+    pub closing: Option<Nanos>,
 }
 
 impl Book {
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection of ours to a next hop or to the platform.
 
+use super::network::{Net, Stream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -14,18 +15,17 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{timeout, Instant};
 
 /// A stream that counts the bytes it has passed on to the system.
-pub struct Counted<S> {
-    stream: S,
+pub struct Counted {
+    stream: Stream,
     written: Rc<Cell<u64>>,
 }
 
-impl<S> Counted<S> {
-    pub fn new(stream: S) -> (Self, Rc<Cell<u64>>) {
+impl Counted {
+    pub fn new(stream: Stream) -> (Self, Rc<Cell<u64>>) {
         let written = Rc::new(Cell::new(0));
         (Counted { stream, written: written.clone() }, written)
     }
@@ -38,7 +38,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+impl AsyncRead for Counted {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -48,7 +48,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(result)
@@ -101,11 +101,9 @@
 }
 
 impl Line {
-    pub async fn open(dial: SocketAddr, within: Duration) -> io::Result<Line> {
+    pub async fn open(net: &Net, dial: SocketAddr, within: Duration) -> io::Result<Line> {
         let connect = async {
-            let stream = TcpStream::connect(dial).await?;
-            stream.set_nodelay(true)?;
-            let (counted, written) = Counted::new(stream);
+            let (counted, written) = Counted::new(net.connect(dial).await?);
             let (sender, connection) = handshake(TokioIo::new(counted)).await.map_err(io::Error::other)?;
             let task = spawn_local(async move { drop(connection.await) }).abort_handle();
             Ok(Line { sender, written, task, idle_since: Instant::now() })
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,23 +1,27 @@
 //! Where callers connect, and the legs on which they talk.
 
 use super::connection::Counted;
+use super::network::{Listen, Stream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+/// A head that takes longer never comes.
+const HEAD_WITHIN: Duration = Duration::from_secs(60);
+
 /// One caller leg, as the service sees it.
 pub struct Leg {
     close: Notify,
@@ -67,42 +71,43 @@
     }
 
     /// Accepts callers; `answer` answers a request, `gone` is told of a leg that has ended.
-    pub async fn accept<A, F, G>(self: Rc<Self>, listener: TcpListener, answer: A, gone: G)
+    pub async fn accept<A, F, G>(self: Rc<Self>, listener: Box<dyn Listen>, answer: A, gone: G)
     where
         A: Fn(Rc<Leg>, Request<Incoming>) -> F + Clone + 'static,
         F: Future<Output = Response<Full<Bytes>>> + 'static,
         G: Fn(&Rc<Leg>) + Clone + 'static,
     {
         loop {
-            while self.open() >= self.most && !self.close_one_idle() {
+            while self.open() >= self.most {
+                self.close_one_idle();
                 self.freed.notified().await;
             }
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok(stream) = listener.accept().await else {
                 // Out of descriptors: room comes when a leg ends.
                 self.close_one_idle();
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
             self.serve(stream, answer.clone(), gone.clone());
         }
     }
 
-    fn close_one_idle(&self) -> bool {
+    /// Asks the leg that has been idle longest to close.
+    fn close_one_idle(&self) {
         let open = self.open.borrow();
         let idle = open.values().filter_map(|leg| Some((leg.idle_since.get()?, leg)));
-        let Some((_, leg)) = idle.min_by_key(|(since, _)| *since) else { return false };
-        leg.idle_since.set(None);
-        leg.close.notify_one();
-        false
+        if let Some((_, leg)) = idle.min_by_key(|(since, _)| *since) {
+            leg.idle_since.set(None);
+            leg.close.notify_one();
+        }
     }
 
-    fn serve<A, F, G>(self: &Rc<Self>, stream: TcpStream, answer: A, gone: G)
+    fn serve<A, F, G>(self: &Rc<Self>, stream: Stream, answer: A, gone: G)
     where
         A: Fn(Rc<Leg>, Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Full<Bytes>>> + 'static,
         G: Fn(&Rc<Leg>) + 'static,
     {
-        stream.set_nodelay(true).ok();
         let (counted, written) = Counted::new(stream);
         let leg = Rc::new(Leg {
             close: Notify::new(),
@@ -126,12 +131,11 @@
                 }
             });
             let mut builder = http1::Builder::new();
-            builder.half_close(false);
+            builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN);
+            // A caller that still comes has its one request answered: it would be turned away again.
+            builder.keep_alive(!legs.closing.get());
             let mut connection = pin!(builder.serve_connection(TokioIo::new(counted), service));
-            let mut closing = legs.closing.get();
-            if closing {
-                connection.as_mut().graceful_shutdown();
-            }
+            let mut closing = false;
             loop {
                 tokio::select! {
                     _ = connection.as_mut() => break,
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod connection;
 pub mod listener;
+pub mod network;
 pub mod pool;
 
 pub use connection::{Line, Unsent};
-pub use listener::Legs;
+pub use listener::{Leg, Legs};
+pub use network::{Network, Stream};
 pub use pool::Pool;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to next hops that wait for their next call.
 
 use super::connection::Line;
+use super::network::Net;
 use crate::routing::NextHopId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 /// A pool of idle lines by next hop. Each carries one call at a time and is closed before the other side
 /// would close it.
 pub struct Pool {
+    net: Net,
     idle: RefCell<HashMap<NextHopId, Vec<(SocketAddr, Line)>>>,
     /// Lines that are open or opening.
     open: Cell<usize>,
@@ -21,6 +23,23 @@
     connect_timeout: Duration,
 }
 
+/// Why there is no line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoLease {
+    /// The next hop refused it or it did not come up in time.
+    NotUp,
+    /// This process holds as many as it may.
+    OutOfRoom,
+}
+
+/// No descriptor or no port is left: that is our own affair and says nothing of the next hop.
+fn out_of_room(e: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const EADDRNOTAVAIL: i32 = 99;
+    matches!(e.raw_os_error(), Some(ENFILE | EMFILE | EADDRNOTAVAIL))
+}
+
 /// A line taken out of the pool; dropped, it closes.
 pub struct Lease {
     pool: Rc<Pool>,
@@ -51,13 +70,13 @@
 }
 
 impl Pool {
-    pub fn new(most: usize, keepalive: Duration, connect_timeout: Duration) -> Rc<Self> {
+    pub fn new(net: Net, most: usize, keepalive: Duration, connect_timeout: Duration) -> Rc<Self> {
         let (idle, open) = (RefCell::default(), Cell::new(0));
-        Rc::new(Pool { idle, open, most, keepalive, connect_timeout })
+        Rc::new(Pool { net, idle, open, most, keepalive, connect_timeout })
     }
 
     /// A line to this next hop: the one used last of those that wait, else a new one.
-    pub async fn lease(self: &Rc<Self>, next_hop: NextHopId, dial: SocketAddr) -> io::Result<Lease> {
+    pub async fn lease(self: &Rc<Self>, next_hop: NextHopId, dial: SocketAddr) -> Result<Lease, NoLease> {
         while let Some((at, line)) = self.pop(next_hop) {
             let mut lease = Lease { pool: self.clone(), next_hop, dial, line: Some(line) };
             let fresh = |l: &Line| l.usable() && l.idle_since.elapsed() < self.keepalive;
@@ -67,11 +86,18 @@
             lease.line = None;
         }
         if self.open.get() >= self.most && !self.close_oldest() {
-            return Err(io::Error::other("too many connections"));
+            return Err(NoLease::OutOfRoom);
         }
         self.open.set(self.open.get() + 1);
         let mut lease = Lease { pool: self.clone(), next_hop, dial, line: None };
-        lease.line = Some(Line::open(dial, self.connect_timeout).await?);
+        match Line::open(&self.net, dial, self.connect_timeout).await {
+            Ok(line) => lease.line = Some(line),
+            Err(e) if out_of_room(&e) => {
+                self.close_oldest();
+                return Err(NoLease::OutOfRoom);
+            }
+            Err(_) => return Err(NoLease::NotUp),
+        }
         Ok(lease)
     }
 
--- /dev/null
+++ b/tests/relay/platform.rs
@@ -0,0 +1,340 @@
+//! The platform's front: each test says what it guards.
+
+use crate::scenario::play;
+
+/// Guards the straight path: 202 once journaled, the message unchanged to a next hop of its destination,
+/// one connection for calls that follow one another.
+#[test]
+fn a_message_is_taken_carried_and_over() {
+    play(
+        "relay start
+         caller x send GET /ready
+         caller x expect 200
+         caller x send POST /unsafe id=m1 dest=2 timeout=24000m key=k1 body=pay
+         caller x expect 202
+         hop b1 expect m1 body=pay idempotency-key=k1 content-length=3
+         wait 200
+         hop b1 send 200
+         caller x send POST /safe id=m2 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect m2
+         hop b1 send 200
+         agent expect nothing 30000",
+    );
+}
+
+/// Guards intake against what cannot be handled: nothing of it may reach a next hop or end the relay.
+#[test]
+fn bad_input_gets_its_own_answer() {
+    play(
+        "relay start
+         caller x send POST /safe dest=2 timeout=9000m
+         caller x expect 400
+         caller x send POST /safe id=a\u{e9}b dest=2 timeout=9000m
+         caller x expect 400
+         caller x send POST /safe id=m dest=2
+         caller x expect 400
+         caller x send POST /safe id=m dest=2 timeout=9s
+         caller x expect 400
+         caller x send POST /safe id=m timeout=9000m
+         caller x expect 400
+         caller x send POST /safe id=m dest=two timeout=9000m
+         caller x expect 400
+         caller x send POST /safe id=- dest=2 timeout=9000m
+         caller x expect 400
+         caller x send POST /nowhere id=m dest=2 timeout=9000m
+         caller x expect 404
+         caller x send GET /safe id=m dest=2 timeout=9000m
+         caller x expect 405 allow
+         caller x send POST /safe id=m dest=2 timeout=9000m body=*65537
+         caller x expect 413
+         caller y send POST /safe id=m dest=2 timeout=9000m body=*65536
+         caller y expect 202
+         hop b1 expect m content-length=65536
+         hop b1 send 200
+         agent expect nothing 10000",
+    );
+}
+
+/// Guards what was taken on against the end of the process: a branch whose outcome nobody heard may have
+/// run, so an unsafe message gets `failed`, a safe one goes again, and one that was never out goes for the
+/// first time, all in the order taken and under the ids of the first life.
+#[test]
+fn a_kill_loses_nothing_and_repeats_nothing_unsafe() {
+    play(
+        "relay start
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u1
+         caller x send POST /safe id=s1 dest=3 timeout=24000m key=kk
+         caller x expect 202
+         hop c1 expect s1
+         hop a1 refuse
+         hop a2 refuse
+         caller x send POST /unsafe id=u2 dest=1 timeout=24000m
+         caller x expect 202
+         relay kill
+         hop b1 close
+         hop c1 close
+         hop a1 listen
+         hop a2 listen
+         wait 600
+         relay start
+         agent expect failed u1
+         hop c1 expect s1 idempotency-key=kk
+         hop c1 send 200
+         hop a2 expect u2
+         hop a2 send 200
+         hop b1 expect nothing 10000
+         relay kill
+         relay start
+         agent expect nothing 100",
+    );
+}
+
+/// Guards the end of a message that a next hop answers with an error: it may have run, so an unsafe one is
+/// failed at once and a safe one goes again.
+#[test]
+fn an_error_ends_an_unsafe_message_at_once_and_repeats_a_safe_one() {
+    play(
+        "relay start
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u1
+         hop b1 send 500
+         agent expect failed u1 in 0..5
+         caller x send POST /safe id=s1 dest=3 timeout=24000m
+         caller x expect 202
+         hop c1 expect s1
+         hop c1 send 500
+         hop c1 expect s1
+         hop c1 send 200
+         agent expect nothing 10000",
+    );
+}
+
+/// Guards the two ends of a connection's life: one that breaks with the call out may have carried it, one
+/// that is refused has not.
+#[test]
+fn a_break_after_the_last_byte_may_have_run_and_a_refused_connection_has_not() {
+    play(
+        "relay start
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u1
+         hop b1 close
+         agent expect failed u1 in 0..5
+         hop c1 refuse
+         caller x send POST /unsafe id=u2 dest=3 timeout=24000m
+         caller x expect 202
+         wait 300
+         hop c1 listen
+         hop c1 expect u2
+         hop c1 send 200
+         agent expect nothing 10000",
+    );
+}
+
+/// Guards told waits: nothing goes to the destination, on any of its hops, before the wait is over.
+#[test]
+fn a_told_wait_binds_all_hops_of_the_destination() {
+    play(
+        "relay start
+         caller x send POST /safe id=s1 dest=1 timeout=24000m
+         caller x expect 202
+         hop a2 expect s1
+         hop a2 send 429 retry-after=1.5
+         caller x send POST /safe id=s2 dest=1 timeout=24000m
+         caller x expect 202
+         hop a1 expect nothing 1490
+         hop a2 expect nothing 1",
+    );
+}
+
+/// Guards the answers that say a call was never let through, each with its own meaning: no slot (goes
+/// again), all attempts made (its end is owed at once), over (nothing is owed).
+#[test]
+fn busy_spent_and_over_are_told_apart() {
+    play(
+        "relay start
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u1
+         hop b1 send 503 x-line-busy=1
+         hop b1 expect u1
+         hop b1 send 504
+         agent expect returned u1 after_ms in 0..5
+         caller x send POST /unsafe id=u2 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u2
+         hop b1 send 410
+         agent expect nothing 30000
+         hop b1 expect nothing 1",
+    );
+}
+
+/// Guards a silent hop: the attempt ends by its timer, the connection with it, and the next goes on another.
+#[test]
+fn a_silent_call_times_out_and_closes_its_connection() {
+    play(
+        "relay start
+         caller x send POST /safe id=s1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect s1
+         hop b1 hangup in 500..4000
+         hop b1 expect s1
+         hop b1 send 200
+         agent expect nothing 30000",
+    );
+}
+
+/// Guards batches: what is held for one hop of a kind that takes several goes as one call, and each message
+/// has the end that the answer gives it.
+#[test]
+fn messages_that_waited_travel_together_and_fare_apart() {
+    play(
+        "relay start
+         caller x send POST /safe id=s0 dest=1 timeout=24000m
+         caller x expect 202
+         hop a2 expect s0
+         hop a2 send 200
+         hop a1 slow 300
+         caller x send POST /safe id=s1 dest=1 timeout=24000m
+         caller x expect 202
+         hop a2 expect s1
+         hop a2 send 429 retry-after=0.5
+         caller x send POST /safe id=s2 dest=1 timeout=24000m
+         caller x expect 202
+         caller x send POST /unsafe id=u3 dest=1 timeout=24000m
+         caller x expect 202
+         wait 3000",
+    );
+}
+
+/// Guards drains: no call to a hop that is leaving, not even one whose connection was slow to come up.
+#[test]
+fn a_hop_that_leaves_gets_nothing_new_even_on_a_slow_connection() {
+    play(
+        "relay start
+         hop b1 slow 700
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         wait 100
+         agent list b1 leaving
+         hop b1 expect nothing 5000
+         agent list b1 active
+         hop b1 expect u1
+         hop b1 send 200
+         agent expect nothing 30000",
+    );
+}
+
+/// Guards notices: each is told until it is acknowledged, also by the next life of the relay, and a message
+/// that was handed back is not delivered as well.
+#[test]
+fn a_notice_is_told_until_it_is_acknowledged_across_a_restart() {
+    play(
+        "relay start
+         agent down
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u1
+         hop b1 send 504
+         wait 3000
+         relay kill
+         relay start
+         hop b1 expect nothing 3000
+         agent up
+         agent expect returned u1 after_ms
+         relay kill
+         relay start
+         agent expect nothing 3000",
+    );
+}
+
+/// Guards a planned end: legs close between requests, what is out comes to its end, and nothing starts that
+/// could not end before the kill: it is handed back for others to take.
+#[test]
+fn told_to_end_it_sees_out_what_is_out_and_hands_back_the_rest() {
+    play(
+        "relay start
+         caller y send GET /ready
+         caller y expect 200
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x expect 202
+         hop b1 expect u1
+         relay end
+         caller x expect close in 0..5
+         caller y expect close
+         wait 100
+         caller z send POST /unsafe id=u2 dest=3 timeout=24000m
+         caller z expect 202
+         hop c1 expect u2
+         hop c1 send 200
+         wait 900
+         hop b1 send 200
+         wait 2300
+         caller w send POST /unsafe id=u3 dest=3 timeout=24000m
+         caller w expect 503 retry-after
+         hop c1 expect nothing 5000",
+    );
+}
+
+/// Guards order: messages of one key go one at a time in the order taken, across a restart too.
+#[test]
+fn messages_of_a_key_keep_their_order_across_a_restart() {
+    play(
+        "relay start
+         hop b1 refuse
+         caller x send POST /ordered?thread=k id=o1 dest=2 timeout=24000m
+         caller x expect 202
+         caller x send POST /ordered?thread=k id=o2 dest=2 timeout=24000m
+         caller x expect 202
+         caller x send POST /ordered?thread=k id=o3 dest=3 timeout=24000m
+         caller x expect 202
+         hop c1 expect nothing 100
+         relay kill
+         hop b1 listen
+         relay start
+         hop b1 expect o1
+         hop b1 expect nothing 100
+         hop b1 send 200
+         hop b1 expect o2
+         hop c1 expect nothing 100
+         hop b1 send 200
+         hop c1 expect o3
+         hop c1 send 200
+         agent expect nothing 30000",
+    );
+}
+
+/// Guards the room: the least hopeful goes, with advice: the newcomer by its answer, one held by a notice.
+#[test]
+fn a_full_relay_turns_away_with_advice() {
+    let mut script = "relay start\nhop b1 silent\n".to_string();
+    for i in 0..11 {
+        script += &format!("caller x send POST /unsafe id=u{i} dest=2 timeout=24000m\ncaller x expect 202\n");
+    }
+    script += "caller x send POST /safe id=s1 dest=2 timeout=24000m
+        caller x expect 503 retry-after
+        caller x send POST /unsafe id=u11 dest=2 timeout=24000m
+        caller x expect 202
+        agent expect returned u6 after_ms";
+    play(&script);
+}
+
+/// Guards a caller that is gone before it could hear the answer: it hands the message in again elsewhere, so
+/// nothing of it may go out later.
+#[test]
+fn a_message_whose_caller_never_heard_is_withdrawn() {
+    play(
+        "relay start
+         hop b1 refuse
+         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
+         caller x close
+         wait 100
+         hop b1 listen
+         hop b1 expect nothing 20000
+         agent expect nothing 20000",
+    );
+}
--- /dev/null
+++ b/tests/relay/scenario.rs
@@ -0,0 +1,434 @@
+//! A small language for scenarios, a line a step:
+//!
+//! ```text
+//! ACTOR send ...      says something now
+//! ACTOR expect ...    waits, in paused time, until it is said to the actor; anything else fails
+//! ACTOR close         ends its connection (a hop: that of its oldest call)
+//! wait MS             lets time pass
+//! relay start | end | kill, hop refuse | silent | listen | slow MS | hangup, agent down | up | list HOST STATE
+//! ```
+//!
+//! `in A..B` behind an `expect` gives bounds for the milliseconds since the last step; `nothing MS` expects
+//! silence. Hops and callers get names as they are used; the relay knows hops `a1 a2` of destination 1 (a
+//! kind that takes 3 messages a call), `b1` of 2 and `c1` of 3 (1 a call).
+
+use crate::network::{Memory, Seen};
+use basaltloom::program::{config, wiring};
+use basaltloom::routing::Clock;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{split, AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
+
+pub const RELAY: &str = "10.0.0.1:5000";
+pub const AGENT: &str = "10.0.0.2:8500";
+const HOPS: [(&str, u64, &str); 4] =
+    [("a1", 1, "chains"), ("a2", 1, "chains"), ("b1", 2, "firms"), ("c1", 3, "firms")];
+const SETTINGS: &str = r#"{"azs":["z"],"kinds":["chains","firms"],"fleet_size":2,"weights":"off",
+"domain":{"calls_out":8,"late":"even","per_call":[3,1],"separate_routes":[false,false],"route_fee":[0.0]},
+"limits":{"cancel":true,"connect_timeout":1500000000,"keepalive":10000000000,"max_open":12,
+"max_retry_after":3000000000,"most_tries":8,"retry_after":true},
+"rules":{"cold_share":0.2,"fall":1500000000,"key_rest":100000000,"overload_factor":2.0,"warm_up":9400000000},
+"services":[
+{"name":"ordered","aim":2500000000,"deadline":24000000000,"importance":1.0,"late_worth":0.4,"repeat":"token",
+"memory_span":15000000000,"group":"all","in_order":true},
+{"name":"safe","aim":2000000000,"deadline":28000000000,"importance":1.0,"late_worth":0.4,"repeat":"pure"},
+{"name":"unsafe","aim":4000000000,"deadline":24000000000,"importance":3.0,"late_worth":0.3,
+"repeat":"side_effect"}]}"#;
+
+/// Plays a script from a fresh state folder.
+pub fn play(script: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    let mut world = World::new();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        for (i, line) in script.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+            let place = format!("line {}: {}", i + 1, line.trim());
+            world.step(&line.split_whitespace().collect::<Vec<_>>(), &place).await;
+        }
+    });
+    std::fs::remove_dir_all(&world.state).ok();
+}
+
+/// A head and its body.
+#[derive(Debug, Clone)]
+pub struct Said {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: String,
+}
+
+/// Reads one HTTP message; none at the end.
+async fn read(stream: &mut ReadHalf<DuplexStream>) -> Option<Said> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let (first, rest) = head.split_once("\r\n")?;
+    let fields = rest.lines().filter_map(|l| l.split_once(": "));
+    let headers: HashMap<String, String> = fields.map(|(n, v)| (n.to_lowercase(), v.to_string())).collect();
+    let mut body = vec![0; headers.get("content-length").map_or(0, |n| n.parse().unwrap())];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(Said { first: first.to_string(), headers, body: String::from_utf8_lossy(&body).into_owned() })
+}
+
+type Halves = (ReadHalf<DuplexStream>, WriteHalf<DuplexStream>);
+/// A call, its connection, and where that goes back for the next call.
+type Call = (Said, Halves, oneshot::Sender<Halves>);
+
+struct Hop {
+    address: SocketAddr,
+    arrived: UnboundedReceiver<Call>,
+    /// Calls seen and not answered yet, the oldest first.
+    open: VecDeque<Call>,
+}
+
+impl Hop {
+    fn listen(net: &Memory, address: SocketAddr) -> Hop {
+        let mut streams = net.open(address);
+        let (sender, arrived) = unbounded_channel();
+        spawn_local(async move {
+            while let Some(stream) = streams.recv().await {
+                let sender = sender.clone();
+                spawn_local(async move {
+                    let mut halves = split(stream);
+                    while let Some(said) = read(&mut halves.0).await {
+                        let (back, given) = oneshot::channel();
+                        sender.send((said, halves, back)).ok();
+                        let Ok(again) = given.await else { return };
+                        halves = again;
+                    }
+                });
+            }
+        });
+        Hop { address, arrived, open: VecDeque::new() }
+    }
+}
+
+/// Discovery and notices.
+#[derive(Default)]
+struct Agent {
+    seq: u64,
+    states: HashMap<String, String>,
+    changed: Vec<String>,
+    down: bool,
+    notices: VecDeque<String>,
+    news: Rc<tokio::sync::Notify>,
+}
+
+impl Agent {
+    fn hosts(&self, names: &[String]) -> String {
+        let entry = |(name, dest, kind): &(&str, u64, &str), dial: String| {
+            let health = self.states.get(*name).map_or("active", |s| s);
+            format!(
+                r#"{{"host":"{name}","dial":"{dial}","site":"z","class":"{kind}","block":{dest},"health":"{health}","share":1.0,"born_ms":0}}"#
+            )
+        };
+        let hosts = HOPS.iter().enumerate().filter(|(_, h)| names.iter().any(|n| n == h.0));
+        hosts.map(|(i, h)| entry(h, hop_address(i).to_string())).collect::<Vec<_>>().join(",")
+    }
+
+    fn whole(&self) -> String {
+        let all: Vec<String> = HOPS.iter().map(|h| h.0.to_string()).collect();
+        format!(r#"{{"seq":{},"whole":true,"hosts":[{}]}}"#, self.seq, self.hosts(&all))
+    }
+}
+
+fn hop_address(i: usize) -> SocketAddr {
+    format!("10.1.0.{}:80", i + 1).parse().unwrap()
+}
+
+async fn serve_agent(agent: Rc<RefCell<Agent>>, stream: DuplexStream) {
+    let (mut input, mut output) = split(stream);
+    while let Some(said) = read(&mut input).await {
+        let news = agent.borrow().news.clone();
+        let reply = if said.first.starts_with("POST /v1/notices") {
+            if agent.borrow().down {
+                return news.notified().await;
+            }
+            agent.borrow_mut().notices.extend(said.body.lines().map(str::to_string));
+            news.notify_waiters();
+            "HTTP/1.1 204 No Content\r\n\r\n".to_string()
+        } else {
+            if said.first.contains("from=") {
+                let changed = async {
+                    while agent.borrow().changed.is_empty() {
+                        news.notified().await;
+                    }
+                };
+                timeout(Duration::from_secs(20), changed).await.ok();
+            }
+            while agent.borrow().down {
+                news.notified().await;
+            }
+            let changed = std::mem::take(&mut agent.borrow_mut().changed);
+            let agent = agent.borrow();
+            let body = match said.first.contains("from=") {
+                true => {
+                    format!(r#"{{"seq":{},"whole":false,"hosts":[{}]}}"#, agent.seq, agent.hosts(&changed))
+                }
+                false => agent.whole(),
+            };
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        };
+        if output.write_all(reply.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+struct Caller {
+    input: ReadHalf<DuplexStream>,
+    output: WriteHalf<DuplexStream>,
+}
+
+struct Running {
+    task: JoinHandle<()>,
+    end: Option<oneshot::Sender<()>>,
+}
+
+struct World {
+    net: Rc<Memory>,
+    state: PathBuf,
+    started: Instant,
+    last: Instant,
+    relay: Option<Running>,
+    hops: HashMap<String, Hop>,
+    callers: HashMap<String, Caller>,
+    agent: Rc<RefCell<Agent>>,
+}
+
+pub fn fresh_folder() -> PathBuf {
+    use std::sync::atomic::{AtomicU32, Ordering};
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("basaltloom-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// The value of `name=...` among a step's words.
+fn value<'a>(words: &[&'a str], name: &str) -> Option<&'a str> {
+    words.iter().find_map(|w| w.strip_prefix(name)?.strip_prefix('='))
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            net: Rc::default(),
+            state: fresh_folder(),
+            started: Instant::now(),
+            last: Instant::now(),
+            relay: None,
+            hops: HashMap::new(),
+            callers: HashMap::new(),
+            agent: Rc::default(),
+        }
+    }
+
+    async fn step(&mut self, words: &[&str], place: &str) {
+        let began = self.last;
+        match words {
+            ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())).await,
+            ["relay", what] => self.relay(what).await,
+            ["agent", rest @ ..] => self.agent(rest, place).await,
+            ["hop", name, rest @ ..] => self.hop(name, rest, place).await,
+            ["caller", name, rest @ ..] => self.caller(name, rest, place).await,
+            _ => panic!("{place}: no such step"),
+        }
+        self.last = Instant::now();
+        if let Some(at) = words.iter().position(|w| *w == "in") {
+            let (from, to) = words[at + 1].split_once("..").unwrap();
+            let took = (self.last - began).as_millis();
+            let (from, to): (u128, u128) = (from.parse().unwrap(), to.parse().unwrap());
+            assert!((from..=to).contains(&took), "{place}: took {took} ms");
+        }
+    }
+
+    async fn relay(&mut self, what: &str) {
+        match what {
+            "start" => {
+                if self.hops.is_empty() {
+                    self.open_world();
+                }
+                let known = self.agent.borrow().whole();
+                let config = format!(
+                    r#"{{"name":"t","listen":"{RELAY}","discovery":"{AGENT}","seed":"7","limits":{{"sockets":1024,"disk_mb":3}},"known":{known},"settings":{SETTINGS}}}"#
+                );
+                let mut config = config::decode(&config.parse().unwrap()).unwrap();
+                config.state = self.state.clone();
+                let clock = Clock::set(1_800_000_000_000_000_000 + self.started.elapsed().as_nanos() as u64);
+                let (end, ended) = oneshot::channel();
+                let (net, inner) = (Rc::new(Seen(self.net.clone())), LocalSet::new());
+                inner.spawn_local(async move {
+                    wiring::run(config, net, clock, async { drop(ended.await) }).await.unwrap();
+                });
+                let task = spawn_local(inner);
+                self.relay = Some(Running { task, end: Some(end) });
+                sleep(Duration::from_millis(1)).await;
+            }
+            "end" => drop(self.relay.as_mut().unwrap().end.take().unwrap().send(())),
+            "kill" => {
+                let running = self.relay.take().unwrap();
+                running.task.abort();
+                running.task.await.ok();
+                self.net.refuse(RELAY.parse().unwrap());
+                self.callers.clear();
+            }
+            _ => panic!("relay {what}?"),
+        }
+    }
+
+    fn open_world(&mut self) {
+        for (i, (name, _, _)) in HOPS.iter().enumerate() {
+            self.hops.insert(name.to_string(), Hop::listen(&self.net, hop_address(i)));
+        }
+        let mut streams = self.net.open(AGENT.parse().unwrap());
+        let agent = self.agent.clone();
+        spawn_local(async move {
+            while let Some(stream) = streams.recv().await {
+                spawn_local(serve_agent(agent.clone(), stream));
+            }
+        });
+    }
+
+    async fn agent(&mut self, words: &[&str], place: &str) {
+        let news = self.agent.borrow().news.clone();
+        match words {
+            ["list", host, state] => {
+                let mut agent = self.agent.borrow_mut();
+                agent.seq += 1;
+                agent.states.insert(host.to_string(), state.to_string());
+                agent.changed.push(host.to_string());
+            }
+            ["down"] => self.agent.borrow_mut().down = true,
+            ["up"] => self.agent.borrow_mut().down = false,
+            ["expect", "nothing", ms] => {
+                sleep(Duration::from_millis(ms.parse().unwrap())).await;
+                assert_eq!(self.agent.borrow().notices, [""; 0], "{place}");
+            }
+            ["expect", state, id, ..] => {
+                let told = async {
+                    loop {
+                        if let Some(line) = self.agent.borrow_mut().notices.pop_front() {
+                            return line;
+                        }
+                        news.notified().await;
+                    }
+                };
+                let line =
+                    timeout(Duration::from_secs(60), told).await.unwrap_or_else(|_| panic!("{place}: none"));
+                let start = format!(r#"{{"id":"{id}","state":"{state}""#);
+                assert!(line.starts_with(&start), "{place}: got {line}");
+                let after = line.contains("after_ms");
+                assert_eq!(after, words.contains(&"after_ms"), "{place}: got {line}");
+            }
+            _ => panic!("{place}: no such step"),
+        }
+        news.notify_waiters();
+    }
+
+    async fn hop(&mut self, name: &str, words: &[&str], place: &str) {
+        let hop = self.hops.get_mut(name).unwrap_or_else(|| panic!("{place}: no such hop"));
+        match words {
+            ["refuse"] => self.net.refuse(hop.address),
+            ["silent"] => self.net.silence(hop.address),
+            ["slow", ms] => self.net.slow(hop.address, Duration::from_millis(ms.parse().unwrap())),
+            ["hangup", ..] => {
+                let (_, (mut input, _), _) =
+                    hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
+                let more = timeout(Duration::from_secs(60), read(&mut input)).await;
+                assert!(more.unwrap_or_else(|_| panic!("{place}: still open")).is_none(), "{place}");
+            }
+            ["listen"] => *hop = Hop::listen(&self.net, hop.address),
+            ["close"] => drop(hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"))),
+            ["expect", "nothing", ms] => {
+                sleep(Duration::from_millis(ms.parse().unwrap())).await;
+                assert!(hop.arrived.is_empty(), "{place}: got {:?}", hop.arrived.try_recv().map(|c| c.0));
+            }
+            ["expect", ids, rest @ ..] => {
+                let call = timeout(Duration::from_secs(60), hop.arrived.recv()).await;
+                let call = call.ok().flatten().unwrap_or_else(|| panic!("{place}: nothing came"));
+                let said = &call.0;
+                let got = match said.first.as_str() {
+                    "POST /hook HTTP/1.1" => said.headers["x-request-id"].clone(),
+                    _ => batch_ids(&said.body).join(","),
+                };
+                assert_eq!(&got, ids, "{place}: got {said:?}");
+                for w in rest.iter().filter_map(|w| w.split_once('=')) {
+                    let field = if w.0 == "body" { Some(&said.body) } else { said.headers.get(w.0) };
+                    assert_eq!(field.map(String::as_str), Some(w.1), "{place}: got {said:?}");
+                }
+                hop.open.push_back(call);
+            }
+            ["send", status, rest @ ..] => {
+                let (_, (input, mut output), back) =
+                    hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
+                let (headers, ends): (Vec<&str>, Vec<&str>) = rest.iter().partition(|w| w.contains('='));
+                let body: String = ends.chunks(2).map(|e| format!("{}\r\n", e.join(" "))).collect();
+                let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+                headers.iter().for_each(|h| text += &format!("{}\r\n", h.replace('=', ": ")));
+                output.write_all(format!("{text}\r\n{body}").as_bytes()).await.unwrap();
+                back.send((input, output)).ok();
+            }
+            _ => panic!("{place}: no such step"),
+        }
+    }
+
+    async fn caller(&mut self, name: &str, words: &[&str], place: &str) {
+        if !self.callers.contains_key(name) {
+            let stream = self.net.dial(RELAY.parse().unwrap()).unwrap().0.unwrap();
+            let (input, output) = split(stream);
+            self.callers.insert(name.to_string(), Caller { input, output });
+        }
+        let caller = self.callers.get_mut(name).unwrap();
+        match words {
+            ["send", method, path, rest @ ..] => {
+                let body = value(rest, "body").unwrap_or("hello");
+                let mut text = format!("{method} {path} HTTP/1.1\r\nhost: x\r\n");
+                let named = [("id", "x-request-id"), ("timeout", "x-timeout"), ("key", "idempotency-key")];
+                for (word, header) in named {
+                    text += &value(rest, word).map_or(String::new(), |v| format!("{header}: {v}\r\n"));
+                }
+                text += &value(rest, "dest").map_or(String::new(), |d| format!("x-consignee: dest={d}\r\n"));
+                let body =
+                    body.strip_prefix('*').map_or(body.to_string(), |n| "x".repeat(n.parse().unwrap()));
+                text += &format!("content-length: {}\r\n\r\n", body.len());
+                caller.output.write_all(format!("{text}{body}").as_bytes()).await.unwrap();
+            }
+            ["close"] => drop(self.callers.remove(name)),
+            ["expect", "close", ..] => {
+                let said = timeout(Duration::from_secs(60), read(&mut caller.input)).await;
+                assert!(said.unwrap_or_else(|_| panic!("{place}: still open")).is_none(), "{place}");
+                self.callers.remove(name);
+            }
+            ["expect", status, rest @ ..] => {
+                let said = timeout(Duration::from_secs(60), read(&mut caller.input)).await;
+                let said = said.ok().flatten().unwrap_or_else(|| panic!("{place}: no answer"));
+                assert_eq!(said.first.split(' ').nth(1), Some(*status), "{place}: got {said:?}");
+                for header in rest.iter().take_while(|w| **w != "in") {
+                    assert!(said.headers.contains_key(*header), "{place}: got {said:?}");
+                }
+            }
+            _ => panic!("{place}: no such step"),
+        }
+    }
+}
+
+fn batch_ids(body: &str) -> Vec<String> {
+    let (mut ids, mut rest) = (Vec::new(), body);
+    while let Some((line, after)) = rest.split_once("\r\n") {
+        let mut fields = line.split(' ');
+        ids.push(fields.next().unwrap().to_string());
+        let len: usize = fields.nth(1).unwrap().parse().unwrap();
+        rest = after[len..].strip_prefix("\r\n").unwrap();
+    }
+    ids
+}
