--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,12 +1,18 @@
 //! The command line.
 
+use super::wiring::{Plan, SmppPlan};
 use super::{config, log, signals, wiring};
+use crate::protocol::smpp;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
 use argh::FromArgs;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use tokio::sync::mpsc::unbounded_channel;
+
+/// Bytes for the journal of an SMPP front that runs alone.
+const DISK: u64 = 64 << 20;
 
 /// A relay that delivers messages to destinations it does not control.
 #[derive(FromArgs)]
@@ -30,6 +36,9 @@
     /// configuration file; $LB_CONFIG where it is not given
     #[argh(option)]
     config: Option<PathBuf>,
+    /// file of the SMPP front, which is off without it; SIGHUP has it read again
+    #[argh(option)]
+    smpp: Option<PathBuf>,
 }
 
 /// print the version
@@ -66,13 +75,39 @@
 }
 
 fn serve(args: Serve) -> Result<(), String> {
-    let from = args.config.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
-    let mut config = config::read(&from.ok_or("no configuration: give --config or set LB_CONFIG")?)?;
-    config.heed_environment(|name| std::env::var(name).ok())?;
+    let environment = |name: &str| std::env::var(name).ok();
+    let from = args.config.or_else(|| environment("LB_CONFIG").map(PathBuf::from));
+    let mut platform = from.map(|path| config::read(&path)).transpose()?;
+    if let Some(config) = &mut platform {
+        config.heed_environment(environment)?;
+    }
+    let front = args.smpp.as_ref().map(|path| smpp::config::read(path)).transpose()?;
+    if platform.is_none() && front.is_none() {
+        return Err("nothing to serve: give --config or --smpp, or set LB_CONFIG".to_string());
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start the event loop: {e}"))?;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
-        wiring::run(config, Rc::new(Tcp), Clock::system(), signals::told_to_end()).await
+        let clock = Clock::system();
+        let (again, reread) = unbounded_channel();
+        let smpp = front.map(|config| {
+            let state = platform.as_ref().map(|c| c.state.clone());
+            let state = state.or_else(|| environment("LB_STATE").map(PathBuf::from));
+            // Where both fronts run they share the disk evenly.
+            let disk_bytes = platform.as_mut().map_or(DISK, |c| {
+                c.disk_bytes /= 2;
+                c.disk_bytes
+            });
+            let state = state.unwrap_or_else(|| PathBuf::from(".")).join("smpp");
+            SmppPlan { config, state, disk_bytes, seed: clock.now(), reread }
+        });
+        if let Some(path) = args.smpp {
+            tokio::task::spawn_local(signals::at_hangup(move || match smpp::config::read(&path) {
+                Ok(config) => drop(again.send(config)),
+                Err(why) => log::line(&format!("smpp: the file stays as it was read before: {why}")),
+            }));
+        }
+        wiring::run(Plan { platform, smpp }, Rc::new(Tcp), clock, signals::told_to_end()).await
     })
 }
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -12,7 +12,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Discovery and notices; without it the known list stands and ends are only logged.
+    pub discovery: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
@@ -49,7 +50,7 @@
     Ok(Config {
         name: text(v, "name").unwrap_or("relay").to_string(),
         listen: address(need(text(v, "listen"), "listen")?, "listen")?,
-        discovery: address(need(text(v, "discovery"), "discovery")?, "discovery")?,
+        discovery: text(v, "discovery").map(|d| address(d, "discovery")).transpose()?,
         state: PathBuf::from(text(v, "state").unwrap_or(".")),
         seed: seed(text(v, "seed").unwrap_or("")),
         sockets: num(v, "limits.sockets").unwrap_or(1024.0) as usize,
@@ -149,7 +150,7 @@
             self.listen = address(&listen, "LB_LISTEN")?;
         }
         if let Some(discovery) = get("LB_DISCOVERY") {
-            self.discovery = address(&discovery, "LB_DISCOVERY")?;
+            self.discovery = Some(address(&discovery, "LB_DISCOVERY")?);
         }
         if let Some(state) = get("LB_STATE") {
             self.state = PathBuf::from(state);
--- a/src/program/signals.rs
+++ b/src/program/signals.rs
@@ -13,3 +13,11 @@
         _ = int.recv() => {}
     }
 }
+
+/// Does something at each SIGHUP.
+pub async fn at_hangup(act: impl Fn()) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
+    while hangups.recv().await.is_some() {
+        act();
+    }
+}
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -4,12 +4,16 @@
 use super::log;
 use crate::protocol::discovery;
 use crate::protocol::platform::{self, Platform};
-use crate::routing::{Clock, Core, Desk, Journal};
+use crate::protocol::smpp::config::SmppConfig;
+use crate::protocol::smpp::{self, Smpp};
+use crate::routing::{Clock, Core, Desk, Front, Journal, RouteNews};
 use crate::transport::network::Net;
 use crate::transport::{Leg, Legs, Pool};
 use std::future::Future;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
@@ -20,16 +24,85 @@
 /// Descriptors for the listener, the log, the journal, discovery and the notices.
 const SPARE: usize = 32;
 
+/// What is to run: one front or both, each on a core and a journal of its own.
+#[derive(Default)]
+pub struct Plan {
+    pub platform: Option<Config>,
+    pub smpp: Option<SmppPlan>,
+}
+
+pub struct SmppPlan {
+    pub config: SmppConfig,
+    pub state: PathBuf,
+    pub disk_bytes: u64,
+    pub seed: u64,
+    /// The file read again, as often as that is asked for.
+    pub reread: UnboundedReceiver<SmppConfig>,
+}
+
 /// Runs the relay until `told_to_end`, and winds it up.
 pub async fn run(
-    config: Config,
+    plan: Plan,
     net: Net,
     clock: Clock,
     told_to_end: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let opened = Journal::open(&config.state, config.disk_bytes, config.classes.clone());
-    let (journal, replayed) =
-        opened.map_err(|e| format!("cannot open the journal in {}: {e}", config.state.display()))?;
+    let platform = match plan.platform {
+        Some(config) => Some(start_platform(config, net.clone(), clock).await?),
+        None => None,
+    };
+    let smpp = match plan.smpp {
+        Some(plan) => Some(start_smpp(plan, net, clock).await?),
+        None => None,
+    };
+
+    told_to_end.await;
+    let told = Instant::now();
+    log::line("told to end: callers are asked to leave, what is out is seen to its end");
+    if let Some((desk, legs)) = &platform {
+        legs.close_when_idle();
+        close(desk);
+    }
+    if let Some(desk) = &smpp {
+        close(desk);
+        let desk = desk.clone();
+        spawn_local(async move { smpp::part(&desk, KILLED_AFTER - Duration::from_millis(300)).await });
+    }
+    let busy = || {
+        let callers = platform.as_ref().is_some_and(|(_, legs)| legs.open() > 0);
+        let out = platform.as_ref().map_or(0, |(d, _)| d.calls_out() + d.see(Core::open));
+        let smpp = smpp.as_ref().is_some_and(|d| d.calls_out() > 0 || d.front.legs_open() > 0);
+        callers || out > 0 || smpp
+    };
+    while told.elapsed() < KILLED_AFTER && (told.elapsed() < STAYS || busy()) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let platform = platform.map_or(0, |(d, _)| d.see(Core::open));
+    let smpp = smpp.map_or(0, |d| d.see(Core::open));
+    log::line(&format!("ends with {} transactions in the journal", platform + smpp));
+    Ok(())
+}
+
+fn close<F: Front>(desk: &Rc<Desk<F>>) {
+    desk.act(|core, now| core.closing(now, now + KILLED_AFTER.as_nanos() as u64));
+}
+
+fn journal(
+    state: &Path,
+    bytes: u64,
+    classes: Vec<String>,
+) -> Result<(Journal, crate::routing::journal::Replayed), String> {
+    std::fs::create_dir_all(state)
+        .and_then(|()| Journal::open(state, bytes, classes))
+        .map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))
+}
+
+async fn start_platform(
+    config: Config,
+    net: Net,
+    clock: Clock,
+) -> Result<(Rc<Desk<Platform>>, Rc<Legs>), String> {
+    let (journal, replayed) = journal(&config.state, config.disk_bytes, config.classes.clone())?;
     let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
     let connect = Duration::from_nanos(config.connect_timeout);
     let room = config.sockets.saturating_sub(SPARE).max(16);
@@ -46,9 +119,11 @@
     spawn_local(desk.clone().keep_time());
     spawn_local(pool.sweep());
     spawn_local(platform::tell_ends(desk.clone()));
-    let learner = desk.clone();
-    let learn = move |news| learner.act(|core, now| core.learn(now, &news));
-    spawn_local(discovery::follow(net, config.discovery, config.names, learn, log::line));
+    if let Some(agent) = config.discovery {
+        let learner = desk.clone();
+        let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
+        spawn_local(discovery::follow(net, agent, config.names, learn, log::line));
+    }
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
     let gone = move |leg: &Rc<Leg>| {
@@ -58,17 +133,28 @@
     };
     spawn_local(legs.clone().accept(listener, answer, gone));
     log::line(&format!("{} serves on {address}", config.name));
+    Ok((desk, legs))
+}
 
-    told_to_end.await;
-    let told = Instant::now();
-    log::line("told to end: callers are asked to leave, what is out is seen to its end");
-    legs.close_when_idle();
-    desk.act(|core, now| core.closing(now, now + KILLED_AFTER.as_nanos() as u64));
-    let busy =
-        || told.elapsed() < STAYS || legs.open() > 0 || desk.calls_out() > 0 || desk.see(Core::open) > 0;
-    while told.elapsed() < KILLED_AFTER && busy() {
-        sleep(Duration::from_millis(20)).await;
-    }
-    log::line(&format!("ends with {} transactions in the journal", desk.see(Core::open)));
-    Ok(())
+async fn start_smpp(plan: SmppPlan, net: Net, clock: Clock) -> Result<Rc<Desk<Smpp>>, String> {
+    let SmppPlan { config, state, disk_bytes, seed, mut reread } = plan;
+    let (journal, replayed) = journal(&state, disk_bytes, config.class_list())?;
+    let (settings, known) = (config.settings.clone(), config.route_news());
+    let core = Core::new(settings, seed, journal, replayed, &known, true, clock.now());
+    let listener = net.listen(config.listen).await;
+    let listener = listener.map_err(|e| format!("smpp: cannot listen on {}: {e}", config.listen))?;
+    let address = listener.address().unwrap_or(config.listen);
+    let desk = Desk::new(core, clock, Smpp::new(config, net, clock.now(), log::line));
+    desk.act(|_, _| ());
+    spawn_local(desk.clone().keep_time());
+    spawn_local(smpp::accept(desk.clone(), listener));
+    let learner = desk.clone();
+    spawn_local(async move {
+        while let Some(config) = reread.recv().await {
+            smpp::learn(&learner, &config);
+            log::line("smpp: the file was read again");
+        }
+    });
+    log::line(&format!("smpp: serves on {address}"));
+    Ok(desk)
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,3 +5,4 @@
 pub mod hook;
 pub mod notices;
 pub mod platform;
+pub mod smpp;
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -33,14 +33,20 @@
     net: Net,
     pub pool: Rc<Pool>,
     pub classes: Vec<String>,
-    pub agent: SocketAddr,
+    pub agent: Option<SocketAddr>,
     owed: RefCell<VecDeque<TransactionNo>>,
     more_owed: Notify,
     log: fn(&str),
 }
 
 impl Platform {
-    pub fn new(net: Net, pool: Rc<Pool>, classes: Vec<String>, agent: SocketAddr, log: fn(&str)) -> Self {
+    pub fn new(
+        net: Net,
+        pool: Rc<Pool>,
+        classes: Vec<String>,
+        agent: Option<SocketAddr>,
+        log: fn(&str),
+    ) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
         Platform { net, pool, classes, agent, owed, more_owed, log }
     }
@@ -122,6 +128,7 @@
 /// Tells the platform of ends, those that come meanwhile together, until each is acknowledged.
 pub async fn tell_ends(desk: Rc<Desk<Platform>>) {
     let front = &desk.front;
+    let Some(agent) = front.agent else { return log_ends(&desk).await };
     let (mut line, mut most) = (None, notices::MOST);
     loop {
         let mut batch: Vec<TransactionNo> = Vec::new();
@@ -138,7 +145,7 @@
             front.more_owed.notified().await;
             continue;
         }
-        match notices::post(&front.net, front.agent, &mut line, text).await {
+        match notices::post(&front.net, agent, &mut line, text).await {
             Ok(()) => {
                 most = notices::MOST;
                 desk.act(|core, _| batch.into_iter().for_each(|no| core.acknowledged(no)));
@@ -160,6 +167,23 @@
     }
 }
 
+/// Where there is no platform to tell, the log is told.
+async fn log_ends(desk: &Rc<Desk<Platform>>) {
+    loop {
+        let owed = std::mem::take(&mut *desk.front.owed.borrow_mut());
+        for no in owed {
+            let mut text = String::new();
+            let told = desk.see(|core| core.transaction(no).and_then(|t| Some((t.id.clone(), t.ending?))));
+            if let Some((id, ending)) = told {
+                notices::line(&id, ending, &mut text);
+                desk.front.log(text.trim_end());
+            }
+            desk.act(|core, _| core.acknowledged(no));
+        }
+        desk.front.more_owed.notified().await;
+    }
+}
+
 /// Answers one request of a caller.
 pub async fn answer(
     desk: Rc<Desk<Platform>>,
--- /dev/null
+++ b/src/protocol/smpp/link.rs
@@ -0,0 +1,232 @@
+//! One SMPP session's plumbing, the same on both sides: frames in, frames out, answers to their requests.
+
+use crate::transport::Stream;
+use bytes::{Bytes, BytesMut};
+use rusmpp::decode::DecodeWithLength;
+use rusmpp::tokio_codec::CommandCodec;
+use rusmpp::{Command, CommandId, CommandStatus, Pdu};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep_until, timeout, Instant};
+use tokio_util::codec::Encoder;
+
+const HEAD: usize = 16;
+/// PDUs that wait to be written at most: whoever would add one waits.
+const QUEUE: usize = 256;
+
+/// A request of the other side, or what could not be read as one.
+#[derive(Debug)]
+pub enum Heard {
+    /// With the body as it came.
+    Request(Box<Command>, Bytes),
+    Bad {
+        sequence: u32,
+        status: CommandStatus,
+    },
+}
+
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// Its last byte was surely not written.
+    Unwritten,
+    /// The link ended; the request may have been read.
+    Lost,
+    Late,
+}
+
+struct Outgoing {
+    bytes: Bytes,
+    written: oneshot::Sender<()>,
+}
+
+pub struct Link {
+    out: mpsc::Sender<Outgoing>,
+    waiting: RefCell<HashMap<u32, oneshot::Sender<Box<Command>>>>,
+    next: Cell<u32>,
+    heard_at: Cell<Instant>,
+    open: Cell<bool>,
+    closed: Notify,
+    writer: AbortHandle,
+}
+
+/// The reading half of a link.
+pub struct Reader {
+    input: ReadHalf<Stream>,
+    buffer: BytesMut,
+    max_pdu: usize,
+}
+
+pub fn open(stream: Stream, max_pdu: usize) -> (Rc<Link>, Reader) {
+    let (input, mut output) = split(stream);
+    let (out, mut queue) = mpsc::channel::<Outgoing>(QUEUE);
+    let writing = async move {
+        while let Some(Outgoing { bytes, written }) = queue.recv().await {
+            if output.write_all(&bytes).await.is_err() || output.flush().await.is_err() {
+                return;
+            }
+            written.send(()).ok();
+        }
+    };
+    let link = Link {
+        out,
+        waiting: RefCell::default(),
+        next: Cell::new(1),
+        heard_at: Cell::new(Instant::now()),
+        open: Cell::new(true),
+        closed: Notify::new(),
+        writer: spawn_local(writing).abort_handle(),
+    };
+    (Rc::new(link), Reader { input, buffer: BytesMut::new(), max_pdu })
+}
+
+fn encode(command: Command) -> Bytes {
+    let mut bytes = BytesMut::new();
+    // Encoding into memory cannot fail.
+    CommandCodec::new().encode(command, &mut bytes).ok();
+    bytes.freeze()
+}
+
+impl Link {
+    pub fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    /// Ends the link at once; whatever waits for an answer on it is lost.
+    pub fn close(&self) {
+        self.open.set(false);
+        self.writer.abort();
+        self.waiting.borrow_mut().clear();
+        self.closed.notify_waiters();
+    }
+
+    /// Completes when the link has ended.
+    pub async fn ended(&self) {
+        let closed = self.closed.notified();
+        if self.is_open() {
+            closed.await;
+        }
+    }
+
+    /// Puts a PDU in line; what comes back completes once it is written, and fails if it never is.
+    async fn put(&self, bytes: Bytes) -> Option<oneshot::Receiver<()>> {
+        let (written, done) = oneshot::channel();
+        let sent = self.is_open() && self.out.send(Outgoing { bytes, written }).await.is_ok();
+        sent.then_some(done)
+    }
+
+    /// Answers a request; true once the answer is written.
+    pub async fn answer(&self, sequence: u32, status: CommandStatus, pdu: impl Into<Pdu>) -> bool {
+        let bytes = encode(Command::new(status, sequence, pdu.into()));
+        match self.put(bytes).await {
+            Some(written) => written.await.is_ok(),
+            None => false,
+        }
+    }
+
+    /// Sends a request and waits for its answer, whatever that says.
+    pub async fn request(&self, pdu: impl Into<Pdu>, within: Duration) -> Result<Box<Command>, Unanswered> {
+        let sequence = self.next.get();
+        self.next.set(if sequence >= 0x7fff_fffe { 1 } else { sequence + 1 });
+        let bytes = encode(Command::new(CommandStatus::EsmeRok, sequence, pdu.into()));
+        let (answered, answer) = oneshot::channel();
+        self.waiting.borrow_mut().insert(sequence, answered);
+        let wrote = Cell::new(false);
+        let exchange = async {
+            let Some(written) = self.put(bytes).await else { return Err(Unanswered::Unwritten) };
+            written.await.map_err(|_| Unanswered::Unwritten)?;
+            wrote.set(true);
+            answer.await.map_err(|_| Unanswered::Lost)
+        };
+        let result = timeout(within, exchange).await;
+        self.waiting.borrow_mut().remove(&sequence);
+        result.unwrap_or_else(|_| {
+            // It may be half written: on such a link nothing can follow.
+            if !wrote.get() {
+                self.close();
+            }
+            Err(if wrote.get() { Unanswered::Late } else { Unanswered::Unwritten })
+        })
+    }
+
+    /// The next request of the other side; answers go to whoever waits for them. None: the link has ended.
+    pub async fn hear(&self, reader: &mut Reader) -> Option<Heard> {
+        loop {
+            let heard = tokio::select! {
+                frame = reader.frame() => frame?,
+                () = self.ended() => return None,
+            };
+            self.heard_at.set(Instant::now());
+            match heard {
+                Heard::Request(command, _) if command.id().is_response() => {
+                    // One that nobody waits for any more came too late.
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&command.sequence_number()) {
+                        waiting.send(command).ok();
+                    }
+                }
+                other => return Some(other),
+            }
+        }
+    }
+
+    /// Asks whether the other side is there whenever it has been silent for `idle`; ends the link if not.
+    pub async fn watch(self: Rc<Self>, idle: Duration, within: Duration) {
+        while self.is_open() {
+            let due = self.heard_at.get() + idle;
+            if due > Instant::now() {
+                sleep_until(due).await;
+            } else if self.request(Pdu::EnquireLink, within).await.is_err() {
+                self.close();
+            }
+        }
+    }
+
+    /// Says goodbye and ends the link.
+    pub async fn unbind(&self, within: Duration) {
+        self.request(Pdu::Unbind, within).await.ok();
+        self.close();
+    }
+}
+
+impl Reader {
+    /// The next frame; none at the end, and where the length makes no sense: nothing after it could be read.
+    async fn frame(&mut self) -> Option<Heard> {
+        while self.buffer.len() < HEAD {
+            self.more().await?;
+        }
+        let field = |b: &[u8], i: usize| u32::from_be_bytes([b[i], b[i + 1], b[i + 2], b[i + 3]]);
+        let len = field(&self.buffer, 0) as usize;
+        if len < HEAD || len > self.max_pdu {
+            return None;
+        }
+        while self.buffer.len() < len {
+            self.more().await?;
+        }
+        let frame = self.buffer.split_to(len);
+        let (id, sequence) = (CommandId::from(field(&frame, 4)), field(&frame, 12));
+        let body = Bytes::copy_from_slice(&frame[HEAD..]);
+        let mut rest = BytesMut::from(&frame[4..]);
+        let known = !matches!(id, CommandId::Other(_));
+        let bad = |status| Some(Heard::Bad { sequence, status });
+        match Command::decode(&mut rest, len - 4) {
+            Ok((command, _)) if known => Some(Heard::Request(Box::new(command), body)),
+            Ok(_) => bad(CommandStatus::EsmeRinvcmdid),
+            // An answer that cannot be read is still an answer: its status counts.
+            Err(_) if id.is_response() => {
+                let status = CommandStatus::from(field(&frame, 8));
+                Some(Heard::Request(Box::new(Command::new(status, sequence, Pdu::GenericNack)), body))
+            }
+            Err(_) => bad(CommandStatus::EsmeRinvcmdlen),
+        }
+    }
+
+    async fn more(&mut self) -> Option<()> {
+        let read = self.input.read_buf(&mut self.buffer).await.ok()?;
+        (read > 0).then_some(())
+    }
+}
--- /dev/null
+++ b/src/protocol/smpp/mod.rs
@@ -0,0 +1,213 @@
+//! The SMPP front: ESMEs bind to us and submit, we bind to SMSCs and submit there. The same core decides
+//! and the same journal remembers; the one final answer of a message is its delivery receipt.
+
+pub mod config;
+mod esme;
+mod link;
+mod receipt;
+mod smsc;
+
+use crate::interface::{Nanos, Outcome};
+use crate::routing::core::Reply;
+use crate::routing::desk::Passage;
+use crate::routing::{Branch, Desk, Front, NextHopId, TransactionNo};
+use crate::transport::network::{Listen, Net};
+use bytes::{Bytes, BytesMut};
+use config::SmppConfig;
+use link::Link;
+use rusmpp::decode::DecodeWithLength;
+use rusmpp::pdus::SubmitSm;
+use rusmpp::values::{MCDeliveryReceipt, RegisteredDelivery};
+use smsc::Binds;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Who may bind to us, and what we owe it.
+pub struct Account {
+    config: config::Account,
+    binds: Cell<usize>,
+    owed: RefCell<VecDeque<TransactionNo>>,
+    more: Notify,
+}
+
+pub struct Smpp {
+    pub config: SmppConfig,
+    accounts: Vec<Rc<Account>>,
+    binds: RefCell<HashMap<String, Rc<Binds>>>,
+    /// The binds by the numbers under which the core knows them.
+    used: RefCell<HashMap<NextHopId, Rc<Binds>>>,
+    legs: RefCell<Vec<Rc<Link>>>,
+    net: Net,
+    ids: Cell<u32>,
+    started_ms: Nanos,
+    log: fn(&str),
+}
+
+impl Smpp {
+    pub fn new(config: SmppConfig, net: Net, now: Nanos, log: fn(&str)) -> Smpp {
+        let account = |a: &config::Account| {
+            let (binds, owed, more) = (Cell::new(0), RefCell::default(), Notify::new());
+            Rc::new(Account { config: a.clone(), binds, owed, more })
+        };
+        let front = Smpp {
+            accounts: config.accounts.iter().map(account).collect(),
+            binds: RefCell::default(),
+            used: RefCell::default(),
+            legs: RefCell::default(),
+            net,
+            ids: Cell::new(0),
+            started_ms: now / 1_000_000,
+            log,
+            config,
+        };
+        front.know_carriers(&front.config);
+        front
+    }
+
+    fn know_carriers(&self, config: &SmppConfig) {
+        let mut binds = self.binds.borrow_mut();
+        for c in &config.carriers {
+            match binds.get(&c.name) {
+                Some(known) => known.update(c.clone()),
+                None => {
+                    let new = Binds::new(self.net.clone(), config.times, config.max_pdu, c.clone());
+                    binds.insert(c.name.clone(), new);
+                }
+            }
+        }
+    }
+
+    pub fn legs_open(&self) -> usize {
+        self.legs.borrow().len()
+    }
+
+    fn account(&self, system_id: &str) -> Option<Rc<Account>> {
+        self.accounts.iter().find(|a| a.config.system_id == system_id).cloned()
+    }
+
+    /// A message id of its own for each message, across restarts too: none comes within a millisecond.
+    fn next_id(&self) -> String {
+        self.ids.set(self.ids.get() + 1);
+        format!("{:x}{:06x}", self.started_ms, self.ids.get())
+    }
+}
+
+/// The submit in a body as it came.
+fn submit_of(body: &Bytes) -> Option<SubmitSm> {
+    let mut rest = BytesMut::from(&body[..]);
+    let len = rest.len();
+    SubmitSm::decode(&mut rest, len).ok().map(|(submit, _)| submit)
+}
+
+impl Front for Smpp {
+    async fn carry(&self, passage: Passage<'_, Self>) -> Vec<(Branch, Reply)> {
+        let all = |outcome| passage.call.branches.iter().map(|b| (*b, Reply::Ended(outcome))).collect();
+        let Some(binds) = self.binds.borrow().get(&passage.hop.name).cloned() else {
+            return all(Outcome::NotSent);
+        };
+        self.used.borrow_mut().insert(passage.hop.id, binds.clone());
+        let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
+        let from = passage.desk.clock.now();
+        let seat = tokio::select! {
+            seat = binds.seat() => seat,
+            () = passage.cancelled() => return all(Outcome::NotSent),
+            () = sleep(Duration::from_nanos(longest)) => return all(Outcome::NotSent),
+        };
+        let Some(seat) = seat else { return all(Outcome::NoConnection) };
+        // One submit a call: each message is a call of its own here.
+        let Some(letter) = passage.begin().into_iter().next() else { return Vec::new() };
+        let Some(mut submit) = submit_of(&letter.body) else {
+            return vec![(letter.branch, Reply::Ended(Outcome::NotSent))];
+        };
+        // The receipt is ours to give, and a span would be counted anew from the SMSC's own clock.
+        submit.registered_delivery = RegisteredDelivery::default();
+        if !submit.validity_period.is_empty() {
+            let deadline = passage.desk.see(|c| c.transaction(letter.branch.transaction).map(|t| t.deadline));
+            submit.validity_period = deadline.map(receipt::absolute).unwrap_or_default();
+        }
+        let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
+        let reply = tokio::select! {
+            reply = seat.submit(submit.into(), Duration::from_nanos(left)) => reply,
+            () = passage.cancelled() => Reply::Ended(Outcome::Cancelled),
+        };
+        vec![(letter.branch, reply)]
+    }
+
+    fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
+        for no in nos {
+            let told = desk.see(|core| {
+                let t = core.transaction(no)?;
+                Some((self.account(&t.owner), wanted(&submit_of(&t.body)?, receipt::state(t, t.deadline).1)))
+            });
+            match told {
+                Some((Some(account), asked)) if asked || !account.config.receipts_as_asked => {
+                    account.owed.borrow_mut().push_back(no);
+                    account.more.notify_one();
+                }
+                Some((Some(_), _)) => desk.act(|core, _| core.acknowledged(no)),
+                Some((None, _)) => (self.log)(&format!("smpp: transaction {no} is owed to no known account")),
+                None => {}
+            }
+        }
+    }
+
+    fn distrust(&self, next_hop: NextHopId) {
+        if let Some(binds) = self.used.borrow().get(&next_hop) {
+            binds.close_idle();
+        }
+    }
+
+    fn log(&self, text: &str) {
+        (self.log)(&format!("smpp: {text}"));
+    }
+}
+
+/// Whether the ESME asked for a receipt of this end.
+fn wanted(submit: &SubmitSm, state: &str) -> bool {
+    use MCDeliveryReceipt::*;
+    let delivered = state == "DELIVRD";
+    match submit.registered_delivery.mc_delivery_receipt() {
+        NoMcDeliveryReceiptRequested => false,
+        McDeliveryReceiptRequestedWhereFinalDeliveryOutcomeIsFailure => !delivered,
+        McDeliveryReceiptRequestedWhereFinalDeliveryOutcomeIsSuccess => delivered,
+        _ => true,
+    }
+}
+
+/// Lets ESMEs in.
+pub async fn accept(desk: Rc<Desk<Smpp>>, listener: Box<dyn Listen>) {
+    loop {
+        let Ok(stream) = listener.accept().await else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if desk.front.legs.borrow().len() < desk.front.config.max_sessions {
+            spawn_local(esme::serve(desk.clone(), stream));
+        }
+    }
+}
+
+/// Takes in a file that was read again: carriers, and whether they are leaving.
+pub fn learn(desk: &Rc<Desk<Smpp>>, config: &SmppConfig) {
+    desk.front.know_carriers(config);
+    desk.act(|core, now| core.learn(now, &config.route_news()));
+}
+
+/// Says goodbye to both sides.
+pub async fn part(desk: &Rc<Desk<Smpp>>, within: Duration) {
+    let legs: Vec<Rc<Link>> = desk.front.legs.borrow().clone();
+    for link in legs {
+        spawn_local(async move { link.unbind(Duration::from_millis(500)).await });
+    }
+    let binds: Vec<Rc<Binds>> = desk.front.binds.borrow().values().cloned().collect();
+    let parting: Vec<_> =
+        binds.into_iter().map(|b| spawn_local(async move { b.part(within).await })).collect();
+    for each in parting {
+        timeout(within, each).await.ok();
+    }
+}
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -164,6 +164,7 @@
             dest,
             key: key.clone(),
             idempotency,
+            taken_at: now,
             deadline,
             body,
             owner,
@@ -290,6 +291,11 @@
         self.transactions.get(no)
     }
 
+    /// The transaction taken on under this id.
+    pub fn find(&self, id: &str) -> Option<&Transaction> {
+        self.transactions.get(self.transactions.find(id)?)
+    }
+
     pub fn next_hop(&self, id: NextHopId) -> Option<&NextHop> {
         self.route_set.get(id)
     }
--- a/src/routing/journal.rs
+++ b/src/routing/journal.rs
@@ -230,6 +230,7 @@
         Record::Taken(t) => {
             out.push(1);
             out.extend(t.dest.to_le_bytes());
+            out.extend(t.taken_at.to_le_bytes());
             out.extend(t.deadline.to_le_bytes());
             out.extend(t.attempts.to_le_bytes());
             put_moment(&mut out, t.may_have_run);
@@ -354,7 +355,7 @@
 }
 
 fn taken(mut r: Reader, classes: &[String]) -> Option<Transaction> {
-    let (dest, deadline, attempts) = (r.u64()?, r.u64()?, r.u32()?);
+    let (dest, taken_at, deadline, attempts) = (r.u64()?, r.u64()?, r.u64()?, r.u32()?);
     let (may_have_run, out, (ending, reason)) = (r.moment()?, r.moment()?, r.ending()?);
     let class = r.text()?;
     Some(Transaction {
@@ -365,6 +366,7 @@
         idempotency: r.option()?,
         body: r.field()?,
         dest,
+        taken_at,
         deadline,
         attempts,
         may_have_run,
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -18,6 +18,7 @@
     pub key: Option<String>,
     pub idempotency: Option<String>,
     /// Wall clock.
+    pub taken_at: Nanos,
     pub deadline: Nanos,
     pub body: Bytes,
     /// Whoever is owed the end, in the front's own words; empty where the front needs none.
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -192,23 +192,30 @@
 /// has the end that the answer gives it.
 #[test]
 fn messages_that_waited_travel_together_and_fare_apart() {
-    play(
-        "relay start
-         caller x send POST /safe id=s0 dest=1 timeout=24000m
-         caller x expect 202
-         hop a2 expect s0
-         hop a2 send 200
-         hop a1 slow 300
-         caller x send POST /safe id=s1 dest=1 timeout=24000m
-         caller x expect 202
-         hop a2 expect s1
-         hop a2 send 429 retry-after=0.5
-         caller x send POST /safe id=s2 dest=1 timeout=24000m
-         caller x expect 202
-         caller x send POST /unsafe id=u3 dest=1 timeout=24000m
-         caller x expect 202
-         wait 3000",
-    );
+    let mut script = "relay start\n".to_string();
+    for i in 1..=9 {
+        script += &format!("caller x send POST /safe id=s{i} dest=1 timeout=24000m\n");
+        script += "caller x expect 202\nwait 1\n";
+    }
+    script += "hop a2 expect s1
+        hop a1 expect s2
+        hop a2 expect s3
+        hop a1 expect s4
+        hop a2 expect s5
+        hop a1 expect s6
+        hop a2 send 200
+        hop a2 expect s7,s8,s9
+        hop a2 expect nothing 10
+        hop a2 send 200
+        hop a2 send 200
+        hop a2 send 200 s7 accepted s8 fault s9 deferred
+        hop a1 send 200
+        hop a1 send 200
+        hop a1 send 200
+        hop a1 expect s8,s9
+        hop a1 send 200 s8 accepted s9 accepted
+        agent expect nothing 30000";
+    play(&script);
 }
 
 /// Guards drains: no call to a hop that is leaving, not even one whose connection was slow to come up.
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -268,7 +268,8 @@
                 let (end, ended) = oneshot::channel();
                 let (net, inner) = (Rc::new(Seen(self.net.clone())), LocalSet::new());
                 inner.spawn_local(async move {
-                    wiring::run(config, net, clock, async { drop(ended.await) }).await.unwrap();
+                    let plan = wiring::Plan { platform: Some(config), smpp: None };
+                    wiring::run(plan, net, clock, async { drop(ended.await) }).await.unwrap();
                 });
                 let task = spawn_local(inner);
                 self.relay = Some(Running { task, end: Some(end) });
