--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,6 +1,8 @@
 //! The whole relay against stand-ins, in memory and in paused time: the same verdict every time.
 //! `scenario.rs` has the language in which the tests are written.
 
+mod carriers;
 mod network;
 mod platform;
 mod scenario;
+mod smpp;
--- a/tests/relay/network.rs
+++ b/tests/relay/network.rs
@@ -1,4 +1,5 @@
-//! A network in memory: addresses at which stand-ins listen, refuse or say nothing.
+//! The network of a test: in memory, or on loopback with ports that the system chooses. Stand-ins and relay
+//! name each other by addresses of the test's own, at which something listens, refuses or says nothing.
 
 use basaltloom::transport::network::{Listen, Network, Soon, Stream};
 use std::cell::RefCell;
@@ -7,27 +8,47 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{duplex, DuplexStream};
+use tokio::io::duplex;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::Mutex;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-enum Place {
+pub enum Place {
     /// Connections come up after this time.
-    Listening(UnboundedSender<DuplexStream>, Duration),
+    Listening(UnboundedSender<Stream>, Duration),
+    Loopback(SocketAddr),
     Silent,
 }
 
 /// Whatever has no place refuses.
 #[derive(Default)]
-pub struct Memory {
-    places: RefCell<HashMap<SocketAddr, Place>>,
+pub struct Places {
+    pub places: RefCell<HashMap<SocketAddr, Place>>,
+    pub loopback: bool,
 }
 
-impl Memory {
-    pub fn open(&self, at: SocketAddr) -> UnboundedReceiver<DuplexStream> {
-        let (sender, receiver) = unbounded_channel();
-        self.places.borrow_mut().insert(at, Place::Listening(sender, Duration::ZERO));
+impl Places {
+    pub fn open(&self, at: SocketAddr) -> UnboundedReceiver<Stream> {
+        let (sender, receiver) = unbounded_channel::<Stream>();
+        let place = if self.loopback {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            listener.set_nonblocking(true).unwrap();
+            let listener = TcpListener::from_std(listener).unwrap();
+            let address = listener.local_addr().unwrap();
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    if sender.send(Box::new(stream)).is_err() {
+                        return;
+                    }
+                }
+            });
+            Place::Loopback(address)
+        } else {
+            Place::Listening(sender, Duration::ZERO)
+        };
+        self.places.borrow_mut().insert(at, place);
         receiver
     }
 
@@ -45,35 +66,31 @@
         self.places.borrow_mut().remove(&at);
     }
 
-    /// What comes of dialling, and when; none if nothing ever does.
-    pub fn dial(&self, to: SocketAddr) -> Option<(io::Result<DuplexStream>, Duration)> {
-        let refused = Some((Err(io::ErrorKind::ConnectionRefused.into()), Duration::ZERO));
-        match self.places.borrow().get(&to) {
-            Some(Place::Silent) => None,
-            Some(Place::Listening(sender, after)) => {
-                let (ours, theirs) = duplex(256 * 1024);
-                sender.send(theirs).map_or(refused, |()| Some((Ok(ours), *after)))
-            }
-            None => refused,
+    pub async fn dial(&self, to: SocketAddr) -> io::Result<Stream> {
+        let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+        let (listening, address) = match self.places.borrow().get(&to) {
+            Some(Place::Silent) => (None, None),
+            Some(Place::Loopback(address)) => (None, Some(*address)),
+            Some(Place::Listening(sender, after)) => (Some((sender.clone(), *after)), None),
+            None => return Err(refused()),
+        };
+        if let Some(address) = address {
+            return Ok(Box::new(TcpStream::connect(address).await?));
         }
+        let Some((sender, after)) = listening else { return std::future::pending().await };
+        sleep(after).await;
+        let (ours, theirs) = duplex(256 * 1024);
+        sender.send(Box::new(theirs)).map_err(|_| refused())?;
+        Ok(Box::new(ours))
     }
 }
 
-/// The memory as the relay sees it.
-pub struct Seen(pub Rc<Memory>);
+/// The places as the relay sees them.
+pub struct Seen(pub Rc<Places>);
 
 impl Network for Seen {
     fn connect(&self, to: SocketAddr) -> Soon<'_, Stream> {
-        let dialled = self.0.dial(to);
-        Box::pin(async move {
-            match dialled {
-                None => std::future::pending().await,
-                Some((stream, after)) => {
-                    sleep(after).await;
-                    stream.map(|s| Box::new(s) as Stream)
-                }
-            }
-        })
+        Box::pin(self.0.dial(to))
     }
 
     fn listen(&self, at: SocketAddr) -> Soon<'_, Box<dyn Listen>> {
@@ -82,14 +99,11 @@
     }
 }
 
-struct Listener(Mutex<UnboundedReceiver<DuplexStream>>, SocketAddr);
+struct Listener(Mutex<UnboundedReceiver<Stream>>, SocketAddr);
 
 impl Listen for Listener {
     fn accept(&self) -> Soon<'_, Stream> {
-        Box::pin(async move {
-            let stream = self.0.lock().await.recv().await;
-            stream.map(|s| Box::new(s) as Stream).ok_or(io::ErrorKind::NotConnected.into())
-        })
+        Box::pin(async move { self.0.lock().await.recv().await.ok_or(io::ErrorKind::NotConnected.into()) })
     }
 
     fn address(&self) -> io::Result<SocketAddr> {
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -5,24 +5,29 @@
 //! ACTOR expect ...    waits, in paused time, until it is said to the actor; anything else fails
 //! ACTOR close         ends its connection (a hop: that of its oldest call)
 //! wait MS             lets time pass
-//! relay start | end | kill, hop refuse | silent | listen | slow MS | hangup, agent down | up | list HOST STATE
+//! relay start | smpp | end | kill, carrier NAME leaving (and the file read again), hop refuse | silent | listen | slow MS | hangup, agent down | up | list HOST STATE
 //! ```
 //!
 //! `in A..B` behind an `expect` gives bounds for the milliseconds since the last step; `nothing MS` expects
 //! silence. Hops and callers get names as they are used; the relay knows hops `a1 a2` of destination 1 (a
 //! kind that takes 3 messages a call), `b1` of 2 and `c1` of 3 (1 a call).
 
-use crate::network::{Memory, Seen};
+use crate::carriers::{self, Esme, Smsc, Texts};
+use crate::network::{Places, Seen};
+use basaltloom::program::wiring::{Plan, SmppPlan};
 use basaltloom::program::{config, wiring};
+use basaltloom::protocol::smpp;
+use basaltloom::protocol::smpp::config::SmppConfig;
 use basaltloom::routing::Clock;
+use basaltloom::transport::Stream;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{split, AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -45,15 +50,23 @@
 
 /// Plays a script from a fresh state folder.
 pub fn play(script: &str) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    let mut world = World::new();
-    LocalSet::new().block_on(&runtime.unwrap(), async {
+    stage(false, async |world| {
         for (i, line) in script.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
             let place = format!("line {}: {}", i + 1, line.trim());
             world.step(&line.split_whitespace().collect::<Vec<_>>(), &place).await;
         }
     });
-    std::fs::remove_dir_all(&world.state).ok();
+}
+
+/// Gives an act a fresh world in paused time, its network in memory or on loopback.
+pub fn stage(loopback: bool, act: impl AsyncFnOnce(&mut World)) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        let mut world = World::new();
+        world.net = Rc::new(Places { loopback, ..Places::default() });
+        act(&mut world).await;
+        std::fs::remove_dir_all(&world.state).ok();
+    });
 }
 
 /// A head and its body.
@@ -65,7 +78,7 @@
 }
 
 /// Reads one HTTP message; none at the end.
-async fn read(stream: &mut ReadHalf<DuplexStream>) -> Option<Said> {
+async fn read(stream: &mut ReadHalf<Stream>) -> Option<Said> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
@@ -79,7 +92,7 @@
     Some(Said { first: first.to_string(), headers, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
-type Halves = (ReadHalf<DuplexStream>, WriteHalf<DuplexStream>);
+type Halves = (ReadHalf<Stream>, WriteHalf<Stream>);
 /// A call, its connection, and where that goes back for the next call.
 type Call = (Said, Halves, oneshot::Sender<Halves>);
 
@@ -91,7 +104,7 @@
 }
 
 impl Hop {
-    fn listen(net: &Memory, address: SocketAddr) -> Hop {
+    fn listen(net: &Places, address: SocketAddr) -> Hop {
         let mut streams = net.open(address);
         let (sender, arrived) = unbounded_channel();
         spawn_local(async move {
@@ -145,7 +158,7 @@
     format!("10.1.0.{}:80", i + 1).parse().unwrap()
 }
 
-async fn serve_agent(agent: Rc<RefCell<Agent>>, stream: DuplexStream) {
+async fn serve_agent(agent: Rc<RefCell<Agent>>, stream: Stream) {
     let (mut input, mut output) = split(stream);
     while let Some(said) = read(&mut input).await {
         let news = agent.borrow().news.clone();
@@ -185,17 +198,18 @@
 }
 
 struct Caller {
-    input: ReadHalf<DuplexStream>,
-    output: WriteHalf<DuplexStream>,
+    input: ReadHalf<Stream>,
+    output: WriteHalf<Stream>,
 }
 
 struct Running {
     task: JoinHandle<()>,
     end: Option<oneshot::Sender<()>>,
+    reread: UnboundedSender<SmppConfig>,
 }
 
-struct World {
-    net: Rc<Memory>,
+pub struct World {
+    pub net: Rc<Places>,
     state: PathBuf,
     started: Instant,
     last: Instant,
@@ -203,6 +217,10 @@
     hops: HashMap<String, Hop>,
     callers: HashMap<String, Caller>,
     agent: Rc<RefCell<Agent>>,
+    pub smscs: HashMap<String, Smsc>,
+    pub esmes: HashMap<String, Esme>,
+    pub texts: Texts,
+    leaving: Vec<String>,
 }
 
 pub fn fresh_folder() -> PathBuf {
@@ -230,7 +248,40 @@
             hops: HashMap::new(),
             callers: HashMap::new(),
             agent: Rc::default(),
+            smscs: HashMap::new(),
+            esmes: HashMap::new(),
+            texts: Rc::default(),
+            leaving: Vec::new(),
+        }
+    }
+
+    fn smpp_config(&self) -> SmppConfig {
+        smpp::config::decode(&carriers::file(&self.leaving).parse().unwrap()).unwrap()
+    }
+
+    fn clock(&self) -> Clock {
+        Clock::set(1_800_000_000_000_000_000 + self.started.elapsed().as_nanos() as u64)
+    }
+
+    /// The SMPP front alone, with its carriers.
+    pub async fn start_smpp(&mut self) {
+        for (i, at) in carriers::SMSCS.iter().enumerate().filter(|_| self.relay.is_none()) {
+            self.smscs.insert((i + 1).to_string(), Smsc::listen(&self.net, at.parse().unwrap()));
         }
+        let (reread, receiver) = unbounded_channel();
+        let (config, state) = (self.smpp_config(), self.state.clone());
+        let plan = SmppPlan { config, state, disk_bytes: 3_000_000, seed: 7, reread: receiver };
+        self.run(Plan { platform: None, smpp: Some(plan) }, reread).await;
+    }
+
+    async fn run(&mut self, plan: Plan, reread: UnboundedSender<SmppConfig>) {
+        let (end, ended) = oneshot::channel();
+        let (net, inner, clock) = (Rc::new(Seen(self.net.clone())), LocalSet::new(), self.clock());
+        inner.spawn_local(async move {
+            wiring::run(plan, net, clock, async { drop(ended.await) }).await.unwrap();
+        });
+        self.relay = Some(Running { task: spawn_local(inner), end: Some(end), reread });
+        sleep(Duration::from_millis(1)).await;
     }
 
     async fn step(&mut self, words: &[&str], place: &str) {
@@ -241,6 +292,20 @@
             ["agent", rest @ ..] => self.agent(rest, place).await,
             ["hop", name, rest @ ..] => self.hop(name, rest, place).await,
             ["caller", name, rest @ ..] => self.caller(name, rest, place).await,
+            ["smsc", name, rest @ ..] => {
+                self.smscs.get_mut(*name).unwrap().step(&self.net, rest, place).await;
+            }
+            ["esme", name, rest @ ..] => {
+                if !self.esmes.contains_key(*name) || rest[0] == "bind" {
+                    self.esmes.insert(name.to_string(), Esme::connect(&self.net, self.texts.clone()).await);
+                }
+                let rest: Vec<&str> = rest.iter().take_while(|w| **w != "in").copied().collect();
+                self.esmes.get_mut(*name).unwrap().step(&rest, place).await;
+            }
+            ["carrier", name, "leaving"] => {
+                self.leaving.push(name.to_string());
+                self.relay.as_ref().unwrap().reread.send(self.smpp_config()).unwrap();
+            }
             _ => panic!("{place}: no such step"),
         }
         self.last = Instant::now();
@@ -252,7 +317,7 @@
         }
     }
 
-    async fn relay(&mut self, what: &str) {
+    pub async fn relay(&mut self, what: &str) {
         match what {
             "start" => {
                 if self.hops.is_empty() {
@@ -264,24 +329,19 @@
                 );
                 let mut config = config::decode(&config.parse().unwrap()).unwrap();
                 config.state = self.state.clone();
-                let clock = Clock::set(1_800_000_000_000_000_000 + self.started.elapsed().as_nanos() as u64);
-                let (end, ended) = oneshot::channel();
-                let (net, inner) = (Rc::new(Seen(self.net.clone())), LocalSet::new());
-                inner.spawn_local(async move {
-                    let plan = wiring::Plan { platform: Some(config), smpp: None };
-                    wiring::run(plan, net, clock, async { drop(ended.await) }).await.unwrap();
-                });
-                let task = spawn_local(inner);
-                self.relay = Some(Running { task, end: Some(end) });
-                sleep(Duration::from_millis(1)).await;
+                self.run(Plan { platform: Some(config), smpp: None }, unbounded_channel().0).await;
             }
+            "smpp" => self.start_smpp().await,
             "end" => drop(self.relay.as_mut().unwrap().end.take().unwrap().send(())),
             "kill" => {
-                let running = self.relay.take().unwrap();
+                let running = self.relay.as_mut().unwrap();
                 running.task.abort();
-                running.task.await.ok();
+                (&mut running.task).await.ok();
                 self.net.refuse(RELAY.parse().unwrap());
+                self.net.refuse(carriers::FRONT.parse().unwrap());
                 self.callers.clear();
+                self.esmes.clear();
+                self.smscs.values_mut().for_each(Smsc::forget);
             }
             _ => panic!("relay {what}?"),
         }
@@ -385,7 +445,7 @@
 
     async fn caller(&mut self, name: &str, words: &[&str], place: &str) {
         if !self.callers.contains_key(name) {
-            let stream = self.net.dial(RELAY.parse().unwrap()).unwrap().0.unwrap();
+            let stream = self.net.dial(RELAY.parse().unwrap()).await.unwrap();
             let (input, output) = split(stream);
             self.callers.insert(name.to_string(), Caller { input, output });
         }
