Import nginx upstreams and locations, with terms for hosts and defaults for classes

Seen: the product is to take what operators of nginx have. `basaltloom import` prints a configuration for check-config and serve and names the rest with its line; a syntax error exits 1. The module learned Event::Terms (max_conns, weight, backup) in live.rs: its default leaves every choice as it was.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -113,6 +113,23 @@
     Gone,
 }
 
+/// An operator's terms for a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Calls out to it at most.
+    pub most_out: usize,
+    /// Its part of the calls, among the hosts of its destination.
+    pub weight: u32,
+    /// It gets calls only while no other host of its destination is well.
+    pub backup: bool,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { most_out: usize::MAX, weight: 1, backup: false }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -164,6 +181,8 @@
     Spent { id: MsgId },
     /// The destination will never take this message; its attempt has ended.
     Rejected { id: MsgId },
+    /// What an operator's own list says of a host beyond its listing.
+    Terms { host: HostId, terms: Terms },
     /// The relay may be killed from then on, and comes back later.
     Closing { at: Nanos },
     /// A wake-up asked for falls due.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,7 +27,7 @@
 
 #[cfg(test)]
 mod by_hand;
-mod interface;
+pub mod interface;
 mod live;
 pub mod program;
 pub mod protocol;
--- a/src/live.rs
+++ b/src/live.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use crate::rules::Relay;
+use crate::state::Host;
 
 impl Relay {
     pub(crate) fn rare(&mut self, event: &Event) {
@@ -17,6 +18,11 @@
                 self.actions.push(Action::Fail { id: *id });
                 self.forget(*id);
             }
+            Event::Terms { host, terms } => {
+                if let Some(h) = self.book.hosts.get_mut(host) {
+                    h.terms = *terms;
+                }
+            }
             Event::Closing { at } => self.book.closing = Some(*at),
             _ => {}
         }
@@ -34,6 +40,21 @@
         self.book.closing.is_some_and(|at| self.now.saturating_add(self.overdue_after(host)) > at)
     }
 
+    /// An operator's terms: a bound on the calls out, and backups that wait for the others to fall sick.
+    pub(crate) fn within_terms(&self, host: HostId) -> bool {
+        let h = &self.book.hosts[&host];
+        let first = |m: &HostId| {
+            let mate = &self.book.hosts[m];
+            !mate.terms.backup && mate.state == Listing::Ready && self.is_well(*m)
+        };
+        h.out < h.terms.most_out && !(h.terms.backup && self.book.hosts_of(h.dest).iter().any(first))
+    }
+
+    /// Calls out as hosts of one destination compare them: by their weights.
+    pub(crate) fn load(&self, h: &Host) -> usize {
+        h.out * 1_000 / h.terms.weight.max(1) as usize
+    }
+
     /// The last of each step. Before a planned end, messages that cannot go any more are handed back where
     /// that is harmless: other relays will have them sooner than this one is back.
     pub(crate) fn wind_up(&mut self) {
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use super::wiring::{Plan, SmppPlan};
-use super::{config, log, signals, wiring};
+use super::{config, import, log, signals, wiring};
 use crate::protocol::smpp;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
@@ -27,6 +27,7 @@
     Serve(Serve),
     Version(Version),
     CheckConfig(CheckConfig),
+    Import(Import),
 }
 
 /// run the relay in the foreground
@@ -46,13 +47,26 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-/// read a configuration file and say whether the relay could start with it
+/// read configuration files and say whether the relay could start with them
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-config")]
 struct CheckConfig {
     /// configuration file
     #[argh(positional)]
-    config: PathBuf,
+    config: Option<PathBuf>,
+    /// file of the SMPP front
+    #[argh(option)]
+    smpp: Option<PathBuf>,
+}
+
+/// print a configuration for nginx's upstream and location blocks; what cannot be carried over is named with
+/// its line on standard error
+#[derive(FromArgs)]
+#[argh(subcommand, name = "import")]
+struct Import {
+    /// nginx configuration file
+    #[argh(positional)]
+    nginx: PathBuf,
 }
 
 pub fn main() -> ExitCode {
@@ -62,8 +76,9 @@
             println!("basaltloom {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig(c) => config::read(&c.config).map(|c| println!("{}", c.summary())),
+        Command::CheckConfig(c) => check(c),
         Command::Serve(s) => serve(s),
+        Command::Import(i) => print_import(&i.nginx),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -74,6 +89,30 @@
     }
 }
 
+fn check(args: CheckConfig) -> Result<(), String> {
+    if args.config.is_none() && args.smpp.is_none() {
+        return Err("nothing to check: name a configuration file".to_string());
+    }
+    if let Some(path) = args.config {
+        println!("{}", config::read(&path)?.summary());
+    }
+    if let Some(path) = args.smpp {
+        println!("{}", smpp::config::read(&path)?.summary());
+    }
+    Ok(())
+}
+
+fn print_import(path: &std::path::Path) -> Result<(), String> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let imported = import::import(&text).map_err(|why| format!("{name}:{why}"))?;
+    for note in imported.notes {
+        eprintln!("{name}:{note}");
+    }
+    print!("{}", imported.config);
+    Ok(())
+}
+
 fn serve(args: Serve) -> Result<(), String> {
     let environment = |name: &str| std::env::var(name).ok();
     let from = args.config.or_else(|| environment("LB_CONFIG").map(PathBuf::from));
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -3,6 +3,7 @@
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::fields::{flag, list, num, text};
+use crate::protocol::platform::Defaults;
 use crate::routing::RouteNews;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -20,6 +21,10 @@
     pub disk_bytes: u64,
     pub settings: Settings,
     pub classes: Vec<String>,
+    /// What holds for requests of a class that do not say it themselves; empty on the platform.
+    pub defaults: Vec<Defaults>,
+    /// The class of paths that begin like none.
+    pub default_class: Option<usize>,
     pub names: Names,
     pub connect_timeout: Nanos,
     pub known: RouteNews,
@@ -46,6 +51,11 @@
     let names = Names { kinds: texts(v, "settings.kinds"), zones: texts(v, "settings.azs") };
     let services = list(v, "settings.services");
     let name = |s: &JsonValue| need(text(s, "name").map(str::to_string), "settings.services[].name");
+    let classes = services.iter().map(name).collect::<Res<Vec<String>>>()?;
+    let default_class = text(v, "default_class").map(|name| {
+        let place = classes.iter().position(|c| c == name);
+        place.ok_or_else(|| format!("`default_class`: there is no class {name:?}"))
+    });
     let known = crate::protocol::fields::at(v, "known").and_then(|k| discovery::news(k, &names));
     Ok(Config {
         name: text(v, "name").unwrap_or("relay").to_string(),
@@ -56,13 +66,27 @@
         sockets: num(v, "limits.sockets").unwrap_or(1024.0) as usize,
         disk_bytes: (num(v, "limits.disk_mb").unwrap_or(3.0) * 1e6) as u64,
         settings: settings(v, services)?,
-        classes: services.iter().map(name).collect::<Res<_>>()?,
+        defaults: classes.iter().map(|c| defaults(v, c)).collect(),
+        default_class: default_class.transpose()?,
+        classes,
         names,
         connect_timeout: span(v, "settings.limits.connect_timeout").unwrap_or(1_500_000_000),
         known: known.unwrap_or_default(),
     })
 }
 
+fn defaults(v: &JsonValue, class: &str) -> Defaults {
+    let Some(d) = crate::protocol::fields::at(v, "defaults")
+        .and_then(|d| d.get::<std::collections::HashMap<String, JsonValue>>()?.get(class))
+    else {
+        return Defaults::default();
+    };
+    Defaults {
+        dest: num(d, "dest").map(|n| n as u64),
+        time_left: num(d, "timeout_ms").map(|n| (n * 1e6) as Nanos),
+    }
+}
+
 fn texts(v: &JsonValue, path: &str) -> Vec<String> {
     list(v, path).iter().filter_map(|t| t.get::<String>().cloned()).collect()
 }
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -3,7 +3,7 @@
 use super::config::Config;
 use super::log;
 use crate::protocol::discovery;
-use crate::protocol::platform::{self, Platform};
+use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::{Clock, Core, Desk, Front, Journal, RouteNews};
@@ -83,6 +83,15 @@
     Ok(())
 }
 
+/// Starts a task without which the relay would stand still, and starts it again if it panics.
+fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
+    spawn_local(async move {
+        while spawn_local(task()).await.is_err_and(|e| e.is_panic()) {
+            log::line(&format!("{name} failed and goes on"));
+        }
+    });
+}
+
 fn close<F: Front>(desk: &Rc<Desk<F>>) {
     desk.act(|core, now| core.closing(now, now + KILLED_AFTER.as_nanos() as u64));
 }
@@ -109,16 +118,18 @@
     let pool = Pool::new(net.clone(), room / 3, keepalive, connect);
     let legs = Legs::new(room * 2 / 3);
     let core = Core::new(config.settings, config.seed, journal, replayed, &config.known, false, clock.now());
-    let front = Platform::new(net.clone(), pool.clone(), config.classes, config.discovery, log::line);
+    let classes = Classes { names: config.classes, defaults: config.defaults, rest: config.default_class };
+    let front = Platform::new(net.clone(), pool.clone(), classes, config.discovery, log::line);
     let desk = Desk::new(core, clock, front);
     desk.act(|_, _| ());
 
     let listener = net.listen(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let address = listener.address().unwrap_or(config.listen);
-    spawn_local(desk.clone().keep_time());
+    let (timed, telling) = (desk.clone(), desk.clone());
+    keep_up("the timer", move || timed.clone().keep_time());
+    keep_up("the notices", move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
-    spawn_local(platform::tell_ends(desk.clone()));
     if let Some(agent) = config.discovery {
         let learner = desk.clone();
         let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
@@ -146,7 +157,8 @@
     let address = listener.address().unwrap_or(config.listen);
     let desk = Desk::new(core, clock, Smpp::new(config, net, clock.now(), log::line));
     desk.act(|_, _| ());
-    spawn_local(desk.clone().keep_time());
+    let timed = desk.clone();
+    keep_up("the SMPP timer", move || timed.clone().keep_time());
     spawn_local(smpp::accept(desk.clone(), listener));
     let learner = desk.clone();
     spawn_local(async move {
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery's list and its watch.
 
-use super::fields::{list, num, text};
+use super::fields::{at, flag, list, num, text};
+use crate::interface::Terms;
 use crate::routing::{NextHop, RouteNews, Standing};
 use crate::transport::connection::read_body;
 use crate::transport::network::Net;
@@ -28,7 +29,7 @@
 
 /// Decodes a list or its changes. Entries that cannot be used are left out.
 pub fn news(value: &JsonValue, names: &Names) -> Option<RouteNews> {
-    let whole = super::fields::flag(value, "whole")?;
+    let whole = flag(value, "whole")?;
     let next_hops = list(value, "hosts").iter().filter_map(|h| next_hop(h, names)).collect();
     Some(RouteNews { seq: num(value, "seq")? as u64, whole, next_hops })
 }
@@ -49,6 +50,18 @@
         zone: place(&names.zones, text(h, "site")).unwrap_or(0),
         standing,
         share: num(h, "share").unwrap_or(1.0),
+        terms: terms(h),
+    })
+}
+
+/// `weight`, `max_conns` and `backup` stand in lists of an operator's own, never in discovery's.
+fn terms(h: &JsonValue) -> Option<Terms> {
+    let named = ["weight", "max_conns", "backup"].iter().any(|name| at(h, name).is_some());
+    let count = |name: &str| num(h, name).filter(|n| *n >= 1.0);
+    named.then(|| Terms {
+        most_out: count("max_conns").map_or(usize::MAX, |n| n as usize),
+        weight: count("weight").map_or(1, |n| n as u32),
+        backup: flag(h, "backup") == Some(true),
     })
 }
 
@@ -64,6 +77,8 @@
     let mut line = None;
     let mut failing = false;
     loop {
+        // An idle connection may have been closed under the question: that is no sign of silence.
+        let kept = line.is_some();
         match ask(&net, agent, &mut line, seq).await.and_then(|v| news(&v, &names)) {
             Some(told) => {
                 if std::mem::take(&mut failing) {
@@ -74,6 +89,7 @@
                     learn(told);
                 }
             }
+            None if kept && !failing => line = None,
             None => {
                 line = None;
                 if !std::mem::replace(&mut failing, true) {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -29,10 +29,26 @@
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 const NOTICE_RETRY: Duration = Duration::from_millis(50);
 
+/// What holds for requests of a class that do not say it themselves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Defaults {
+    pub dest: Option<u64>,
+    pub time_left: Option<Nanos>,
+}
+
+/// The classes as paths name them.
+#[derive(Clone, Debug, Default)]
+pub struct Classes {
+    pub names: Vec<String>,
+    pub defaults: Vec<Defaults>,
+    /// For paths that begin like none of them.
+    pub rest: Option<usize>,
+}
+
 pub struct Platform {
     net: Net,
     pub pool: Rc<Pool>,
-    pub classes: Vec<String>,
+    pub classes: Classes,
     pub agent: Option<SocketAddr>,
     owed: RefCell<VecDeque<TransactionNo>>,
     more_owed: Notify,
@@ -40,13 +56,7 @@
 }
 
 impl Platform {
-    pub fn new(
-        net: Net,
-        pool: Rc<Pool>,
-        classes: Vec<String>,
-        agent: Option<SocketAddr>,
-        log: fn(&str),
-    ) -> Self {
+    pub fn new(net: Net, pool: Rc<Pool>, classes: Classes, agent: Option<SocketAddr>, log: fn(&str)) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
         Platform { net, pool, classes, agent, owed, more_owed, log }
     }
@@ -197,14 +207,16 @@
             _ => not_allowed("GET, HEAD"),
         };
     }
+    let classes = &desk.front.classes;
     let name = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or("");
-    let Some(class) = desk.front.classes.iter().position(|c| c == name) else {
+    let Some(class) = classes.names.iter().position(|c| c == name).or(classes.rest) else {
         return plain(StatusCode::NOT_FOUND);
     };
     if request.method() != Method::POST {
         return not_allowed("POST");
     }
-    let Some(mut offer) = offer(class, request.uri().query(), request.headers()) else {
+    let Some(mut offer) = offer(class, classes.defaults[class], request.uri().query(), request.headers())
+    else {
         return plain(StatusCode::BAD_REQUEST);
     };
     let body = request.into_body();
@@ -230,7 +242,7 @@
 }
 
 /// What the head of a request says; `None` if anything is missing or can't be passed on.
-fn offer(class: usize, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
+fn offer(class: usize, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
     let get = |name: &str| headers.get(name).map(|v| v.to_str().unwrap_or("\n"));
     let id = get("x-request-id").filter(|id| fields::token(id))?;
     let idempotency = get("idempotency-key");
@@ -240,10 +252,10 @@
     Some(Offer {
         id: id.to_string(),
         class,
-        dest: fields::number(get("x-consignee")?, "dest")?,
+        dest: get("x-consignee").map_or(or.dest, |v| fields::number(v, "dest"))?,
         key: fields::query(query, "thread"),
         idempotency: idempotency.map(str::to_string),
-        time_left: fields::span(get("x-timeout")?)?,
+        time_left: get("x-timeout").map_or(or.time_left, fields::span)?,
         body: Bytes::new(),
         owner: String::new(),
     })
--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -234,10 +234,20 @@
             zone: 0,
             standing: if c.leaving { Standing::Leaving } else { Standing::Active },
             share: 1.0,
+            terms: None,
         };
         RouteNews { seq: 0, whole: true, next_hops: self.carriers.iter().map(next_hop).collect() }
     }
 
+    pub fn summary(&self) -> String {
+        let (accounts, carriers) = (self.accounts.len(), self.carriers.len());
+        let classes = self.class_list().join(", ");
+        format!(
+            "smpp: listens on {}, classes {classes}, {accounts} accounts, {carriers} next hops",
+            self.listen
+        )
+    }
+
     pub fn class_list(&self) -> Vec<String> {
         self.classes.iter().map(|c| c.name.clone()).collect()
     }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -317,12 +317,23 @@
         }
         self.work.dropped.extend(picked.dropped);
         self.work.distrusted.extend(picked.distrusted);
-        self.work.notes.extend(picked.notes);
+        let notes: Vec<String> = picked.notes.iter().map(|text| self.named(text)).collect();
+        self.work.notes.extend(notes);
         for (no, end) in picked.ends {
             self.end(no, Ending::Undelivered(end));
         }
     }
 
+    /// A note of the module with its hosts by the names that the route set gives them.
+    fn named(&self, text: &str) -> String {
+        let Some((before, rest)) = text.split_once("host ") else { return text.to_string() };
+        let (number, after) = rest.split_once(' ').unwrap_or((rest, ""));
+        match number.parse().ok().and_then(|id| self.route_set.get(id)) {
+            Some(hop) => format!("{before}next hop {} {after}", hop.name),
+            None => text.to_string(),
+        }
+    }
+
     /// The end is decided and owed until acknowledged; one that was told already stands.
     fn end(&mut self, no: TransactionNo, ending: Ending) {
         let Some(t) = self.transactions.get_mut(no) else { return };
@@ -341,7 +352,7 @@
             return;
         }
         if let Err(e) = self.journal.write(no, &Record::Over) {
-            self.work.notes.push(format!("journal: {e}"));
+            self.work.notes.push(format!("journal: it could not be written that a transaction is over: {e}"));
         }
         self.journal.tidy(&self.transactions);
     }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -162,7 +162,9 @@
             scale: n.share,
         };
         self.kind_of.extend(next_hops.iter().map(|n| (n.id, n.kind)));
-        self.step(now, &[Event::Listed { whole, entries: next_hops.iter().map(entry).collect() }])
+        let mut events = vec![Event::Listed { whole, entries: next_hops.iter().map(entry).collect() }];
+        events.extend(next_hops.iter().filter_map(|n| Some(Event::Terms { host: n.id, terms: n.terms? })));
+        self.step(now, &events)
     }
 
     fn step(&mut self, now: Nanos, events: &[Event]) -> Picked {
--- a/src/routing/route_set.rs
+++ b/src/routing/route_set.rs
@@ -1,6 +1,7 @@
 //! The route set: the next hops that the list names, under numbers of our own.
 
 use super::facade::NextHopId;
+use crate::interface::Terms;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -23,6 +24,8 @@
     pub zone: usize,
     pub standing: Standing,
     pub share: f64,
+    /// Terms of an operator's own list; none in discovery's.
+    pub terms: Option<Terms>,
 }
 
 /// A list, or the changes of one, as a front decoded it; the numbers are given by the route set.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -259,7 +259,7 @@
         matches!(self.book.hosts[&host].health, Health::Down | Health::Warming { .. })
     }
 
-    fn is_well(&self, host: HostId) -> bool {
+    pub(crate) fn is_well(&self, host: HostId) -> bool {
         !self.sick(host) && self.fail_share(host) <= MOSTLY_FAILS && self.overdue(host) == 0
     }
 
@@ -280,7 +280,7 @@
             let fee = (self.fee(*id) * 1e6) as u64;
             // An open connection saves its set-up: a relay with few calls keeps to one host, each to its own.
             let idle = self.now - h.last_used > self.set.keepalive || h.last_sent == 0;
-            (self.sick(*id), h.bad.min(3), fee, h.out, idle, h.last_sent, h.lot)
+            (self.sick(*id), h.bad.min(3), fee, self.load(h), idle, h.last_sent, h.lot)
         });
         let f = self.book.flows.get(&dest)?;
         let least_fee = self.least_fee(dest);
@@ -451,7 +451,7 @@
         let overdue = self.overdue(host);
         let few = ((self.set.slots as f64 * CAP_OVERDUE) as usize).max(2);
         let full = (h.health == Health::Down && h.out > overdue) || (overdue > 0 && h.out >= few);
-        !full && (self.is_well(host) || !self.sick_full())
+        !full && self.within_terms(host) && (self.is_well(host) || !self.sick_full())
     }
 
     /// From when on wait, cold gap, own rest and pace let a call go.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decision module remembers. Plain records and their bookkeeping: nothing is decided here.
 
-use crate::interface::{DestId, Entry, HostId, Kind, Listing, MsgId, Nanos};
+use crate::interface::{DestId, Entry, HostId, Kind, Listing, MsgId, Nanos, Terms};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A message that still awaits its final answer.
@@ -61,6 +61,7 @@
     pub zone: usize,
     pub state: Listing,
     pub scale: f64,
+    pub terms: Terms,
     /// Drawn by this relay, so that relays differ in which of equal hosts they take first.
     pub lot: u64,
     /// Calls out.
@@ -329,6 +330,7 @@
             zone: e.zone,
             state: e.state,
             scale: e.scale,
+            terms: Terms::default(),
             lot,
             out: 0,
             health: Health::Well,
--- /dev/null
+++ b/tests/journal.rs
@@ -0,0 +1,169 @@
+//! The relay journal by its file: each failure that it has to live with.
+
+use basaltloom::routing::journal::{Journal, Record};
+use basaltloom::routing::transactions::{Ending, Transaction, Transactions};
+use basaltloom::routing::End;
+use bytes::Bytes;
+use std::path::{Path, PathBuf};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("basaltloom-journal-{}-{name}", std::process::id()));
+        std::fs::remove_dir_all(&path).ok();
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn file(&self) -> PathBuf {
+        self.0.join("relay.journal")
+    }
+
+    fn open(&self, budget: u64) -> (Journal, Transactions, u64, u64) {
+        let (journal, replayed) = Journal::open(&self.0, budget, vec!["a".into(), "b".into()]).unwrap();
+        (journal, replayed.transactions, replayed.next_no, replayed.torn)
+    }
+
+    fn bytes(&self) -> u64 {
+        let blocks = |p: &Path| p.metadata().unwrap().len().div_ceil(512) * 512;
+        std::fs::read_dir(&self.0).unwrap().map(|e| blocks(&e.unwrap().path())).sum()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+fn transaction(id: &str, body: usize) -> Transaction {
+    Transaction {
+        id: id.to_string(),
+        class: 1,
+        dest: 7,
+        key: Some("k".to_string()),
+        idempotency: None,
+        taken_at: 50,
+        deadline: 9_000,
+        body: Bytes::from(vec![b'x'; body]),
+        owner: String::new(),
+        attempts: 0,
+        may_have_run: None,
+        out: None,
+        ending: None,
+        reason: 0,
+    }
+}
+
+/// Guards the past of a message: all that the records say of it comes back, also from a copy.
+#[test]
+fn a_transaction_comes_back_with_its_past() {
+    let folder = Folder::new("past");
+    let (mut journal, mut all, _, _) = folder.open(3_000_000);
+    let mut kept = transaction("m1", 10);
+    journal.write(1, &Record::Taken(&kept)).unwrap();
+    journal.write(2, &Record::Taken(&transaction("m2", 10))).unwrap();
+    journal.write(1, &Record::Out { at: 100, zone: 3 }).unwrap();
+    journal.write(1, &Record::Back { may_have_run: true }).unwrap();
+    journal.write(1, &Record::Out { at: 200, zone: 4 }).unwrap();
+    journal.write(2, &Record::Over).unwrap();
+    let ending = Ending::Undelivered(End::Returned { after: 77 });
+    journal.write(1, &Record::Ending(ending, 11)).unwrap();
+    kept.attempts = 2;
+    (kept.may_have_run, kept.out) = (Some((100, 3)), Some((200, 4)));
+    (kept.ending, kept.reason) = (Some(ending), 11);
+    let (mut journal, replayed, next, torn) = folder.open(3_000_000);
+    assert_eq!((replayed.get(1), replayed.len(), next, torn), (Some(&kept), 1, 3, 0));
+    // Enough dead bytes for a copy: the live one is in it.
+    all.insert(1, kept.clone());
+    for no in 3..2_000 {
+        journal.write(no, &Record::Taken(&transaction("d", 400))).unwrap();
+        journal.write(no, &Record::Over).unwrap();
+        journal.tidy(&all);
+    }
+    assert!(folder.bytes() < 600_000, "{} bytes", folder.bytes());
+    let (_, replayed, next, _) = folder.open(3_000_000);
+    assert_eq!((replayed.get(1), replayed.len(), next), (Some(&kept), 1, 2_000));
+}
+
+/// Guards a kill in the middle of a write, and bytes that have gone bad: what is whole before them counts,
+/// and new records follow it.
+#[test]
+fn a_torn_tail_is_cut_off() {
+    let folder = Folder::new("torn");
+    let (mut journal, _, _, _) = folder.open(3_000_000);
+    journal.write(1, &Record::Taken(&transaction("m1", 10))).unwrap();
+    let whole = std::fs::read(folder.file()).unwrap();
+    journal.write(2, &Record::Taken(&transaction("m2", 10))).unwrap();
+    let both = std::fs::read(folder.file()).unwrap();
+    for cut in whole.len()..both.len() {
+        std::fs::write(folder.file(), &both[..cut]).unwrap();
+        let (mut journal, replayed, _, torn) = folder.open(3_000_000);
+        assert_eq!((replayed.len(), torn), (1, (cut - whole.len()) as u64));
+        journal.write(5, &Record::Taken(&transaction("m5", 10))).unwrap();
+        let (_, replayed, next, torn) = folder.open(3_000_000);
+        assert_eq!((replayed.find("m5"), next, torn), (Some(5), 6, 0));
+    }
+    let mut bad = both.clone();
+    bad[whole.len() + 20] ^= 1;
+    std::fs::write(folder.file(), &bad).unwrap();
+    assert_eq!(folder.open(3_000_000).1.len(), 1);
+}
+
+/// Guards the limit on the folder, the copy counted: intake stops in time, and what is live can still have
+/// all its branches and its end written.
+#[test]
+fn the_budget_is_kept_and_leaves_room_for_outcomes() {
+    const BUDGET: u64 = 200_000;
+    let folder = Folder::new("budget");
+    let (mut journal, mut all, _, _) = folder.open(BUDGET);
+    let (mut no, mut most) = (1, 0);
+    loop {
+        let t = transaction(&format!("m{no}"), 3_000);
+        if !journal.has_room(&t, &all) {
+            break;
+        }
+        journal.write(no, &Record::Taken(&t)).unwrap();
+        all.insert(no, t);
+        no += 1;
+    }
+    assert!(no > 15, "{no} taken on");
+    for live in 1..no {
+        for _ in 0..8 {
+            journal.write(live, &Record::Out { at: 1, zone: 0 }).unwrap();
+            journal.write(live, &Record::Back { may_have_run: false }).unwrap();
+            most = most.max(folder.bytes());
+        }
+        journal.write(live, &Record::Ending(Ending::Delivered, 0)).unwrap();
+        journal.write(live, &Record::Over).unwrap();
+        all.remove(live);
+    }
+    // With all of that dead there is room again, made by a copy.
+    for more in no..no + 2_000 {
+        let t = transaction("n", 3_000);
+        assert!(journal.has_room(&t, &all));
+        journal.write(more, &Record::Taken(&t)).unwrap();
+        all.insert(more, t);
+        journal.write(more, &Record::Over).unwrap();
+        all.remove(more);
+        most = most.max(folder.bytes());
+    }
+    assert!(most <= BUDGET, "{most} bytes");
+    // Past the budget a write fails, and leaves the file as it was.
+    let before = loop {
+        let before = folder.bytes();
+        if journal.write(9_999, &Record::Taken(&transaction("n", 3_000))).is_err() {
+            break before;
+        }
+    };
+    assert_eq!((folder.bytes(), folder.open(BUDGET).3), (before, 0));
+}
+
+/// Guards against a folder that is gone: a journal that cannot start says so, and nothing panics.
+#[test]
+fn a_folder_that_is_not_there_is_an_error() {
+    let folder = Folder::new("gone");
+    let missing = folder.0.join("none");
+    assert!(Journal::open(&missing, 3_000_000, Vec::new()).is_err());
+}
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -345,3 +345,29 @@
          agent expect nothing 20000",
     );
 }
+
+/// Guards the importer's configuration in service: destinations and times by class, `max_conns` as a bound,
+/// a backup only once the others are sick, `location /` for paths that begin like no other.
+#[test]
+fn an_imported_configuration_serves() {
+    play(
+        "relay import
+         caller x send POST /notice id=m1
+         caller x expect 202
+         hop b1 expect m1
+         caller x send POST /notice id=m2
+         caller x expect 202
+         hop c1 expect nothing 300
+         hop b1 expect nothing 1
+         hop b1 send 200
+         hop b1 expect m2
+         hop b1 close
+         hop b1 refuse
+         hop c1 expect m2
+         hop c1 send 200
+         caller x send POST /elsewhere id=m3
+         caller x expect 202
+         hop a1 expect m3
+         hop a1 send 200",
+    );
+}
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -5,7 +5,7 @@
 //! ACTOR expect ...    waits, in paused time, until it is said to the actor; anything else fails
 //! ACTOR close         ends its connection (a hop: that of its oldest call)
 //! wait MS             lets time pass
-//! relay start | smpp | end | kill, carrier NAME leaving (and the file read again), hop refuse | silent | listen | slow MS | hangup, agent down | up | list HOST STATE
+//! relay start | smpp | import | end | kill, carrier NAME leaving (and the file read again), hop refuse | silent | listen | slow MS | hangup, agent down | up | list HOST STATE
 //! ```
 //!
 //! `in A..B` behind an `expect` gives bounds for the milliseconds since the last step; `nothing MS` expects
@@ -14,6 +14,7 @@
 
 use crate::carriers::{self, Esme, Smsc, Texts};
 use crate::network::{Places, Seen};
+use basaltloom::program::import::import;
 use basaltloom::program::wiring::{Plan, SmppPlan};
 use basaltloom::program::{config, wiring};
 use basaltloom::protocol::smpp;
@@ -48,6 +49,13 @@
 {"name":"unsafe","aim":4000000000,"deadline":24000000000,"importance":3.0,"late_worth":0.3,
 "repeat":"side_effect"}]}"#;
 
+/// Hops `b1`, `c1` as its backup, and `a1`, as an operator of nginx has them.
+const NGINX: &str = "upstream firms { server 10.1.0.3:80 max_conns=1; server 10.1.0.4:80 backup; }
+server {
+    location /notice { proxy_pass http://firms; proxy_next_upstream error non_idempotent; }
+    location / { proxy_pass http://10.1.0.1:80; }
+}";
+
 /// Plays a script from a fresh state folder.
 pub fn play(script: &str) {
     stage(false, async |world| {
@@ -327,9 +335,11 @@
                 let config = format!(
                     r#"{{"name":"t","listen":"{RELAY}","discovery":"{AGENT}","seed":"7","limits":{{"sockets":1024,"disk_mb":3}},"known":{known},"settings":{SETTINGS}}}"#
                 );
-                let mut config = config::decode(&config.parse().unwrap()).unwrap();
-                config.state = self.state.clone();
-                self.run(Plan { platform: Some(config), smpp: None }, unbounded_channel().0).await;
+                self.start(&config).await;
+            }
+            "import" => {
+                self.open_world();
+                self.start(&import(NGINX).unwrap().config).await;
             }
             "smpp" => self.start_smpp().await,
             "end" => drop(self.relay.as_mut().unwrap().end.take().unwrap().send(())),
@@ -347,6 +357,13 @@
         }
     }
 
+    async fn start(&mut self, text: &str) {
+        let mut config = config::decode(&text.parse().unwrap()).unwrap();
+        config.state = self.state.clone();
+        config.listen = RELAY.parse().unwrap();
+        self.run(Plan { platform: Some(config), smpp: None }, unbounded_channel().0).await;
+    }
+
     fn open_world(&mut self) {
         for (i, (name, _, _)) in HOPS.iter().enumerate() {
             self.hops.insert(name.to_string(), Hop::listen(&self.net, hop_address(i)));
