--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
 use crate::protocol::discovery::{self, Names};
-use crate::protocol::fields::{flag, list, num, text};
+use crate::protocol::fields::{address, at, flag, list, need, num, read_file, text};
 use crate::protocol::platform::Defaults;
 use crate::routing::RouteNews;
 use std::net::SocketAddr;
@@ -33,18 +33,7 @@
 type Res<T> = Result<T, String>;
 
 pub fn read(path: &Path) -> Res<Config> {
-    let said = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-    let raw = std::fs::read_to_string(path).map_err(|e| said(&e))?;
-    let value: JsonValue = raw.parse().map_err(|e| said(&e))?;
-    decode(&value).map_err(|e| said(&e))
-}
-
-fn need<T>(value: Option<T>, what: &str) -> Res<T> {
-    value.ok_or_else(|| format!("`{what}` is missing or of the wrong kind"))
-}
-
-fn address(text: &str, what: &str) -> Res<SocketAddr> {
-    text.parse().map_err(|_| format!("`{what}`: {text:?} is no address with a port"))
+    read_file(path, decode)
 }
 
 pub fn decode(v: &JsonValue) -> Res<Config> {
@@ -56,7 +45,7 @@
         let place = classes.iter().position(|c| c == name);
         place.ok_or_else(|| format!("`default_class`: there is no class {name:?}"))
     });
-    let known = crate::protocol::fields::at(v, "known").and_then(|k| discovery::news(k, &names));
+    let known = at(v, "known").and_then(|k| discovery::news(k, &names));
     Ok(Config {
         name: text(v, "name").unwrap_or("relay").to_string(),
         listen: address(need(text(v, "listen"), "listen")?, "listen")?,
@@ -76,8 +65,8 @@
 }
 
 fn defaults(v: &JsonValue, class: &str) -> Defaults {
-    let Some(d) = crate::protocol::fields::at(v, "defaults")
-        .and_then(|d| d.get::<std::collections::HashMap<String, JsonValue>>()?.get(class))
+    let Some(d) =
+        at(v, "defaults").and_then(|d| d.get::<std::collections::HashMap<String, JsonValue>>()?.get(class))
     else {
         return Defaults::default();
     };
@@ -104,7 +93,7 @@
 }
 
 fn settings(v: &JsonValue, services: &[JsonValue]) -> Res<Settings> {
-    let s = need(crate::protocol::fields::at(v, "settings"), "settings")?;
+    let s = need(at(v, "settings"), "settings")?;
     let number = |path: &str| need(num(s, path), &format!("settings.{path}"));
     let per_call = list(s, "domain.per_call");
     let apart = list(s, "domain.separate_routes");
--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -1,7 +1,7 @@
 //! The file that switches the SMPP front on: where it listens, who may bind, classes, carriers.
 
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
-use crate::protocol::fields::{flag, list, num, text};
+use crate::protocol::fields::{address, flag, list, need, num, read_file, text};
 use crate::routing::{NextHop, RouteNews, Standing};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -73,25 +73,13 @@
 }
 
 pub fn read(path: &Path) -> Res<SmppConfig> {
-    let said = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-    let raw = std::fs::read_to_string(path).map_err(|e| said(&e))?;
-    let value: JsonValue = raw.parse().map_err(|e| said(&e))?;
-    decode(&value).map_err(|e| said(&e))
-}
-
-fn need<T>(value: Option<T>, what: &str) -> Res<T> {
-    value.ok_or_else(|| format!("`{what}` is missing or of the wrong kind"))
+    read_file(path, decode)
 }
 
 fn word(v: &JsonValue, name: &str) -> Res<String> {
     need(text(v, name).map(str::to_string), name)
 }
 
-fn address(v: &JsonValue, name: &str) -> Res<SocketAddr> {
-    let said = word(v, name)?;
-    said.parse().map_err(|_| format!("`{name}`: {said:?} is no address with a port"))
-}
-
 fn millis(v: &JsonValue, name: &str, default: f64) -> Nanos {
     (num(v, name).unwrap_or(default) * 1e6) as Nanos
 }
@@ -117,7 +105,7 @@
     // The longest prefix that fits decides.
     prefixes.sort_by_key(|(p, _)| std::cmp::Reverse(p.len()));
     let config = SmppConfig {
-        listen: address(v, "listen")?,
+        listen: address(&word(v, "listen")?, "listen")?,
         system_id: text(v, "system_id").unwrap_or("basaltloom").to_string(),
         settings: settings(v)?,
         classes,
@@ -160,7 +148,7 @@
 fn carrier(n: &JsonValue) -> Res<Carrier> {
     Ok(Carrier {
         name: word(n, "name")?,
-        dial: address(n, "dial")?,
+        dial: address(&word(n, "dial")?, "dial")?,
         dest: need(num(n, "dest"), "next_hops[].dest")? as u64,
         system_id: word(n, "system_id")?,
         password: word(n, "password")?,
--- a/tests/relay/carriers.rs
+++ b/tests/relay/carriers.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for both sides of the SMPP front, and their part of the scenario language:
 //!
 //! ```text
+//! esme NAME bound                                binds as transceiver of club-a
+//! esme NAME gets T STATE                         expects a receipt and accepts it
 //! esme NAME bind transceiver|transmitter|receiver ACCOUNT PASSWORD
 //! esme NAME send submit_sm TO text=T service=S validity=V | enquire_link | unbind | query_sm T | hex ...
 //! esme NAME send deliver_sm_resp STATUS          answers the oldest receipt
@@ -317,6 +319,18 @@
     pub async fn step(&mut self, words: &[&str], place: &str) {
         let value = |name: &str| words.iter().find_map(|w| w.strip_prefix(name)).unwrap_or("");
         match words {
+            ["bound"] => {
+                self.bind("transceiver", "club-a", "secret");
+                Box::pin(self.step(&["expect", "bind_transceiver_resp", "0"], place)).await;
+            }
+            ["take", rest @ ..] => {
+                Box::pin(self.step(&[&["send", "submit_sm"], rest].concat(), place)).await;
+                Box::pin(self.step(&["expect", "submit_sm_resp", "0"], place)).await;
+            }
+            ["gets", text, state] => {
+                Box::pin(self.step(&["expect", "deliver_sm", text, state], place)).await;
+                Box::pin(self.step(&["send", "deliver_sm_resp", "0"], place)).await;
+            }
             ["bind", kind, account, password] => self.bind(kind, account, password),
             ["send", "submit_sm", to, ..] => {
                 let registered = value("registered=").parse().unwrap_or(1);
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -10,13 +10,11 @@
         "relay start
          caller x send GET /ready
          caller x expect 200
-         caller x send POST /unsafe id=m1 dest=2 timeout=24000m key=k1 body=pay
-         caller x expect 202
+         caller x take /unsafe id=m1 dest=2 timeout=24000m key=k1 body=pay
          hop b1 expect m1 body=pay idempotency-key=k1 content-length=3
          wait 200
          hop b1 send 200
-         caller x send POST /safe id=m2 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /safe id=m2 dest=2 timeout=24000m
          hop b1 expect m2
          hop b1 send 200
          agent expect nothing 30000",
@@ -48,8 +46,7 @@
          caller x expect 405 allow
          caller x send POST /safe id=m dest=2 timeout=9000m body=*65537
          caller x expect 413
-         caller y send POST /safe id=m dest=2 timeout=9000m body=*65536
-         caller y expect 202
+         caller y take /safe id=m dest=2 timeout=9000m body=*65536
          hop b1 expect m content-length=65536
          hop b1 send 200
          agent expect nothing 10000",
@@ -63,16 +60,13 @@
 fn a_kill_loses_nothing_and_repeats_nothing_unsafe() {
     play(
         "relay start
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          hop b1 expect u1
-         caller x send POST /safe id=s1 dest=3 timeout=24000m key=kk
-         caller x expect 202
+         caller x take /safe id=s1 dest=3 timeout=24000m key=kk
          hop c1 expect s1
          hop a1 refuse
          hop a2 refuse
-         caller x send POST /unsafe id=u2 dest=1 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u2 dest=1 timeout=24000m
          relay kill
          hop b1 close
          hop c1 close
@@ -98,13 +92,11 @@
 fn an_error_ends_an_unsafe_message_at_once_and_repeats_a_safe_one() {
     play(
         "relay start
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          hop b1 expect u1
          hop b1 send 500
          agent expect failed u1 in 0..5
-         caller x send POST /safe id=s1 dest=3 timeout=24000m
-         caller x expect 202
+         caller x take /safe id=s1 dest=3 timeout=24000m
          hop c1 expect s1
          hop c1 send 500
          hop c1 expect s1
@@ -119,14 +111,12 @@
 fn a_break_after_the_last_byte_may_have_run_and_a_refused_connection_has_not() {
     play(
         "relay start
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          hop b1 expect u1
          hop b1 close
          agent expect failed u1 in 0..5
          hop c1 refuse
-         caller x send POST /unsafe id=u2 dest=3 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u2 dest=3 timeout=24000m
          wait 300
          hop c1 listen
          hop c1 expect u2
@@ -140,12 +130,10 @@
 fn a_told_wait_binds_all_hops_of_the_destination() {
     play(
         "relay start
-         caller x send POST /safe id=s1 dest=1 timeout=24000m
-         caller x expect 202
+         caller x take /safe id=s1 dest=1 timeout=24000m
          hop a2 expect s1
          hop a2 send 429 retry-after=1.5
-         caller x send POST /safe id=s2 dest=1 timeout=24000m
-         caller x expect 202
+         caller x take /safe id=s2 dest=1 timeout=24000m
          hop a1 expect nothing 1490
          hop a2 expect nothing 1",
     );
@@ -157,15 +145,13 @@
 fn busy_spent_and_over_are_told_apart() {
     play(
         "relay start
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          hop b1 expect u1
          hop b1 send 503 x-line-busy=1
          hop b1 expect u1
          hop b1 send 504
          agent expect returned u1 after_ms in 0..5
-         caller x send POST /unsafe id=u2 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u2 dest=2 timeout=24000m
          hop b1 expect u2
          hop b1 send 410
          agent expect nothing 30000
@@ -178,8 +164,7 @@
 fn a_silent_call_times_out_and_closes_its_connection() {
     play(
         "relay start
-         caller x send POST /safe id=s1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /safe id=s1 dest=2 timeout=24000m
          hop b1 expect s1
          hop b1 hangup in 500..4000
          hop b1 expect s1
@@ -224,8 +209,7 @@
     play(
         "relay start
          hop b1 slow 700
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          wait 100
          agent list b1 leaving
          hop b1 expect nothing 5000
@@ -243,8 +227,7 @@
     play(
         "relay start
          agent down
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          hop b1 expect u1
          hop b1 send 504
          wait 3000
@@ -267,15 +250,13 @@
         "relay start
          caller y send GET /ready
          caller y expect 200
-         caller x send POST /unsafe id=u1 dest=2 timeout=24000m
-         caller x expect 202
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
          hop b1 expect u1
          relay end
          caller x expect close in 0..5
          caller y expect close
          wait 100
-         caller z send POST /unsafe id=u2 dest=3 timeout=24000m
-         caller z expect 202
+         caller z take /unsafe id=u2 dest=3 timeout=24000m
          hop c1 expect u2
          hop c1 send 200
          wait 900
@@ -293,12 +274,9 @@
     play(
         "relay start
          hop b1 refuse
-         caller x send POST /ordered?thread=k id=o1 dest=2 timeout=24000m
-         caller x expect 202
-         caller x send POST /ordered?thread=k id=o2 dest=2 timeout=24000m
-         caller x expect 202
-         caller x send POST /ordered?thread=k id=o3 dest=3 timeout=24000m
-         caller x expect 202
+         caller x take /ordered?thread=k id=o1 dest=2 timeout=24000m
+         caller x take /ordered?thread=k id=o2 dest=2 timeout=24000m
+         caller x take /ordered?thread=k id=o3 dest=3 timeout=24000m
          hop c1 expect nothing 100
          relay kill
          hop b1 listen
@@ -320,12 +298,11 @@
 fn a_full_relay_turns_away_with_advice() {
     let mut script = "relay start\nhop b1 silent\n".to_string();
     for i in 0..11 {
-        script += &format!("caller x send POST /unsafe id=u{i} dest=2 timeout=24000m\ncaller x expect 202\n");
+        script += &format!("caller x take /unsafe id=u{i} dest=2 timeout=24000m\n");
     }
     script += "caller x send POST /safe id=s1 dest=2 timeout=24000m
         caller x expect 503 retry-after
-        caller x send POST /unsafe id=u11 dest=2 timeout=24000m
-        caller x expect 202
+        caller x take /unsafe id=u11 dest=2 timeout=24000m
         agent expect returned u6 after_ms";
     play(&script);
 }
@@ -352,11 +329,9 @@
 fn an_imported_configuration_serves() {
     play(
         "relay import
-         caller x send POST /notice id=m1
-         caller x expect 202
+         caller x take /notice id=m1
          hop b1 expect m1
-         caller x send POST /notice id=m2
-         caller x expect 202
+         caller x take /notice id=m2
          hop c1 expect nothing 300
          hop b1 expect nothing 1
          hop b1 send 200
@@ -365,8 +340,7 @@
          hop b1 refuse
          hop c1 expect m2
          hop c1 send 200
-         caller x send POST /elsewhere id=m3
-         caller x expect 202
+         caller x take /elsewhere id=m3
          hop a1 expect m3
          hop a1 send 200",
     );
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -3,6 +3,7 @@
 //! ```text
 //! ACTOR send ...      says something now
 //! ACTOR expect ...    waits, in paused time, until it is said to the actor; anything else fails
+//! ACTOR take ...      a caller or ESME hands a message in and expects that it is taken on
 //! ACTOR close         ends its connection (a hop: that of its oldest call)
 //! wait MS             lets time pass
 //! relay start | smpp | import | end | kill, carrier NAME leaving (and the file read again), hop refuse | silent | listen | slow MS | hangup, agent down | up | list HOST STATE
@@ -304,7 +305,7 @@
                 self.smscs.get_mut(*name).unwrap().step(&self.net, rest, place).await;
             }
             ["esme", name, rest @ ..] => {
-                if !self.esmes.contains_key(*name) || rest[0] == "bind" {
+                if !self.esmes.contains_key(*name) || rest[0].starts_with("b") {
                     self.esmes.insert(name.to_string(), Esme::connect(&self.net, self.texts.clone()).await);
                 }
                 let rest: Vec<&str> = rest.iter().take_while(|w| **w != "in").copied().collect();
@@ -468,6 +469,10 @@
         }
         let caller = self.callers.get_mut(name).unwrap();
         match words {
+            ["take", rest @ ..] => {
+                Box::pin(self.caller(name, &[&["send", "POST"], rest].concat(), place)).await;
+                Box::pin(self.caller(name, &["expect", "202"], place)).await;
+            }
             ["send", method, path, rest @ ..] => {
                 let body = value(rest, "body").unwrap_or("hello");
                 let mut text = format!("{method} {path} HTTP/1.1\r\nhost: x\r\n");
--- a/tests/relay/smpp.rs
+++ b/tests/relay/smpp.rs
@@ -15,16 +15,13 @@
 fn a_message_is_submitted_once_and_its_receipt_is_its_one_final_answer() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=hi validity=000000000020000R
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 1313 text=hi validity=000000000020000R
          smsc 1 expect hi
          esme a send query_sm hi
          esme a expect query_sm_resp 0
          smsc 1 send 0
-         esme a expect deliver_sm hi DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets hi DELIVRD
          esme a send enquire_link
          esme a expect enquire_link_resp 0
          esme a expect nothing 60000
@@ -74,22 +71,17 @@
 fn a_bind_dropped_after_the_submit_may_have_carried_it() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=pay service=DUES
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 1313 text=pay service=DUES
          smsc 1 expect pay
          smsc 1 close
-         esme a expect deliver_sm pay UNKNOWN in 0..5
-         esme a send deliver_sm_resp 0
-         esme a send submit_sm 2313 text=hi
-         esme a expect submit_sm_resp 0
+         esme a gets pay UNKNOWN in 0..5
+         esme a take 2313 text=hi
          smsc 2 expect hi
          smsc 2 close
          smsc 2 expect hi
          smsc 2 send 0
-         esme a expect deliver_sm hi DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets hi DELIVRD
          esme a expect nothing 60000
          smsc 1 expect nothing 1
          smsc 2 expect nothing 1",
@@ -102,18 +94,15 @@
 fn a_throttling_that_names_no_wait_is_rested_from() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=pay service=DUES
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 1313 text=pay service=DUES
          smsc 1 expect pay
          smsc 1 send 88
          smsc 1 expect pay in 20..2000
          smsc 1 send 20
          smsc 1 expect pay in 50..4000
          smsc 1 send 0
-         esme a expect deliver_sm pay DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets pay DELIVRD
          esme a expect nothing 60000
          smsc 1 expect nothing 1",
     );
@@ -124,28 +113,21 @@
 fn errors_of_the_smsc_are_told_apart() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=pay service=DUES
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 1313 text=pay service=DUES
          smsc 1 expect pay
          smsc 1 send 8
-         esme a expect deliver_sm pay UNKNOWN in 0..5
-         esme a send deliver_sm_resp 0
-         esme a send submit_sm 1313 text=bad
-         esme a expect submit_sm_resp 0
+         esme a gets pay UNKNOWN in 0..5
+         esme a take 1313 text=bad
          smsc 1 expect bad
          smsc 1 send 11
-         esme a expect deliver_sm bad UNDELIV in 0..5
-         esme a send deliver_sm_resp 0
-         esme a send submit_sm 2313 text=slow
-         esme a expect submit_sm_resp 0
+         esme a gets bad UNDELIV in 0..5
+         esme a take 2313 text=slow
          smsc 2 expect slow
          smsc 2 expect slow in 500..10000
          smsc 2 send 0
          smsc 2 send 0
-         esme a expect deliver_sm slow DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets slow DELIVRD
          esme a expect nothing 60000",
     );
 }
@@ -156,12 +138,9 @@
     play(
         "relay smpp
          smsc 1 refuse 13
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=pay service=DUES validity=000000000002000R
-         esme a expect submit_sm_resp 0
-         esme a expect deliver_sm pay EXPIRED in 1900..2050
-         esme a send deliver_sm_resp 0
+         esme a bound
+         esme a take 1313 text=pay service=DUES validity=000000000002000R
+         esme a gets pay EXPIRED in 1900..2050
          smsc 1 expect nothing 1",
     );
 }
@@ -174,8 +153,7 @@
         "relay smpp
          esme a bind transmitter club-a secret
          esme a expect bind_transmitter_resp 0
-         esme a send submit_sm 1313 text=hi
-         esme a expect submit_sm_resp 0
+         esme a take 1313 text=hi
          smsc 1 expect hi
          smsc 1 send 0
          esme a expect nothing 5000
@@ -188,15 +166,12 @@
          wait 100
          relay kill
          relay smpp
-         esme r bind transceiver club-a secret
-         esme r expect bind_transceiver_resp 0
-         esme r expect deliver_sm hi DELIVRD
-         esme r send deliver_sm_resp 0
+         esme r bound
+         esme r gets hi DELIVRD
          wait 10
          relay kill
          relay smpp
-         esme r bind transceiver club-a secret
-         esme r expect bind_transceiver_resp 0
+         esme r bound
          esme r expect nothing 5000",
     );
 }
@@ -206,34 +181,26 @@
 fn a_restart_owes_each_message_its_end() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=pay service=DUES
-         esme a expect submit_sm_resp 0
-         esme a send submit_sm 1414 text=hi
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 1313 text=pay service=DUES
+         esme a take 1414 text=hi
          smsc 1 expect pay
          smsc 1 expect hi
          smsc 2 stop
-         esme a send submit_sm 2313 text=wait service=DUES
-         esme a expect submit_sm_resp 0
+         esme a take 2313 text=wait service=DUES
          relay kill
          smsc 2 listen
          relay smpp
          smsc 1 expect hi
          smsc 1 close
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a expect deliver_sm pay UNKNOWN
-         esme a send deliver_sm_resp 0
+         esme a bound
+         esme a gets pay UNKNOWN
          smsc 2 expect wait
          smsc 2 send 0
-         esme a expect deliver_sm wait DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets wait DELIVRD
          smsc 1 expect hi
          smsc 1 send 0
-         esme a expect deliver_sm hi DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets hi DELIVRD
          esme a expect nothing 60000",
     );
 }
@@ -244,25 +211,19 @@
 fn windows_are_kept_and_drains_are_honoured() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 2313 text=one
-         esme a expect submit_sm_resp 0
-         esme a send submit_sm 2313 text=two
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 2313 text=one
+         esme a take 2313 text=two
          smsc 2 expect one
          smsc 2 expect nothing 300
          smsc 2 unbind
          smsc 2 send 0
-         esme a expect deliver_sm one DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets one DELIVRD
          smsc 2 expect two
          smsc 2 send 0
-         esme a expect deliver_sm two DELIVRD
-         esme a send deliver_sm_resp 0
+         esme a gets two DELIVRD
          carrier 2 leaving
-         esme a send submit_sm 2313 text=three
-         esme a expect submit_sm_resp 0
+         esme a take 2313 text=three
          smsc 2 expect nothing 20000",
     );
 }
@@ -272,10 +233,8 @@
 fn a_silent_smsc_is_found_out_by_enquire_link() {
     play(
         "relay smpp
-         esme a bind transceiver club-a secret
-         esme a expect bind_transceiver_resp 0
-         esme a send submit_sm 1313 text=pay service=DUES
-         esme a expect submit_sm_resp 0
+         esme a bound
+         esme a take 1313 text=pay service=DUES
          smsc 1 expect pay
          smsc 1 mute
          esme a expect deliver_sm pay UNKNOWN in 9000..12500",
@@ -297,8 +256,7 @@
         esme a expect submit_sm_resp 20
         esme b bind transceiver club-b secret
         esme b expect bind_transceiver_resp 0
-        esme b send submit_sm 1313 text=quiet registered=0
-        esme b expect submit_sm_resp 0
+        esme b take 1313 text=quiet registered=0
         smsc 1 expect quiet
         smsc 1 send 0
         esme b expect nothing 1000
