--- a/src/bin/basaltloom-adapter.rs
+++ b/src/bin/basaltloom-adapter.rs
@@ -43,6 +43,8 @@
         no_more: Option<bool>,
         hold_ms: Option<u64>,
         latency: Option<u64>,
+        host: Option<String>,
+        metrics: Option<Vec<f64>>,
     },
     #[serde(rename = "ABANDONED")]
     Abandoned { tid: u64 },
@@ -71,6 +73,13 @@
     rules: Rules,
     services: Vec<Service>,
     weights: Option<String>,
+    report: Option<Report>,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    #[serde(default)]
+    fields: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -189,6 +198,8 @@
     relay: Relay,
     ids: BTreeMap<String, HostId>,
     names: Vec<String>,
+    /// Place of the limit among the values of a report.
+    limit_at: Option<usize>,
 }
 
 impl Instance {
@@ -254,7 +265,10 @@
                 News::Launch { salt, params } => {
                     events.clear();
                     let relay = Relay::new(settings(&params), salt);
-                    self.instances.insert(who, Instance { relay, ids: BTreeMap::new(), names: Vec::new() });
+                    let limit_at =
+                        params.report.as_ref().and_then(|r| r.fields.iter().position(|f| f == "x1"));
+                    let (ids, names) = (BTreeMap::new(), Vec::new());
+                    self.instances.insert(who, Instance { relay, ids, names, limit_at });
                 }
                 News::Exit {} => {
                     events.clear();
@@ -263,6 +277,7 @@
                 News::Page { list, members_list } => drop(self.pages.insert(list, members_list)),
                 told => {
                     let inst = self.instances.get_mut(&who).ok_or_else(|| format!("no instance {who}"))?;
+                    events.extend(Self::reported(inst, &told));
                     events.extend(Self::event(inst, &self.pages, told)?);
                 }
             }
@@ -272,6 +287,13 @@
         Ok(actions.into_iter().map(|a| inst.wire(a)).collect())
     }
 
+    /// The limit that came with an outcome; a 0 says that there is none.
+    fn reported(inst: &mut Instance, told: &News) -> Option<Event> {
+        let News::Verdict { host: Some(host), metrics: Some(metrics), .. } = told else { return None };
+        let limit = *metrics.get(inst.limit_at?)?;
+        Some(Event::Reported { host: inst.host(host), limit })
+    }
+
     fn event(inst: &mut Instance, pages: &BTreeMap<u64, Vec<Member>>, told: News) -> Res<Option<Event>> {
         Ok(Some(match told {
             News::View { kind: 0, .. } => return Ok(None),
@@ -284,7 +306,7 @@
             News::Inbound { tid, profile, target_key, time_left, destination } => {
                 Event::Taken { id: tid, class: profile, dest: destination, key: target_key, time_left }
             }
-            News::Verdict { tid, hop, disposition, no_more, hold_ms, latency } => Event::Ended {
+            News::Verdict { tid, hop, disposition, no_more, hold_ms, latency, .. } => Event::Ended {
                 id: tid,
                 attempt: hop,
                 outcome: outcome(disposition, hold_ms)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -187,6 +187,8 @@
     Unsettled { id: MsgId, key: String },
     /// This host was sick in an earlier life of this relay.
     Ailing { host: HostId },
+    /// The destination tells its limit, in calls a second from all relays together.
+    Reported { host: HostId, limit: f64 },
     /// What an operator's own list says of a host beyond its listing.
     Terms { host: HostId, terms: Terms },
     /// The relay may be killed from then on, and comes back later.
--- a/src/live.rs
+++ b/src/live.rs
@@ -24,6 +24,9 @@
             }
             Event::Unsettled { id, key } => self.book.leave_unsettled(*id, key.clone()),
             Event::Ailing { host } if self.book.hosts.contains_key(host) => self.down(*host, 0),
+            Event::Reported { host, limit } if self.book.hosts.contains_key(host) => {
+                self.route(*host).limit = *limit;
+            }
             Event::Terms { host, terms } => {
                 if let Some(h) = self.book.hosts.get_mut(host) {
                     h.terms = *terms;
@@ -66,6 +69,14 @@
         self.book.closing.is_some_and(|at| self.now.saturating_add(self.overdue_after(host)) > at)
     }
 
+    /// This relay's part of the listed or reported limit; 0 where there is neither.
+    pub(crate) fn slice(&self, host: HostId) -> f64 {
+        let h = &self.book.hosts[&host];
+        let reported = self.book.routes.get(&h.route).map_or(0.0, |r| r.limit);
+        let limit = if self.set.limits == Limits::Unlisted { reported } else { h.scale };
+        limit / f64::from(self.set.senders.max(1))
+    }
+
     /// An operator's terms: a bound on the calls out, and backups that wait for the others to fall sick.
     pub(crate) fn within_terms(&self, host: HostId) -> bool {
         let h = &self.book.hosts[&host];
--- a/src/protocol/fields.rs
+++ b/src/protocol/fields.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::str::FromStr;
 use std::time::Duration;
 use tinyjson::JsonValue;
 
@@ -34,8 +35,8 @@
     format!("{:.3}", Duration::from_nanos(span).as_secs_f64())
 }
 
-/// The number `name=...` among fields set apart by commas.
-pub fn number(text: &str, name: &str) -> Option<u64> {
+/// The value of `name=...` among fields set apart by commas.
+pub fn value<T: FromStr>(text: &str, name: &str) -> Option<T> {
     text.split(',').find_map(|f| f.trim().strip_prefix(name)?.strip_prefix('=')?.trim().parse().ok())
 }
 
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -1,6 +1,6 @@
 //! Calls to next hops: `/hook` for one branch, `/hook/batch` for several.
 
-use super::fields::{seconds, span_text};
+use super::fields::{self, seconds, span_text};
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Letter, Reply};
 use crate::routing::Branch;
@@ -62,6 +62,12 @@
     told.and_then(seconds).unwrap_or(0)
 }
 
+/// The limit in `X-Server-Load: x0=0.4,x1=25`: calls a second, 0 where there is none.
+pub fn limit(headers: &HeaderMap) -> Option<f64> {
+    let report = headers.get("x-server-load")?.to_str().ok()?;
+    fields::value::<f64>(report, "x1").filter(|limit| limit.is_finite() && *limit >= 0.0)
+}
+
 /// What the answer to a batch says of each branch; one that it does not name may have run.
 pub fn replies(headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Vec<(Branch, Reply)> {
     let wait = wait(headers);
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -2,9 +2,9 @@
 
 use super::{fields, hook, notices};
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::Reply;
+use crate::routing::core::{Carried, Reply};
 use crate::routing::desk::Passage;
-use crate::routing::{Branch, Desk, Front, NextHopId, Offer, Taken, TransactionNo};
+use crate::routing::{Desk, Front, NextHopId, Offer, Taken, TransactionNo};
 use crate::transport::connection::{read_body, Unsent};
 use crate::transport::listener::Leg;
 use crate::transport::network::Net;
@@ -63,10 +63,13 @@
 }
 
 impl Front for Platform {
-    async fn carry(&self, passage: Passage<'_, Self>) -> Vec<(Branch, Reply)> {
+    async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
         let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
-        let all = |outcome| passage.call.branches.iter().map(|b| (*b, Reply::Ended(outcome))).collect();
+        let all = |outcome| {
+            let branches = passage.call.branches.iter();
+            Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
+        };
         let hop = passage.hop;
         let leased = tokio::select! {
             leased = self.pool.lease(hop.id, hop.dial) => leased,
@@ -83,22 +86,24 @@
         let Some((request, len)) = hook::request(hop.dial, &letters, left).filter(|_| !letters.is_empty())
         else {
             lease.give_back();
-            return Vec::new();
+            return Carried::default();
         };
-        let each = |reply: Reply| letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>();
+        let each =
+            |reply: Reply| Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>());
         let Some(line) = lease.line() else { return each(Reply::Ended(Outcome::NoConnection)) };
         let answered = async {
             let response = line.send(request, len).await?;
             let status = response.status();
+            let limit = hook::limit(response.headers());
             if letters.len() > 1 && status == StatusCode::OK {
                 let headers = response.headers().clone();
                 let body = read_body(response.into_body(), BODY_MOST).await.ok_or(Unsent::Perhaps)?;
-                return Ok((hook::replies(&headers, &body, &letters), None));
+                return Ok((Carried { replies: hook::replies(&headers, &body, &letters), limit }, None));
             }
             let reply = hook::reply(status, response.headers());
-            Ok((each(reply), Some(response.into_body())))
+            Ok((Carried { limit, ..each(reply) }, Some(response.into_body())))
         };
-        let (replies, rest) = tokio::select! {
+        let (carried, rest) = tokio::select! {
             answered = answered => match answered {
                 Ok(answered) => answered,
                 Err(Unsent::Never) => return each(Reply::Ended(Outcome::NoConnection)),
@@ -111,7 +116,7 @@
             Some(body) if !body.is_end_stream() => drop(spawn_local(drain(lease, body))),
             _ => lease.give_back(),
         }
-        replies
+        carried
     }
 
     fn ended(&self, _: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
@@ -252,7 +257,7 @@
     Some(Offer {
         id: id.to_string(),
         class,
-        dest: get("x-consignee").map_or(or.dest, |v| fields::number(v, "dest"))?,
+        dest: get("x-consignee").map_or(or.dest, |v| fields::value(v, "dest"))?,
         key: fields::query(query, "thread"),
         idempotency: idempotency.map(str::to_string),
         time_left: get("x-timeout").map_or(or.time_left, fields::span)?,
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -8,9 +8,9 @@
 mod smsc;
 
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::Reply;
+use crate::routing::core::{Carried, Reply};
 use crate::routing::desk::Passage;
-use crate::routing::{Branch, Desk, Front, NextHopId, TransactionNo};
+use crate::routing::{Desk, Front, NextHopId, TransactionNo};
 use crate::transport::network::{Listen, Net};
 use bytes::{Bytes, BytesMut};
 use config::SmppConfig;
@@ -105,8 +105,11 @@
 }
 
 impl Front for Smpp {
-    async fn carry(&self, passage: Passage<'_, Self>) -> Vec<(Branch, Reply)> {
-        let all = |outcome| passage.call.branches.iter().map(|b| (*b, Reply::Ended(outcome))).collect();
+    async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
+        let all = |outcome| {
+            let branches = passage.call.branches.iter();
+            Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
+        };
         let Some(binds) = self.binds.borrow().get(&passage.hop.name).cloned() else {
             return all(Outcome::NotSent);
         };
@@ -120,9 +123,9 @@
         };
         let Some(seat) = seat else { return all(Outcome::NoConnection) };
         // One submit a call: each message is a call of its own here.
-        let Some(letter) = passage.begin().into_iter().next() else { return Vec::new() };
+        let Some(letter) = passage.begin().into_iter().next() else { return Carried::default() };
         let Some(mut submit) = submit_of(&letter.body) else {
-            return vec![(letter.branch, Reply::Ended(Outcome::NotSent))];
+            return vec![(letter.branch, Reply::Ended(Outcome::NotSent))].into();
         };
         // The receipt is ours to give, and a span would be counted anew from the SMSC's own clock.
         submit.registered_delivery = RegisteredDelivery::default();
@@ -135,7 +138,7 @@
             reply = seat.submit(submit.into(), Duration::from_nanos(left)) => reply,
             () = passage.cancelled() => Reply::Ended(Outcome::Cancelled),
         };
-        vec![(letter.branch, reply)]
+        vec![(letter.branch, reply)].into()
     }
 
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -75,6 +75,21 @@
     }
 }
 
+/// What came of a call.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Carried {
+    /// Branches that were never begun may be left out.
+    pub replies: Vec<(Branch, Reply)>,
+    /// The limit that the next hop told, in calls a second from all relays together; 0 where it has none.
+    pub limit: Option<f64>,
+}
+
+impl From<Vec<(Branch, Reply)>> for Carried {
+    fn from(replies: Vec<(Branch, Reply)>) -> Self {
+        Carried { replies, limit: None }
+    }
+}
+
 /// What is about to be written for a branch.
 #[derive(Clone, Debug)]
 pub struct Letter {
@@ -253,8 +268,9 @@
         letters
     }
 
-    /// The outcomes of a call's branches, all in one report.
-    pub fn report(&mut self, now: Nanos, replies: &[(Branch, Reply)], took: Nanos) {
+    /// The outcomes of a call's branches, all in one report, with the limit that the answer told.
+    pub fn report(&mut self, now: Nanos, hop: NextHopId, carried: &Carried, took: Nanos) {
+        let Carried { replies, limit } = carried;
         let mut late = Vec::new();
         for (branch, reply) in replies {
             let no = branch.transaction;
@@ -279,7 +295,8 @@
                 _ => {}
             }
         }
-        let picked = self.facade.report(now, replies, took);
+        let limit = limit.map(|limit| (hop, limit));
+        let picked = self.facade.report(now, replies, limit, took);
         self.absorb(picked);
         late.into_iter().for_each(|no| self.acknowledged(now, no));
     }
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,7 +1,7 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
-use super::core::{Core, Letter, Reply, Work};
-use super::facade::{Branch, Call, NextHopId};
+use super::core::{Carried, Core, Letter, Reply, Work};
+use super::facade::{Call, NextHopId};
 use super::route_set::NextHop;
 use super::transactions::TransactionNo;
 use super::Clock;
@@ -16,8 +16,8 @@
 
 /// What stands before the core: it carries calls to next hops and tells ends to whoever is owed them.
 pub trait Front: Sized + 'static {
-    /// Carries a call; the replies may leave out branches that were never begun.
-    fn carry(&self, passage: Passage<'_, Self>) -> impl Future<Output = Vec<(Branch, Reply)>>;
+    /// Carries a call to its end.
+    fn carry(&self, passage: Passage<'_, Self>) -> impl Future<Output = Carried>;
     /// These transactions have their end, which is to be told until it is acknowledged.
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
     /// Idle connections to this next hop are not to be used any more.
@@ -108,15 +108,15 @@
     async fn carry(self: Rc<Self>, call: Call, hop: NextHop, cancel: Rc<Notify>) {
         let from = self.clock.now();
         let passage = Passage { desk: &self, call: &call, hop: &hop, cancel: &cancel };
-        let mut replies = self.front.carry(passage).await;
+        let mut carried = self.front.carry(passage).await;
         for branch in &call.branches {
-            if !replies.iter().any(|(b, _)| b == branch) {
-                replies.push((*branch, Reply::Ended(Outcome::NotSent)));
+            if !carried.replies.iter().any(|(b, _)| b == branch) {
+                carried.replies.push((*branch, Reply::Ended(Outcome::NotSent)));
             }
             self.out.borrow_mut().remove(&(branch.transaction, branch.attempt));
         }
         let took = self.clock.now().saturating_sub(from);
-        self.act(|core, now| core.report(now, &replies, took));
+        self.act(|core, now| core.report(now, call.next_hop, &carried, took));
     }
 
     /// Wakes the core when it wants to be.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -133,8 +133,16 @@
     }
 
     /// Tells how branches ended: those of one call in one report.
-    pub fn report(&mut self, now: Nanos, ended: &[(Branch, Reply)], took: Nanos) -> Picked {
-        let mut events = Vec::new();
+    /// `limit` is what a next hop told of its own with them.
+    pub fn report(
+        &mut self,
+        now: Nanos,
+        ended: &[(Branch, Reply)],
+        limit: Option<(NextHopId, f64)>,
+        took: Nanos,
+    ) -> Picked {
+        let mut events: Vec<Event> =
+            limit.into_iter().map(|(host, limit)| Event::Reported { host, limit }).collect();
         for (branch, reply) in ended {
             let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
             events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -159,7 +159,7 @@
         }
     }
 
-    fn route(&mut self, host: HostId) -> &mut Route {
+    pub(crate) fn route(&mut self, host: HostId) -> &mut Route {
         let id = self.book.hosts[&host].route;
         self.book.routes.entry(id).or_default()
     }
@@ -813,10 +813,7 @@
 
     /// Refused as full: cut the pace; refusals without a success, or a long wait, mean shut and cold later.
     fn refused(&mut self, host: HostId, wait: Nanos) {
-        let senders = f64::from(self.set.senders.max(1));
-        let listed = self.set.limits != Limits::Unlisted;
-        let (now, route) = (self.now, self.book.hosts[&host].route);
-        let slice = if listed { self.book.hosts[&host].scale / senders } else { 0.0 };
+        let (now, route, slice) = (self.now, self.book.hosts[&host].route, self.slice(host));
         let (roll, most) = (self.dice.roll(), self.longest_rest());
         let r = self.book.routes.entry(route).or_default();
         if r.refused == 0 {
@@ -831,7 +828,7 @@
         if now >= r.cut + PACE_CUT_GAP {
             let used = rate_of(&mut r.accepted, PACE_SPAN, now).unwrap_or(0.0);
             let from = r.pace.map_or(used.max(slice), |p| p.min(used * PACE_TRUST).max(p * 0.5));
-            let pace = (from * PACE_CUT).max(1e9 / REST_LEAST_MOST);
+            let pace = (from.max(slice) * PACE_CUT).max(1e9 / REST_LEAST_MOST);
             r.full_at = from;
             if r.pace.is_none() {
                 let text = format!("host {host} refuses as full, paced at {pace:.1} a second");
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,8 @@
     /// End of a rest of our own after a refusal that told none.
     pub rest: Nanos,
     pub refused: u32,
+    /// The limit as last told by the destination, in calls a second; 0: none was told.
+    pub limit: f64,
     /// Steps in the length of the rest, kept in part when a call is accepted.
     pub level: u32,
     /// The same as it was before the refusals since the last accepted call.
--- /dev/null
+++ b/tests/live.rs
@@ -0,0 +1,140 @@
+//! The module where only a relay on real sockets asks it (`src/live.rs`), and the reported limit.
+
+use basaltloom::*;
+
+const MS: u64 = 1_000_000;
+const SEC: u64 = 1_000 * MS;
+
+/// One safe class, one unsafe, one kind; a destination 5 with the hosts given, two relays.
+fn relay(hosts: &[HostId]) -> Relay {
+    let class = |repeat| Class {
+        aim: 3 * SEC,
+        deadline: 20 * SEC,
+        worth: 1.0,
+        late_worth: 0.4,
+        repeat,
+        in_order: false,
+    };
+    let settings = Settings {
+        senders: 2,
+        slots: 8,
+        max_held: 40,
+        max_attempts: 4,
+        may_cancel: true,
+        must_subscribe: false,
+        keepalive: 10 * SEC,
+        max_come_back: 2 * SEC,
+        limits: Limits::Unlisted,
+        late: Late::Even,
+        classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
+        kinds: vec![Kind { apart: false, per_call: 1 }],
+        zone_fee: vec![],
+        cold_share: 1.0,
+        warm_up: SEC,
+        overload_factor: 100.0,
+        fall: SEC,
+        key_rest: 0,
+    };
+    let entry = |h: &HostId| Entry { host: *h, dest: 5, kind: 0, zone: 0, state: Listing::Ready, scale: 1.0 };
+    let mut relay = Relay::new(settings, 1);
+    relay.step(SEC, &[Event::Listed { whole: true, entries: hosts.iter().map(entry).collect() }]);
+    relay
+}
+
+fn taken(id: MsgId) -> Event {
+    Event::Taken { id, class: 0, dest: 5, key: None, time_left: 20 * SEC }
+}
+
+fn ended(id: MsgId, attempt: u32, outcome: Outcome) -> Event {
+    Event::Ended { id, attempt, outcome, latency: MS, over: outcome == Outcome::Served }
+}
+
+fn sent(actions: &[Action]) -> Vec<(MsgId, HostId)> {
+    let send = |a: &Action| match a {
+        Action::Send { id, host, .. } => Some((*id, *host)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+/// Messages served within two seconds of a refusal, each at once, 40 being held.
+fn served_after_a_refusal(limit: Option<f64>) -> usize {
+    let mut relay = relay(&[0]);
+    let mut now = 2 * SEC;
+    let report = limit.map(|limit| Event::Reported { host: 0, limit });
+    let mut out = sent(&relay.step(now, &(1..=30).map(taken).collect::<Vec<_>>()));
+    let (first, _) = out.remove(0);
+    let refusal = [report, Some(ended(first, 0, Outcome::Full { wait: 0 }))].into_iter().flatten();
+    out.extend(sent(&relay.step(now, &refusal.collect::<Vec<_>>())));
+    let (mut served, end) = (0, now + 2 * SEC);
+    while now < end {
+        now += 5 * MS;
+        let back: Vec<Event> =
+            out.drain(..).map(|(id, _)| ended(id, u32::from(id == first), Outcome::Served)).collect();
+        served += back.len();
+        out.extend(sent(&relay.step(now, &[&back[..], &[Event::Woken]].concat())));
+    }
+    served
+}
+
+/// Guards the pace after a refusal: not below this relay's part of the limit that the destination reports. A
+/// probe on a full day had found it below nine tenths of that in 207 of 489 answers, with messages held.
+#[test]
+fn a_pace_is_not_cut_below_the_slice_of_a_reported_limit() {
+    let (unknown, known) = (served_after_a_refusal(None), served_after_a_refusal(Some(20.0)));
+    assert!(known >= unknown + 5, "{known} with a limit told, {unknown} without");
+    assert_eq!(served_after_a_refusal(Some(0.0)), unknown, "0 says that there is none");
+}
+
+/// Guards the past of restored messages: what may not repeat is over at once, what may goes with the attempts
+/// that it has left.
+#[test]
+fn a_restored_message_keeps_its_past() {
+    let mut relay = relay(&[0]);
+    let restored = |id, class, attempts, may_have_run| Event::Restored {
+        id,
+        class,
+        dest: 5,
+        key: None,
+        time_left: 10 * SEC,
+        attempts,
+        may_have_run,
+    };
+    let past = Some((SEC, 0));
+    let events =
+        [restored(1, 1, 1, past), restored(2, 0, 3, past), restored(3, 0, 4, None), restored(4, 1, 1, None)];
+    let actions = relay.step(2 * SEC, &events);
+    assert!(actions.contains(&Action::Fail { id: 1 }));
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 3, .. })), "it has had all its attempts");
+    assert_eq!(sent(&actions), [(2, 0), (4, 0)]);
+    let actions = relay.step(3 * SEC, &[ended(2, 3, Outcome::Error)]);
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse { id: 2, .. })), "that was its last");
+}
+
+/// Guards an operator's terms: a bound on calls out, more calls for more weight, backups last.
+#[test]
+fn terms_bound_and_weigh_calls_and_keep_backups_back() {
+    let mut relay = relay(&[0, 1, 2]);
+    let terms =
+        |host, most_out, weight, backup| Event::Terms { host, terms: Terms { most_out, weight, backup } };
+    relay.step(SEC, &[terms(0, 1, 1, false), terms(1, 9, 3, false), terms(2, 9, 1, true)]);
+    let out = sent(&relay.step(2 * SEC, &(1..=12).map(taken).collect::<Vec<_>>()));
+    let to = |host| out.iter().filter(|(_, h)| *h == host).count();
+    assert_eq!((to(0), to(1), to(2)), (1, 5, 0), "{out:?}");
+    let lost: Vec<Event> = out.iter().map(|(id, _)| ended(*id, 0, Outcome::NoConnection)).collect();
+    let out = sent(&relay.step(3 * SEC, &lost));
+    assert!(!out.is_empty() && out.iter().all(|(_, host)| *host == 2), "{out:?}");
+}
+
+/// Guards the time between a decision and its first byte.
+#[test]
+fn a_host_that_leaves_or_tells_a_wait_is_not_open_any_more() {
+    let mut relay = relay(&[0, 1]);
+    relay.step(2 * SEC, &[taken(1)]);
+    assert!(relay.still_open(0, 2 * SEC) && relay.still_open(1, 2 * SEC) && !relay.still_open(9, 2 * SEC));
+    relay.step(3 * SEC, &[ended(1, 0, Outcome::Full { wait: 500 * MS })]);
+    assert!(!relay.still_open(0, 3_400 * MS) && relay.still_open(0, 3_600 * MS));
+    let leaving = Entry { host: 0, dest: 5, kind: 0, zone: 0, state: Listing::Draining, scale: 1.0 };
+    relay.step(4 * SEC, &[Event::Listed { whole: false, entries: vec![leaving] }]);
+    assert!(!relay.still_open(0, 4 * SEC) && relay.still_open(1, 4 * SEC));
+}
