--- a/src/live.rs
+++ b/src/live.rs
@@ -45,7 +45,13 @@
     /// Hosts in an outage or just back from one: a next life has to know, since what this relay saw fail it
     /// may not push over.
     pub fn ailing(&self) -> Vec<HostId> {
-        self.book.hosts.keys().copied().filter(|h| self.sick(*h)).collect()
+        let there = self.book.hosts.iter().filter(|(_, h)| h.state != Listing::Gone);
+        there.map(|(id, _)| *id).filter(|h| self.sick(*h)).collect()
+    }
+
+    /// Whether there is a record of this host.
+    pub fn knows(&self, host: HostId) -> bool {
+        self.book.hosts.contains_key(&host)
     }
 
     /// A message that has its end leaves, but for its place in its key's line.
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,7 +1,8 @@
 //! The command line.
 
-use super::wiring::{Plan, SmppPlan};
-use super::{config, import, log, signals, wiring};
+use super::signals::Signals;
+use super::wiring::{Plan, PlatformPlan, SmppPlan};
+use super::{config, import, log, wiring};
 use crate::protocol::smpp;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
@@ -34,7 +35,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
-    /// configuration file; $LB_CONFIG where it is not given
+    /// configuration file; $LB_CONFIG where it is not given; SIGHUP has it read again
     #[argh(option)]
     config: Option<PathBuf>,
     /// file of the SMPP front, which is off without it; SIGHUP has it read again
@@ -115,8 +116,14 @@
 
 fn serve(args: Serve) -> Result<(), String> {
     let environment = |name: &str| std::env::var(name).ok();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start the event loop: {e}"))?;
+    let signals = {
+        let _inside = runtime.enter();
+        Signals::listen().map_err(|e| format!("cannot listen for signals: {e}"))?
+    };
     let from = args.config.or_else(|| environment("LB_CONFIG").map(PathBuf::from));
-    let mut platform = from.map(|path| config::read(&path)).transpose()?;
+    let mut platform = from.as_ref().map(|path| config::read(path)).transpose()?;
     if let Some(config) = &mut platform {
         config.heed_environment(environment)?;
     }
@@ -124,12 +131,11 @@
     if platform.is_none() && front.is_none() {
         return Err("nothing to serve: give --config or --smpp, or set LB_CONFIG".to_string());
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("cannot start the event loop: {e}"))?;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let clock = Clock::system();
         let (again, reread) = unbounded_channel();
+        let (moved, changes) = unbounded_channel();
         let smpp = front.map(|config| {
             let state = platform.as_ref().map(|c| c.state.clone());
             let state = state.or_else(|| environment("LB_STATE").map(PathBuf::from));
@@ -141,12 +147,20 @@
             let state = state.unwrap_or_else(|| PathBuf::from(".")).join("smpp");
             SmppPlan { config, state, disk_bytes, seed: clock.now(), reread }
         });
-        if let Some(path) = args.smpp {
-            tokio::task::spawn_local(signals::at_hangup(move || match smpp::config::read(&path) {
-                Ok(config) => drop(again.send(config)),
-                Err(why) => log::line(&format!("smpp: the file stays as it was read before: {why}")),
-            }));
-        }
-        wiring::run(Plan { platform, smpp }, Rc::new(Tcp), clock, signals::told_to_end()).await
+        let platform = platform.map(|config| PlatformPlan { config, reread: changes });
+        // A file that cannot be used changes nothing. The file read again stands above the environment.
+        let read_again = move || {
+            match from.as_ref().map(|path| config::read(path)) {
+                Some(Ok(config)) => drop(moved.send(config)),
+                Some(Err(why)) => log::line(&format!("the configuration stays as it was read before: {why}")),
+                None => {}
+            }
+            match args.smpp.as_ref().map(|path| smpp::config::read(path)) {
+                Some(Ok(config)) => drop(again.send(config)),
+                Some(Err(why)) => log::line(&format!("smpp: the file stays as it was read before: {why}")),
+                None => {}
+            }
+        };
+        wiring::run(Plan { platform, smpp }, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
     })
 }
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -2,7 +2,7 @@
 
 use super::config::Config;
 use super::log;
-use crate::protocol::discovery;
+use crate::protocol::discovery::{self, Names};
 use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
@@ -10,7 +10,9 @@
 use crate::transport::network::Net;
 use crate::transport::{Leg, Legs, Pool};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -27,10 +29,16 @@
 /// What is to run: one front or both, each on a core and a journal of its own.
 #[derive(Default)]
 pub struct Plan {
-    pub platform: Option<Config>,
+    pub platform: Option<PlatformPlan>,
     pub smpp: Option<SmppPlan>,
 }
 
+pub struct PlatformPlan {
+    pub config: Config,
+    /// The file read again, as often as that is asked for.
+    pub reread: UnboundedReceiver<Config>,
+}
+
 pub struct SmppPlan {
     pub config: SmppConfig,
     pub state: PathBuf,
@@ -47,14 +55,14 @@
     clock: Clock,
     told_to_end: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let platform = match plan.platform {
-        Some(config) => Some(start_platform(config, net.clone(), clock).await?),
-        None => None,
-    };
-    let smpp = match plan.smpp {
-        Some(plan) => Some(start_smpp(plan, net, clock).await?),
-        None => None,
+    let mut told_to_end = pin!(told_to_end);
+    // Signals count from the first moment: told to end before it is up, the relay has taken nothing on.
+    let started = tokio::select! {
+        biased;
+        started = start(plan, net, clock) => started?,
+        () = told_to_end.as_mut() => return Ok(()),
     };
+    let (platform, smpp) = started;
 
     told_to_end.await;
     let told = Instant::now();
@@ -83,6 +91,24 @@
     Ok(())
 }
 
+type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
+
+async fn start(
+    plan: Plan,
+    net: Net,
+    clock: Clock,
+) -> Result<(Option<PlatformDesk>, Option<Rc<Desk<Smpp>>>), String> {
+    let platform = match plan.platform {
+        Some(plan) => Some(start_platform(plan, net.clone(), clock).await?),
+        None => None,
+    };
+    let smpp = match plan.smpp {
+        Some(plan) => Some(start_smpp(plan, net, clock).await?),
+        None => None,
+    };
+    Ok((platform, smpp))
+}
+
 /// Starts a task without which the relay would stand still, and starts it again if it panics.
 fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
     spawn_local(async move {
@@ -106,19 +132,19 @@
         .map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))
 }
 
-async fn start_platform(
-    config: Config,
-    net: Net,
-    clock: Clock,
-) -> Result<(Rc<Desk<Platform>>, Rc<Legs>), String> {
+async fn start_platform(plan: PlatformPlan, net: Net, clock: Clock) -> Result<PlatformDesk, String> {
+    let PlatformPlan { config, reread } = plan;
     let (journal, replayed) = journal(&config.state, config.disk_bytes, config.classes.clone())?;
     let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
     let connect = Duration::from_nanos(config.connect_timeout);
     let room = config.sockets.saturating_sub(SPARE).max(16);
     let pool = Pool::new(net.clone(), room / 3, keepalive, connect);
     let legs = Legs::new(room * 2 / 3);
+    // Well beyond what the settings give any class, a deadline is a mistake.
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let core = Core::new(config.settings, config.seed, journal, replayed, &config.known, false, clock.now());
-    let classes = Classes { names: config.classes, defaults: config.defaults, rest: config.default_class };
+    let classes =
+        Classes { names: config.classes, defaults: config.defaults, rest: config.default_class, longest };
     let front = Platform::new(net.clone(), pool.clone(), classes, config.discovery, log::line);
     let desk = Desk::new(core, clock, front);
     desk.act(|_, _| ());
@@ -130,11 +156,11 @@
     keep_up("the timer", move || timed.clone().keep_time());
     keep_up("the notices", move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
-    if let Some(agent) = config.discovery {
-        let learner = desk.clone();
-        let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
-        spawn_local(discovery::follow(net, agent, config.names, learn, log::line));
-    }
+    let learner = desk.clone();
+    let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
+    let agent = desk.front.agent.subscribe();
+    spawn_local(discovery::follow(net, agent, config.names.clone(), learn, log::line));
+    spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
     let gone = move |leg: &Rc<Leg>| {
@@ -147,6 +173,29 @@
     Ok((desk, legs))
 }
 
+/// Takes in the configuration as it was read again: where discovery and notices go, from now on, and the
+/// known list where there is no discovery. All else holds from the next start on.
+async fn heed(
+    desk: Rc<Desk<Platform>>,
+    names: Names,
+    first: Option<SocketAddr>,
+    mut reread: UnboundedReceiver<Config>,
+) {
+    while let Some(config) = reread.recv().await {
+        // An address that only the environment gave stays.
+        let agent = config.discovery.or(first);
+        desk.front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
+        match agent {
+            Some(agent) => log::line(&format!("the configuration was read again: discovery at {agent}")),
+            None if config.names == names => {
+                desk.act(|core, now| core.learn(now, &config.known));
+                log::line("the configuration was read again: its list stands");
+            }
+            None => log::line("the configuration was read again: other kinds or zones need a restart"),
+        }
+    }
+}
+
 async fn start_smpp(plan: SmppPlan, net: Net, clock: Clock) -> Result<Rc<Desk<Smpp>>, String> {
     let SmppPlan { config, state, disk_bytes, seed, mut reread } = plan;
     let (journal, replayed) = journal(&state, disk_bytes, config.class_list())?;
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tinyjson::JsonValue;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 const HOLD: Duration = Duration::from_secs(20);
@@ -21,7 +22,7 @@
 const MOST: usize = 4 << 20;
 
 /// Kinds and zones by name, as the settings list them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     pub kinds: Vec<String>,
     pub zones: Vec<String>,
@@ -65,13 +66,38 @@
     })
 }
 
-/// Follows the list for good: the whole of it first, then watches, each following the last answer at once.
+/// Follows the list for good, wherever discovery moves: what the address left behind had still to say does
+/// not count.
 pub async fn follow(
     net: Net,
-    agent: SocketAddr,
+    mut agent: watch::Receiver<Option<SocketAddr>>,
     names: Names,
     mut learn: impl FnMut(RouteNews),
     log: impl Fn(&str),
+) {
+    loop {
+        let at = *agent.borrow_and_update();
+        let following = async {
+            match at {
+                Some(at) => follow_one(&net, at, &names, &mut learn, &log).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = following => {}
+            moved = agent.changed() => if moved.is_err() { return },
+        }
+    }
+}
+
+/// Follows the list at one address: the whole of it first, then watches, each following the last answer at
+/// once.
+async fn follow_one(
+    net: &Net,
+    agent: SocketAddr,
+    names: &Names,
+    learn: &mut impl FnMut(RouteNews),
+    log: &impl Fn(&str),
 ) {
     let mut seq = None;
     let mut line = None;
@@ -79,7 +105,7 @@
     loop {
         // An idle connection may have been closed under the question: that is no sign of silence.
         let kept = line.is_some();
-        match ask(&net, agent, &mut line, seq).await.and_then(|v| news(&v, &names)) {
+        match ask(net, agent, &mut line, seq).await.and_then(|v| news(&v, names)) {
             Some(told) => {
                 if std::mem::take(&mut failing) {
                     log("discovery answers again");
@@ -107,7 +133,7 @@
         Some(seq) => (format!("/v1/endpoints?from={seq}&hold_ms={}", HOLD.as_millis()), HOLD + PATIENCE),
     };
     if !line.as_ref().is_some_and(Line::usable) {
-        *line = Some(Line::open(net, agent, PATIENCE).await.ok()?);
+        *line = Some(Line::open(net, agent, PATIENCE, MOST).await.ok()?);
     }
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new())).ok()?;
     let asked = async {
--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 const PATIENCE: Duration = Duration::from_secs(1);
+const ANSWER_MOST: usize = 64 * 1024;
 /// Notices in one request at most.
 pub const MOST: usize = 200;
 
@@ -55,7 +56,7 @@
 ) -> Result<(), Option<StatusCode>> {
     let told = async {
         if !kept.as_ref().is_some_and(Line::usable) {
-            *kept = Some(Line::open(net, agent, PATIENCE).await.ok()?);
+            *kept = Some(Line::open(net, agent, PATIENCE, ANSWER_MOST).await.ok()?);
         }
         let body = Bytes::from(lines);
         let len = body.len();
@@ -66,7 +67,7 @@
             .ok()?;
         let response = kept.as_mut()?.send(request, len).await.ok()?;
         let status = response.status();
-        read_body(response.into_body(), 64 * 1024).await?;
+        read_body(response.into_body(), ANSWER_MOST).await?;
         Some(status)
     };
     match timeout(PATIENCE, told).await.ok().flatten() {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -2,7 +2,7 @@
 
 use super::{fields, hook, notices};
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::{Carried, Reply};
+use crate::routing::core::{Carried, Letter, Reply};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, Front, NextHopId, Offer, Taken, TransactionNo};
 use crate::transport::connection::{read_body, Unsent};
@@ -13,20 +13,22 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 const BODY_MOST: usize = 64 * 1024;
 /// Clients give up after 400 ms: a body that is not there by then will not be asked for.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
+/// An answer that has begun takes no longer to come whole.
+const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 const NOTICE_RETRY: Duration = Duration::from_millis(50);
 
 /// What holds for requests of a class that do not say it themselves.
@@ -43,13 +45,16 @@
     pub defaults: Vec<Defaults>,
     /// For paths that begin like none of them.
     pub rest: Option<usize>,
+    /// The longest time that a message may be given; 0: any.
+    pub longest: Nanos,
 }
 
 pub struct Platform {
     net: Net,
     pub pool: Rc<Pool>,
     pub classes: Classes,
-    pub agent: Option<SocketAddr>,
+    /// Where discovery and notices are, which may change.
+    pub agent: watch::Sender<Option<SocketAddr>>,
     owed: RefCell<VecDeque<TransactionNo>>,
     more_owed: Notify,
     log: fn(&str),
@@ -58,6 +63,7 @@
 impl Platform {
     pub fn new(net: Net, pool: Rc<Pool>, classes: Classes, agent: Option<SocketAddr>, log: fn(&str)) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
+        let agent = watch::Sender::new(agent);
         Platform { net, pool, classes, agent, owed, more_owed, log }
     }
 }
@@ -90,33 +96,44 @@
         };
         let each =
             |reply: Reply| Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>());
-        let Some(line) = lease.line() else { return each(Reply::Ended(Outcome::NoConnection)) };
-        let answered = async {
-            let response = line.send(request, len).await?;
-            let status = response.status();
-            let limit = hook::limit(response.headers());
-            if letters.len() > 1 && status == StatusCode::OK {
-                let headers = response.headers().clone();
-                let body = read_body(response.into_body(), BODY_MOST).await.ok_or(Unsent::Perhaps)?;
-                return Ok((Carried { replies: hook::replies(&headers, &body, &letters), limit }, None));
+        let exchange = async {
+            let mut sent = exchange(&mut lease, request.clone(), len, &letters).await;
+            // The line had been closed while it waited, and nothing of the request was written: a new one.
+            while matches!(sent, Err(Unsent::Never)) && lease.waited() {
+                match lease.renew().await {
+                    Ok(()) if passage.still_open() => {
+                        sent = exchange(&mut lease, request.clone(), len, &letters).await
+                    }
+                    _ => break,
+                }
             }
-            let reply = hook::reply(status, response.headers());
-            Ok((Carried { limit, ..each(reply) }, Some(response.into_body())))
+            sent
         };
-        let (carried, rest) = tokio::select! {
-            answered = answered => match answered {
-                Ok(answered) => answered,
-                Err(Unsent::Never) => return each(Reply::Ended(Outcome::NoConnection)),
-                Err(Unsent::Perhaps) => return each(Reply::Ended(Outcome::Broken)),
-            },
-            () = sleep(Duration::from_nanos(left)) => return each(Reply::Ended(Outcome::TimedOut)),
-            () = passage.cancelled() => return each(Reply::Ended(Outcome::Cancelled)),
+        let sent = tokio::select! {
+            sent = exchange => sent.map_err(|unsent| match unsent {
+                Unsent::Never => Outcome::NoConnection,
+                Unsent::Perhaps => Outcome::Broken,
+            }),
+            () = sleep(Duration::from_nanos(left)) => Err(Outcome::TimedOut),
+            () = passage.cancelled() => Err(Outcome::Cancelled),
         };
-        match rest {
-            Some(body) if !body.is_end_stream() => drop(spawn_local(drain(lease, body))),
-            _ => lease.give_back(),
+        match sent {
+            Ok((carried, Some(body))) if !body.is_end_stream() => {
+                spawn_local(drain(lease, body));
+                carried
+            }
+            Ok((carried, _)) => {
+                lease.give_back();
+                carried
+            }
+            // The first line of an answer says enough where it says 200, whatever is wrong with the rest. Any
+            // other answer that cannot be read leaves open what it meant: the message may have run.
+            Err(outcome) => each(Reply::Ended(match lease.line() {
+                Some(line) if letters.len() == 1 && line.status() == Some(200) => Outcome::Served,
+                Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Error,
+                _ => outcome,
+            })),
         }
-        carried
     }
 
     fn ended(&self, _: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
@@ -133,6 +150,42 @@
     }
 }
 
+/// One request and its answer: what that means, and the rest of it where the rest means nothing.
+async fn exchange(
+    lease: &mut Lease,
+    request: Request<Full<Bytes>>,
+    len: usize,
+    letters: &[Letter],
+) -> Result<(Carried, Option<Incoming>), Unsent> {
+    let Some(line) = lease.line() else { return Err(Unsent::Never) };
+    let tap = line.tap();
+    let read = async {
+        let response = line.send(request, len).await?;
+        let (head, body) = response.into_parts();
+        let limit = hook::limit(&head.headers);
+        let each = |reply| letters.iter().map(|l| (l.branch, reply)).collect();
+        if letters.len() == 1 && head.status == StatusCode::OK {
+            let replies = each(hook::reply(head.status, &head.headers));
+            return Ok((Carried { replies, limit }, Some(body)));
+        }
+        // Only an answer that came whole can say that nothing has run.
+        let body = read_body(body, BODY_MOST).await.ok_or(Unsent::Perhaps)?;
+        let replies = match head.status {
+            StatusCode::OK => hook::replies(&head.headers, &body, letters),
+            status => each(hook::reply(status, &head.headers)),
+        };
+        Ok((Carried { replies, limit }, None))
+    };
+    let stuck = async {
+        tap.begins().await;
+        sleep(ANSWER_WITHIN).await;
+    };
+    tokio::select! {
+        sent = read => sent,
+        () = stuck => Err(Unsent::Perhaps),
+    }
+}
+
 /// Reads the rest of an answer that means nothing, so that the line can be used again.
 async fn drain(lease: Lease, body: Incoming) {
     if let Ok(Some(_)) = timeout(Duration::from_secs(1), read_body(body, BODY_MOST)).await {
@@ -140,49 +193,70 @@
     }
 }
 
-/// Tells the platform of ends, those that come meanwhile together, until each is acknowledged.
+/// Tells the platform of ends, wherever it moves, until each is acknowledged. Where there is no platform, the
+/// log is told.
 pub async fn tell_ends(desk: Rc<Desk<Platform>>) {
+    let mut agent = desk.front.agent.subscribe();
+    loop {
+        let at = *agent.borrow_and_update();
+        let telling = async {
+            match at {
+                Some(at) => tell_agent(&desk, at).await,
+                None => log_ends(&desk).await,
+            }
+        };
+        tokio::select! {
+            () = telling => {}
+            _ = agent.changed() => {}
+        }
+    }
+}
+
+/// Tells ends at one address, those that come meanwhile together. What is owed stays in line until it is
+/// acknowledged: the address may change at any moment.
+async fn tell_agent(desk: &Rc<Desk<Platform>>, agent: SocketAddr) {
     let front = &desk.front;
-    let Some(agent) = front.agent else { return log_ends(&desk).await };
     let (mut line, mut most) = (None, notices::MOST);
     loop {
-        let mut batch: Vec<TransactionNo> = Vec::new();
+        let batch: Vec<TransactionNo> = front.owed.borrow().iter().take(most).copied().collect();
+        if batch.is_empty() {
+            front.more_owed.notified().await;
+            continue;
+        }
         let mut text = String::new();
-        while batch.len() < most {
-            let Some(no) = front.owed.borrow_mut().pop_front() else { break };
-            let owed = desk.see(|core| core.transaction(no).and_then(|t| Some((t.id.clone(), t.ending?))));
+        for no in &batch {
+            let owed = desk.see(|core| core.transaction(*no).and_then(|t| Some((t.id.clone(), t.ending?))));
             if let Some((id, ending)) = owed {
                 notices::line(&id, ending, &mut text);
-                batch.push(no);
             }
         }
-        if batch.is_empty() {
-            front.more_owed.notified().await;
-            continue;
-        }
-        match notices::post(&front.net, agent, &mut line, text).await {
+        let told = match text.is_empty() {
+            true => Ok(()),
+            false => notices::post(&front.net, agent, &mut line, text).await,
+        };
+        match told {
             Ok(()) => {
                 most = notices::MOST;
+                front.owed.borrow_mut().drain(..batch.len());
                 desk.act(|core, now| batch.into_iter().for_each(|no| core.acknowledged(now, no)));
             }
             Err(status) => {
                 // What cannot be read must not hold up the rest: one by one until one is taken.
-                most = if status == Some(StatusCode::BAD_REQUEST) { 1 } else { most };
+                if status == Some(StatusCode::BAD_REQUEST) {
+                    most = 1;
+                }
+                if most == 1 {
+                    front.owed.borrow_mut().rotate_left(1);
+                }
                 if let Some(status) = status {
                     front.log(&format!("notices: answered with {status}"));
                 }
-                let mut put_back = |no| match most {
-                    1 => front.owed.borrow_mut().push_back(no),
-                    _ => front.owed.borrow_mut().push_front(no),
-                };
-                batch.into_iter().rev().for_each(&mut put_back);
                 sleep(NOTICE_RETRY).await;
             }
         }
     }
 }
 
-/// Where there is no platform to tell, the log is told.
 async fn log_ends(desk: &Rc<Desk<Platform>>) {
     loop {
         let owed = std::mem::take(&mut *desk.front.owed.borrow_mut());
@@ -205,35 +279,45 @@
     leg: Rc<Leg>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    // What is small has come with the head, as a rule, and the leg can go on.
+    let refused = |response| match request.body().size_hint().upper() {
+        Some(len) if len <= BODY_MOST as u64 => response,
+        _ => closing(response),
+    };
     let path = request.uri().path();
     if path == "/ready" {
-        return match *request.method() {
+        return refused(match *request.method() {
             Method::GET | Method::HEAD => plain(StatusCode::OK),
             _ => not_allowed("GET, HEAD"),
-        };
+        });
     }
     let classes = &desk.front.classes;
     let name = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or("");
     let Some(class) = classes.names.iter().position(|c| c == name).or(classes.rest) else {
-        return plain(StatusCode::NOT_FOUND);
+        return refused(plain(StatusCode::NOT_FOUND));
     };
     if request.method() != Method::POST {
-        return not_allowed("POST");
+        return refused(not_allowed("POST"));
+    }
+    // hyper drops a Content-Length that comes with it: whatever has both may hide a request in its body.
+    if request.headers().contains_key(TRANSFER_ENCODING) {
+        return closing(plain(StatusCode::LENGTH_REQUIRED));
     }
     let Some(mut offer) = offer(class, classes.defaults[class], request.uri().query(), request.headers())
     else {
-        return plain(StatusCode::BAD_REQUEST);
+        return refused(plain(StatusCode::BAD_REQUEST));
     };
+    if classes.longest > 0 && offer.time_left > classes.longest {
+        return refused(plain(StatusCode::BAD_REQUEST));
+    }
     let body = request.into_body();
     if body.size_hint().lower() > BODY_MOST as u64 {
-        return closing(StatusCode::PAYLOAD_TOO_LARGE);
+        return closing(plain(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let long = body.size_hint().exact().is_none();
     offer.body = match timeout(BODY_WITHIN, read_body(body, BODY_MOST)).await {
         Ok(Some(body)) => body,
-        Ok(None) if long => return closing(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(None) => return closing(StatusCode::BAD_REQUEST),
-        Err(_) => return closing(StatusCode::REQUEST_TIMEOUT),
+        Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
+        Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
     };
     match desk.act(|core, now| core.take(now, offer)) {
         Taken::On(no) => {
@@ -241,13 +325,18 @@
             plain(StatusCode::ACCEPTED)
         }
         Taken::Already => plain(StatusCode::ACCEPTED),
+        Taken::Other => plain(StatusCode::CONFLICT),
         Taken::Failed => plain(StatusCode::GATEWAY_TIMEOUT),
         Taken::Refused { after, .. } => refusal(after),
     }
 }
 
-/// What the head of a request says; `None` if anything is missing or can't be passed on.
+/// What the head of a request says; `None` if anything is missing, said twice or can't be passed on.
 fn offer(class: usize, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
+    let said = ["x-request-id", "idempotency-key", "x-consignee", "x-timeout"];
+    if said.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+        return None;
+    }
     let get = |name: &str| headers.get(name).map(|v| v.to_str().unwrap_or("\n"));
     let id = get("x-request-id").filter(|id| fields::token(id))?;
     let idempotency = get("idempotency-key");
@@ -273,8 +362,7 @@
 }
 
 /// An answer before the request was read whole: the leg cannot go on.
-fn closing(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = plain(status);
+fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     response.headers_mut().insert("connection", HeaderValue::from_static("close"));
     response
 }
--- a/src/protocol/smpp/esme.rs
+++ b/src/protocol/smpp/esme.rs
@@ -156,6 +156,7 @@
             match desk.act(|core, now| core.take(now, offer)) {
                 Taken::On(no) => (CommandStatus::EsmeRok, id, Some(no)),
                 Taken::Already => (CommandStatus::EsmeRok, id, None),
+                Taken::Other => (CommandStatus::EsmeRsubmitfail, String::new(), None),
                 Taken::Refused { full: true, .. } => (CommandStatus::EsmeRmsgqful, String::new(), None),
                 Taken::Refused { .. } => (CommandStatus::EsmeRthrottled, String::new(), None),
                 Taken::Failed => (CommandStatus::EsmeRsubmitfail, String::new(), None),
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -30,6 +30,8 @@
     On(TransactionNo),
     /// It was taken on before, under this id.
     Already,
+    /// Another one was taken on under this id.
+    Other,
     /// Turned away; to offer it again is harmless, best after this time. `full`: for want of room.
     Refused { after: Nanos, full: bool },
     /// It cannot be delivered, and no promise is made.
@@ -173,9 +175,17 @@
     }
 
     pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
-        if self.transactions.find(&offer.id).is_some() {
+        if let Some(t) = self.transactions.find(&offer.id).and_then(|no| self.transactions.get(no)) {
+            let same = t.class == offer.class && t.dest == offer.dest && t.body == offer.body;
+            return if same { Taken::Already } else { Taken::Other };
+        }
+        if self.transactions.was_delivered(&offer.id) {
             return Taken::Already;
         }
+        // What no next hop serves could only be held until its time is up.
+        if !self.route_set.serves(offer.dest) {
+            return Taken::Refused { after: DOOR_ADVICE, full: false };
+        }
         let Offer { id, class, dest, key, idempotency, time_left, body, owner } = offer;
         let deadline = now.saturating_add(time_left);
         let t = Transaction {
@@ -231,9 +241,16 @@
     }
 
     pub fn learn(&mut self, now: Nanos, news: &RouteNews) {
-        let known = self.route_set.learn(news);
+        let known = self.route_set.learn(now, news);
         let picked = self.facade.learn(now, news.whole, &known);
         self.absorb(picked);
+        // No call will use the connections to those that are not active any more.
+        self.work.distrusted.extend(self.route_set.resting());
+    }
+
+    /// Whether this next hop may still get a call.
+    pub fn still_open(&self, next_hop: NextHopId, now: Nanos) -> bool {
+        self.facade.still_open(next_hop, now)
     }
 
     /// The relay may be killed from `at` on, and comes back later.
@@ -290,6 +307,9 @@
                 reply if reply.settles() => {
                     // Given up meanwhile: it is over with this, whether its end was told or not.
                     late.extend(t.ending.map(|_| no));
+                    if matches!(reply, Reply::Ended(Outcome::Served)) {
+                        self.transactions.note_delivered(no);
+                    }
                     self.over(no);
                 }
                 _ => {}
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -49,6 +49,12 @@
         self.desk.act(|core, now| core.begin(now, self.call))
     }
 
+    /// Whether its next hop may still get a call.
+    pub fn still_open(&self) -> bool {
+        let now = self.desk.clock.now();
+        self.desk.see(|core| core.still_open(self.call.next_hop, now))
+    }
+
     /// Completes when the core gives the call up.
     pub async fn cancelled(&self) {
         self.cancel.notified().await
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -196,6 +196,7 @@
             },
             scale: n.share,
         };
+        self.kind_of.retain(|id, _| self.relay.knows(*id));
         self.kind_of.extend(next_hops.iter().map(|n| (n.id, n.kind)));
         let mut events = vec![Event::Listed { whole, entries: next_hops.iter().map(entry).collect() }];
         events.extend(next_hops.iter().filter_map(|n| Some(Event::Terms { host: n.id, terms: n.terms? })));
--- a/src/routing/route_set.rs
+++ b/src/routing/route_set.rs
@@ -1,8 +1,8 @@
 //! The route set: the next hops that the list names, under numbers of our own.
 
 use super::facade::NextHopId;
-use crate::interface::Terms;
-use std::collections::HashMap;
+use crate::interface::{Nanos, Terms};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// What the list says of a next hop.
@@ -36,29 +36,47 @@
     pub next_hops: Vec<NextHop>,
 }
 
+/// A next hop that has left is remembered for so long: a list may come back to it.
+const REMEMBERED: Nanos = 30_000_000_000;
+
+/// What has left is forgotten after a while, its number never given again: a new next hop at an old address
+/// has nothing of the one before it.
 #[derive(Debug, Default)]
 pub struct RouteSet {
     ids: HashMap<String, NextHopId>,
-    next_hops: Vec<NextHop>,
+    /// With the time since when it is not active.
+    next_hops: BTreeMap<NextHopId, (NextHop, Option<Nanos>)>,
+    next: NextHopId,
 }
 
 impl RouteSet {
     /// Takes in news and returns its entries under our numbers.
-    pub fn learn(&mut self, news: &RouteNews) -> Vec<NextHop> {
+    pub fn learn(&mut self, now: Nanos, news: &RouteNews) -> Vec<NextHop> {
         if news.whole {
-            self.next_hops.iter_mut().for_each(|n| n.standing = Standing::Left);
+            for (n, rests) in self.next_hops.values_mut() {
+                n.standing = Standing::Left;
+                rests.get_or_insert(now);
+            }
         }
         let mut known = Vec::new();
         for told in &news.next_hops {
-            let next = self.next_hops.len() as NextHopId;
-            let id = *self.ids.entry(told.name.clone()).or_insert(next);
+            let id = *self.ids.entry(told.name.clone()).or_insert_with(|| {
+                self.next += 1;
+                self.next - 1
+            });
             let hop = NextHop { id, ..told.clone() };
-            match self.next_hops.get_mut(id as usize) {
-                Some(old) => *old = hop.clone(),
-                None => self.next_hops.push(hop.clone()),
-            }
+            let rested = self.next_hops.get(&id).and_then(|(_, rests)| *rests);
+            let rests = (hop.standing != Standing::Active).then(|| rested.unwrap_or(now));
+            self.next_hops.insert(id, (hop.clone(), rests));
             known.push(hop);
         }
+        self.next_hops.retain(|_, (hop, rests)| {
+            let kept = hop.standing != Standing::Left || rests.is_none_or(|at| now < at + REMEMBERED);
+            if !kept {
+                self.ids.remove(&hop.name);
+            }
+            kept
+        });
         known
     }
 
@@ -67,6 +85,17 @@
     }
 
     pub fn get(&self, id: NextHopId) -> Option<&NextHop> {
-        self.next_hops.get(id as usize)
+        Some(&self.next_hops.get(&id)?.0)
+    }
+
+    /// Those that are not active.
+    pub fn resting(&self) -> impl Iterator<Item = NextHopId> + '_ {
+        self.next_hops.iter().filter(|(_, (_, rests))| rests.is_some()).map(|(id, _)| *id)
+    }
+
+    /// Whether any next hop is, or was a moment ago, there for this destination. A relay without a list
+    /// cannot tell.
+    pub fn serves(&self, dest: u64) -> bool {
+        self.next_hops.is_empty() || self.next_hops.values().any(|(hop, _)| hop.dest == dest)
     }
 }
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -3,7 +3,7 @@
 use super::facade::End;
 use crate::interface::Nanos;
 use bytes::Bytes;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// A transaction's place in the order taken, across restarts.
 pub type TransactionNo = u64;
@@ -46,8 +46,13 @@
 pub struct Transactions {
     by_no: BTreeMap<TransactionNo, Transaction>,
     by_id: HashMap<String, TransactionNo>,
+    /// Ids delivered of late, the oldest first: what comes under one of them again is no new message.
+    delivered: (HashSet<String>, VecDeque<String>),
 }
 
+/// So many of them are remembered.
+const DELIVERED: usize = 2_048;
+
 impl Transactions {
     pub fn insert(&mut self, no: TransactionNo, t: Transaction) {
         self.by_id.insert(t.id.clone(), no);
@@ -62,6 +67,22 @@
         Some(t)
     }
 
+    /// Remembers the id of a transaction that is delivered.
+    pub fn note_delivered(&mut self, no: TransactionNo) {
+        let Some(id) = self.by_no.get(&no).map(|t| t.id.clone()) else { return };
+        let (ids, order) = &mut self.delivered;
+        if order.len() >= DELIVERED {
+            order.pop_front().map(|oldest| ids.remove(&oldest));
+        }
+        if ids.insert(id.clone()) {
+            order.push_back(id);
+        }
+    }
+
+    pub fn was_delivered(&self, id: &str) -> bool {
+        self.delivered.0.contains(id)
+    }
+
     pub fn get(&self, no: TransactionNo) -> Option<&Transaction> {
         self.by_no.get(&no)
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -225,7 +225,7 @@
             h.best_rate = h.best_rate.max(rate.unwrap_or(0.0));
         }
         self.book.idle_safe = self.book.idle_safe.map(|s| s + s / 4 + MS).filter(|s| *s < IDLE_TRUSTED);
-        self.book.keys.retain(|_, k| !(k.line.is_empty() && k.out == 0 && k.rest.0 <= self.now));
+        self.book.let_go(self.now);
     }
 
     // ---- Release: the lowest start tag goes next while fewer than D calls are out ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,9 @@
     pub rest: (Nanos, MsgId),
 }
 
+/// A host that has left is remembered for so long: a list may come back to it.
+const REMEMBERED: Nanos = 30_000_000_000;
+
 #[derive(Debug, Default)]
 pub(crate) struct Book {
     pub messages: BTreeMap<MsgId, Message>,
@@ -203,6 +206,25 @@
         self.hosts.insert(id, host);
     }
 
+    /// Lets go of what nothing refers to any more: hosts that have left, the destinations of which none is
+    /// there, lines of keys.
+    pub fn let_go(&mut self, now: Nanos) {
+        self.keys.retain(|_, k| !(k.line.is_empty() && k.out == 0 && k.rest.0 <= now));
+        let gone = |h: &Host| h.state == Listing::Gone && h.out == 0 && h.last_used + REMEMBERED < now;
+        let left: Vec<HostId> = self.hosts.iter().filter(|(_, h)| gone(h)).map(|(id, _)| *id).collect();
+        for (id, host) in left.into_iter().filter_map(|id| Some((id, self.hosts.remove(&id)?))) {
+            self.routes.remove(&RouteId::Host(id));
+            if let Some(hosts) = self.hosts_of.get_mut(&host.dest) {
+                hosts.retain(|h| *h != id);
+            }
+        }
+        self.hosts_of.retain(|_, hosts| !hosts.is_empty());
+        let (hosts_of, waiting) = (&self.hosts_of, &self.waiting);
+        self.flows.retain(|d, f| hosts_of.contains_key(d) || waiting.contains(d) || f.out > 0);
+        let told = |r: &Route| r.wait > now || r.rest > now;
+        self.routes.retain(|id, r| told(r) || !matches!(id, RouteId::Dest(d) if !hosts_of.contains_key(d)));
+    }
+
     pub fn open_call(&mut self, host: HostId, dest: DestId, sent: Nanos, open: usize) -> u64 {
         let call = self.next_call;
         self.next_call += 1;
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -4,10 +4,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -15,40 +15,117 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{timeout, Instant};
 
-/// A stream that counts the bytes it has passed on to the system.
-pub struct Counted {
+/// What passes over a stream, for what has to be known beyond what hyper tells.
+#[derive(Default)]
+pub struct Tapped {
+    written: Cell<u64>,
+    /// Bytes that may still be read before the next `listen_anew`, and how many each time.
+    left: Cell<u64>,
+    most: u64,
+    /// The first bytes read since then, and when they came.
+    heard: RefCell<Vec<u8>>,
+    heard_at: Cell<Option<Instant>>,
+    first: Notify,
+}
+
+/// A stream with its tap.
+pub struct TappedStream {
     stream: Stream,
-    written: Rc<Cell<u64>>,
+    tap: Rc<Tapped>,
 }
 
-impl Counted {
-    pub fn new(stream: Stream) -> (Self, Rc<Cell<u64>>) {
-        let written = Rc::new(Cell::new(0));
-        (Counted { stream, written: written.clone() }, written)
+/// So many bytes of an answer are kept: enough to find its first line behind some 1xx ones.
+const HEARD_MOST: usize = 1024;
+
+impl Tapped {
+    /// A tap that lets `most` bytes in for each thing listened to; what goes on longer breaks the stream.
+    pub fn new(stream: Stream, most: u64) -> (TappedStream, Rc<Tapped>) {
+        let tap = Rc::new(Tapped { left: Cell::new(most), most, ..Tapped::default() });
+        (TappedStream { stream, tap: tap.clone() }, tap)
     }
 
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = &result {
-            self.written.set(self.written.get() + *n as u64);
+    /// Bytes that were passed on to the system.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// What comes from now on is another request or answer.
+    pub fn listen_anew(&self) {
+        self.heard.borrow_mut().clear();
+        self.heard_at.set(None);
+        self.left.set(self.most);
+    }
+
+    /// When the first byte of it came.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.heard_at.get()
+    }
+
+    /// Completes when the first byte of it has come.
+    pub async fn begins(&self) {
+        while self.heard_at.get().is_none() {
+            self.first.notified().await;
         }
-        result
+    }
+
+    /// The status in the first line of the answer being heard, whatever follows that line.
+    pub fn status(&self) -> Option<u16> {
+        first_status(&self.heard.borrow())
+    }
+
+    fn hear(&self, bytes: &[u8]) -> bool {
+        if bytes.is_empty() {
+            return true;
+        }
+        if self.heard_at.get().is_none() {
+            self.heard_at.set(Some(Instant::now()));
+            self.first.notify_one();
+        }
+        let mut heard = self.heard.borrow_mut();
+        let room = HEARD_MOST - heard.len();
+        heard.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        let left = self.left.get().checked_sub(bytes.len() as u64);
+        self.left.set(left.unwrap_or(0));
+        left.is_some()
+    }
+}
+
+/// The status of an answer, of which the first line must have come whole; 1xx before it are skipped.
+fn first_status(mut heard: &[u8]) -> Option<u16> {
+    loop {
+        let end = heard.iter().position(|b| *b == b'\n')?;
+        let line = heard[..end].strip_prefix(b"HTTP/1.")?;
+        let code = std::str::from_utf8(line.get(2..5)?).ok()?;
+        let set_apart = line[1] == b' ' && line.get(5).is_none_or(|b| matches!(b, b' ' | b'\r'));
+        let status = code.parse().ok().filter(|_| set_apart && code.bytes().all(|b| b.is_ascii_digit()))?;
+        if !(100..200).contains(&status) || status == 101 {
+            return Some(status);
+        }
+        let over = heard.windows(4).position(|w| w == b"\r\n\r\n")?;
+        heard = &heard[over + 4..];
     }
 }
 
-impl AsyncRead for Counted {
+impl AsyncRead for TappedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(result, Poll::Ready(Ok(()))) && !self.tap.hear(&buf.filled()[before..]) {
+            return Poll::Ready(Err(io::Error::other("more came than any answer holds")));
+        }
+        result
     }
 }
 
-impl AsyncWrite for Counted {
+impl AsyncWrite for TappedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(result)
@@ -76,6 +153,18 @@
     }
 }
 
+impl TappedStream {
+    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = &result {
+            self.tap.written.set(self.tap.written.get() + *n as u64);
+        }
+        result
+    }
+}
+
+/// Most bytes of an answer's head.
+const HEAD_MOST: usize = 32 * 1024;
+
 /// Why a request has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unsent {
@@ -88,7 +177,7 @@
 /// A connection that carries one request at a time. Dropped, it closes at once, whatever is out on it.
 pub struct Line {
     sender: SendRequest<Full<Bytes>>,
-    written: Rc<Cell<u64>>,
+    tap: Rc<Tapped>,
     task: AbortHandle,
     /// When it was last given back.
     pub idle_since: Instant,
@@ -101,12 +190,16 @@
 }
 
 impl Line {
-    pub async fn open(net: &Net, dial: SocketAddr, within: Duration) -> io::Result<Line> {
+    /// Opens a line on which no answer may hold more than `most` bytes.
+    pub async fn open(net: &Net, dial: SocketAddr, within: Duration, most: usize) -> io::Result<Line> {
         let connect = async {
-            let (counted, written) = Counted::new(net.connect(dial).await?);
-            let (sender, connection) = handshake(TokioIo::new(counted)).await.map_err(io::Error::other)?;
+            let (stream, tap) = Tapped::new(net.connect(dial).await?, most as u64);
+            let mut builder = Builder::new();
+            builder.max_buf_size(HEAD_MOST);
+            let shaken = builder.handshake(TokioIo::new(stream)).await;
+            let (sender, connection) = shaken.map_err(io::Error::other)?;
             let task = spawn_local(async move { drop(connection.await) }).abort_handle();
-            Ok(Line { sender, written, task, idle_since: Instant::now() })
+            Ok(Line { sender, tap, task, idle_since: Instant::now() })
         };
         timeout(within, connect).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
@@ -116,6 +209,21 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
+    /// The status in the first line of the answer that is coming, whatever follows that line.
+    pub fn status(&self) -> Option<u16> {
+        self.tap.status()
+    }
+
+    /// Whether any byte of that answer has come.
+    pub fn heard(&self) -> bool {
+        self.tap.heard_at().is_some()
+    }
+
+    /// What goes on over the line, to be watched beside a request.
+    pub fn tap(&self) -> Rc<Tapped> {
+        self.tap.clone()
+    }
+
     /// Sends one request. Its last byte is certainly unwritten while no more bytes than the body has are
     /// written, since the head goes first.
     pub async fn send(
@@ -123,14 +231,15 @@
         request: Request<Full<Bytes>>,
         body: usize,
     ) -> Result<Response<Incoming>, Unsent> {
-        let before = self.written.get();
+        let before = self.tap.written();
         if self.sender.ready().await.is_err() {
             return Err(Unsent::Never);
         }
+        self.tap.listen_anew();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(e) if e.message().is_some() => Err(Unsent::Never),
-            Err(_) if self.written.get() - before <= body as u64 => Err(Unsent::Never),
+            Err(_) if self.tap.written() - before <= body as u64 => Err(Unsent::Never),
             Err(_) => Err(Unsent::Perhaps),
         }
     }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -11,6 +11,9 @@
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
+/// Most bytes of an answer, with all that comes before and behind it.
+const ANSWER_MOST: usize = 128 * 1024;
+
 /// A pool of idle lines by next hop. Each carries one call at a time and is closed before the other side
 /// would close it.
 pub struct Pool {
@@ -46,6 +49,8 @@
     next_hop: NextHopId,
     dial: SocketAddr,
     line: Option<Line>,
+    /// The line had waited in the pool.
+    waited: bool,
 }
 
 impl Drop for Lease {
@@ -59,6 +64,26 @@
         self.line.as_mut()
     }
 
+    /// Whether its line had waited in the pool, where the other side may have closed it.
+    pub fn waited(&self) -> bool {
+        self.waited
+    }
+
+    /// A new line in place of the one it has.
+    pub async fn renew(&mut self) -> Result<(), NoLease> {
+        (self.line, self.waited) = (None, false);
+        let pool = &self.pool;
+        match Line::open(&pool.net, self.dial, pool.connect_timeout, ANSWER_MOST).await {
+            Ok(line) => self.line = Some(line),
+            Err(e) if out_of_room(&e) => {
+                pool.close_oldest();
+                return Err(NoLease::OutOfRoom);
+            }
+            Err(_) => return Err(NoLease::NotUp),
+        }
+        Ok(())
+    }
+
     /// Puts the line back for the next call.
     pub fn give_back(mut self) {
         if let Some(mut line) = self.line.take() {
@@ -78,7 +103,7 @@
     /// A line to this next hop: the one used last of those that wait, else a new one.
     pub async fn lease(self: &Rc<Self>, next_hop: NextHopId, dial: SocketAddr) -> Result<Lease, NoLease> {
         while let Some((at, line)) = self.pop(next_hop) {
-            let mut lease = Lease { pool: self.clone(), next_hop, dial, line: Some(line) };
+            let mut lease = Lease { pool: self.clone(), next_hop, dial, line: Some(line), waited: true };
             let fresh = |l: &Line| l.usable() && l.idle_since.elapsed() < self.keepalive;
             if at == dial && lease.line.as_ref().is_some_and(fresh) {
                 return Ok(lease);
@@ -89,15 +114,8 @@
             return Err(NoLease::OutOfRoom);
         }
         self.open.set(self.open.get() + 1);
-        let mut lease = Lease { pool: self.clone(), next_hop, dial, line: None };
-        match Line::open(&self.net, dial, self.connect_timeout).await {
-            Ok(line) => lease.line = Some(line),
-            Err(e) if out_of_room(&e) => {
-                self.close_oldest();
-                return Err(NoLease::OutOfRoom);
-            }
-            Err(_) => return Err(NoLease::NotUp),
-        }
+        let mut lease = Lease { pool: self.clone(), next_hop, dial, line: None, waited: false };
+        lease.renew().await?;
         Ok(lease)
     }
 
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -39,7 +39,8 @@
     assert_eq!(out(&["check-config", "--smpp", "deploy/smpp.json"]).0, Some(0));
 }
 
-/// Guards start and end: ready once it listens, gone after SIGTERM with code 0.
+/// Guards start and end: ready once it listens, gone after SIGTERM with code 0; and SIGHUP between them,
+/// which by default would end it: a file with an error changes nothing, a good one moves discovery.
 #[test]
 fn it_serves_until_it_is_told_to_end() {
     let dir = std::env::temp_dir().join(format!("basaltloom-program-{}", std::process::id()));
@@ -56,6 +57,14 @@
     let mut answer = [0; 15];
     stream.read_exact(&mut answer).unwrap();
     assert_eq!(&answer, b"HTTP/1.1 200 OK");
+    let hangup = |text: &str| {
+        std::fs::write(dir.join("c.json"), text).unwrap();
+        Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap();
+    };
+    hangup("{");
+    assert!(log.next().unwrap().unwrap().contains("the configuration stays as it was read before: "));
+    hangup(&CONFIG.replacen('{', r#"{"discovery":"127.0.0.1:1","#, 1));
+    assert!(log.next().unwrap().unwrap().ends_with("was read again: discovery at 127.0.0.1:1"));
     Command::new("kill").arg(child.id().to_string()).status().unwrap();
     assert!(child.wait().unwrap().success());
     assert!(log.last().unwrap().unwrap().ends_with("ends with 0 transactions in the journal"));
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -393,3 +393,145 @@
          hop a1 send 200",
     );
 }
+
+/// Guards a move of discovery and notices under load: what is held and out goes on, the list is that of the
+/// new address at once, and an end that the old one never acknowledged is told to the new one.
+#[test]
+fn a_configuration_read_again_moves_discovery_and_notices_and_nothing_else() {
+    play(
+        "relay start
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
+         hop b1 expect u1
+         agent down
+         caller x take /unsafe id=u2 dest=3 timeout=24000m
+         hop c1 expect u2
+         hop c1 send 504
+         wait 300
+         relay move
+         agent up
+         agent expect returned u2 after_ms in 0..200
+         agent list c1 leaving
+         wait 50
+         caller x take /safe id=s1 dest=3 timeout=24000m
+         hop c1 expect nothing 1000
+         hop b1 send 200
+         agent list c1 active
+         hop c1 expect s1
+         hop c1 send 200
+         agent expect nothing 30000",
+    );
+}
+
+/// Guards intake against legs that hold room: one that says nothing or never ends its head is closed within
+/// 3 s, one that has asked once soon after, and one in use stays.
+#[test]
+fn legs_that_keep_a_relay_waiting_are_closed() {
+    play(
+        "relay start
+         caller s hello
+         caller s expect close in 1900..2900
+         caller h raw POST /safe HTTP/1.1\\r\\nhost: x\\r\\nx-long: *9000
+         caller h expect close in 1900..2900
+         caller o take /safe id=s1 dest=2 timeout=24000m
+         hop b1 expect s1
+         hop b1 send 200
+         caller o expect close in 2400..3900
+         caller m take /safe id=s2 dest=2 timeout=24000m
+         wait 2000
+         caller m take /safe id=s3 dest=3 timeout=24000m
+         wait 5000
+         caller m take /safe id=s4 dest=3 timeout=24000m",
+    );
+}
+
+/// Guards those who ask against those who only connect: however many say nothing, a leg that asks gets in.
+#[test]
+fn silent_legs_make_room_for_those_that_ask() {
+    let mut script = "relay start\ncaller x take /safe id=s0 dest=2 timeout=24000m\n".to_string();
+    for i in 0..60 {
+        script += &format!("caller q{i} hello\n");
+    }
+    script += "wait 300
+        caller y take /safe id=s1 dest=2 timeout=24000m in 0..1000
+        caller x take /safe id=s2 dest=2 timeout=24000m in 0..1000";
+    play(&script);
+}
+
+/// Guards intake against requests that could be read in two ways or mean nothing: each gets its error, and
+/// nothing of it is taken on.
+#[test]
+fn what_is_ambiguous_or_absurd_is_turned_away() {
+    play(
+        "relay start
+         caller a raw POST /safe HTTP/1.1\\r\\ncontent-length: 4\\r\\ntransfer-encoding: chunked\\r\\nx-request-id: m1\\r\\nx-timeout: 9000m\\r\\nx-consignee: dest=2\\r\\n\\r\\n0\\r\\n\\r\\n
+         caller a expect 411 in 0..100
+         caller a expect close in 0..1100
+         caller b raw POST /safe HTTP/1.1\\r\\ncontent-length: -4\\r\\nx-request-id: m2\\r\\n\\r\\n
+         caller b expect 400
+         caller c raw POST /safe HTTP/1.1\\r\\ncontent-length: 2\\r\\nx-request-id: m3\\r\\nx-request-id: m4\\r\\nx-timeout: 9000m\\r\\nx-consignee: dest=2\\r\\n\\r\\nhi
+         caller c expect 400
+         caller d raw GET /safe HTTP/1.1\\r\\nx-long: *20000
+         caller d expect 431
+         caller e send POST /safe id=m5 dest=77 timeout=9000m
+         caller e expect 503 retry-after
+         caller e send POST /safe id=m6 dest=2 timeout=99999999999m
+         caller e expect 400
+         caller e raw POST /safe HTTP/1.1\\r\\ncontent-length: 3000000000\\r\\nx-request-id: m7\\r\\nx-timeout: 9000m\\r\\nx-consignee: dest=2\\r\\n\\r\\n*9000
+         caller e expect 413
+         caller e expect close in 0..1100
+         hop b1 expect nothing 1
+         caller f take /unsafe id=m8 dest=2 timeout=9000m
+         caller g send POST /unsafe id=m8 dest=3 timeout=9000m
+         caller g expect 409
+         hop b1 expect m8
+         hop b1 send 200
+         wait 10
+         caller g send POST /unsafe id=m8 dest=2 timeout=9000m
+         caller g expect 202
+         hop b1 expect nothing 20000
+         agent expect nothing 1",
+    );
+}
+
+/// Guards outcomes against answers that arrive spoilt: a first line of 200 delivers a single message whatever
+/// follows it, any other answer that cannot be read may have run, and the connection is not used again.
+#[test]
+fn a_spoilt_answer_counts_by_its_first_line_and_ends_its_connection() {
+    play(
+        "relay start
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
+         hop b1 expect u1
+         hop b1 raw HTTP/1.1 200 OK\\r\\n\u{1}noise
+         wait 600
+         caller x take /unsafe id=u2 dest=3 timeout=24000m
+         hop c1 expect u2
+         hop c1 raw HTTP/1.1 503 Full\\r\\ncontent-length: 90\\r\\n\\r\\nshort
+         agent expect failed u2 in 400..600
+         caller x take /unsafe id=u3 dest=2 timeout=24000m
+         hop b1 expect u3
+         hop b1 raw HTTP/1.1 100 Continue\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\ncontent-length: 99999999999999999999\\r\\n\\r\\n
+         caller y take /unsafe id=u4 dest=3 timeout=24000m
+         hop c1 expect u4
+         hop c1 raw noise that is no answer\\r\\n\\r\\n
+         agent expect failed u4 in 0..600
+         agent expect nothing 30000",
+    );
+}
+
+/// Guards good answers that bring more than is theirs: they count, and what came behind them is never taken
+/// for the answer to the next call.
+#[test]
+fn a_second_copy_behind_an_answer_never_answers_the_next_call() {
+    play(
+        "relay start
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
+         hop b1 expect u1
+         hop b1 raw HTTP/1.1 503 Busy\\r\\nx-line-busy: 1\\r\\ncontent-length: 0\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\ncontent-length: 0\\r\\n\\r\\n
+         hop b1 expect u1
+         hop b1 raw HTTP/1.1 200 OK\\r\\nx-server-load: x0=?,x1=1e999\\r\\ncontent-length: 0\\r\\n\\r\\nHTTP/1.1 500 No\\r\\ncontent-length: 0\\r\\n\\r\\n
+         caller x take /unsafe id=u2 dest=2 timeout=24000m
+         hop b1 expect u2
+         hop b1 send 200
+         agent expect nothing 30000",
+    );
+}
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -15,9 +15,10 @@
 
 use crate::carriers::{self, Esme, Smsc, Texts};
 use crate::network::{Places, Seen};
+use basaltloom::program::config::{self, Config};
 use basaltloom::program::import::import;
-use basaltloom::program::wiring::{Plan, SmppPlan};
-use basaltloom::program::{config, wiring};
+use basaltloom::program::wiring;
+use basaltloom::program::wiring::{Plan, PlatformPlan, SmppPlan};
 use basaltloom::protocol::smpp;
 use basaltloom::protocol::smpp::config::SmppConfig;
 use basaltloom::routing::Clock;
@@ -36,6 +37,10 @@
 
 pub const RELAY: &str = "10.0.0.1:5000";
 pub const AGENT: &str = "10.0.0.2:8500";
+/// Where the platform moves.
+const NEW_AGENT: &str = "10.0.0.3:8500";
+/// So that a few legs fill the room: 29 of them.
+const SOCKETS: usize = 76;
 const HOPS: [(&str, u64, &str); 4] =
     [("a1", 1, "chains"), ("a2", 1, "chains"), ("b1", 2, "firms"), ("c1", 3, "firms")];
 const SETTINGS: &str = r#"{"azs":["z"],"kinds":["chains","firms"],"fleet_size":2,"weights":"off",
@@ -139,7 +144,7 @@
 struct Agent {
     seq: u64,
     states: HashMap<String, String>,
-    changed: Vec<String>,
+    changed: Vec<(u64, String)>,
     down: bool,
     notices: VecDeque<String>,
     news: Rc<tokio::sync::Notify>,
@@ -179,9 +184,16 @@
             news.notify_waiters();
             "HTTP/1.1 204 No Content\r\n\r\n".to_string()
         } else {
-            if said.first.contains("from=") {
+            let asked =
+                said.first.split_once("from=").and_then(|(_, rest)| rest.split('&').next()?.parse().ok());
+            let since = |from: u64| {
+                let agent = agent.borrow();
+                let newer = agent.changed.iter().filter(|(seq, _)| *seq > from);
+                newer.map(|(_, host)| host.clone()).collect::<Vec<_>>()
+            };
+            if let Some(from) = asked {
                 let changed = async {
-                    while agent.borrow().changed.is_empty() {
+                    while since(from).is_empty() {
                         news.notified().await;
                     }
                 };
@@ -190,13 +202,13 @@
             while agent.borrow().down {
                 news.notified().await;
             }
-            let changed = std::mem::take(&mut agent.borrow_mut().changed);
+            let changed = asked.map(since);
             let agent = agent.borrow();
-            let body = match said.first.contains("from=") {
-                true => {
-                    format!(r#"{{"seq":{},"whole":false,"hosts":[{}]}}"#, agent.seq, agent.hosts(&changed))
+            let body = match changed {
+                Some(hosts) => {
+                    format!(r#"{{"seq":{},"whole":false,"hosts":[{}]}}"#, agent.seq, agent.hosts(&hosts))
                 }
-                false => agent.whole(),
+                None => agent.whole(),
             };
             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
         };
@@ -214,6 +226,7 @@
 struct Running {
     task: JoinHandle<()>,
     end: Option<oneshot::Sender<()>>,
+    moved: UnboundedSender<Config>,
     reread: UnboundedSender<SmppConfig>,
 }
 
@@ -280,16 +293,16 @@
         let (reread, receiver) = unbounded_channel();
         let (config, state) = (self.smpp_config(), self.state.clone());
         let plan = SmppPlan { config, state, disk_bytes: 3_000_000, seed: 7, reread: receiver };
-        self.run(Plan { platform: None, smpp: Some(plan) }, reread).await;
+        self.run(Plan { platform: None, smpp: Some(plan) }, unbounded_channel().0, reread).await;
     }
 
-    async fn run(&mut self, plan: Plan, reread: UnboundedSender<SmppConfig>) {
+    async fn run(&mut self, plan: Plan, moved: UnboundedSender<Config>, reread: UnboundedSender<SmppConfig>) {
         let (end, ended) = oneshot::channel();
         let (net, inner, clock) = (Rc::new(Seen(self.net.clone())), LocalSet::new(), self.clock());
         inner.spawn_local(async move {
             wiring::run(plan, net, clock, async { drop(ended.await) }).await.unwrap();
         });
-        self.relay = Some(Running { task: spawn_local(inner), end: Some(end), reread });
+        self.relay = Some(Running { task: spawn_local(inner), end: Some(end), moved, reread });
         sleep(Duration::from_millis(1)).await;
     }
 
@@ -332,12 +345,14 @@
                 if self.hops.is_empty() {
                     self.open_world();
                 }
-                let known = self.agent.borrow().whole();
-                let config = format!(
-                    r#"{{"name":"t","listen":"{RELAY}","discovery":"{AGENT}","seed":"7","limits":{{"sockets":1024,"disk_mb":3}},"known":{known},"settings":{SETTINGS}}}"#
-                );
+                let config = self.config(AGENT);
                 self.start(&config).await;
             }
+            "move" => {
+                let config = config::decode(&self.config(NEW_AGENT).parse().unwrap()).unwrap();
+                self.relay.as_ref().unwrap().moved.send(config).unwrap();
+                self.net.refuse(AGENT.parse().unwrap());
+            }
             "import" => {
                 self.open_world();
                 self.start(&import(NGINX).unwrap().config).await;
@@ -358,24 +373,35 @@
         }
     }
 
+    fn config(&self, agent: &str) -> String {
+        let known = self.agent.borrow().whole();
+        format!(
+            r#"{{"name":"t","listen":"{RELAY}","discovery":"{agent}","seed":"7","limits":{{"sockets":{SOCKETS},"disk_mb":3}},"known":{known},"settings":{SETTINGS}}}"#
+        )
+    }
+
     async fn start(&mut self, text: &str) {
         let mut config = config::decode(&text.parse().unwrap()).unwrap();
         config.state = self.state.clone();
         config.listen = RELAY.parse().unwrap();
-        self.run(Plan { platform: Some(config), smpp: None }, unbounded_channel().0).await;
+        let (moved, reread) = unbounded_channel();
+        let plan = Plan { platform: Some(PlatformPlan { config, reread }), smpp: None };
+        self.run(plan, moved, unbounded_channel().0).await;
     }
 
     fn open_world(&mut self) {
         for (i, (name, _, _)) in HOPS.iter().enumerate() {
             self.hops.insert(name.to_string(), Hop::listen(&self.net, hop_address(i)));
         }
-        let mut streams = self.net.open(AGENT.parse().unwrap());
-        let agent = self.agent.clone();
-        spawn_local(async move {
-            while let Some(stream) = streams.recv().await {
-                spawn_local(serve_agent(agent.clone(), stream));
-            }
-        });
+        for at in [AGENT, NEW_AGENT] {
+            let mut streams = self.net.open(at.parse().unwrap());
+            let agent = self.agent.clone();
+            spawn_local(async move {
+                while let Some(stream) = streams.recv().await {
+                    spawn_local(serve_agent(agent.clone(), stream));
+                }
+            });
+        }
     }
 
     async fn agent(&mut self, words: &[&str], place: &str) {
@@ -385,7 +411,8 @@
                 let mut agent = self.agent.borrow_mut();
                 agent.seq += 1;
                 agent.states.insert(host.to_string(), state.to_string());
-                agent.changed.push(host.to_string());
+                let seq = agent.seq;
+                agent.changed.push((seq, host.to_string()));
             }
             ["down"] => self.agent.borrow_mut().down = true,
             ["up"] => self.agent.borrow_mut().down = false,
@@ -447,6 +474,13 @@
                 }
                 hop.open.push_back(call);
             }
+            ["raw", text @ ..] => {
+                let (_, (input, mut output), back) =
+                    hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
+                let text = text.join(" ").replace("\\r\\n", "\r\n");
+                output.write_all(text.as_bytes()).await.unwrap();
+                back.send((input, output)).ok();
+            }
             ["send", status, rest @ ..] => {
                 let (_, (input, mut output), back) =
                     hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
@@ -473,6 +507,14 @@
                 Box::pin(self.caller(name, &[&["send", "POST"], rest].concat(), place)).await;
                 Box::pin(self.caller(name, &["expect", "202"], place)).await;
             }
+            ["raw", text @ ..] => {
+                let text = text.join(" ").replace("\\r\\n", "\r\n");
+                let text = match text.split_once('*') {
+                    Some((text, n)) => text.to_string() + &"x".repeat(n.parse().unwrap()),
+                    None => text,
+                };
+                caller.output.write_all(text.as_bytes()).await.ok();
+            }
             ["send", method, path, rest @ ..] => {
                 let body = value(rest, "body").unwrap_or("hello");
                 let mut text = format!("{method} {path} HTTP/1.1\r\nhost: x\r\n");
@@ -486,6 +528,7 @@
                 text += &format!("content-length: {}\r\n\r\n", body.len());
                 caller.output.write_all(format!("{text}{body}").as_bytes()).await.unwrap();
             }
+            ["hello"] => {}
             ["close"] => drop(self.callers.remove(name)),
             ["expect", "close", ..] => {
                 let said = timeout(Duration::from_secs(60), read(&mut caller.input)).await;
