Lay a break to the idle time of its own connection, and only beyond what is proven

The module reckons idle time by its host's last use; the pool's deeper lines are older than that, so a break on an old line was laid to some milliseconds, and each break halved what is trusted (rules.rs distrust_idle, ended).

Changed: the pool tells for how long the line of a call had waited (Event::Idled, Carried::idle); a break counts only beyond the idle time after which the same host served of late; the pool itself does not use lines older than is trusted, in place of closing all those of a host.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -164,6 +164,8 @@
     Taken { id: MsgId, class: usize, dest: DestId, key: Option<String>, time_left: Nanos },
     /// An attempt ended; `over` says that its message has had its final answer.
     Ended { id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool },
+    /// The connection of this attempt had been idle for so long, 0 if it was new; told before its end.
+    Idled { id: MsgId, attempt: u32, idle: Nanos },
     /// Nobody waits for this message any more.
     Withdrawn { id: MsgId },
     /// A message of an earlier life of this relay: attempts made then, and how long ago and in which zone
--- a/src/live.rs
+++ b/src/live.rs
@@ -32,6 +32,7 @@
                     h.terms = *terms;
                 }
             }
+            Event::Idled { id, attempt, idle } => self.book.idled((*id, *attempt), *idle),
             Event::Closing { at } => self.book.closing = Some(*at),
             _ => {}
         }
@@ -49,11 +50,6 @@
         there.map(|(id, _)| *id).filter(|h| self.sick(*h)).collect()
     }
 
-    /// Whether there is a record of this host.
-    pub fn knows(&self, host: HostId) -> bool {
-        self.book.hosts.contains_key(&host)
-    }
-
     /// A message that has its end leaves, but for its place in its key's line.
     pub(crate) fn part_with(&mut self, id: MsgId) {
         let key = self.book.messages.get(&id).and_then(|m| m.key.clone());
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -99,7 +99,7 @@
         let exchange = async {
             let mut sent = exchange(&mut lease, request.clone(), len, &letters).await;
             // The line had been closed while it waited, and nothing of the request was written: a new one.
-            while matches!(sent, Err(Unsent::Never)) && lease.waited() {
+            while matches!(sent, Err(Unsent::Never)) && !lease.waited().is_zero() {
                 match lease.renew().await {
                     Ok(()) if passage.still_open() => {
                         sent = exchange(&mut lease, request.clone(), len, &letters).await
@@ -109,7 +109,7 @@
             }
             sent
         };
-        let sent = tokio::select! {
+        let mut sent = tokio::select! {
             sent = exchange => sent.map_err(|unsent| match unsent {
                 Unsent::Never => Outcome::NoConnection,
                 Unsent::Perhaps => Outcome::Broken,
@@ -117,6 +117,10 @@
             () = sleep(Duration::from_nanos(left)) => Err(Outcome::TimedOut),
             () = passage.cancelled() => Err(Outcome::Cancelled),
         };
+        let idle = Some(lease.waited().as_nanos() as Nanos);
+        if let Ok((carried, _)) = &mut sent {
+            carried.idle = idle;
+        }
         match sent {
             Ok((carried, Some(body))) if !body.is_end_stream() => {
                 spawn_local(drain(lease, body));
@@ -128,11 +132,14 @@
             }
             // The first line of an answer says enough where it says 200, whatever is wrong with the rest. Any
             // other answer that cannot be read leaves open what it meant: the message may have run.
-            Err(outcome) => each(Reply::Ended(match lease.line() {
-                Some(line) if letters.len() == 1 && line.status() == Some(200) => Outcome::Served,
-                Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Error,
-                _ => outcome,
-            })),
+            Err(outcome) => {
+                let outcome = match lease.line() {
+                    Some(line) if letters.len() == 1 && line.status() == Some(200) => Outcome::Served,
+                    Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Error,
+                    _ => outcome,
+                };
+                Carried { idle, ..each(Reply::Ended(outcome)) }
+            }
         }
     }
 
@@ -145,6 +152,10 @@
         self.pool.close_idle(next_hop);
     }
 
+    fn trust(&self, idle: Nanos) {
+        self.pool.trust(Duration::from_nanos(idle));
+    }
+
     fn log(&self, text: &str) {
         (self.log)(text);
     }
@@ -166,7 +177,7 @@
         let each = |reply| letters.iter().map(|l| (l.branch, reply)).collect();
         if letters.len() == 1 && head.status == StatusCode::OK {
             let replies = each(hook::reply(head.status, &head.headers));
-            return Ok((Carried { replies, limit }, Some(body)));
+            return Ok((Carried { replies, limit, idle: None }, Some(body)));
         }
         // Only an answer that came whole can say that nothing has run.
         let body = read_body(body, BODY_MOST).await.ok_or(Unsent::Perhaps)?;
@@ -174,7 +185,7 @@
             StatusCode::OK => hook::replies(&head.headers, &body, letters),
             status => each(hook::reply(status, &head.headers)),
         };
-        Ok((Carried { replies, limit }, None))
+        Ok((Carried { replies, limit, idle: None }, None))
     };
     let stuck = async {
         tap.begins().await;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -46,6 +46,8 @@
     pub ended: Vec<TransactionNo>,
     pub dropped: Vec<(TransactionNo, u32)>,
     pub distrusted: Vec<NextHopId>,
+    /// Idle time after which connections are not to be used any more, where a step was made.
+    pub trusted_idle: Option<Nanos>,
     pub notes: Vec<String>,
 }
 
@@ -84,11 +86,13 @@
     pub replies: Vec<(Branch, Reply)>,
     /// The limit that the next hop told, in calls a second from all relays together; 0 where it has none.
     pub limit: Option<f64>,
+    /// For how long the connection had waited for this call, 0 if it was new; none where nothing was sent.
+    pub idle: Option<Nanos>,
 }
 
 impl From<Vec<(Branch, Reply)>> for Carried {
     fn from(replies: Vec<(Branch, Reply)>) -> Self {
-        Carried { replies, limit: None }
+        Carried { replies, ..Carried::default() }
     }
 }
 
@@ -287,7 +291,7 @@
 
     /// The outcomes of a call's branches, all in one report, with the limit that the answer told.
     pub fn report(&mut self, now: Nanos, hop: NextHopId, carried: &Carried, took: Nanos) {
-        let Carried { replies, limit } = carried;
+        let Carried { replies, limit, idle } = carried;
         let mut late = Vec::new();
         for (branch, reply) in replies {
             let no = branch.transaction;
@@ -316,7 +320,7 @@
             }
         }
         let limit = limit.map(|limit| (hop, limit));
-        let picked = self.facade.report(now, replies, limit, took);
+        let picked = self.facade.report(now, replies, limit, *idle, took);
         self.absorb(picked);
         late.into_iter().for_each(|no| self.acknowledged(now, no));
     }
@@ -367,6 +371,7 @@
             }
         }
         self.work.dropped.extend(picked.dropped);
+        self.work.trusted_idle = Some(picked.trusted_idle);
         self.work.distrusted.extend(picked.distrusted);
         let notes: Vec<String> = picked.notes.iter().map(|text| self.named(text)).collect();
         self.work.notes.extend(notes);
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -22,6 +22,8 @@
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
     /// Idle connections to this next hop are not to be used any more.
     fn distrust(&self, next_hop: NextHopId);
+    /// Nor are, from now on, those that have waited for so long.
+    fn trust(&self, _idle: Nanos) {}
     fn log(&self, text: &str);
 }
 
@@ -94,6 +96,9 @@
 
     fn set_going(self: &Rc<Self>, work: Work) {
         work.notes.iter().for_each(|text| self.front.log(text));
+        if let Some(idle) = work.trusted_idle {
+            self.front.trust(idle);
+        }
         work.distrusted.into_iter().for_each(|hop| self.front.distrust(hop));
         for branch in work.dropped {
             if let Some(cancel) = self.out.borrow().get(&branch) {
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -47,6 +47,8 @@
     /// Next hops whose idle connections are to be closed.
     pub distrusted: Vec<NextHopId>,
     pub notes: Vec<String>,
+    /// Idle time after which connections are not to be used any more.
+    pub trusted_idle: Nanos,
     /// The next hops in an outage or just back from one, where that may have changed.
     pub ailing: Option<Vec<NextHopId>>,
 }
@@ -133,12 +135,13 @@
     }
 
     /// Tells how branches ended: those of one call in one report.
-    /// `limit` is what a next hop told of its own with them.
+    /// `limit` is what a next hop told of its own with them, `idle` for how long the connection had waited.
     pub fn report(
         &mut self,
         now: Nanos,
         ended: &[(Branch, Reply)],
         limit: Option<(NextHopId, f64)>,
+        idle: Option<Nanos>,
         took: Nanos,
     ) -> Picked {
         let mut events: Vec<Event> =
@@ -146,6 +149,7 @@
         for (branch, reply) in ended {
             let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
             events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
+            events.extend(idle.map(|idle| Event::Idled { id, attempt, idle }));
             events.push(Event::Ended { id, attempt, outcome: reply.outcome(), latency: took, over });
             events.extend(matches!(reply, Reply::Rejected { .. }).then_some(Event::Rejected { id }));
             if over {
@@ -224,6 +228,7 @@
                 Action::Log(text) => picked.notes.push(text),
             }
         }
+        picked.trusted_idle = self.relay.trusted_idle();
         // Whenever the health of a host turns the module says so.
         if !picked.notes.is_empty() {
             picked.ailing = Some(self.relay.ailing());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -223,6 +223,7 @@
         for h in self.book.hosts.values_mut() {
             let rate = rate_of(&mut h.served, RATE_SPAN, self.now);
             h.best_rate = h.best_rate.max(rate.unwrap_or(0.0));
+            h.idle_proven -= h.idle_proven / 4;
         }
         self.book.idle_safe = self.book.idle_safe.map(|s| s + s / 4 + MS).filter(|s| *s < IDLE_TRUSTED);
         self.book.let_go(self.now);
@@ -485,9 +486,10 @@
 
     /// Something on the way may drop idle connections: the next call on one breaks at once, and is lost if
     /// unsafe. Where a call breaks sooner than its host answers and the host serves the very next one (after
-    /// a crash it does not), connections idle for half as long are closed before use; trust regrows.
-    fn distrust_idle(&mut self, idle: Nanos) {
-        self.book.idle_safe = Some(self.book.idle_safe.unwrap_or(idle).min(idle) / 2);
+    /// a crash it does not), connections idle for half as long are closed before use; trust regrows. What
+    /// breaks after no longer than others of its host lately served after broke for another reason.
+    fn distrust_idle(&mut self, idle: Nanos, proven: Nanos) {
+        self.book.idle_safe = Some((self.book.idle_safe.unwrap_or(idle).min(idle) / 2).max(proven));
     }
 
     /// A repeatable attempt ends when its answer is long overdue, the next later (the host may be slow); a
@@ -563,10 +565,11 @@
             self.judge(a.host, a.sent, outcome, latency);
             if let Some(h) = self.book.hosts.get_mut(&a.host) {
                 let early = latency as f64 <= h.latency.map_or(0.0, |l| l.0) * BREAKS_EARLY;
-                let broke = outcome == Outcome::Broken && early && a.idle > 0 && h.bad == 1;
-                h.broke_idle = broke.then_some(a.idle);
+                let proven = h.prove_idle(outcome == Outcome::Served, a.idle);
+                let broke = outcome == Outcome::Broken && early && a.idle > proven && h.bad == 1;
+                h.broke_idle = broke.then_some((a.idle, proven));
                 if broke && self.book.idle_safe.is_some() {
-                    self.distrust_idle(a.idle);
+                    self.distrust_idle(a.idle, proven);
                 }
             }
         }
@@ -638,8 +641,8 @@
         // Refusals and further silent calls are signs of an outage as failures are.
         let once = self.book.hosts[&host].bad as usize + self.overdue(host) <= 1;
         self.note_fail(host, false);
-        if let Some(idle) = self.book.hosts.get_mut(&host).and_then(|h| h.broke_idle.take()) {
-            self.distrust_idle(idle);
+        if let Some((idle, proven)) = self.book.hosts.get_mut(&host).and_then(|h| h.broke_idle.take()) {
+            self.distrust_idle(idle, proven);
         }
         let (now, warm_up) = (self.now, self.set.warm_up);
         let gap = self.cold_gap(host, 1.0) as Nanos;
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,9 @@
     },
 }
 
+/// Nothing on the way drops connections so soon: a shorter idle time explains no break.
+const IDLE_NOISE: Nanos = 100_000_000;
+
 #[derive(Clone, Debug)]
 pub(crate) struct Host {
     pub dest: DestId,
@@ -82,8 +85,10 @@
     pub last_sent: Nanos,
     /// Last send or outcome.
     pub last_used: Nanos,
-    /// Idle time before a call that broke early, until the next outcome.
-    pub broke_idle: Option<Nanos>,
+    /// Idle time before a call that broke early, and what was proven then, until the next outcome.
+    pub broke_idle: Option<(Nanos, Nanos)>,
+    /// The longest idle time after which a call was served of late.
+    pub idle_proven: Nanos,
     pub served: VecDeque<Nanos>,
     /// Highest sustained rate of served calls, a second.
     pub best_rate: f64,
@@ -206,6 +211,13 @@
         self.hosts.insert(id, host);
     }
 
+    /// What is known of the connection of an attempt, in place of what its host lets suppose.
+    pub fn idled(&mut self, attempt: (MsgId, u32), idle: Nanos) {
+        if let Some(a) = self.attempts.get_mut(&attempt) {
+            a.idle = idle;
+        }
+    }
+
     /// Lets go of what nothing refers to any more: hosts that have left, the destinations of which none is
     /// there, lines of keys.
     pub fn let_go(&mut self, now: Nanos) {
@@ -379,6 +391,7 @@
             last_sent: 0,
             last_used: now,
             broke_idle: None,
+            idle_proven: IDLE_NOISE,
             served: VecDeque::new(),
             best_rate: 0.0,
             down_at: 0,
@@ -386,6 +399,27 @@
     }
 }
 
+impl Host {
+    /// A call on a connection idle for so long was served or not; returns what was proven sound before.
+    pub fn prove_idle(&mut self, served: bool, idle: Nanos) -> Nanos {
+        let before = self.idle_proven;
+        self.idle_proven = if served { before.max(idle) } else { before };
+        before.max(IDLE_NOISE)
+    }
+}
+
+impl crate::rules::Relay {
+    /// Whether there is a record of this host.
+    pub fn knows(&self, host: HostId) -> bool {
+        self.book.hosts.contains_key(&host)
+    }
+
+    /// Idle time after which connections are not to be used any more.
+    pub fn trusted_idle(&self) -> Nanos {
+        self.book.idle_safe.unwrap_or(Nanos::MAX)
+    }
+}
+
 impl Flow {
     /// A flow of weight 1 whose calls are taken to cost `cost` until some were seen.
     pub fn new(cost: f64) -> Self {
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -23,6 +23,8 @@
     open: Cell<usize>,
     most: usize,
     keepalive: Duration,
+    /// What has waited longer is not to be used.
+    trusted: Cell<Duration>,
     connect_timeout: Duration,
 }
 
@@ -49,8 +51,8 @@
     next_hop: NextHopId,
     dial: SocketAddr,
     line: Option<Line>,
-    /// The line had waited in the pool.
-    waited: bool,
+    /// How long the line had waited in the pool; nothing for a new one.
+    waited: Duration,
 }
 
 impl Drop for Lease {
@@ -64,14 +66,14 @@
         self.line.as_mut()
     }
 
-    /// Whether its line had waited in the pool, where the other side may have closed it.
-    pub fn waited(&self) -> bool {
+    /// How long its line had waited in the pool, where the other side may have closed it; nothing for a new one.
+    pub fn waited(&self) -> Duration {
         self.waited
     }
 
     /// A new line in place of the one it has.
     pub async fn renew(&mut self) -> Result<(), NoLease> {
-        (self.line, self.waited) = (None, false);
+        (self.line, self.waited) = (None, Duration::ZERO);
         let pool = &self.pool;
         match Line::open(&pool.net, self.dial, pool.connect_timeout, ANSWER_MOST).await {
             Ok(line) => self.line = Some(line),
@@ -97,14 +99,17 @@
 impl Pool {
     pub fn new(net: Net, most: usize, keepalive: Duration, connect_timeout: Duration) -> Rc<Self> {
         let (idle, open) = (RefCell::default(), Cell::new(0));
-        Rc::new(Pool { net, idle, open, most, keepalive, connect_timeout })
+        let trusted = Cell::new(keepalive);
+        Rc::new(Pool { net, idle, open, most, keepalive, trusted, connect_timeout })
     }
 
     /// A line to this next hop: the one used last of those that wait, else a new one.
     pub async fn lease(self: &Rc<Self>, next_hop: NextHopId, dial: SocketAddr) -> Result<Lease, NoLease> {
         while let Some((at, line)) = self.pop(next_hop) {
-            let mut lease = Lease { pool: self.clone(), next_hop, dial, line: Some(line), waited: true };
-            let fresh = |l: &Line| l.usable() && l.idle_since.elapsed() < self.keepalive;
+            let waited = line.idle_since.elapsed().max(Duration::from_nanos(1));
+            let mut lease = Lease { pool: self.clone(), next_hop, dial, line: Some(line), waited };
+            let fresh =
+                |l: &Line| l.usable() && l.idle_since.elapsed() < self.keepalive.min(self.trusted.get());
             if at == dial && lease.line.as_ref().is_some_and(fresh) {
                 return Ok(lease);
             }
@@ -114,7 +119,7 @@
             return Err(NoLease::OutOfRoom);
         }
         self.open.set(self.open.get() + 1);
-        let mut lease = Lease { pool: self.clone(), next_hop, dial, line: None, waited: false };
+        let mut lease = Lease { pool: self.clone(), next_hop, dial, line: None, waited: Duration::ZERO };
         lease.renew().await?;
         Ok(lease)
     }
@@ -135,6 +140,11 @@
         true
     }
 
+    /// From now on a line that has waited for so long is not used any more.
+    pub fn trust(&self, idle: Duration) {
+        self.trusted.set(idle);
+    }
+
     /// Closes what waits for this next hop.
     pub fn close_idle(&self, next_hop: NextHopId) {
         let lines = self.idle.borrow_mut().remove(&next_hop).unwrap_or_default();
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -138,3 +138,55 @@
     relay.step(4 * SEC, &[Event::Listed { whole: false, entries: vec![leaving] }]);
     assert!(!relay.still_open(0, 4 * SEC) && relay.still_open(1, 4 * SEC));
 }
+
+/// Guards sound connections against random breaks: a break after an idle time after which the same host was
+/// served of late is not laid to it, one after a longer idle time is, by the connection's own idle time.
+#[test]
+fn a_break_is_laid_to_idle_time_only_beyond_what_is_proven() {
+    let trusted_after = |served_after: u64, broke_after: u64| {
+        let mut relay = relay(&[0]);
+        let mut now = 2 * SEC;
+        let mut call = |id: MsgId, attempt: u32, idle: u64, outcome: Outcome, latency: u64| {
+            now += 600 * MS;
+            if attempt == 0 {
+                relay.step(now, &[taken(id)]);
+            }
+            // A host that broke a call gets its next one after a while.
+            for _ in 0..30 * attempt {
+                now += 100 * MS;
+                relay.step(now, &[Event::Woken]);
+            }
+            let over = outcome == Outcome::Served;
+            let end = Event::Ended { id, attempt, outcome, latency, over };
+            now += 100 * MS;
+            relay.step(now, &[Event::Idled { id, attempt, idle }, end]);
+            relay.trusted_idle()
+        };
+        call(1, 0, served_after, Outcome::Served, 100 * MS);
+        call(2, 0, broke_after, Outcome::Broken, MS);
+        call(2, 1, 0, Outcome::Served, 100 * MS)
+    };
+    assert_eq!(trusted_after(900 * MS, 400 * MS), u64::MAX);
+    assert_eq!(trusted_after(100 * MS, 50 * MS), u64::MAX);
+    // Half of it, which has grown once since; and no shorter than what was proven, which has faded once.
+    assert!((SEC..SEC * 3 / 2).contains(&trusted_after(300 * MS, 2 * SEC)));
+    assert!((225 * MS..400 * MS).contains(&trusted_after(300 * MS, 400 * MS)));
+}
+
+/// Guards a long life: hosts come and go, and what is kept of those that left goes too, but not at once.
+#[test]
+fn hosts_that_left_are_forgotten() {
+    let mut relay = relay(&[0]);
+    let list = |relay: &mut Relay, now: u64, host: HostId, state| {
+        let entry = Entry { host, dest: 5, kind: 0, zone: 0, state, scale: 1.0 };
+        relay.step(now, &[Event::Listed { whole: false, entries: vec![entry] }]);
+    };
+    for host in 1..100 {
+        let now = SEC * 4 * u64::from(host);
+        list(&mut relay, now, host, Listing::Ready);
+        list(&mut relay, now, host - 1, Listing::Gone);
+        assert!(relay.knows(host - 1), "it may come back");
+    }
+    let known = (0..100).filter(|h| relay.knows(*h)).count();
+    assert!((2..=12).contains(&known), "{known} known");
+}
