--- a/src/interface.rs
+++ b/src/interface.rs
@@ -143,6 +143,8 @@
     TimedOut,
     NoConnection,
     Broken,
+    /// What came back could not be read: the host runs, and so may the message have.
+    Spoilt,
     Cancelled,
     /// It was never sent.
     NotSent,
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -15,9 +15,10 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-const HOLD: Duration = Duration::from_secs(20);
+/// Short, since nothing tells a watch whose connection has fallen silent from one that has no news.
+const HOLD: Duration = Duration::from_secs(1);
 /// The agent answers at once, unless discovery is down: then it is asked again from time to time.
-const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_millis(500);
 const RETRY: Duration = Duration::from_millis(100);
 const MOST: usize = 4 << 20;
 
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -79,7 +79,8 @@
         Some("deferred") => Reply::Ended(Outcome::Full { wait }),
         Some("expired") => Reply::Over,
         Some("no_more") => Reply::Spent,
-        _ => Reply::Ended(Outcome::Error),
+        Some("fault") => Reply::Ended(Outcome::Error),
+        _ => Reply::Ended(Outcome::Spoilt),
     };
     letters.iter().map(|l| (l.branch, reply(l))).collect()
 }
--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -14,7 +14,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-const PATIENCE: Duration = Duration::from_secs(1);
+/// The platform answers at once: a connection that does not has fallen silent, and an end that is told late is
+/// an end that is not told.
+const PATIENCE: Duration = Duration::from_millis(100);
 const ANSWER_MOST: usize = 64 * 1024;
 /// Notices in one request at most.
 pub const MOST: usize = 200;
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -98,14 +98,16 @@
             |reply: Reply| Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>());
         let exchange = async {
             let mut sent = exchange(&mut lease, request.clone(), len, &letters).await;
-            // The line had been closed while it waited, and nothing of the request was written: a new one.
-            while matches!(sent, Err(Unsent::Never)) && !lease.waited().is_zero() {
-                match lease.renew().await {
-                    Ok(()) if passage.still_open() => {
-                        sent = exchange(&mut lease, request.clone(), len, &letters).await
-                    }
-                    _ => break,
+            // The line was closed before the request was written whole, be it while it waited or when it was
+            // new: another, twice at most.
+            for _ in 0..2 {
+                if !matches!(sent, Err(Unsent::Never))
+                    || lease.renew().await.is_err()
+                    || !passage.still_open()
+                {
+                    break;
                 }
+                sent = exchange(&mut lease, request.clone(), len, &letters).await;
             }
             sent
         };
@@ -135,7 +137,7 @@
             Err(outcome) => {
                 let outcome = match lease.line() {
                     Some(line) if letters.len() == 1 && line.status() == Some(200) => Outcome::Served,
-                    Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Error,
+                    Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Spoilt,
                     _ => outcome,
                 };
                 Carried { idle, ..each(Reply::Ended(outcome)) }
@@ -227,7 +229,7 @@
 /// acknowledged: the address may change at any moment.
 async fn tell_agent(desk: &Rc<Desk<Platform>>, agent: SocketAddr) {
     let front = &desk.front;
-    let (mut line, mut most) = (None, notices::MOST);
+    let (mut line, mut most, mut failing) = (None, notices::MOST, false);
     loop {
         let batch: Vec<TransactionNo> = front.owed.borrow().iter().take(most).copied().collect();
         if batch.is_empty() {
@@ -247,7 +249,7 @@
         };
         match told {
             Ok(()) => {
-                most = notices::MOST;
+                (most, failing) = (notices::MOST, false);
                 front.owed.borrow_mut().drain(..batch.len());
                 desk.act(|core, now| batch.into_iter().for_each(|no| core.acknowledged(now, no)));
             }
@@ -259,8 +261,15 @@
                 if most == 1 {
                     front.owed.borrow_mut().rotate_left(1);
                 }
-                if let Some(status) = status {
-                    front.log(&format!("notices: answered with {status}"));
+                match status {
+                    Some(status) => front.log(&format!("notices: answered with {status}")),
+                    None if failing => {}
+                    // One connection that has fallen silent or was closed: the next try is on a new one.
+                    None => {
+                        front.log("notices: no answer, told again");
+                        failing = true;
+                        continue;
+                    }
                 }
                 sleep(NOTICE_RETRY).await;
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 const TIMEOUT: f64 = 2.0; // and at which a first repeatable attempt is given up; the next gets twice as long
 const FAIL_GAIN: f64 = 0.2; // of the share of failed calls
 const FAIL_HALVES: f64 = 4e9; // nanoseconds in which an old share halves
+const SPOILT: f64 = 0.55; // of a failure: an answer that cannot be read; most of them make a host sick
 const RISKY: f64 = 0.12; // share of failed calls above which unsafe messages are held back
 const MOSTLY_FAILS: f64 = 0.5; // and above which a host is down
 const RESERVE: f64 = 0.2; // share of its life that an unsafe message keeps when it waits for a sick host
@@ -554,13 +555,10 @@
         self.book.next_end = 0;
         let rest = if uncertain { self.now + self.set.key_rest } else { 0 };
         self.book.key_back(&a.key, id, rest);
-        let first = self.book.close_call(a.call);
+        let first = self.book.close_call(a.call, self.now);
         if let Outcome::Full { wait: wait @ 1.. } = outcome {
             self.heed(a.host, wait);
         }
-        if let Some(h) = self.book.hosts.get_mut(&a.host) {
-            h.last_used = self.now;
-        }
         if first {
             self.judge(a.host, a.sent, outcome, latency);
             if let Some(h) = self.book.hosts.get_mut(&a.host) {
@@ -599,7 +597,7 @@
             f.done += 1.0;
             f.cost += COST_GAIN * (latency as f64 - f.cost);
         }
-        if !matches!(outcome, Outcome::Full { .. } | Outcome::NotSent) {
+        if !matches!(outcome, Outcome::Full { .. } | Outcome::NotSent | Outcome::Spoilt) {
             f.calls += 1.0;
             f.served += f64::from(u8::from(served));
         }
@@ -610,11 +608,12 @@
         match outcome {
             Outcome::Served => self.served(host, sent, latency),
             Outcome::Full { wait } => self.refused(host, wait),
-            Outcome::Error => self.failed(host, false),
-            Outcome::Broken => self.failed(host, self.book.idle_safe.is_none()),
+            // One connection that breaks is no outage yet: where there is one, new ones are refused next.
+            Outcome::Error | Outcome::Broken => self.failed(host, false),
+            Outcome::Spoilt => self.note_fail(host, SPOILT),
             // A host that served others meanwhile lost this one call, unless it loses most of them.
             Outcome::TimedOut | Outcome::Cancelled if self.book.hosts[&host].last_served > sent => {
-                self.note_fail(host, true);
+                self.note_fail(host, 1.0);
                 if self.fail_share(host) > MOSTLY_FAILS {
                     self.down(host, 0);
                 }
@@ -627,20 +626,20 @@
 
     // ---- Health ----
 
-    fn note_fail(&mut self, host: HostId, failed: bool) {
+    fn note_fail(&mut self, host: HostId, failed: f64) {
         let now = self.now;
         let share = self.fail_share(host);
         if let Some(h) = self.book.hosts.get_mut(&host) {
-            h.fail = share + FAIL_GAIN * (f64::from(u8::from(failed)) - share);
+            h.fail = share + FAIL_GAIN * (failed - share);
             h.fail_at = now;
-            h.bad = if failed { h.bad.saturating_add(1) } else { 0 };
+            h.bad = if failed > 0.0 { h.bad.saturating_add(failed as u32) } else { 0 };
         }
     }
 
     fn served(&mut self, host: HostId, sent: Nanos, latency: Nanos) {
         // Refusals and further silent calls are signs of an outage as failures are.
         let once = self.book.hosts[&host].bad as usize + self.overdue(host) <= 1;
-        self.note_fail(host, false);
+        self.note_fail(host, 0.0);
         if let Some((idle, proven)) = self.book.hosts.get_mut(&host).and_then(|h| h.broke_idle.take()) {
             self.distrust_idle(idle, proven);
         }
@@ -693,7 +692,7 @@
     /// A failure that no answering host produces (`hard`), or an error answer. One error among successes is
     /// everyday; two in a row, or most calls failing, are an outage: the host will come back cold.
     fn failed(&mut self, host: HostId, hard: bool) {
-        self.note_fail(host, true);
+        self.note_fail(host, 1.0);
         self.doubt(host, false);
         let h = &self.book.hosts[&host];
         if hard || h.bad >= 2 || self.sick(host) || self.fail_share(host) > MOSTLY_FAILS {
--- a/src/state.rs
+++ b/src/state.rs
@@ -260,12 +260,15 @@
     }
 
     /// One message of a call has its outcome; true for the first of them.
-    pub fn close_call(&mut self, call: u64) -> bool {
+    pub fn close_call(&mut self, call: u64, now: Nanos) -> bool {
         let Some(c) = self.calls.get_mut(&call) else { return false };
         let first = !std::mem::replace(&mut c.judged, true);
         c.open -= 1;
-        if c.open == 0 {
-            let (host, dest) = (c.host, c.dest);
+        let (host, dest, open) = (c.host, c.dest, c.open);
+        if let Some(h) = self.hosts.get_mut(&host) {
+            h.last_used = now;
+        }
+        if open == 0 {
             self.calls.remove(&call);
             self.count_out(host, dest, -1);
         }
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -190,3 +190,22 @@
     let known = (0..100).filter(|h| relay.knows(*h)).count();
     assert!((2..=12).contains(&known), "{known} known");
 }
+
+/// Guards hosts that work against what happens to single connections: neither an answer that cannot be read
+/// nor one break is an outage, nor a reason to hold unsafe messages back; two errors in a row are.
+#[test]
+fn a_spoilt_answer_and_a_single_break_are_no_outage() {
+    let goes_on = |outcomes: &[Outcome]| {
+        let mut relay = relay(&[0]);
+        relay.step(2 * SEC, &[taken(1)]);
+        for (i, outcome) in outcomes.iter().enumerate() {
+            relay.step(2 * SEC + MS * (i as u64 + 1), &[ended(1, i as u32, *outcome)]);
+        }
+        let unsafe_one = Event::Taken { id: 2, class: 1, dest: 5, key: None, time_left: 20 * SEC };
+        sent(&relay.step(2 * SEC + 10 * MS, &[unsafe_one])) == [(2, 0)]
+    };
+    assert!(goes_on(&[Outcome::Spoilt]));
+    assert!(goes_on(&[Outcome::Served, Outcome::Spoilt]));
+    assert!(!goes_on(&[Outcome::Error, Outcome::Error]));
+    assert!(!goes_on(&[Outcome::NoConnection]));
+}
--- a/tests/relay/network.rs
+++ b/tests/relay/network.rs
@@ -27,6 +27,7 @@
 pub struct Places {
     pub places: RefCell<HashMap<SocketAddr, Place>>,
     pub loopback: bool,
+    pub opened: RefCell<HashMap<SocketAddr, usize>>,
 }
 
 impl Places {
@@ -62,6 +63,11 @@
         self.places.borrow_mut().insert(at, Place::Silent);
     }
 
+    /// Connections opened to it so far.
+    pub fn opened(&self, at: SocketAddr) -> usize {
+        self.opened.borrow().get(&at).copied().unwrap_or(0)
+    }
+
     pub fn refuse(&self, at: SocketAddr) {
         self.places.borrow_mut().remove(&at);
     }
@@ -77,6 +83,7 @@
         if let Some(address) = address {
             return Ok(Box::new(TcpStream::connect(address).await?));
         }
+        *self.opened.borrow_mut().entry(to).or_default() += 1;
         let Some((sender, after)) = listening else { return std::future::pending().await };
         sleep(after).await;
         let (ours, theirs) = duplex(256 * 1024);
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -535,3 +535,55 @@
          agent expect nothing 30000",
     );
 }
+
+/// Guards ends against a connection to the platform that has fallen silent: what is told late counts as not
+/// told, so the notice goes again on a new connection within moments.
+#[test]
+fn a_notice_whose_connection_fell_silent_is_told_on_another_at_once() {
+    play(
+        "relay start
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
+         hop b1 expect u1
+         hop b1 send 504
+         agent expect returned u1 after_ms in 0..5
+         agent mute
+         caller x take /unsafe id=u2 dest=2 timeout=24000m
+         hop b1 expect u2
+         hop b1 send 504
+         agent expect returned u2 after_ms in 90..160",
+    );
+}
+
+/// Guards sound connections: one line of a next hop that breaks after a long wait does not cost those that
+/// served a moment ago.
+#[test]
+fn a_break_on_a_line_that_waited_long_leaves_the_others_in_use() {
+    play(
+        "relay start
+         caller x take /safe id=s1 dest=2 timeout=24000m
+         caller y take /safe id=s2 dest=2 timeout=24000m
+         hop b1 expect s1
+         hop b1 expect s2
+         wait 300
+         hop b1 send 200
+         hop b1 send 200
+         wait 400
+         caller x take /safe id=s3 dest=2 timeout=24000m
+         hop b1 expect s3
+         wait 300
+         hop b1 send 200
+         wait 400
+         caller x take /safe id=s4 dest=2 timeout=24000m
+         hop b1 expect s4
+         caller y take /safe id=s5 dest=2 timeout=24000m
+         hop b1 expect s5
+         wait 20
+         hop b1 close
+         hop b1 send 200
+         opened b1 2
+         hop b1 expect s4
+         wait 300
+         hop b1 send 200
+         opened b1 2",
+    );
+}
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -146,6 +146,8 @@
     states: HashMap<String, String>,
     changed: Vec<(u64, String)>,
     down: bool,
+    /// The connections that are open now have fallen silent.
+    mute: bool,
     notices: VecDeque<String>,
     news: Rc<tokio::sync::Notify>,
 }
@@ -174,7 +176,11 @@
 
 async fn serve_agent(agent: Rc<RefCell<Agent>>, stream: Stream) {
     let (mut input, mut output) = split(stream);
+    agent.borrow_mut().mute = false;
     while let Some(said) = read(&mut input).await {
+        if agent.borrow().mute {
+            return std::future::pending().await;
+        }
         let news = agent.borrow().news.clone();
         let reply = if said.first.starts_with("POST /v1/notices") {
             if agent.borrow().down {
@@ -312,6 +318,10 @@
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["relay", what] => self.relay(what).await,
             ["agent", rest @ ..] => self.agent(rest, place).await,
+            ["opened", name, count] => {
+                let opened = self.net.opened(self.hops[*name].address);
+                assert_eq!(opened, count.parse::<usize>().unwrap(), "{place}");
+            }
             ["hop", name, rest @ ..] => self.hop(name, rest, place).await,
             ["caller", name, rest @ ..] => self.caller(name, rest, place).await,
             ["smsc", name, rest @ ..] => {
@@ -415,6 +425,7 @@
                 agent.changed.push((seq, host.to_string()));
             }
             ["down"] => self.agent.borrow_mut().down = true,
+            ["mute"] => self.agent.borrow_mut().mute = true,
             ["up"] => self.agent.borrow_mut().down = false,
             ["expect", "nothing", ms] => {
                 sleep(Duration::from_millis(ms.parse().unwrap())).await;
