--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -38,6 +39,8 @@
     idle_since: Cell<Option<Instant>>,
     /// Requests heard.
     asked: Cell<u32>,
+    /// Answered before its request had come whole: the caller may still be sending.
+    cut: Cell<bool>,
     tap: Rc<Tapped>,
     /// An answer on which something hangs, and what had been written before it.
     promise: Cell<Option<(u64, u64)>>,
@@ -164,6 +167,7 @@
             evicted: Notify::new(),
             idle_since: Cell::new(Some(Instant::now())),
             asked: Cell::new(0),
+            cut: Cell::new(false),
             tap,
             promise: Cell::new(None),
         });
@@ -178,6 +182,7 @@
                 let leg = leg.clone();
                 Box::pin(async move {
                     let response = answered.await;
+                    leg.cut.set(response.headers().contains_key(CONNECTION));
                     leg.rests();
                     Ok::<_, std::convert::Infallible>(response)
                 })
@@ -190,8 +195,8 @@
             let mut closing = false;
             let ended = loop {
                 tokio::select! {
-                    _ = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break true,
-                    () = leg.overstays() => break false,
+                    ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break Some(ended),
+                    () = leg.overstays() => break None,
                     () = leg.close.notified(), if !closing => {
                         closing = true;
                         std::pin::Pin::new(&mut connection).graceful_shutdown();
@@ -199,10 +204,12 @@
                 }
             };
             gone(&leg);
-            if ended {
+            // All else is over with its last byte: a leg that lingers holds room that others need.
+            if let Some(ended) = ended {
                 leg.idle_since.set(Some(Instant::now()));
+                let within = if leg.cut.get() || ended.is_err() { LINGER } else { Duration::ZERO };
                 tokio::select! {
-                    () = part(connection.into_parts().io.into_inner()) => {}
+                    () = part(connection.into_parts().io.into_inner(), within) => {}
                     () = leg.evicted.notified() => {}
                 }
             }
@@ -213,8 +220,8 @@
 }
 
 /// Ends our sending, and the connection once the caller has ended its own or had time to hear us.
-async fn part(mut stream: super::connection::TappedStream) {
-    if stream.shutdown().await.is_err() {
+async fn part(mut stream: super::connection::TappedStream, within: Duration) {
+    if stream.shutdown().await.is_err() || within.is_zero() {
         return;
     }
     let listening = async {
@@ -227,5 +234,5 @@
         }
         std::future::pending().await
     };
-    timeout(LINGER, listening).await.ok();
+    timeout(within, listening).await.ok();
 }
