Close the legs that have waited longest from a quarter of the descriptors on

Clients that ask once keep their connection, and hold no more than a third of the descriptors in all: what they cannot open is turned away before it reaches us. At fault: listener.rs ASKED_ONCE and a bound on legs that acts only once all of them are spent.

--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -139,7 +139,7 @@
     let connect = Duration::from_nanos(config.connect_timeout);
     let room = config.sockets.saturating_sub(SPARE).max(16);
     let pool = Pool::new(net.clone(), room / 3, keepalive, connect);
-    let legs = Legs::new(room * 2 / 3);
+    let legs = Legs::new(room * 2 / 3, config.sockets / 4);
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let core = Core::new(config.settings, config.seed, journal, replayed, &config.known, false, clock.now());
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -23,7 +23,7 @@
 /// A head that has begun, or the first one of a leg, takes no longer.
 const HEAD_WITHIN: Duration = Duration::from_secs(2);
 /// A leg that has asked but once may never ask again; one that has asked more waits for its next request.
-const ASKED_ONCE: Duration = Duration::from_millis(2_500);
+const ASKED_ONCE: Duration = Duration::from_millis(2_000);
 const ASKED_MORE: Duration = Duration::from_secs(10);
 /// Most bytes of a head.
 const HEAD_MOST: usize = 16 * 1024;
@@ -102,14 +102,17 @@
     open: RefCell<BTreeMap<u64, Rc<Leg>>>,
     next: Cell<u64>,
     most: usize,
+    /// From so many on, each new one has the one that has waited longest closed: callers, too, hold only so
+    /// many, and those that ask once and stay would use them up.
+    easy: usize,
     freed: Notify,
     closing: Cell<bool>,
 }
 
 impl Legs {
-    pub fn new(most: usize) -> Rc<Self> {
+    pub fn new(most: usize, easy: usize) -> Rc<Self> {
         let (open, next) = (RefCell::default(), Cell::new(0));
-        Rc::new(Legs { open, next, most, freed: Notify::new(), closing: Cell::new(false) })
+        Rc::new(Legs { open, next, most, easy, freed: Notify::new(), closing: Cell::new(false) })
     }
 
     pub fn open(&self) -> usize {
@@ -140,6 +143,9 @@
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
+            if self.open() >= self.easy {
+                self.evict_one();
+            }
             self.serve(stream, answer.clone(), gone.clone());
         }
     }
