Never take the answer before for the beginning of the next one

Excluded: the module's timers (no such line, CPU 0.01). At fault: platform.rs exchange: its watch for an answer that has begun could look at the tap before Line::send cleared it, so on a used line, half of the time, a call longer than 500 ms was cut. A line that was used before is now listened to anew first; the test guards eight long calls on one line.

--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -171,7 +171,9 @@
     letters: &[Letter],
 ) -> Result<(Carried, Option<Incoming>), Unsent> {
     let Some(line) = lease.line() else { return Err(Unsent::Never) };
+    // What the line said before is no beginning of this answer: a call longer than ANSWER_WITHIN was cut by it.
     let tap = line.tap();
+    tap.listen_anew();
     let read = async {
         let response = line.send(request, len).await?;
         let (head, body) = response.into_parts();
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -604,3 +604,14 @@
         caller k8 expect 200";
     play(&script);
 }
+
+/// Guards calls that take long on a line that was used before: the answer before is not the beginning of theirs.
+#[test]
+fn a_long_call_on_a_used_line_is_waited_for() {
+    let mut script = "relay start\n".to_string();
+    for i in 0..8 {
+        script += &format!("caller x take /unsafe id=u{i} dest=2 timeout=24000m\nhop b1 expect u{i}\n");
+        script += "wait 900\nhop b1 send 200\nwait 10\n";
+    }
+    play(&(script + "agent expect nothing 30000"));
+}
