--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,10 +25,12 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod admission;
 #[cfg(test)]
 mod by_hand;
 pub mod interface;
 mod live;
+pub mod operator;
 pub mod program;
 pub mod protocol;
 pub mod routing;
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,68 @@
+//! The operator's own file: what is ours to set, beside the JSON that the platform writes. One form for all of it,
+//! read whole before anything of it holds: a file with an error changes nothing.
+
+pub mod admission;
+pub mod logging;
+pub mod section;
+pub mod syntax;
+
+use crate::protocol::smpp::config::SmppConfig;
+use section::{Findings, InForce, Section};
+use std::path::Path;
+use syntax::{Directive, Fault};
+
+/// What the file says.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    pub log: logging::Said,
+    pub admission: admission::Said,
+    /// The SMPP front, which is off where the file has no such section.
+    pub smpp: Option<SmppConfig>,
+    /// All settings as they hold, in the order of the file's sections.
+    pub in_force: Vec<InForce>,
+}
+
+/// The file's settings, or all that is wrong with it.
+pub fn read(path: &Path) -> Result<Operator, Vec<Fault>> {
+    decode(&syntax::read(path)?)
+}
+
+/// The same of a text that stands in no file.
+pub fn parse(name: &str, text: &str) -> Result<Operator, Vec<Fault>> {
+    decode(&syntax::parse(name, text)?)
+}
+
+/// An empty file's settings.
+impl Default for Operator {
+    fn default() -> Operator {
+        let findings = Findings::default();
+        let mut file = Section::new("", &[], &findings);
+        let log = logging::Said::read(file.section("log"));
+        let admission = admission::Said::read(file.section("admission"));
+        Operator { log, admission, smpp: None, in_force: findings.in_force.into_inner() }
+    }
+}
+
+fn decode(directives: &[Directive]) -> Result<Operator, Vec<Fault>> {
+    let findings = Findings::default();
+    let mut file = Section::new("", directives, &findings);
+    let log = logging::Said::read(file.section("log"));
+    let admission = admission::Said::read(file.section("admission"));
+    let smpp = file.section("smpp");
+    let smpp = smpp.is_there().then(|| SmppConfig::read(smpp));
+    file.finish();
+    let mut faults = findings.faults.into_inner();
+    if faults.is_empty() {
+        return Ok(Operator { log, admission, smpp, in_force: findings.in_force.into_inner() });
+    }
+    faults.sort_by(|a, b| {
+        let key = |f: &Fault| (f.place.file.clone(), f.place.line, f.place.column);
+        key(a).cmp(&key(b))
+    });
+    Err(faults)
+}
+
+/// Faults as lines of a text.
+pub fn told(faults: &[Fault]) -> String {
+    faults.iter().map(Fault::to_string).collect::<Vec<_>>().join("\n")
+}
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -3,7 +3,7 @@
 use super::signals::Signals;
 use super::wiring::{Plan, PlatformPlan, SmppPlan};
 use super::{config, import, log, wiring};
-use crate::protocol::smpp;
+use crate::operator;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
 use argh::FromArgs;
@@ -38,9 +38,9 @@
     /// configuration file; $LB_CONFIG where it is not given; SIGHUP has it read again
     #[argh(option)]
     config: Option<PathBuf>,
-    /// file of the SMPP front, which is off without it; SIGHUP has it read again
+    /// the operator's own file (deploy/relay.conf is an example); SIGHUP has it read again
     #[argh(option)]
-    smpp: Option<PathBuf>,
+    operator: Option<PathBuf>,
 }
 
 /// print the version
@@ -55,9 +55,9 @@
     /// configuration file
     #[argh(positional)]
     config: Option<PathBuf>,
-    /// file of the SMPP front
+    /// the operator's own file: prints all settings in force, each with where it was said
     #[argh(option)]
-    smpp: Option<PathBuf>,
+    operator: Option<PathBuf>,
 }
 
 /// print a configuration for nginx's upstream and location blocks; what cannot be carried over is named with
@@ -84,21 +84,31 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            log::line(&why);
+            log::complain(&why);
             ExitCode::FAILURE
         }
     }
 }
 
+/// The process's own limit on descriptors.
+fn descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |n| n as usize)
+}
+
 fn check(args: CheckConfig) -> Result<(), String> {
-    if args.config.is_none() && args.smpp.is_none() {
+    if args.config.is_none() && args.operator.is_none() {
         return Err("nothing to check: name a configuration file".to_string());
     }
     if let Some(path) = args.config {
         println!("{}", config::read(&path)?.summary());
     }
-    if let Some(path) = args.smpp {
-        println!("{}", smpp::config::read(&path)?.summary());
+    if let Some(path) = args.operator {
+        let operator = operator::read(&path).map_err(|faults| operator::told(&faults))?;
+        operator.in_force.iter().for_each(|setting| println!("{setting}"));
+        if let Some(smpp) = operator.smpp {
+            println!("{}", smpp.summary());
+        }
     }
     Ok(())
 }
@@ -127,16 +137,19 @@
     if let Some(config) = &mut platform {
         config.heed_environment(environment)?;
     }
-    let front = args.smpp.as_ref().map(|path| smpp::config::read(path)).transpose()?;
-    if platform.is_none() && front.is_none() {
-        return Err("nothing to serve: give --config or --smpp, or set LB_CONFIG".to_string());
+    let operator = args.operator.as_ref().map(|path| operator::read(path)).transpose();
+    let operator = operator.map_err(|faults| operator::told(&faults))?.unwrap_or_default();
+    if platform.is_none() && operator.smpp.is_none() {
+        let missing = "give --config, an operator's file with a section `smpp`, or set LB_CONFIG";
+        return Err(format!("nothing to serve: {missing}"));
     }
+    log::init(operator.log.clone());
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let clock = Clock::system();
         let (again, reread) = unbounded_channel();
         let (moved, changes) = unbounded_channel();
-        let smpp = front.map(|config| {
+        let smpp = operator.smpp.clone().map(|config| {
             let state = platform.as_ref().map(|c| c.state.clone());
             let state = state.or_else(|| environment("LB_STATE").map(PathBuf::from));
             // Where both fronts run they share the disk evenly.
@@ -145,22 +158,31 @@
                 c.disk_bytes
             });
             let state = state.unwrap_or_else(|| PathBuf::from(".")).join("smpp");
-            SmppPlan { config, state, disk_bytes, seed: clock.now(), reread }
+            SmppPlan { config, state, disk_bytes, seed: clock.now() }
         });
         let platform = platform.map(|config| PlatformPlan { config, reread: changes });
         // A file that cannot be used changes nothing. The file read again stands above the environment.
         let read_again = move || {
             match from.as_ref().map(|path| config::read(path)) {
                 Some(Ok(config)) => drop(moved.send(config)),
-                Some(Err(why)) => log::line(&format!("the configuration stays as it was read before: {why}")),
+                Some(Err(why)) => {
+                    let text = "the configuration stays as it was read before";
+                    tracing::error!(target: "relay", event = "reread-failed", "{text}: {why}");
+                }
                 None => {}
             }
-            match args.smpp.as_ref().map(|path| smpp::config::read(path)) {
-                Some(Ok(config)) => drop(again.send(config)),
-                Some(Err(why)) => log::line(&format!("smpp: the file stays as it was read before: {why}")),
+            match args.operator.as_ref().map(|path| operator::read(path)) {
+                Some(Ok(operator)) => drop(again.send(operator)),
+                Some(Err(faults)) => {
+                    let (text, count) = ("the operator's file stays as it was read before", faults.len());
+                    let first = faults.first().map(ToString::to_string).unwrap_or_default();
+                    tracing::error!(target: "operator", event = "operator-faulty", count, "{text}: {first}");
+                }
                 None => {}
             }
         };
-        wiring::run(Plan { platform, smpp }, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
+        let descriptors = descriptors();
+        let plan = Plan { platform, smpp, operator, changes: Some(reread), descriptors };
+        wiring::run(plan, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
     })
 }
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -1,8 +1,147 @@
-//! The log: one line an event, on standard error. ONCALL.md lists the lines.
+//! The log: events with a stable name (the field `event`) and fields, as text or JSON lines on standard error.
+//! ONCALL.md lists them. A kind of event gets a line a second at most; what came beyond that is summed up.
 
+use crate::operator::logging::Said;
+use std::collections::HashMap;
+use std::fmt::Debug;
 use std::io::Write;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+use tracing::field::{Field, Visit};
+use tracing::{Event, Level, Metadata};
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{fmt, Layer};
 
-/// A line; an error in writing it is nobody's concern.
-pub fn line(text: &str) {
+const EACH: Duration = Duration::from_secs(1);
+/// Kinds of events told apart at once: beyond that they are summed up by their names alone.
+const KINDS: usize = 1_024;
+/// What answers a message, not an operator: each is a line of its own.
+const NEVER_SUMMED: &str = "message-end";
+
+/// Words on what keeps a command from being done; not part of the log.
+pub fn complain(text: &str) {
     writeln!(std::io::stderr(), "basaltloom: {text}").ok();
 }
+
+struct Shared {
+    said: Mutex<Said>,
+    kinds: Mutex<HashMap<Kind, Seen>>,
+}
+
+/// An event's name, and the next hop or address that it is about.
+type Kind = (String, String);
+
+#[derive(Clone, Copy)]
+struct Seen {
+    told: Instant,
+    untold: u64,
+}
+
+static SHARED: OnceLock<Arc<Shared>> = OnceLock::new();
+
+/// Sets the log up for this process; a second call only changes its settings.
+pub fn init(said: Said) {
+    let shared = Arc::new(Shared { said: Mutex::new(said.clone()), kinds: Mutex::default() });
+    if SHARED.set(shared.clone()).is_err() {
+        return heed(said);
+    }
+    let text =
+        fmt::layer().with_writer(std::io::stderr).with_filter(Lets { shared: shared.clone(), json: false });
+    let json = fmt::layer().json().flatten_event(true).with_writer(std::io::stderr);
+    let json = json.with_filter(Lets { shared, json: true });
+    tracing_subscriber::registry().with(text).with(json).try_init().ok();
+}
+
+/// Other settings, from now on.
+pub fn heed(said: Said) {
+    if let Some(shared) = SHARED.get() {
+        *lock(&shared.said) = said;
+    }
+}
+
+/// Tells what was summed up, once it is a second old. Wanted about once a second.
+pub fn sum_up() {
+    let Some(shared) = SHARED.get() else { return };
+    let mut summed = Vec::new();
+    lock(&shared.kinds).retain(|kind, seen| {
+        if seen.told.elapsed() < EACH {
+            return true;
+        }
+        if seen.untold > 0 {
+            summed.push((kind.clone(), seen.untold));
+        }
+        false
+    });
+    for ((name, about), count) in summed {
+        tracing::info!(target: "relay", event = "repeated", of = name, about, count, "came again, not told each");
+    }
+}
+
+/// A panic elsewhere does not make the log unusable.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct Lets {
+    shared: Arc<Shared>,
+    json: bool,
+}
+
+impl<S> Filter<S> for Lets {
+    fn enabled(&self, meta: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        let said = lock(&self.shared.said);
+        said.json == self.json && *meta.level() <= level(&said, meta.target())
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let mut about = About::default();
+        event.record(&mut about);
+        if about.event == NEVER_SUMMED || about.event == "repeated" {
+            return true;
+        }
+        let mut kinds = lock(&self.shared.kinds);
+        if kinds.len() >= KINDS {
+            about.about.clear();
+        }
+        let now = Instant::now();
+        let seen = kinds.entry((about.event, about.about));
+        let mut first = false;
+        let seen = seen.or_insert_with(|| {
+            first = true;
+            Seen { told: now, untold: 0 }
+        });
+        let due = first || now - seen.told >= EACH && seen.untold == 0;
+        if due {
+            seen.told = now;
+        } else {
+            seen.untold += 1;
+        }
+        due
+    }
+}
+
+/// A part's own level, else that of all; parts that are not ours count as the relay's.
+fn level(said: &Said, target: &str) -> Level {
+    let own = said.targets.iter().find(|(name, _)| name == target);
+    own.map_or(said.level, |(_, level)| *level)
+}
+
+/// What kind of event it is.
+#[derive(Default)]
+struct About {
+    event: String,
+    about: String,
+}
+
+impl Visit for About {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        match field.name() {
+            "event" => self.event = value.to_string(),
+            "hop" | "from" | "account" => self.about = value.to_string(),
+            _ => {}
+        }
+    }
+
+    fn record_debug(&mut self, _: &Field, _: &dyn Debug) {}
+}
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -2,13 +2,18 @@
 
 use super::config::Config;
 use super::log;
+use crate::admission::ledger::{self, Ledger, Purse};
+use crate::admission::Settings;
+use crate::operator::admission::Refusal;
+use crate::operator::Operator;
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::{Clock, Core, Desk, Front, Journal, RouteNews};
-use crate::transport::network::Net;
-use crate::transport::{Leg, Legs, Pool};
+use crate::transport::network::{Counted, Net};
+use crate::transport::{Door, Leg, Legs, Pool};
+use bytes::Bytes;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -23,14 +28,23 @@
 const KILLED_AFTER: Duration = Duration::from_millis(3_600);
 /// Callers may still come for a while after the signal; to be gone by then would turn them away unheard.
 const STAYS: Duration = Duration::from_millis(1_500);
-/// Descriptors for the listener, the log, the journal, discovery and the notices.
+/// Descriptors for the listener, the log, the journal, discovery and the notices, and some to move with.
 const SPARE: usize = 32;
+/// Of them, those that discovery, notices and the journal draw as they need them.
+const RECORDS: usize = SPARE - ledger::ALWAYS;
+/// More descriptors than this are not planned with, whatever the system allows.
+const MOST: usize = 1 << 20;
 
 /// What is to run: one front or both, each on a core and a journal of its own.
 #[derive(Default)]
 pub struct Plan {
     pub platform: Option<PlatformPlan>,
     pub smpp: Option<SmppPlan>,
+    pub operator: Operator,
+    /// The operator's file read again, as often as that is asked for.
+    pub changes: Option<UnboundedReceiver<Operator>>,
+    /// Descriptors that the process may have.
+    pub descriptors: usize,
 }
 
 pub struct PlatformPlan {
@@ -44,8 +58,6 @@
     pub state: PathBuf,
     pub disk_bytes: u64,
     pub seed: u64,
-    /// The file read again, as often as that is asked for.
-    pub reread: UnboundedReceiver<SmppConfig>,
 }
 
 /// Runs the relay until `told_to_end`, and winds it up.
@@ -66,7 +78,7 @@
 
     told_to_end.await;
     let told = Instant::now();
-    log::line("told to end: callers are asked to leave, what is out is seen to its end");
+    tracing::info!(target: "relay", event = "told-to-end", "callers are asked to leave, what is out is seen to its end");
     if let Some((desk, legs)) = &platform {
         legs.close_when_idle();
         close(desk);
@@ -87,33 +99,138 @@
     }
     let platform = platform.map_or(0, |(d, _)| d.see(Core::open));
     let smpp = smpp.map_or(0, |d| d.see(Core::open));
-    log::line(&format!("ends with {} transactions in the journal", platform + smpp));
+    let left = platform + smpp;
+    tracing::info!(target: "relay", event = "ends", left, "ends with {left} transactions in the journal");
     Ok(())
 }
 
 type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
 
 async fn start(
-    plan: Plan,
+    mut plan: Plan,
     net: Net,
     clock: Clock,
 ) -> Result<(Option<PlatformDesk>, Option<Rc<Desk<Smpp>>>), String> {
+    let door = open_door(&plan, &net);
+    spawn_local(door.clone().give_way());
+    spawn_local(watch(door.clone()));
+    let (refusal, changes) = (plan.operator.admission.refusal, plan.changes.take());
+    let plain = plain(&plan);
     let platform = match plan.platform {
-        Some(plan) => Some(start_platform(plan, net.clone(), clock).await?),
+        Some(plan) => Some(start_platform(plan, net.clone(), door.clone(), refusal, clock).await?),
         None => None,
     };
     let smpp = match plan.smpp {
-        Some(plan) => Some(start_smpp(plan, net, clock).await?),
+        Some(plan) => Some(start_smpp(plan, net, door.clone(), clock).await?),
         None => None,
     };
+    if let Some(changes) = changes {
+        spawn_local(follow_operator(
+            changes,
+            plain,
+            door,
+            platform.as_ref().map(|p| p.1.clone()),
+            smpp.clone(),
+        ));
+    }
     Ok((platform, smpp))
 }
 
+/// Takes in the operator's file as it was read again: the log, admission, and of SMPP its next hops.
+async fn follow_operator(
+    mut changes: UnboundedReceiver<Operator>,
+    plain: Settings,
+    door: Rc<Door>,
+    legs: Option<Rc<Legs>>,
+    smpp: Option<Rc<Desk<Smpp>>>,
+) {
+    while let Some(said) = changes.recv().await {
+        log::heed(said.log.clone());
+        let closed = door.reload(said.admission.settings(plain.clone()));
+        if let Some(legs) = &legs {
+            legs.say(words(said.admission.refusal));
+        }
+        match (&smpp, &said.smpp) {
+            (Some(desk), Some(config)) => smpp::learn(desk, config),
+            (None, None) => {}
+            _ => {
+                tracing::warn!(target: "operator", event = "reread-needs-restart", "the SMPP front comes or goes with a restart alone")
+            }
+        }
+        let text = "the operator's file was read again";
+        tracing::info!(target: "operator", event = "operator-reread", closed, "{text}: {closed} legs beyond its caps are closed");
+    }
+}
+
+/// What a caller is told that is turned away before it has asked.
+fn words(refusal: Refusal) -> Bytes {
+    match refusal {
+        Refusal::Close => Bytes::new(),
+        Refusal::Unavailable(after) => {
+            let after = after.as_secs_f64();
+            let head = format!("HTTP/1.1 503 Service Unavailable\r\nRetry-After: {after}\r\n");
+            Bytes::from(head + "Connection: close\r\nContent-Length: 0\r\n\r\n")
+        }
+    }
+}
+
+/// Tells once a second what the door did, where it turned anybody away or ran short.
+async fn watch(door: Rc<Door>) {
+    loop {
+        sleep(Duration::from_secs(1)).await;
+        log::sum_up();
+        let tally = door.take_tally();
+        let (open, known) = door.open();
+        let (admitted, made_room) = (tally.admitted, tally.made_room);
+        if tally.refusals() > 0 {
+            let by: Vec<String> =
+                tally.refused.iter().map(|(why, n)| format!("{}={n}", why.name())).collect();
+            let (refused, by) = (tally.refusals(), by.join(" "));
+            tracing::warn!(target: "admission", event = "legs-refused", refused, by, open, known, "callers were turned away");
+        }
+        if tally.without_descriptor > 0 {
+            let count = tally.without_descriptor;
+            tracing::warn!(target: "admission", event = "descriptors-out", count, open, "callers were turned away for want of descriptors");
+        }
+        if tally.not_introduced > 0 {
+            let count = tally.not_introduced;
+            tracing::warn!(target: "admission", event = "not-introduced", count, "legs of a front had no PROXY header that could be read");
+        }
+        tracing::debug!(target: "admission", event = "legs", open, known, admitted, made_room, "the last second");
+    }
+}
+
+/// The door for all listeners, and the descriptors that go through it: as many as the platform allows, or the
+/// process has, whichever is lower.
+fn open_door(plan: &Plan, net: &Net) -> Rc<Door> {
+    let total = descriptors(plan);
+    let room = room(total);
+    let admission = plan.operator.admission.settings(plain(plan));
+    let kept = [RECORDS, room / 3, admission.reserve, 0];
+    let ledger = Ledger::new(total.saturating_sub(ledger::ALWAYS).max(room), kept);
+    Door::new(admission, ledger, net.clone())
+}
+
+fn descriptors(plan: &Plan) -> usize {
+    plan.platform.as_ref().map_or(MOST, |p| p.config.sockets).min(plan.descriptors).min(MOST)
+}
+
+/// Descriptors for callers and calls.
+fn room(total: usize) -> usize {
+    total.saturating_sub(SPARE).max(16)
+}
+
+/// What holds of admission where the operator says nothing.
+fn plain(plan: &Plan) -> Settings {
+    let total = descriptors(plan);
+    Settings::plain(room(total) * 2 / 3, total / 4)
+}
+
 /// Starts a task without which the relay would stand still, and starts it again if it panics.
 fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
     spawn_local(async move {
         while spawn_local(task()).await.is_err_and(|e| e.is_panic()) {
-            log::line(&format!("{name} failed and goes on"));
+            tracing::error!(target: "relay", event = "part-failed", part = name, "{name} failed and goes on");
         }
     });
 }
@@ -132,20 +249,27 @@
         .map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))
 }
 
-async fn start_platform(plan: PlatformPlan, net: Net, clock: Clock) -> Result<PlatformDesk, String> {
+async fn start_platform(
+    plan: PlatformPlan,
+    net: Net,
+    door: Rc<Door>,
+    refusal: Refusal,
+    clock: Clock,
+) -> Result<PlatformDesk, String> {
     let PlatformPlan { config, reread } = plan;
     let (journal, replayed) = journal(&config.state, config.disk_bytes, config.classes.clone())?;
     let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
     let connect = Duration::from_nanos(config.connect_timeout);
-    let room = config.sockets.saturating_sub(SPARE).max(16);
-    let pool = Pool::new(net.clone(), room / 3, keepalive, connect);
-    let legs = Legs::new(room * 2 / 3, config.sockets / 4);
+    let drawing = |purse| Counted::over(net.clone(), door.ledger().clone(), purse);
+    let pool = Pool::new(drawing(Purse::Calls), door.ledger().kept(Purse::Calls), keepalive, connect);
+    let legs = Legs::new(door.clone(), words(refusal));
+    let records = drawing(Purse::Records);
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let core = Core::new(config.settings, config.seed, journal, replayed, &config.known, false, clock.now());
     let classes =
         Classes { names: config.classes, defaults: config.defaults, rest: config.default_class, longest };
-    let front = Platform::new(net.clone(), pool.clone(), classes, config.discovery, log::line);
+    let front = Platform::new(records.clone(), pool.clone(), classes, config.discovery);
     let desk = Desk::new(core, clock, front);
     desk.act(|_, _| ());
 
@@ -159,7 +283,7 @@
     let learner = desk.clone();
     let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
     let agent = desk.front.agent.subscribe();
-    spawn_local(discovery::follow(net, agent, config.names.clone(), learn, log::line));
+    spawn_local(discovery::follow(records, agent, config.names.clone(), learn));
     spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
@@ -169,7 +293,8 @@
         }
     };
     spawn_local(legs.clone().accept(listener, answer, gone));
-    log::line(&format!("{} serves on {address}", config.name));
+    let name = &config.name;
+    tracing::info!(target: "relay", event = "serves", front = "platform", %address, "{name} serves on {address}");
     Ok((desk, legs))
 }
 
@@ -186,36 +311,40 @@
         let agent = config.discovery.or(first);
         desk.front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
         match agent {
-            Some(agent) => log::line(&format!("the configuration was read again: discovery at {agent}")),
+            Some(agent) => {
+                tracing::info!(target: "relay", event = "reread", %agent, "the configuration was read again: discovery at {agent}");
+            }
             None if config.names == names => {
                 desk.act(|core, now| core.learn(now, &config.known));
-                log::line("the configuration was read again: its list stands");
+                tracing::info!(target: "relay", event = "reread", "the configuration was read again: its list stands");
+            }
+            None => {
+                let text = "the configuration was read again: other kinds or zones need a restart";
+                tracing::warn!(target: "relay", event = "reread-needs-restart", "{text}");
             }
-            None => log::line("the configuration was read again: other kinds or zones need a restart"),
         }
     }
 }
 
-async fn start_smpp(plan: SmppPlan, net: Net, clock: Clock) -> Result<Rc<Desk<Smpp>>, String> {
-    let SmppPlan { config, state, disk_bytes, seed, mut reread } = plan;
+async fn start_smpp(
+    plan: SmppPlan,
+    net: Net,
+    door: Rc<Door>,
+    clock: Clock,
+) -> Result<Rc<Desk<Smpp>>, String> {
+    let SmppPlan { config, state, disk_bytes, seed } = plan;
     let (journal, replayed) = journal(&state, disk_bytes, config.class_list())?;
     let (settings, known) = (config.settings.clone(), config.route_news());
     let core = Core::new(settings, seed, journal, replayed, &known, true, clock.now());
     let listener = net.listen(config.listen).await;
     let listener = listener.map_err(|e| format!("smpp: cannot listen on {}: {e}", config.listen))?;
     let address = listener.address().unwrap_or(config.listen);
-    let desk = Desk::new(core, clock, Smpp::new(config, net, clock.now(), log::line));
+    let calls = Counted::over(net, door.ledger().clone(), Purse::Calls);
+    let desk = Desk::new(core, clock, Smpp::new(config, calls, clock.now()));
     desk.act(|_, _| ());
     let timed = desk.clone();
     keep_up("the SMPP timer", move || timed.clone().keep_time());
-    spawn_local(smpp::accept(desk.clone(), listener));
-    let learner = desk.clone();
-    spawn_local(async move {
-        while let Some(config) = reread.recv().await {
-            smpp::learn(&learner, &config);
-            log::line("smpp: the file was read again");
-        }
-    });
-    log::line(&format!("smpp: serves on {address}"));
+    spawn_local(smpp::accept(desk.clone(), door, listener));
+    tracing::info!(target: "relay", event = "serves", front = "smpp", %address, "smpp: serves on {address}");
     Ok(desk)
 }
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -74,13 +74,12 @@
     mut agent: watch::Receiver<Option<SocketAddr>>,
     names: Names,
     mut learn: impl FnMut(RouteNews),
-    log: impl Fn(&str),
 ) {
     loop {
         let at = *agent.borrow_and_update();
         let following = async {
             match at {
-                Some(at) => follow_one(&net, at, &names, &mut learn, &log).await,
+                Some(at) => follow_one(&net, at, &names, &mut learn).await,
                 None => std::future::pending().await,
             }
         };
@@ -93,13 +92,7 @@
 
 /// Follows the list at one address: the whole of it first, then watches, each following the last answer at
 /// once.
-async fn follow_one(
-    net: &Net,
-    agent: SocketAddr,
-    names: &Names,
-    learn: &mut impl FnMut(RouteNews),
-    log: &impl Fn(&str),
-) {
+async fn follow_one(net: &Net, agent: SocketAddr, names: &Names, learn: &mut impl FnMut(RouteNews)) {
     let mut seq = None;
     let mut line = None;
     let mut failing = false;
@@ -109,7 +102,7 @@
         match ask(net, agent, &mut line, seq).await.and_then(|v| news(&v, names)) {
             Some(told) => {
                 if std::mem::take(&mut failing) {
-                    log("discovery answers again");
+                    tracing::info!(target: "platform", event = "discovery-back", "discovery answers again");
                 }
                 if seq != Some(told.seq) || told.whole {
                     seq = Some(told.seq);
@@ -120,7 +113,7 @@
             None => {
                 line = None;
                 if !std::mem::replace(&mut failing, true) {
-                    log("discovery does not answer");
+                    tracing::warn!(target: "platform", event = "discovery-silent", "discovery does not answer");
                 }
                 sleep(RETRY).await;
             }
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -57,18 +57,19 @@
     pub agent: watch::Sender<Option<SocketAddr>>,
     owed: RefCell<VecDeque<TransactionNo>>,
     more_owed: Notify,
-    log: fn(&str),
 }
 
 impl Platform {
-    pub fn new(net: Net, pool: Rc<Pool>, classes: Classes, agent: Option<SocketAddr>, log: fn(&str)) -> Self {
+    pub fn new(net: Net, pool: Rc<Pool>, classes: Classes, agent: Option<SocketAddr>) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
         let agent = watch::Sender::new(agent);
-        Platform { net, pool, classes, agent, owed, more_owed, log }
+        Platform { net, pool, classes, agent, owed, more_owed }
     }
 }
 
 impl Front for Platform {
+    const NAME: &'static str = "platform";
+
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
         let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
@@ -157,10 +158,6 @@
     fn trust(&self, idle: Nanos) {
         self.pool.trust(Duration::from_nanos(idle));
     }
-
-    fn log(&self, text: &str) {
-        (self.log)(text);
-    }
 }
 
 /// One request and its answer: what that means, and the rest of it where the rest means nothing.
@@ -264,11 +261,14 @@
                     front.owed.borrow_mut().rotate_left(1);
                 }
                 match status {
-                    Some(status) => front.log(&format!("notices: answered with {status}")),
+                    Some(status) => {
+                        let status = status.as_u16();
+                        tracing::warn!(target: "platform", event = "notices-refused", status, "notices: not taken, told again");
+                    }
                     None if failing => {}
                     // One connection that has fallen silent or was closed: the next try is on a new one.
                     None => {
-                        front.log("notices: no answer, told again");
+                        tracing::warn!(target: "platform", event = "notices-unanswered", "notices: no answer, told again");
                         failing = true;
                         continue;
                     }
@@ -287,7 +287,7 @@
             let told = desk.see(|core| core.transaction(no).and_then(|t| Some((t.id.clone(), t.ending?))));
             if let Some((id, ending)) = told {
                 notices::line(&id, ending, &mut text);
-                desk.front.log(text.trim_end());
+                tracing::info!(target: "platform", event = "message-end", "{}", text.trim_end());
             }
             desk.act(|core, now| core.acknowledged(now, no));
         }
--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -1,14 +1,11 @@
-//! The file that switches the SMPP front on: where it listens, who may bind, classes, carriers.
+//! The section of the operator's file that switches the SMPP front on: where it listens, who may bind, classes, carriers.
 
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
-use crate::protocol::fields::{address, flag, list, need, num, read_file, text};
+use crate::operator::section::{choice, count, duration, form, number, span, text, Section};
+use crate::operator::syntax::Word;
 use crate::routing::{NextHop, RouteNews, Standing};
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
-use tinyjson::JsonValue;
-
-type Res<T> = Result<T, String>;
 
 #[derive(Clone, Debug)]
 pub struct SmppConfig {
@@ -72,135 +69,192 @@
     pub leaving: bool,
 }
 
-pub fn read(path: &Path) -> Res<SmppConfig> {
-    read_file(path, decode)
-}
-
-fn word(v: &JsonValue, name: &str) -> Res<String> {
-    need(text(v, name).map(str::to_string), name)
-}
-
-fn millis(v: &JsonValue, name: &str, default: f64) -> Nanos {
-    (num(v, name).unwrap_or(default) * 1e6) as Nanos
-}
+const REPEATS: &[(&str, &str)] = &[("safe", "safe"), ("keyed", "keyed"), ("unsafe", "unsafe")];
+const HEALTH: &[(&str, bool)] = &[("active", false), ("leaving", true)];
+const RECEIPTS: &[(&str, bool)] = &[("always", false), ("as-asked", true)];
 
-fn time(v: &JsonValue, name: &str, default: f64) -> Duration {
-    Duration::from_nanos(millis(v, name, default))
+fn class(name: &Word, mut s: Section<'_>) -> (SmppClass, Class) {
+    let repeat = match (s.need("repeat", choice(REPEATS)), s.one("memory").is_some()) {
+        ("keyed", _) => Repeat::Keyed { memory: s.need("memory", span), zone_only: false },
+        ("unsafe", false) => Repeat::Unsafe,
+        (_, false) => Repeat::Safe,
+        (_, true) => {
+            if let Some(line) = s.one("memory") {
+                s.fault(&line.name.place, "`memory` is for classes with `repeat keyed` alone".to_string());
+            }
+            Repeat::Safe
+        }
+    };
+    let of_class = Class {
+        aim: s.or("aim", "2s", span),
+        deadline: s.or("deadline", "30s", span),
+        worth: s.or("worth", "1", number(0.0, 1e6)),
+        late_worth: s.or("late-worth", "0.4", number(0.0, 1.0)),
+        repeat,
+        in_order: s.said("in-order"),
+    };
+    let service_types = words(&mut s, "service-types");
+    s.finish();
+    (SmppClass { name: name.text.clone(), service_types }, of_class)
 }
 
-fn count(v: &JsonValue, name: &str, default: f64) -> usize {
-    num(v, name).unwrap_or(default).max(1.0) as usize
+/// The words of a directive that takes any number of them.
+fn words(s: &mut Section<'_>, name: &'static str) -> Vec<String> {
+    let Some(line) = s.one(name) else { return Vec::new() };
+    let words: Vec<String> = line.values.iter().map(|w| w.text.clone()).collect();
+    s.note(name, &words.join(" "), Some(&line.name.place));
+    words
 }
 
-pub fn decode(v: &JsonValue) -> Res<SmppConfig> {
-    let classes: Vec<SmppClass> = list(v, "classes").iter().map(class_names).collect::<Res<_>>()?;
-    let accounts = list(v, "accounts").iter().map(|a| account(a, &classes)).collect::<Res<Vec<_>>>()?;
-    let carriers = list(v, "next_hops").iter().map(carrier).collect::<Res<Vec<_>>>()?;
-    let mut prefixes = Vec::new();
-    for d in list(v, "destinations") {
-        let dest = need(num(d, "dest"), "destinations[].dest")? as u64;
-        let texts = list(d, "prefixes").iter().filter_map(|p| p.get::<String>());
-        prefixes.extend(texts.map(|p| (p.trim_start_matches('+').to_string(), dest)));
-    }
-    // The longest prefix that fits decides.
-    prefixes.sort_by_key(|(p, _)| std::cmp::Reverse(p.len()));
-    let config = SmppConfig {
-        listen: address(&word(v, "listen")?, "listen")?,
-        system_id: text(v, "system_id").unwrap_or("basaltloom").to_string(),
-        settings: settings(v)?,
-        classes,
-        accounts,
-        carriers,
-        prefixes,
-        times: Times {
-            connect: time(v, "connect_ms", 1_500.0),
-            response: time(v, "response_ms", 5_000.0),
-            enquire: time(v, "enquire_link_ms", 30_000.0),
-        },
-        max_pdu: count(v, "max_pdu", 70_000.0),
-        max_sessions: count(v, "max_sessions", 64.0),
+fn account(name: &Word, mut s: Section<'_>, classes: &[SmppClass]) -> Account {
+    let class = |text: &str| {
+        let place = classes.iter().position(|c| c.name == text);
+        place.ok_or_else(|| {
+            let known: Vec<&str> = classes.iter().map(|c| c.name.as_str()).collect();
+            format!("a class of this section: one of `{}`", known.join("`, `"))
+        })
     };
-    if config.classes.is_empty() || config.accounts.is_empty() || config.carriers.is_empty() {
-        return Err("`classes`, `accounts` and `next_hops` each need an entry".to_string());
-    }
-    Ok(config)
+    let account = Account {
+        system_id: name.text.clone(),
+        password: password(&mut s),
+        class: s.need("class", class),
+        receipts_as_asked: s.or("receipts", "always", choice(RECEIPTS)),
+        window: s.or("window", "10", count(1, 10_000)),
+        max_binds: s.or("max-binds", "8", count(1, 10_000)),
+        max_owed: s.or("max-owed", "500", count(1, 10_000_000)),
+    };
+    s.finish();
+    account
 }
 
-fn class_names(c: &JsonValue) -> Res<SmppClass> {
-    let service_types = list(c, "service_types").iter().filter_map(|t| t.get::<String>().cloned()).collect();
-    Ok(SmppClass { name: word(c, "name")?, service_types })
+/// A password is not shown among the settings in force.
+fn password(s: &mut Section<'_>) -> String {
+    let Some(line) = s.one("password") else {
+        if let Some(place) = s.place.clone() {
+            s.fault(&place, "`password` is missing, expected one".to_string());
+        }
+        return String::new();
+    };
+    s.note("password", "...", Some(&line.name.place));
+    s.value(line).map(|w| w.text.clone()).unwrap_or_default()
 }
 
-fn account(a: &JsonValue, classes: &[SmppClass]) -> Res<Account> {
-    let name = word(a, "class")?;
-    let class = classes.iter().position(|c| c.name == name);
-    Ok(Account {
-        system_id: word(a, "system_id")?,
-        password: word(a, "password")?,
-        class: class.ok_or_else(|| format!("account of class {name:?}, which is not among `classes`"))?,
-        receipts_as_asked: text(a, "receipts") == Some("as-asked"),
-        window: count(a, "window", 10.0),
-        max_binds: count(a, "max_binds", 8.0),
-        max_owed: count(a, "max_owed", 500.0),
-    })
+/// An address to dial or to listen on; what stands in for a bad one is never used.
+fn socket(s: &mut Section<'_>, name: &'static str) -> SocketAddr {
+    let read =
+        |text: &str| form::<SocketAddr>("an address and port such as `127.0.0.1:2775`")(text).map(Some);
+    s.need(name, read).unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
-fn carrier(n: &JsonValue) -> Res<Carrier> {
-    Ok(Carrier {
-        name: word(n, "name")?,
-        dial: address(&word(n, "dial")?, "dial")?,
-        dest: need(num(n, "dest"), "next_hops[].dest")? as u64,
-        system_id: word(n, "system_id")?,
-        password: word(n, "password")?,
-        system_type: text(n, "system_type").unwrap_or("").to_string(),
-        binds: count(n, "binds", 1.0),
-        window: count(n, "window", 10.0),
-        leaving: text(n, "health") == Some("leaving"),
-    })
+fn carrier(name: &Word, mut s: Section<'_>) -> Carrier {
+    let carrier = Carrier {
+        name: name.text.clone(),
+        dial: socket(&mut s, "dial"),
+        dest: s.need("dest", count(0, usize::MAX)) as u64,
+        system_id: s.need("system-id", text),
+        password: password(&mut s),
+        system_type: s.maybe("system-type", text).unwrap_or_default(),
+        binds: s.or("binds", "1", count(1, 1_000)),
+        window: s.or("window", "10", count(1, 10_000)),
+        leaving: s.or("health", "active", choice(HEALTH)),
+    };
+    s.finish();
+    carrier
 }
 
-fn settings(v: &JsonValue) -> Res<Settings> {
-    Ok(Settings {
-        senders: count(v, "limits.senders", 1.0) as u32,
-        slots: count(v, "limits.calls_out", 32.0),
-        max_held: count(v, "limits.max_open", 400.0),
-        max_attempts: count(v, "limits.most_tries", 8.0) as u32,
+fn settings(s: &mut Section<'_>, classes: Vec<Class>) -> Settings {
+    let mut limits = s.section("limits");
+    let mut rules = s.section("rules");
+    let settings = Settings {
+        senders: limits.or("senders", "1", count(1, 10_000)) as u32,
+        slots: limits.or("calls-out", "32", count(1, 100_000)),
+        max_held: limits.or("max-open", "400", count(1, 10_000_000)),
+        max_attempts: limits.or("most-tries", "8", count(1, 1_000)) as u32,
         // A submit that is out cannot be called back on a bind that others use.
         may_cancel: false,
         must_subscribe: false,
         keepalive: Nanos::MAX / 4,
-        max_come_back: millis(v, "limits.max_come_back_ms", 3_000.0),
+        max_come_back: limits.or("max-come-back", "3s", span),
         limits: Limits::Unlisted,
         late: Late::Even,
-        classes: list(v, "classes").iter().map(class).collect::<Res<_>>()?,
+        classes,
         kinds: vec![Kind { apart: false, per_call: 1 }],
         zone_fee: Vec::new(),
-        cold_share: num(v, "rules.cold_share").unwrap_or(0.2),
-        warm_up: millis(v, "rules.warm_up_ms", 10_000.0),
-        overload_factor: num(v, "rules.overload_factor").unwrap_or(2.0),
-        fall: millis(v, "rules.fall_ms", 1_500.0),
-        key_rest: millis(v, "rules.key_rest_ms", 100.0),
-    })
-}
-
-fn class(c: &JsonValue) -> Res<Class> {
-    let repeat = match text(c, "repeat") {
-        Some("safe") => Repeat::Safe,
-        Some("keyed") => Repeat::Keyed { memory: millis(c, "memory_ms", 0.0), zone_only: false },
-        Some("unsafe") => Repeat::Unsafe,
-        other => return Err(format!("`classes[].repeat`: {other:?} is none of safe, keyed, unsafe")),
+        cold_share: rules.or("cold-share", "0.2", number(0.001, 1.0)),
+        warm_up: rules.or("warm-up", "10s", span),
+        overload_factor: rules.or("overload-factor", "2", number(1.0, 1e6)),
+        fall: rules.or("fall", "1500ms", span),
+        key_rest: rules.or("key-rest", "100ms", span),
     };
-    Ok(Class {
-        aim: millis(c, "aim_ms", 2_000.0),
-        deadline: millis(c, "deadline_ms", 30_000.0),
-        worth: num(c, "worth").unwrap_or(1.0),
-        late_worth: num(c, "late_worth").unwrap_or(0.4),
-        repeat,
-        in_order: flag(c, "in_order") == Some(true),
-    })
+    limits.finish();
+    rules.finish();
+    settings
 }
 
 impl SmppConfig {
+    /// The section `smpp` of the operator's file.
+    pub fn read(mut section: Section<'_>) -> SmppConfig {
+        let s = &mut section;
+        let listen = socket(s, "listen");
+        let system_id = s.or("system-id", "basaltloom", text);
+        let times = Times {
+            connect: s.or("connect", "1500ms", duration),
+            response: s.or("response", "5s", duration),
+            enquire: s.or("enquire-link", "30s", duration),
+        };
+        let max_pdu = s.or("max-pdu", "70000", count(16, 16 << 20));
+        let max_sessions = s.or("max-sessions", "64", count(1, 100_000));
+        let (classes, of_classes): (Vec<SmppClass>, Vec<Class>) =
+            s.named_sections("class").into_iter().map(|(name, inner)| class(name, inner)).unzip();
+        let settings = settings(s, of_classes);
+        let accounts: Vec<Account> = s
+            .named_sections("account")
+            .into_iter()
+            .map(|(name, inner)| account(name, inner, &classes))
+            .collect();
+        let mut prefixes: Vec<(String, u64)> = Vec::new();
+        for (name, mut inner) in s.named_sections("destination") {
+            let dest = inner.read(name, count(0, usize::MAX)).unwrap_or_default() as u64;
+            for prefix in words(&mut inner, "prefixes") {
+                let prefix = prefix.trim_start_matches('+').to_string();
+                if let (Some((_, other)), Some(place)) =
+                    (prefixes.iter().find(|(p, _)| *p == prefix), inner.place.clone())
+                {
+                    inner.fault(&place, format!("prefix `{prefix}` belongs to destination {other} already"));
+                }
+                prefixes.push((prefix, dest));
+            }
+            inner.finish();
+        }
+        // The longest prefix that fits decides.
+        prefixes.sort_by_key(|(p, _)| std::cmp::Reverse(p.len()));
+        let carriers: Vec<Carrier> =
+            s.named_sections("next-hop").into_iter().map(|(name, inner)| carrier(name, inner)).collect();
+        if let Some(place) = section.place.clone() {
+            let there = [
+                ("class", classes.is_empty()),
+                ("account", accounts.is_empty()),
+                ("next-hop", carriers.is_empty()),
+            ];
+            for (name, _) in there.iter().filter(|(_, missing)| *missing) {
+                section.fault(&place, format!("`smpp` has no `{name}`, expected one at least"));
+            }
+        }
+        section.finish();
+        SmppConfig {
+            listen,
+            system_id,
+            settings,
+            classes,
+            accounts,
+            carriers,
+            prefixes,
+            times,
+            max_pdu,
+            max_sessions,
+        }
+    }
+
     /// The class of a message of this account, by its service type.
     pub fn class_of(&self, account: &Account, service_type: &str) -> usize {
         let named = |c: &SmppClass| c.service_types.iter().any(|t| t == service_type);
--- a/src/protocol/smpp/esme.rs
+++ b/src/protocol/smpp/esme.rs
@@ -2,7 +2,9 @@
 
 use super::link::{self, Heard, Link};
 use super::{receipt, Account, Smpp};
+use crate::admission::Deed;
 use crate::routing::{Desk, Offer, Taken, TransactionNo};
+use crate::transport::door::Entrant;
 use crate::transport::Stream;
 use bytes::Bytes;
 use rusmpp::pdus::{
@@ -38,7 +40,7 @@
 }
 
 /// Serves one leg to its end.
-pub async fn serve(desk: Rc<Desk<Smpp>>, stream: Stream) {
+pub async fn serve(desk: Rc<Desk<Smpp>>, stream: Stream, entrant: Rc<Entrant>) {
     let front = &desk.front;
     let (link, mut reader) = link::open(stream, front.config.max_pdu);
     front.legs.borrow_mut().push(link.clone());
@@ -49,12 +51,18 @@
     loop {
         let heard = tokio::select! {
             heard = link.hear(&mut reader) => heard,
-            () = sleep_until(bind_by), if bound.is_none() => None,
+            () = sleep_until(bind_by), if bound.is_none() => {
+                entrant.deed(Deed::Junk);
+                None
+            }
+            // Not once it is bound, unless a cap was lowered.
+            () = entrant.evicted() => None,
         };
         let Some(heard) = heard else { break };
         let (command, body) = match heard {
             Heard::Request(command, body) => (command, body),
             Heard::Bad { sequence, status } => {
+                entrant.deed(Deed::Junk);
                 link.answer(sequence, status, Pdu::GenericNack).await;
                 continue;
             }
@@ -76,11 +84,21 @@
                     Some(_) => Err(CommandStatus::EsmeRalybnd),
                     None => bind(&desk, &link, pdu).map(|b| bound = Some(b)),
                 };
+                match &status {
+                    // The account vouches for whoever is on the leg.
+                    Ok(()) => entrant.vouch(),
+                    Err(CommandStatus::EsmeRalybnd | CommandStatus::EsmeRbindfail) => {}
+                    Err(_) => entrant.deed(Deed::Junk),
+                }
                 let answer = bind_answer(command.id(), &front.config.system_id);
                 link.answer(sequence, status.err().unwrap_or(CommandStatus::EsmeRok), answer).await;
             }
             (CommandId::SubmitSm, Some(Pdu::SubmitSm(submit))) => match &bound {
-                Some(b) if b.submits => take(&desk, &link, &b.account, sequence, submit, body).await,
+                Some(b) if b.submits => {
+                    if take(&desk, &link, &b.account, sequence, submit, body).await {
+                        entrant.deed(Deed::Good);
+                    }
+                }
                 _ => {
                     answer_submit(&link, sequence, CommandStatus::EsmeRinvbndsts, "").await;
                 }
@@ -139,7 +157,7 @@
     link.answer(sequence, status, SubmitSmResp::builder().message_id(id).build()).await
 }
 
-/// Takes a message on, or says why not. One whose answer could not be written is withdrawn: its ESME was
+/// Takes a message on, or says why not; true once it is. One whose answer could not be written is withdrawn: its ESME was
 /// never told of it.
 async fn take(
     desk: &Rc<Desk<Smpp>>,
@@ -148,7 +166,7 @@
     sequence: u32,
     submit: &SubmitSm,
     body: Bytes,
-) {
+) -> bool {
     let (status, id, no) = match offer(desk, account, submit, body) {
         Err(status) => (status, String::new(), None),
         Ok(offer) => {
@@ -167,6 +185,7 @@
     if let Some(no) = no.filter(|_| !heard) {
         desk.act(|core, now| core.withdraw(now, no));
     }
+    heard && status == CommandStatus::EsmeRok
 }
 
 fn offer(
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -12,6 +12,7 @@
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, Front, NextHopId, TransactionNo};
 use crate::transport::network::{Listen, Net};
+use crate::transport::Door;
 use bytes::{Bytes, BytesMut};
 use config::SmppConfig;
 use link::Link;
@@ -45,11 +46,10 @@
     net: Net,
     ids: Cell<u32>,
     started_ms: Nanos,
-    log: fn(&str),
 }
 
 impl Smpp {
-    pub fn new(config: SmppConfig, net: Net, now: Nanos, log: fn(&str)) -> Smpp {
+    pub fn new(config: SmppConfig, net: Net, now: Nanos) -> Smpp {
         let account = |a: &config::Account| {
             let (binds, owed, more) = (Cell::new(0), RefCell::default(), Notify::new());
             Rc::new(Account { config: a.clone(), binds, owed, more })
@@ -62,7 +62,6 @@
             net,
             ids: Cell::new(0),
             started_ms: now / 1_000_000,
-            log,
             config,
         };
         front.know_carriers(&front.config);
@@ -105,6 +104,8 @@
 }
 
 impl Front for Smpp {
+    const NAME: &'static str = "smpp";
+
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
         let all = |outcome| {
             let branches = passage.call.branches.iter();
@@ -153,7 +154,9 @@
                     account.more.notify_one();
                 }
                 Some((Some(_), _)) => desk.act(|core, now| core.acknowledged(now, no)),
-                Some((None, _)) => (self.log)(&format!("smpp: transaction {no} is owed to no known account")),
+                Some((None, _)) => {
+                    tracing::warn!(target: "smpp", event = "owed-to-nobody", no, "owed to no known account");
+                }
                 None => {}
             }
         }
@@ -164,10 +167,6 @@
             binds.close_idle();
         }
     }
-
-    fn log(&self, text: &str) {
-        (self.log)(&format!("smpp: {text}"));
-    }
 }
 
 /// Whether the ESME asked for a receipt of this end.
@@ -182,16 +181,23 @@
     }
 }
 
-/// Lets ESMEs in.
-pub async fn accept(desk: Rc<Desk<Smpp>>, listener: Box<dyn Listen>) {
+/// Lets ESMEs in, as far as there is room for them.
+pub async fn accept(desk: Rc<Desk<Smpp>>, door: Rc<Door>, listener: Box<dyn Listen>) {
     loop {
-        let Ok(stream) = listener.accept().await else {
-            sleep(Duration::from_millis(20)).await;
+        let (stream, entrant) = door.next(&*listener, &[]).await;
+        if desk.front.legs.borrow().len() >= desk.front.config.max_sessions {
             continue;
-        };
-        if desk.front.legs.borrow().len() < desk.front.config.max_sessions {
-            spawn_local(esme::serve(desk.clone(), stream));
         }
+        let (desk, door) = (desk.clone(), door.clone());
+        spawn_local(async move {
+            let stream = tokio::select! {
+                stream = door.introduce(&entrant, stream, &[]) => stream,
+                () = entrant.evicted() => None,
+            };
+            if let Some(stream) = stream {
+                esme::serve(desk, stream, entrant).await;
+            }
+        });
     }
 }
 
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -38,6 +38,21 @@
     Failed,
 }
 
+/// Something for the log, with the stable name of its kind.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    pub event: &'static str,
+    /// The next hop that it is about.
+    pub hop: Option<String>,
+    pub text: String,
+}
+
+impl Note {
+    fn new(event: &'static str, text: String) -> Note {
+        Note { event, hop: None, text }
+    }
+}
+
 /// What the network is to do now.
 #[derive(Debug, Default)]
 pub struct Work {
@@ -48,7 +63,7 @@
     pub distrusted: Vec<NextHopId>,
     /// Idle time after which connections are not to be used any more, where a step was made.
     pub trusted_idle: Option<Nanos>,
-    pub notes: Vec<String>,
+    pub notes: Vec<Note>,
 }
 
 /// How a branch ended.
@@ -133,7 +148,9 @@
         let (route_set, work) = (RouteSet::default(), Work::default());
         let mut core = Core { facade, route_set, transactions, journal, next_no, tells_delivery, work };
         if torn > 0 {
-            core.work.notes.push(format!("journal: {torn} bytes at the end were no whole record"));
+            core.work
+                .notes
+                .push(Note::new("journal-torn", format!("{torn} bytes at the end were no whole record")));
         }
         core.learn(now, known);
         let sick = ailing.iter().filter_map(|name| core.route_set.find(name)).collect();
@@ -171,7 +188,8 @@
         }
         if !self.transactions.is_empty() {
             let (all, held) = (self.transactions.len(), asks.iter().filter(|a| !a.ended).count());
-            self.work.notes.push(format!("journal: {all} transactions restored, {held} still to deliver"));
+            let text = format!("{all} transactions restored, {held} still to deliver");
+            self.work.notes.push(Note::new("journal-restored", text));
         }
         let picked = self.facade.pick(now, asks);
         self.absorb(picked);
@@ -213,7 +231,8 @@
         }
         let no = self.next_no;
         if let Err(e) = self.journal.write(no, &Record::Taken(&t)) {
-            self.work.notes.push(format!("journal: cannot take a transaction on: {e}"));
+            let text = format!("cannot take a transaction on: {e}");
+            self.work.notes.push(Note::new("journal-cannot-take", text));
             return Taken::Refused { after: DOOR_ADVICE, full: true };
         }
         self.next_no += 1;
@@ -279,7 +298,8 @@
                 continue;
             }
             if let Err(e) = self.journal.write(no, &Record::Out { at: now, zone }) {
-                self.work.notes.push(format!("journal: cannot begin a branch: {e}"));
+                let text = format!("cannot begin a branch: {e}");
+                self.work.notes.push(Note::new("journal-cannot-begin", text));
                 continue;
             }
             (t.attempts, t.out) = (t.attempts + 1, Some((now, zone)));
@@ -300,7 +320,8 @@
             if let Some(out) = t.out.take() {
                 t.may_have_run = t.may_have_run.or(Some(out).filter(|_| ran));
                 if !reply.settles() && self.journal.write(no, &Record::Back { may_have_run: ran }).is_err() {
-                    self.work.notes.push("journal: an outcome could not be written".to_string());
+                    let text = "an outcome could not be written".to_string();
+                    self.work.notes.push(Note::new("journal-outcome-unwritten", text));
                 }
             }
             if let Reply::Rejected { reason } = reply {
@@ -373,7 +394,7 @@
         self.work.dropped.extend(picked.dropped);
         self.work.trusted_idle = Some(picked.trusted_idle);
         self.work.distrusted.extend(picked.distrusted);
-        let notes: Vec<String> = picked.notes.iter().map(|text| self.named(text)).collect();
+        let notes: Vec<Note> = picked.notes.iter().map(|text| self.named(text)).collect();
         self.work.notes.extend(notes);
         if let Some(ailing) = picked.ailing {
             let name = |id: &NextHopId| self.route_set.get(*id).map(|hop| hop.name.clone());
@@ -387,12 +408,24 @@
     }
 
     /// A note of the module with its hosts by the names that the route set gives them.
-    fn named(&self, text: &str) -> String {
-        let Some((before, rest)) = text.split_once("host ") else { return text.to_string() };
+    fn named(&self, text: &str) -> Note {
+        let turns = [
+            ("taken for down", "hop-down"),
+            ("answers again", "hop-back"),
+            ("is warm", "hop-warm"),
+            ("lost one call", "hop-lost-call"),
+            ("refuses as full", "hop-full"),
+        ];
+        let event = turns.iter().find(|(words, _)| text.contains(words)).map_or("hop", |(_, event)| event);
+        let plain = || Note::new(event, text.to_string());
+        let Some((before, rest)) = text.split_once("host ") else { return plain() };
         let (number, after) = rest.split_once(' ').unwrap_or((rest, ""));
         match number.parse().ok().and_then(|id| self.route_set.get(id)) {
-            Some(hop) => format!("{before}next hop {} {after}", hop.name),
-            None => text.to_string(),
+            Some(hop) => {
+                let text = format!("{before}next hop {} {after}", hop.name);
+                Note { event, hop: Some(hop.name.clone()), text }
+            }
+            None => plain(),
         }
     }
 
@@ -404,7 +437,8 @@
         }
         t.ending = Some(ending);
         if let Err(e) = self.journal.write(no, &Record::Ending(ending, t.reason)) {
-            self.work.notes.push(format!("journal: an end could not be written: {e}"));
+            let text = format!("an end could not be written: {e}");
+            self.work.notes.push(Note::new("journal-end-unwritten", text));
         }
         self.work.ended.push(no);
     }
@@ -414,7 +448,8 @@
             return;
         }
         if let Err(e) = self.journal.write(no, &Record::Over) {
-            self.work.notes.push(format!("journal: it could not be written that a transaction is over: {e}"));
+            let text = format!("it could not be written that a transaction is over: {e}");
+            self.work.notes.push(Note::new("journal-over-unwritten", text));
         }
         self.journal.tidy(&self.transactions);
     }
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,6 +1,6 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
-use super::core::{Carried, Core, Letter, Reply, Work};
+use super::core::{Carried, Core, Letter, Note, Reply, Work};
 use super::facade::{Call, NextHopId};
 use super::route_set::NextHop;
 use super::transactions::TransactionNo;
@@ -24,7 +24,8 @@
     fn distrust(&self, next_hop: NextHopId);
     /// Nor are, from now on, those that have waited for so long.
     fn trust(&self, _idle: Nanos) {}
-    fn log(&self, text: &str);
+    /// What the log calls it.
+    const NAME: &'static str;
 }
 
 pub struct Desk<F> {
@@ -37,6 +38,17 @@
     out: RefCell<HashMap<(TransactionNo, u32), Rc<Notify>>>,
 }
 
+/// A note in the log.
+fn tell<F: Front>(note: &Note) {
+    let (front, event, hop, text) = (F::NAME, note.event, note.hop.as_deref(), &note.text);
+    match event {
+        "journal-restored" => tracing::info!(target: "journal", event, front, "{text}"),
+        _ if event.starts_with("journal") => tracing::warn!(target: "journal", event, front, "{text}"),
+        "hop-down" => tracing::warn!(target: "routing", event, front, hop, "{text}"),
+        _ => tracing::info!(target: "routing", event, front, hop, "{text}"),
+    }
+}
+
 /// A call on its way.
 pub struct Passage<'a, F> {
     pub desk: &'a Rc<Desk<F>>,
@@ -95,7 +107,7 @@
     }
 
     fn set_going(self: &Rc<Self>, work: Work) {
-        work.notes.iter().for_each(|text| self.front.log(text));
+        work.notes.iter().for_each(tell::<F>);
         if let Some(idle) = work.trusted_idle {
             self.front.trust(idle);
         }
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,19 +1,20 @@
 //! Where callers connect, and the legs on which they talk.
 
 use super::connection::Tapped;
+use super::door::{Door, Entrant};
 use super::network::{Listen, Stream};
+use crate::admission::Deed;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::future::{poll_fn, Future};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
@@ -34,7 +35,7 @@
 /// One caller leg, as the service sees it.
 pub struct Leg {
     close: Notify,
-    evicted: Notify,
+    entrant: Rc<Entrant>,
     /// Since when it has waited for a request; none while one is being answered.
     idle_since: Cell<Option<Instant>>,
     /// Requests heard.
@@ -58,13 +59,17 @@
     }
 
     fn begins(&self) {
+        self.entrant.asked();
         self.idle_since.set(None);
         self.asked.set(self.asked.get().saturating_add(1));
     }
 
-    fn rests(&self) {
+    fn rests(&self, deed: Deed) {
         self.tap.listen_anew();
         self.idle_since.set(Some(Instant::now()));
+        if self.entrant.answered(deed) {
+            self.close.notify_one();
+        }
     }
 
     /// Until when the next request may come whole.
@@ -77,52 +82,59 @@
         }
     }
 
-    /// Completes when it has waited too long, or has to make room.
+    /// Completes when it has waited too long.
     async fn overstays(&self) {
-        let waits = async {
-            loop {
-                let now = Instant::now();
-                match self.idle_since.get().map(|since| self.due(since)) {
-                    Some(due) if due <= now => return,
-                    // Looked at again: a head may have begun meanwhile.
-                    Some(due) => sleep_until(due.min(now + HEAD_WITHIN / 4)).await,
-                    None => sleep_until(now + HEAD_WITHIN).await,
-                }
+        loop {
+            let now = Instant::now();
+            match self.idle_since.get().map(|since| self.due(since)) {
+                Some(due) if due <= now => return,
+                // Looked at again: a head may have begun meanwhile.
+                Some(due) => sleep_until(due.min(now + HEAD_WITHIN / 4)).await,
+                None => sleep_until(now + HEAD_WITHIN).await,
             }
-        };
-        tokio::select! {
-            () = waits => {}
-            () = self.evicted.notified() => {}
         }
     }
 }
 
-/// All caller legs.
+/// What an answer says of its request.
+fn deed(status: StatusCode) -> Deed {
+    match status {
+        StatusCode::ACCEPTED => Deed::Good,
+        // A client that says again what it said before is no bad one.
+        StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS => Deed::Neutral,
+        s if s.is_client_error() => Deed::Junk,
+        _ => Deed::Neutral,
+    }
+}
+
+/// The caller legs of one listener.
 pub struct Legs {
-    open: RefCell<BTreeMap<u64, Rc<Leg>>>,
-    next: Cell<u64>,
-    most: usize,
-    /// From so many on, each new one has the one that has waited longest closed: callers, too, hold only so
-    /// many, and those that ask once and stay would use them up.
-    easy: usize,
-    freed: Notify,
+    door: Rc<Door>,
+    /// Told to a caller that is turned away before it has asked.
+    words: RefCell<Bytes>,
+    open: RefCell<Vec<Weak<Leg>>>,
     closing: Cell<bool>,
 }
 
 impl Legs {
-    pub fn new(most: usize, easy: usize) -> Rc<Self> {
-        let (open, next) = (RefCell::default(), Cell::new(0));
-        Rc::new(Legs { open, next, most, easy, freed: Notify::new(), closing: Cell::new(false) })
+    pub fn new(door: Rc<Door>, words: Bytes) -> Rc<Self> {
+        let (open, words) = (RefCell::default(), RefCell::new(words));
+        Rc::new(Legs { door, words, open, closing: Cell::new(false) })
     }
 
     pub fn open(&self) -> usize {
-        self.open.borrow().len()
+        self.open.borrow().iter().filter(|leg| leg.strong_count() > 0).count()
+    }
+
+    /// Other words for those who are turned away.
+    pub fn say(&self, words: Bytes) {
+        *self.words.borrow_mut() = words;
     }
 
     /// From now on legs close as soon as they have no request.
     pub fn close_when_idle(&self) {
         self.closing.set(true);
-        self.open.borrow().values().for_each(|leg| leg.close.notify_one());
+        self.open.borrow().iter().filter_map(Weak::upgrade).for_each(|leg| leg.close.notify_one());
     }
 
     /// Accepts callers; `answer` answers a request, `gone` is told of a leg that has ended.
@@ -133,35 +145,31 @@
         G: Fn(&Rc<Leg>) + Clone + 'static,
     {
         loop {
-            while self.open() >= self.most {
-                self.evict_one();
-                self.freed.notified().await;
-            }
-            let Ok(stream) = listener.accept().await else {
-                // Out of descriptors: room comes when a leg ends.
-                self.evict_one();
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            if self.open() >= self.easy {
-                self.evict_one();
-            }
-            self.serve(stream, answer.clone(), gone.clone());
+            let words = self.words.borrow().clone();
+            let (stream, entrant) = self.door.next(&*listener, &words).await;
+            let (legs, answer, gone) = (self.clone(), answer.clone(), gone.clone());
+            spawn_local(async move {
+                let stream = tokio::select! {
+                    stream = legs.door.introduce(&entrant, stream, &words) => stream,
+                    () = entrant.evicted() => None,
+                };
+                if let Some(stream) = stream {
+                    legs.serve(stream, entrant, answer, gone).await;
+                }
+            });
         }
     }
 
-    /// Makes room: first go those that have never asked, then whichever has waited longest.
-    fn evict_one(&self) {
-        let open = self.open.borrow();
-        let rank = |leg: &Rc<Leg>| Some((leg.asked.get() > 0, leg.idle_since.get()?));
-        let waiting = open.values().filter_map(|leg| Some((rank(leg)?, leg)));
-        if let Some((_, leg)) = waiting.min_by_key(|(rank, _)| *rank) {
-            leg.idle_since.set(None);
-            leg.evicted.notify_one();
+    /// Enters a leg in the list; those that have ended leave it, all at once each time it has doubled.
+    fn list(&self, leg: &Rc<Leg>) {
+        let mut open = self.open.borrow_mut();
+        if open.len() == open.capacity() {
+            open.retain(|leg| leg.strong_count() > 0);
         }
+        open.push(Rc::downgrade(leg));
     }
 
-    fn serve<A, F, G>(self: &Rc<Self>, stream: Stream, answer: A, gone: G)
+    async fn serve<A, F, G>(&self, stream: Stream, entrant: Rc<Entrant>, answer: A, gone: G)
     where
         A: Fn(Rc<Leg>, Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Full<Bytes>>> + 'static,
@@ -170,58 +178,69 @@
         let (stream, tap) = Tapped::new(stream, u64::MAX);
         let leg = Rc::new(Leg {
             close: Notify::new(),
-            evicted: Notify::new(),
+            entrant: entrant.clone(),
             idle_since: Cell::new(Some(Instant::now())),
             asked: Cell::new(0),
             cut: Cell::new(false),
             tap,
             promise: Cell::new(None),
         });
-        let no = self.next.get();
-        self.next.set(no + 1);
-        self.open.borrow_mut().insert(no, leg.clone());
-        let legs = self.clone();
-        spawn_local(async move {
-            let service = service_fn(|request| {
-                leg.begins();
-                let answered = answer(leg.clone(), request);
-                let leg = leg.clone();
-                Box::pin(async move {
-                    let response = answered.await;
-                    leg.cut.set(response.headers().contains_key(CONNECTION));
-                    leg.rests();
-                    Ok::<_, std::convert::Infallible>(response)
-                })
-            });
-            let mut builder = http1::Builder::new();
-            builder.max_buf_size(HEAD_MOST).header_read_timeout(None);
-            // A caller that still comes has its one request answered: it would be turned away again.
-            builder.keep_alive(!legs.closing.get());
-            let mut connection = builder.serve_connection(TokioIo::new(stream), service);
-            let mut closing = false;
-            let ended = loop {
-                tokio::select! {
-                    ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break Some(ended),
-                    () = leg.overstays() => break None,
-                    () = leg.close.notified(), if !closing => {
-                        closing = true;
-                        std::pin::Pin::new(&mut connection).graceful_shutdown();
+        self.list(&leg);
+        let service = service_fn(|request| {
+            leg.begins();
+            let answered = answer(leg.clone(), request);
+            let leg = leg.clone();
+            Box::pin(async move {
+                let response = answered.await;
+                leg.cut.set(response.headers().contains_key(CONNECTION));
+                leg.rests(deed(response.status()));
+                Ok::<_, std::convert::Infallible>(response)
+            })
+        });
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_MOST).header_read_timeout(None);
+        // A caller that still comes has its one request answered: it would be turned away again.
+        builder.keep_alive(!self.closing.get());
+        let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+        let mut closing = false;
+        let ended = loop {
+            tokio::select! {
+                // What has come is looked at before the leg may be closed: a request that crossed the word
+                // to close is answered.
+                biased;
+                ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break Some(ended),
+                () = leg.overstays() => {
+                    if leg.asked.get() == 0 {
+                        entrant.deed(Deed::Junk);
+                    }
+                    break None;
+                }
+                () = entrant.evicted(), if !closing => {
+                    if leg.idle_since.get().is_some() {
+                        break None;
                     }
+                    closing = true;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
-            };
-            gone(&leg);
-            // All else is over with its last byte: a leg that lingers holds room that others need.
-            if let Some(ended) = ended {
-                leg.idle_since.set(Some(Instant::now()));
-                let within = if leg.cut.get() || ended.is_err() { LINGER } else { Duration::ZERO };
-                tokio::select! {
-                    () = part(connection.into_parts().io.into_inner(), within) => {}
-                    () = leg.evicted.notified() => {}
+                () = leg.close.notified(), if !closing => {
+                    closing = true;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
             }
-            legs.open.borrow_mut().remove(&no);
-            legs.freed.notify_one();
-        });
+        };
+        gone(&leg);
+        // All else is over with its last byte: a leg that lingers holds room that others need.
+        if let Some(ended) = ended {
+            if ended.is_err() {
+                entrant.deed(Deed::Junk);
+            }
+            entrant.lingers();
+            let within = if leg.cut.get() || ended.is_err() { LINGER } else { Duration::ZERO };
+            tokio::select! {
+                () = part(connection.into_parts().io.into_inner(), within) => {}
+                () = entrant.evicted() => {}
+            }
+        }
     }
 }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,11 +1,14 @@
 //! Sockets: listeners with their caller legs, connections, pools of connections to next hops.
 
 pub mod connection;
+pub mod door;
 pub mod listener;
 pub mod network;
 pub mod pool;
+pub mod proxy;
 
 pub use connection::{Line, Unsent};
+pub use door::Door;
 pub use listener::{Leg, Legs};
 pub use network::{Network, Stream};
 pub use pool::Pool;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -1,11 +1,10 @@
 //! Connections to next hops that wait for their next call.
 
 use super::connection::Line;
-use super::network::Net;
+use super::network::{out_of_room, Net};
 use crate::routing::NextHopId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,14 +36,6 @@
     OutOfRoom,
 }
 
-/// No descriptor or no port is left: that is our own affair and says nothing of the next hop.
-fn out_of_room(e: &io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    const EADDRNOTAVAIL: i32 = 99;
-    matches!(e.raw_os_error(), Some(ENFILE | EMFILE | EADDRNOTAVAIL))
-}
-
 /// A line taken out of the pool; dropped, it closes.
 pub struct Lease {
     pool: Rc<Pool>,
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -36,7 +36,7 @@
         assert_eq!((code, said.lines().count()), (Some(1), 1), "{args:?}: {said}");
         assert!(said.contains(word), "{args:?}: {said}");
     }
-    assert_eq!(out(&["check-config", "--smpp", "deploy/smpp.json"]).0, Some(0));
+    assert_eq!(out(&["check-config", "--operator", "deploy/relay.conf"]).0, Some(0));
 }
 
 /// Guards start and end: ready once it listens, gone after SIGTERM with code 0; and SIGHUP between them,
@@ -51,7 +51,7 @@
     let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
     let line = log.next().unwrap().unwrap();
-    let address = line.strip_prefix("basaltloom: relay serves on ").unwrap();
+    let address = line.split_once("relay serves on ").unwrap().1.split(' ').next().unwrap();
     let mut stream = TcpStream::connect(address).unwrap();
     stream.write_all(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
     let mut answer = [0; 15];
@@ -64,9 +64,9 @@
     hangup("{");
     assert!(log.next().unwrap().unwrap().contains("the configuration stays as it was read before: "));
     hangup(&CONFIG.replacen('{', r#"{"discovery":"127.0.0.1:1","#, 1));
-    assert!(log.next().unwrap().unwrap().ends_with("was read again: discovery at 127.0.0.1:1"));
+    assert!(log.next().unwrap().unwrap().contains("was read again: discovery at 127.0.0.1:1"));
     Command::new("kill").arg(child.id().to_string()).status().unwrap();
     assert!(child.wait().unwrap().success());
-    assert!(log.last().unwrap().unwrap().ends_with("ends with 0 transactions in the journal"));
+    assert!(log.last().unwrap().unwrap().contains("ends with 0 transactions in the journal"));
     std::fs::remove_dir_all(&dir).ok();
 }
--- a/tests/relay/carriers.rs
+++ b/tests/relay/carriers.rs
@@ -13,6 +13,7 @@
 //! ```
 
 use crate::network::Places;
+use basaltloom::transport::network::Arrived;
 use basaltloom::transport::Stream;
 use bytes::BytesMut;
 use rusmpp::pdus::*;
@@ -37,26 +38,33 @@
 pub const SMSCS: [&str; 2] = ["10.2.0.1:2775", "10.2.0.2:2775"];
 const PATIENCE: Duration = Duration::from_secs(120);
 
-/// The front's file: carriers `1` and `2`, two binds of two submits to the first, one of one to the second.
+/// The operator's file: carriers `1` and `2`, two binds of two submits to the first, one of one to the second.
 pub fn file(leaving: &[String]) -> String {
     let carrier = |i: usize, binds: u32, window: u32| {
         let health = if leaving.contains(&i.to_string()) { "leaving" } else { "active" };
         format!(
-            r#"{{"name":"s{i}","dial":"{}","dest":{i},"system_id":"huron","password":"pw","binds":{binds},
-            "window":{window},"health":"{health}"}}"#,
+            "next-hop s{i} {{\n dial {}\n dest {i}\n system-id huron\n password pw\n binds {binds}\n window {window}
+             health {health}\n }}",
             SMSCS[i - 1]
         )
     };
     format!(
-        r#"{{"listen":"{FRONT}","response_ms":2000,"enquire_link_ms":10000,"max_pdu":1000,
-        "limits":{{"calls_out":12,"max_open":20,"most_tries":8}},
-        "rules":{{"cold_share":1.0,"warm_up_ms":100,"overload_factor":10}},
-        "classes":[{{"name":"notice","repeat":"safe","aim_ms":2000,"deadline_ms":28000}},
-        {{"name":"dues","repeat":"unsafe","aim_ms":4000,"deadline_ms":24000,"worth":3,"service_types":["DUES"]}}],
-        "accounts":[{{"system_id":"club-a","password":"secret","class":"notice","max_owed":6}},
-        {{"system_id":"club-b","password":"secret","class":"notice","receipts":"as-asked"}}],
-        "destinations":[{{"dest":1,"prefixes":["1"]}},{{"dest":2,"prefixes":["2"]}}],
-        "next_hops":[{},{}]}}"#,
+        "smpp {{
+            listen {FRONT}
+            response 2s
+            enquire-link 10s
+            max-pdu 1000
+            limits {{\n calls-out 12\n max-open 20\n most-tries 8\n }}
+            rules {{\n cold-share 1\n warm-up 100ms\n overload-factor 10\n }}
+            class notice {{\n repeat safe\n aim 2s\n deadline 28s\n }}
+            class dues {{\n repeat unsafe\n aim 4s\n deadline 24s\n worth 3\n service-types DUES\n }}
+            account club-a {{\n password secret\n class notice\n max-owed 6\n }}
+            account club-b {{\n password secret\n class notice\n receipts as-asked\n }}
+            destination 1 {{\n prefixes 1\n }}
+            destination 2 {{\n prefixes 2\n }}
+            {}
+            {}
+        }}",
         carrier(1, 2, 2),
         carrier(2, 1, 1)
     )
@@ -154,7 +162,7 @@
         let (binds, status) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(Some(0))));
         let (b, s) = (binds.clone(), status.clone());
         spawn_local(async move {
-            while let Some(stream) = streams.recv().await {
+            while let Some(Arrived { stream, .. }) = streams.recv().await {
                 spawn_local(serve(stream, arrived.clone(), b.clone(), s.clone()));
             }
         });
--- a/tests/relay/network.rs
+++ b/tests/relay/network.rs
@@ -1,8 +1,8 @@
 //! The network of a test: in memory, or on loopback with ports that the system chooses. Stand-ins and relay
 //! name each other by addresses of the test's own, at which something listens, refuses or says nothing.
 
-use basaltloom::transport::network::{Listen, Network, Soon, Stream};
-use std::cell::RefCell;
+use basaltloom::transport::network::{Arrived, Listen, Network, Soon, Spare, Stream};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 
 pub enum Place {
     /// Connections come up after this time.
-    Listening(UnboundedSender<Stream>, Duration),
+    Listening(UnboundedSender<Arrived>, Duration),
     Loopback(SocketAddr),
     Silent,
 }
@@ -28,19 +28,22 @@
     pub places: RefCell<HashMap<SocketAddr, Place>>,
     pub loopback: bool,
     pub opened: RefCell<HashMap<SocketAddr, usize>>,
+    /// No descriptor is left but the one that the relay holds in reserve, if it does.
+    pub short: Cell<bool>,
+    pub reserve: Rc<Cell<bool>>,
 }
 
 impl Places {
-    pub fn open(&self, at: SocketAddr) -> UnboundedReceiver<Stream> {
-        let (sender, receiver) = unbounded_channel::<Stream>();
+    pub fn open(&self, at: SocketAddr) -> UnboundedReceiver<Arrived> {
+        let (sender, receiver) = unbounded_channel::<Arrived>();
         let place = if self.loopback {
             let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
             listener.set_nonblocking(true).unwrap();
             let listener = TcpListener::from_std(listener).unwrap();
             let address = listener.local_addr().unwrap();
             spawn_local(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    if sender.send(Box::new(stream)).is_err() {
+                while let Ok((stream, from)) = listener.accept().await {
+                    if sender.send(Arrived { stream: Box::new(stream), from }).is_err() {
                         return;
                     }
                 }
@@ -73,6 +76,10 @@
     }
 
     pub async fn dial(&self, to: SocketAddr) -> io::Result<Stream> {
+        self.dial_from(SocketAddr::from(([10, 9, 0, 1], 1)), to).await
+    }
+
+    pub async fn dial_from(&self, from: SocketAddr, to: SocketAddr) -> io::Result<Stream> {
         let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
         let (listening, address) = match self.places.borrow().get(&to) {
             Some(Place::Silent) => (None, None),
@@ -87,7 +94,7 @@
         let Some((sender, after)) = listening else { return std::future::pending().await };
         sleep(after).await;
         let (ours, theirs) = duplex(256 * 1024);
-        sender.send(Box::new(theirs)).map_err(|_| refused())?;
+        sender.send(Arrived { stream: Box::new(theirs), from }).map_err(|_| refused())?;
         Ok(Box::new(ours))
     }
 }
@@ -101,19 +108,47 @@
     }
 
     fn listen(&self, at: SocketAddr) -> Soon<'_, Box<dyn Listen>> {
-        let listener = Listener(Mutex::new(self.0.open(at)), at);
+        let arriving = Mutex::new((self.0.open(at), None));
+        let listener = Listener { arriving, at, places: self.0.clone() };
         Box::pin(async move { Ok(Box::new(listener) as Box<dyn Listen>) })
     }
+
+    fn spare(&self) -> io::Result<Spare> {
+        self.0.reserve.set(true);
+        Ok(Box::new(Reserve(self.0.reserve.clone())))
+    }
 }
 
-struct Listener(Mutex<UnboundedReceiver<Stream>>, SocketAddr);
+struct Reserve(Rc<Cell<bool>>);
+
+impl Drop for Reserve {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+struct Listener {
+    arriving: Mutex<(UnboundedReceiver<Arrived>, Option<Arrived>)>,
+    at: SocketAddr,
+    places: Rc<Places>,
+}
 
 impl Listen for Listener {
-    fn accept(&self) -> Soon<'_, Stream> {
-        Box::pin(async move { self.0.lock().await.recv().await.ok_or(io::ErrorKind::NotConnected.into()) })
+    fn accept(&self) -> Soon<'_, Arrived> {
+        Box::pin(async move {
+            let mut arriving = self.arriving.lock().await;
+            if arriving.1.is_none() {
+                arriving.1 = arriving.0.recv().await;
+            }
+            // As the system does: whoever waits goes on waiting.
+            if self.places.short.get() && self.places.reserve.get() {
+                return Err(io::Error::from_raw_os_error(24));
+            }
+            arriving.1.take().ok_or(io::ErrorKind::NotConnected.into())
+        })
     }
 
     fn address(&self) -> io::Result<SocketAddr> {
-        Ok(self.1)
+        Ok(self.at)
     }
 }
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -15,13 +15,13 @@
 
 use crate::carriers::{self, Esme, Smsc, Texts};
 use crate::network::{Places, Seen};
+use basaltloom::operator::{self, Operator};
 use basaltloom::program::config::{self, Config};
 use basaltloom::program::import::import;
 use basaltloom::program::wiring;
 use basaltloom::program::wiring::{Plan, PlatformPlan, SmppPlan};
-use basaltloom::protocol::smpp;
-use basaltloom::protocol::smpp::config::SmppConfig;
 use basaltloom::routing::Clock;
+use basaltloom::transport::network::Arrived;
 use basaltloom::transport::Stream;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -122,7 +122,7 @@
         let mut streams = net.open(address);
         let (sender, arrived) = unbounded_channel();
         spawn_local(async move {
-            while let Some(stream) = streams.recv().await {
+            while let Some(Arrived { stream, .. }) = streams.recv().await {
                 let sender = sender.clone();
                 spawn_local(async move {
                     let mut halves = split(stream);
@@ -233,7 +233,7 @@
     task: JoinHandle<()>,
     end: Option<oneshot::Sender<()>>,
     moved: UnboundedSender<Config>,
-    reread: UnboundedSender<SmppConfig>,
+    reread: UnboundedSender<Operator>,
 }
 
 pub struct World {
@@ -249,6 +249,8 @@
     pub esmes: HashMap<String, Esme>,
     pub texts: Texts,
     leaving: Vec<String>,
+    /// What the operator's file holds beside carriers.
+    terms: String,
 }
 
 pub fn fresh_folder() -> PathBuf {
@@ -280,11 +282,14 @@
             esmes: HashMap::new(),
             texts: Rc::default(),
             leaving: Vec::new(),
+            terms: String::new(),
         }
     }
 
-    fn smpp_config(&self) -> SmppConfig {
-        smpp::config::decode(&carriers::file(&self.leaving).parse().unwrap()).unwrap()
+    /// The operator's file as it stands now, its `smpp` section only where that front is to run.
+    fn operator(&self, smpp: bool) -> Operator {
+        let text = if smpp { carriers::file(&self.leaving) } else { String::new() };
+        operator::parse("relay.conf", &format!("{text}\n{}", self.terms)).unwrap_or_else(|f| panic!("{f:?}"))
     }
 
     fn clock(&self) -> Clock {
@@ -297,12 +302,15 @@
             self.smscs.insert((i + 1).to_string(), Smsc::listen(&self.net, at.parse().unwrap()));
         }
         let (reread, receiver) = unbounded_channel();
-        let (config, state) = (self.smpp_config(), self.state.clone());
-        let plan = SmppPlan { config, state, disk_bytes: 3_000_000, seed: 7, reread: receiver };
-        self.run(Plan { platform: None, smpp: Some(plan) }, unbounded_channel().0, reread).await;
+        let (operator, state) = (self.operator(true), self.state.clone());
+        let config = operator.smpp.clone().unwrap();
+        let plan = SmppPlan { config, state, disk_bytes: 3_000_000, seed: 7 };
+        let changes = Some(receiver);
+        let plan = Plan { platform: None, smpp: Some(plan), operator, changes, descriptors: 1024 };
+        self.run(plan, unbounded_channel().0, reread).await;
     }
 
-    async fn run(&mut self, plan: Plan, moved: UnboundedSender<Config>, reread: UnboundedSender<SmppConfig>) {
+    async fn run(&mut self, plan: Plan, moved: UnboundedSender<Config>, reread: UnboundedSender<Operator>) {
         let (end, ended) = oneshot::channel();
         let (net, inner, clock) = (Rc::new(Seen(self.net.clone())), LocalSet::new(), self.clock());
         inner.spawn_local(async move {
@@ -318,6 +326,7 @@
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["relay", what] => self.relay(what).await,
             ["agent", rest @ ..] => self.agent(rest, place).await,
+            ["descriptors", what] => self.net.short.set(*what == "short"),
             ["opened", name, count] => {
                 let opened = self.net.opened(self.hops[*name].address);
                 assert_eq!(opened, count.parse::<usize>().unwrap(), "{place}");
@@ -334,9 +343,16 @@
                 let rest: Vec<&str> = rest.iter().take_while(|w| **w != "in").copied().collect();
                 self.esmes.get_mut(*name).unwrap().step(&rest, place).await;
             }
+            ["operator", rest @ ..] => {
+                // Lines are set apart by `;` in a script.
+                self.terms = rest.join(" ").replace(';', "\n");
+                if let Some(running) = &self.relay {
+                    running.reread.send(self.operator(false)).unwrap();
+                }
+            }
             ["carrier", name, "leaving"] => {
                 self.leaving.push(name.to_string());
-                self.relay.as_ref().unwrap().reread.send(self.smpp_config()).unwrap();
+                self.relay.as_ref().unwrap().reread.send(self.operator(true)).unwrap();
             }
             _ => panic!("{place}: no such step"),
         }
@@ -395,8 +411,10 @@
         config.state = self.state.clone();
         config.listen = RELAY.parse().unwrap();
         let (moved, reread) = unbounded_channel();
-        let plan = Plan { platform: Some(PlatformPlan { config, reread }), smpp: None };
-        self.run(plan, moved, unbounded_channel().0).await;
+        let (again, changes) = unbounded_channel();
+        let (platform, operator) = (Some(PlatformPlan { config, reread }), self.operator(false));
+        let plan = Plan { platform, smpp: None, operator, changes: Some(changes), descriptors: 1024 };
+        self.run(plan, moved, again).await;
     }
 
     fn open_world(&mut self) {
@@ -407,7 +425,7 @@
             let mut streams = self.net.open(at.parse().unwrap());
             let agent = self.agent.clone();
             spawn_local(async move {
-                while let Some(stream) = streams.recv().await {
+                while let Some(Arrived { stream, .. }) = streams.recv().await {
                     spawn_local(serve_agent(agent.clone(), stream));
                 }
             });
@@ -508,7 +526,11 @@
 
     async fn caller(&mut self, name: &str, words: &[&str], place: &str) {
         if !self.callers.contains_key(name) {
-            let stream = self.net.dial(RELAY.parse().unwrap()).await.unwrap();
+            let from = match words {
+                ["from", address, ..] => address.parse().unwrap(),
+                _ => SocketAddr::from(([10, 9, 0, 1], 1)),
+            };
+            let stream = self.net.dial_from(from, RELAY.parse().unwrap()).await.unwrap();
             let (input, output) = split(stream);
             self.callers.insert(name.to_string(), Caller { input, output });
         }
@@ -539,7 +561,8 @@
                 text += &format!("content-length: {}\r\n\r\n", body.len());
                 caller.output.write_all(format!("{text}{body}").as_bytes()).await.unwrap();
             }
-            ["hello"] => {}
+            ["hello"] | ["from", _] => {}
+            ["from", _, rest @ ..] => Box::pin(self.caller(name, rest, place)).await,
             ["close"] => drop(self.callers.remove(name)),
             ["expect", "close", ..] => {
                 let said = timeout(Duration::from_secs(60), read(&mut caller.input)).await;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -249,7 +249,7 @@
             let over = ended == Outcome::Served;
             events.push(Event::Ended { id: i, attempt, outcome: ended, latency: 20 * MS, over });
         }
-        if bed.now % (100 * MS) == 0 {
+        if bed.now.is_multiple_of(100 * MS) {
             id += 1;
             events.push(taken(id, 0, 5, None));
         }
