--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -21,6 +21,7 @@
 use crate::interface::Nanos;
 use ipnet::IpNet;
 use records::{Bucket, Group, Record};
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 
@@ -132,8 +133,8 @@
 struct Seats {
     open: u32,
     idle: BTreeSet<Rank>,
-    /// Under which weight the address stands in the indexes.
-    listed: Option<u32>,
+    /// Under which weight, and with which leg to give, the address stands in the indexes.
+    listed: Option<(u32, Reverse<Rank>)>,
 }
 
 /// An address that holds legs.
@@ -155,8 +156,8 @@
     }
 }
 
-/// Addresses that have a leg to give, by weight; others and known apart.
-type Index = [BTreeSet<(u32, IpAddr)>; 2];
+/// Addresses that have a leg to give, by weight, and among equals by the leg that goes first; others and known apart.
+type Index = [BTreeSet<(u32, Reverse<Rank>, IpAddr)>; 2];
 
 /// Legs of a prefix or a network with caps.
 #[derive(Debug, Default)]
@@ -237,8 +238,9 @@
         (self.settings.room / 8).max(4)
     }
 
-    /// A connection has come. Legs of a front are counted for nobody until they are introduced.
-    pub fn arrive(&mut self, now: Nanos, from: IpAddr) -> Verdict {
+    /// A connection has come. Legs of a front are its own until they are introduced. `free`: there is a descriptor
+    /// for it; else room is made as if all were in use.
+    pub fn arrive(&mut self, now: Nanos, from: IpAddr, free: bool) -> Verdict {
         if self.closing >= self.slack() {
             return Verdict::Wait;
         }
@@ -284,7 +286,7 @@
             bucket.take(now, &rate);
         }
 
-        let room = match self.make_room(now, address, prefix, network, known) {
+        let room = match self.make_room(now, address, prefix, network, known, free) {
             Ok(victim) => victim,
             Err(why) => return self.turned_away(now, Group::Address(address), why),
         };
@@ -336,21 +338,31 @@
         prefix: Option<IpNet>,
         network: usize,
         known: bool,
+        free: bool,
     ) -> Result<Option<LegNo>, Why> {
         let terms = *self.networks.terms(network);
         let full = |cap: Option<u32>, open: u32| cap.is_some_and(|most| open >= most);
+        let above = |cap: Option<u32>, open: u32| cap.is_some_and(|most| open > most);
         let own = self.holders.get(&address).map_or(0, Holder::open);
         if full(terms.address.legs, own) {
             // One of its own that proved nothing gives way; all else stays.
-            let gives = self.own_least(address).filter(|(tier, ..)| *tier <= PROVEN as u8);
+            // Above a cap that was lowered a change would not do.
+            let within = !above(terms.address.legs, own);
+            let gives = self.own_least(address).filter(|(tier, ..)| *tier <= PROVEN as u8 && within);
             return gives.map(|(_, _, no)| Some(no)).ok_or(Why::AddressLegs);
         }
         let weight = self.weight(now, address, usize::from(known)) + 1;
-        let crowd = prefix.and_then(|p| self.prefixes.get(&p));
-        if crowd.is_some_and(|c| full(terms.prefix_caps.legs, c.open)) {
+        let in_prefix = prefix.and_then(|p| self.prefixes.get(&p)).map_or(0, |c| c.open);
+        if above(terms.prefix_caps.legs, in_prefix) {
+            return Err(Why::PrefixLegs);
+        }
+        if full(terms.prefix_caps.legs, in_prefix) {
             let gives = self.heaviest(now, Some(Of::Prefix(prefix)), known, address, Some(weight));
             return gives.map(Some).ok_or(Why::PrefixLegs);
         }
+        if above(terms.together.legs, self.crowds[network].open) {
+            return Err(Why::NetworkLegs);
+        }
         if full(terms.together.legs, self.crowds[network].open) {
             let gives = self.heaviest(now, Some(Of::Network(network)), known, address, Some(weight));
             return gives.map(Some).ok_or(Why::NetworkLegs);
@@ -360,7 +372,7 @@
             // The reserve is not theirs, so only one of them can give way.
             return self.heaviest(now, None, false, address, Some(weight)).map(Some).ok_or(Why::Room);
         }
-        if self.open() >= self.settings.room {
+        if self.open() >= self.settings.room || !free {
             return self.heaviest(now, None, known, address, Some(weight)).map(Some).ok_or(Why::Room);
         }
         if self.open() >= self.settings.easy {
@@ -400,7 +412,10 @@
         for standing in 0..=usize::from(known) {
             // A weight was reckoned when its address was last touched; a penalty has faded since.
             for _ in 0..8 {
-                let Some((listed, address)) = self.index_of(of)[standing].last().copied() else { break };
+                let Some((listed, Reverse((.., no)), address)) = self.index_of(of)[standing].last().copied()
+                else {
+                    break;
+                };
                 let now_weighs = self.weight(now, address, standing);
                 if now_weighs < listed {
                     self.list(now, address);
@@ -412,8 +427,7 @@
                 if !yields {
                     break;
                 }
-                let seats = &self.holders.get(&address)?.seats[standing];
-                return seats.idle.first().map(|(_, _, no)| *no);
+                return Some(no);
             }
         }
         // It may still take the place of one of its own.
@@ -446,7 +460,7 @@
     pub fn introduce(&mut self, now: Nanos, leg: LegNo, address: IpAddr) -> Verdict {
         self.gone(now, leg);
         // The front's word was heard already: a wait here would hold a descriptor for nothing.
-        match self.arrive(now, address) {
+        match self.arrive(now, address, true) {
             Verdict::Wait => Verdict::Refuse(Why::Room),
             verdict => verdict,
         }
@@ -680,7 +694,7 @@
             let Some(holder) = self.holders.get_mut(&address) else { return };
             let (network, prefix) = (holder.network, holder.prefix);
             let seats = &mut holder.seats[standing];
-            let wanted = (!seats.idle.is_empty()).then_some(weight);
+            let wanted = seats.idle.first().map(|rank| (weight, Reverse(*rank)));
             let listed = std::mem::replace(&mut seats.listed, wanted);
             if listed == wanted {
                 continue;
@@ -690,11 +704,11 @@
                 indexes.push(&mut crowd.index[standing]);
             }
             for index in indexes {
-                if let Some(weight) = listed {
-                    index.remove(&(weight, address));
+                if let Some((weight, rank)) = listed {
+                    index.remove(&(weight, rank, address));
                 }
-                if let Some(weight) = wanted {
-                    index.insert((weight, address));
+                if let Some((weight, rank)) = wanted {
+                    index.insert((weight, rank, address));
                 }
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admission;
+pub mod batching;
 #[cfg(test)]
 mod by_hand;
 pub mod interface;
--- a/src/transport/door.rs
+++ b/src/transport/door.rs
@@ -12,12 +12,14 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Connections taken in one turn of the event loop.
 const A_TURN: u32 = 32;
 /// A front says at once whose connection it passes on.
 const INTRODUCED_WITHIN: Duration = Duration::from_secs(2);
+/// A leg that was told to close is gone after this time, or its descriptor is not to be had.
+const GIVES_WAY: Duration = Duration::from_millis(50);
 /// With no descriptor to refuse with, and nobody closing one, it is looked again after this time.
 const LOOK_AGAIN: Duration = Duration::from_millis(5);
 
@@ -245,11 +247,12 @@
 
     async fn admit(self: &Rc<Self>, from: IpAddr) -> Result<Rc<Entrant>, Why> {
         loop {
-            match self.decide(|a, now| a.arrive(now, from)) {
-                Verdict::Admit(leg) => return self.enter(leg, from),
+            let free = self.ledger.left(Purse::Others) > 0;
+            match self.decide(|a, now| a.arrive(now, from, free)) {
+                Verdict::Admit(leg) => return self.enter(leg, from).await,
                 Verdict::AdmitAndClose(leg, other) => {
                     self.evict(other);
-                    return self.enter(leg, from);
+                    return self.enter(leg, from).await;
                 }
                 Verdict::Refuse(why) => return Err(why),
                 Verdict::Wait => {
@@ -262,12 +265,16 @@
         }
     }
 
-    fn enter(self: &Rc<Self>, leg: LegNo, from: IpAddr) -> Result<Rc<Entrant>, Why> {
+    async fn enter(self: &Rc<Self>, leg: LegNo, from: IpAddr) -> Result<Rc<Entrant>, Why> {
         let known = self.admission.borrow().is_known(leg);
-        let Some(drawn) = self.ledger.draw(purse(known)) else {
-            // The room is larger than what calls and records have left of the descriptors.
+        // Whoever gave way closes within a turn or two of the loop, and its descriptor is free then.
+        let until = Instant::now() + GIVES_WAY;
+        let mut drawn = self.ledger.draw(purse(known));
+        while drawn.is_none() && timeout_at(until, self.freed.notified()).await.is_ok() {
+            drawn = self.ledger.draw(purse(known));
+        }
+        let Some(drawn) = drawn else {
             self.decide(|a, now| a.gone(now, leg));
-            self.give_one_up();
             return Err(Why::Room);
         };
         let (no, evicted, drawn) = (Cell::new(leg), Notify::new(), RefCell::new(drawn));
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -202,7 +202,7 @@
         // A caller that still comes has its one request answered: it would be turned away again.
         builder.keep_alive(!self.closing.get());
         let mut connection = builder.serve_connection(TokioIo::new(stream), service);
-        let mut closing = false;
+        let (mut closing, mut parting) = (false, false);
         let ended = loop {
             tokio::select! {
                 // What has come is looked at before the leg may be closed: a request that crossed the word
@@ -215,11 +215,13 @@
                     }
                     break None;
                 }
-                () = entrant.evicted(), if !closing => {
+                () = entrant.evicted(), if !closing && !parting => parting = true,
+                // What a new leg says with its first packet is only known to the loop after a turn of it.
+                () = tokio::task::yield_now(), if parting => {
                     if leg.idle_since.get().is_some() {
                         break None;
                     }
-                    closing = true;
+                    (closing, parting) = (true, false);
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
                 () = leg.close.notified(), if !closing => {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The whole relay against stand-ins, in memory and in paused time: the same verdict every time.
 //! `scenario.rs` has the language in which the tests are written.
 
+mod admission;
 mod carriers;
 mod network;
 mod platform;
