--- a/benches/flood/mod.rs
+++ b/benches/flood/mod.rs
@@ -385,6 +385,14 @@
     }
 }
 
+impl Drop for Rig {
+    /// A test that fails leaves no program behind.
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
 /// What became of the messages that were taken on.
 #[derive(Debug, PartialEq)]
 pub struct Ends {
--- a/src/batching/pipe.rs
+++ b/src/batching/pipe.rs
@@ -75,6 +75,17 @@
         self.out.push_back(Out { ticket, ends_at: self.queued, repeatable, given_up: false });
     }
 
+    /// The last call leaves the line again, nothing of it written; false where it is not the last, or has begun.
+    pub fn take_back(&mut self, ticket: T, bytes: u64) -> bool {
+        let last = self.out.back().is_some_and(|o| o.ticket == ticket);
+        if !last || self.queued - bytes < self.written {
+            return false;
+        }
+        self.queued -= bytes;
+        self.out.pop_back();
+        true
+    }
+
     /// So many more bytes have surely been passed to the system.
     pub fn wrote(&mut self, bytes: u64) {
         self.written += bytes;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -122,11 +122,31 @@
     pub weight: u32,
     /// It gets calls only while no other host of its destination is well.
     pub backup: bool,
+    pub call: CallTerms,
+}
+
+/// What may share a call to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTerms {
+    /// Messages at most, within what its kind allows.
+    pub messages: usize,
+    /// Bytes of all its messages at most.
+    pub bytes: usize,
+    /// What may not be repeated shares calls too.
+    pub unsafe_shares: bool,
+    /// The limit counts messages, not calls.
+    pub by_message: bool,
+}
+
+impl Default for CallTerms {
+    fn default() -> Self {
+        CallTerms { messages: usize::MAX, bytes: usize::MAX, unsafe_shares: true, by_message: false }
+    }
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { most_out: usize::MAX, weight: 1, backup: false }
+        Terms { most_out: usize::MAX, weight: 1, backup: false, call: CallTerms::default() }
     }
 }
 
@@ -195,6 +215,14 @@
     Reported { host: HostId, limit: f64 },
     /// What an operator's own list says of a host beyond its listing.
     Terms { host: HostId, terms: Terms },
+    /// The break that ends this attempt was told of with another: it says nothing more of its host.
+    Echo { id: MsgId, attempt: u32 },
+    /// A host tells to wait, beside what it says of the messages of a call.
+    Waits { host: HostId, wait: Nanos },
+    /// What may share a call to a host, from now on.
+    Shares { host: HostId, call: CallTerms },
+    /// The bytes of a message, and with how many others it may share a call.
+    Travels { id: MsgId, bytes: usize, group: usize },
     /// The relay may be killed from then on, and comes back later.
     Closing { at: Nanos },
     /// A wake-up asked for falls due.
--- a/src/live.rs
+++ b/src/live.rs
@@ -3,7 +3,6 @@
 
 use crate::interface::*;
 use crate::rules::{Relay, PACE_CUT};
-use crate::state::Host;
 
 impl Relay {
     pub(crate) fn rare(&mut self, event: &Event) {
@@ -30,7 +29,11 @@
                 self.route(*host).raise_pace(part);
             }
             Event::Terms { host, terms } => self.book.set_terms(*host, *terms),
+            Event::Shares { host, call } => self.book.set_call(*host, *call),
+            Event::Travels { id, bytes, group } => self.book.set_travels(*id, *bytes, *group),
             Event::Idled { id, attempt, idle } => self.book.idled((*id, *attempt), *idle),
+            Event::Waits { host, wait } => self.heed(*host, *wait),
+            Event::Echo { id, attempt } => self.book.mute((*id, *attempt)),
             Event::Closing { at } => self.book.closing = Some(*at),
             _ => {}
         }
@@ -87,11 +90,6 @@
         h.out < h.terms.most_out && !(h.terms.backup && self.book.hosts_of(h.dest).iter().any(first))
     }
 
-    /// Calls out as hosts of one destination compare them: by their weights.
-    pub(crate) fn load(&self, h: &Host) -> usize {
-        h.out * 1_000 / h.terms.weight.max(1) as usize
-    }
-
     /// The last of each step. Before a planned end, messages that cannot go any more are handed back where
     /// that is harmless: other relays will have them sooner than this one is back.
     pub(crate) fn wind_up(&mut self) {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,10 +2,12 @@
 //! read whole before anything of it holds: a file with an error changes nothing.
 
 pub mod admission;
+pub mod batching;
 pub mod logging;
 pub mod section;
 pub mod syntax;
 
+use crate::batching::Table;
 use crate::protocol::smpp::config::SmppConfig;
 use section::{Findings, InForce, Section};
 use std::path::Path;
@@ -16,6 +18,7 @@
 pub struct Operator {
     pub log: logging::Said,
     pub admission: admission::Said,
+    pub batching: Table,
     /// The SMPP front, which is off where the file has no such section.
     pub smpp: Option<SmppConfig>,
     /// All settings as they hold, in the order of the file's sections.
@@ -39,7 +42,8 @@
         let mut file = Section::new("", &[], &findings);
         let log = logging::Said::read(file.section("log"));
         let admission = admission::Said::read(file.section("admission"));
-        Operator { log, admission, smpp: None, in_force: findings.in_force.into_inner() }
+        let batching = batching::read(file.section("batching"));
+        Operator { log, admission, batching, smpp: None, in_force: findings.in_force.into_inner() }
     }
 }
 
@@ -48,12 +52,13 @@
     let mut file = Section::new("", directives, &findings);
     let log = logging::Said::read(file.section("log"));
     let admission = admission::Said::read(file.section("admission"));
+    let batching = batching::read(file.section("batching"));
     let smpp = file.section("smpp");
     let smpp = smpp.is_there().then(|| SmppConfig::read(smpp));
     file.finish();
     let mut faults = findings.faults.into_inner();
     if faults.is_empty() {
-        return Ok(Operator { log, admission, smpp, in_force: findings.in_force.into_inner() });
+        return Ok(Operator { log, admission, batching, smpp, in_force: findings.in_force.into_inner() });
     }
     faults.sort_by(|a, b| {
         let key = |f: &Fault| (f.place.file.clone(), f.place.line, f.place.column);
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -10,8 +10,10 @@
 use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
+use crate::routing::core::{Batching, First};
 use crate::routing::{Clock, Core, Desk, Front, Journal, RouteNews};
 use crate::transport::network::{Counted, Net};
+use crate::transport::pipeline::Pipelines;
 use crate::transport::{Door, Leg, Legs, Pool};
 use bytes::Bytes;
 use std::future::Future;
@@ -114,10 +116,10 @@
     let door = open_door(&plan, &net);
     spawn_local(door.clone().give_way());
     spawn_local(watch(door.clone()));
-    let (refusal, changes) = (plan.operator.admission.refusal, plan.changes.take());
+    let (changes, operator) = (plan.changes.take(), plan.operator.clone());
     let plain = plain(&plan);
     let platform = match plan.platform {
-        Some(plan) => Some(start_platform(plan, net.clone(), door.clone(), refusal, clock).await?),
+        Some(plan) => Some(start_platform(plan, net.clone(), door.clone(), &operator, clock).await?),
         None => None,
     };
     let smpp = match plan.smpp {
@@ -125,13 +127,7 @@
         None => None,
     };
     if let Some(changes) = changes {
-        spawn_local(follow_operator(
-            changes,
-            plain,
-            door,
-            platform.as_ref().map(|p| p.1.clone()),
-            smpp.clone(),
-        ));
+        spawn_local(follow_operator(changes, plain, door, platform.clone(), smpp.clone()));
     }
     Ok((platform, smpp))
 }
@@ -141,14 +137,18 @@
     mut changes: UnboundedReceiver<Operator>,
     plain: Settings,
     door: Rc<Door>,
-    legs: Option<Rc<Legs>>,
+    platform: Option<PlatformDesk>,
     smpp: Option<Rc<Desk<Smpp>>>,
 ) {
     while let Some(said) = changes.recv().await {
         log::heed(said.log.clone());
         let closed = door.reload(said.admission.settings(plain.clone()));
-        if let Some(legs) = &legs {
+        if let Some((desk, legs)) = &platform {
             legs.say(words(said.admission.refusal));
+            desk.act(|core, now| {
+                let kinds = core.batching().kinds.clone();
+                core.set_batching(now, Batching { table: said.batching.clone(), kinds });
+            });
         }
         match (&smpp, &said.smpp) {
             (Some(desk), Some(config)) => smpp::learn(desk, config),
@@ -253,23 +253,27 @@
     plan: PlatformPlan,
     net: Net,
     door: Rc<Door>,
-    refusal: Refusal,
+    said: &Operator,
     clock: Clock,
 ) -> Result<PlatformDesk, String> {
     let PlatformPlan { config, reread } = plan;
+    let batching = Batching { table: said.batching.clone(), kinds: config.names.kinds.clone() };
     let (journal, replayed) = journal(&config.state, config.disk_bytes, config.classes.clone())?;
     let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
     let connect = Duration::from_nanos(config.connect_timeout);
     let drawing = |purse| Counted::over(net.clone(), door.ledger().clone(), purse);
     let pool = Pool::new(drawing(Purse::Calls), door.ledger().kept(Purse::Calls), keepalive, connect);
-    let legs = Legs::new(door.clone(), words(refusal));
+    let pipelines = Pipelines::new(drawing(Purse::Calls), keepalive, connect);
+    let legs = Legs::new(door.clone(), words(said.admission.refusal));
     let records = drawing(Purse::Records);
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
-    let core = Core::new(config.settings, config.seed, journal, replayed, &config.known, false, clock.now());
+    let (settings, known) = (config.settings, &config.known);
+    let first = First { known, batching, tells_delivery: false };
+    let core = Core::new(settings, config.seed, journal, replayed, first, clock.now());
     let classes =
         Classes { names: config.classes, defaults: config.defaults, rest: config.default_class, longest };
-    let front = Platform::new(records.clone(), pool.clone(), classes, config.discovery);
+    let front = Platform::new(records.clone(), pool.clone(), pipelines, classes, config.discovery);
     let desk = Desk::new(core, clock, front);
     desk.act(|_, _| ());
 
@@ -335,7 +339,8 @@
     let SmppPlan { config, state, disk_bytes, seed } = plan;
     let (journal, replayed) = journal(&state, disk_bytes, config.class_list())?;
     let (settings, known) = (config.settings.clone(), config.route_news());
-    let core = Core::new(settings, seed, journal, replayed, &known, true, clock.now());
+    let first = First { known: &known, batching: Batching::default(), tells_delivery: true };
+    let core = Core::new(settings, seed, journal, replayed, first, clock.now());
     let listener = net.listen(config.listen).await;
     let listener = listener.map_err(|e| format!("smpp: cannot listen on {}: {e}", config.listen))?;
     let address = listener.address().unwrap_or(config.listen);
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -64,6 +64,7 @@
         most_out: count("max_conns").map_or(usize::MAX, |n| n as usize),
         weight: count("weight").map_or(1, |n| n as u32),
         backup: flag(h, "backup") == Some(true),
+        ..Terms::default()
     })
 }
 
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -15,10 +15,7 @@
     letters: &[Letter],
     timeout: Nanos,
 ) -> Option<(Request<Full<Bytes>>, usize)> {
-    let (path, body) = match letters {
-        [one] => ("/hook", one.body.clone()),
-        _ => ("/hook/batch", batch(letters)),
-    };
+    let (path, body) = target(letters);
     let len = body.len();
     let mut request = Request::post(path).header("host", dial.to_string());
     if let [one] = letters {
@@ -31,6 +28,30 @@
     Some((request, len))
 }
 
+fn target(letters: &[Letter]) -> (&'static str, Bytes) {
+    match letters {
+        [one] => ("/hook", one.body.clone()),
+        _ => ("/hook/batch", batch(letters)),
+    }
+}
+
+/// The same request as it goes on the wire, for connections that carry several behind one another.
+pub fn wire(dial: SocketAddr, letters: &[Letter], timeout: Nanos) -> Option<Bytes> {
+    let (head, _) = request(dial, letters, timeout)?.0.into_parts();
+    let (path, body) = target(letters);
+    let mut out = BytesMut::with_capacity(512 + body.len());
+    out.put_slice(format!("POST {path} HTTP/1.1\r\n").as_bytes());
+    for (name, value) in &head.headers {
+        out.put_slice(name.as_str().as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value.as_bytes());
+        out.put_slice(b"\r\n");
+    }
+    out.put_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
+    out.put_slice(&body);
+    Some(out.freeze())
+}
+
 fn batch(letters: &[Letter]) -> Bytes {
     let mut out = BytesMut::with_capacity(letters.iter().map(|l| l.body.len() + 160).sum());
     for l in letters {
@@ -57,7 +78,8 @@
     }
 }
 
-fn wait(headers: &HeaderMap) -> Nanos {
+/// The wait that an answer tells; 0: none.
+pub fn wait(headers: &HeaderMap) -> Nanos {
     let told = headers.get("retry-after").and_then(|v| v.to_str().ok());
     told.and_then(seconds).unwrap_or(0)
 }
@@ -73,7 +95,12 @@
     let wait = wait(headers);
     let text = String::from_utf8_lossy(body);
     let ends: Vec<(&str, &str)> = text.lines().filter_map(|l| l.trim().split_once(' ')).collect();
-    let end = |l: &Letter| ends.iter().find(|e| e.0 == l.id).map(|e| e.1.trim());
+    // Named twice with different ends it may have had either.
+    let end = |l: &Letter| {
+        let mut named = ends.iter().filter(|e| e.0 == l.id).map(|e| e.1.trim());
+        let first = named.next()?;
+        named.all(|end| end == first).then_some(first)
+    };
     let reply = |l: &Letter| match end(l) {
         Some("accepted") => Reply::Ended(Outcome::Served),
         Some("deferred") => Reply::Ended(Outcome::Full { wait }),
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -1,13 +1,15 @@
 //! The platform's front: callers hand messages in, next hops take them, ends go out as notices.
 
 use super::{fields, hook, notices};
+use crate::batching::fate::{fate, Break, Fate, Wire};
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::{Carried, Letter, Reply};
+use crate::routing::core::{Carried, Letter, Piping, Reply};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, Front, NextHopId, Offer, Taken, TransactionNo};
 use crate::transport::connection::{read_body, Unsent};
 use crate::transport::listener::Leg;
 use crate::transport::network::Net;
+use crate::transport::pipeline::{Broken, Pipelines};
 use crate::transport::pool::{Lease, NoLease};
 use crate::transport::Pool;
 use bytes::Bytes;
@@ -52,6 +54,8 @@
 pub struct Platform {
     net: Net,
     pub pool: Rc<Pool>,
+    /// For next hops that take calls behind one another.
+    pub pipelines: Pipelines,
     pub classes: Classes,
     /// Where discovery and notices are, which may change.
     pub agent: watch::Sender<Option<SocketAddr>>,
@@ -60,10 +64,16 @@
 }
 
 impl Platform {
-    pub fn new(net: Net, pool: Rc<Pool>, classes: Classes, agent: Option<SocketAddr>) -> Self {
+    pub fn new(
+        net: Net,
+        pool: Rc<Pool>,
+        pipelines: Pipelines,
+        classes: Classes,
+        agent: Option<SocketAddr>,
+    ) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
         let agent = watch::Sender::new(agent);
-        Platform { net, pool, classes, agent, owed, more_owed }
+        Platform { net, pool, pipelines, classes, agent, owed, more_owed }
     }
 }
 
@@ -78,6 +88,9 @@
             Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
         };
         let hop = passage.hop;
+        if let Some(piping) = passage.desk.see(|core| core.piping(passage.call)) {
+            return self.pipe(passage, piping, longest).await;
+        }
         let leased = tokio::select! {
             leased = self.pool.lease(hop.id, hop.dial) => leased,
             () = passage.cancelled() => return all(Outcome::NoConnection),
@@ -153,6 +166,7 @@
 
     fn distrust(&self, next_hop: NextHopId) {
         self.pool.close_idle(next_hop);
+        self.pipelines.rest(next_hop);
     }
 
     fn trust(&self, idle: Nanos) {
@@ -160,6 +174,74 @@
     }
 }
 
+impl Platform {
+    /// Carries a call on a connection that takes several behind one another.
+    async fn pipe(&self, passage: Passage<'_, Self>, piping: Piping, longest: Nanos) -> Carried {
+        let (hop, lines) = (passage.hop, &self.pipelines);
+        let from = passage.desk.clock.now();
+        let all = |outcome| {
+            let branches = passage.call.branches.iter();
+            Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
+        };
+        let ready = lines.ready(hop.id, hop.dial, piping.repeatable, piping.depth, piping.lines);
+        let ready = tokio::select! {
+            ready = ready => ready,
+            () = passage.cancelled() => return all(Outcome::NotSent),
+            () = sleep(Duration::from_nanos(longest)) => return all(Outcome::NotSent),
+        };
+        match ready {
+            Ok(()) => {}
+            Err(NoLease::NotUp) => return all(Outcome::NoConnection),
+            Err(NoLease::OutOfRoom) => return all(Outcome::NotSent),
+        }
+        let letters = passage.begin();
+        let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
+        let Some(request) = hook::wire(hop.dial, &letters, left).filter(|_| !letters.is_empty()) else {
+            return Carried::default();
+        };
+        let each =
+            |reply: Reply| Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>());
+        let Some(mut seat) = lines.seat(hop.id, hop.dial, piping.repeatable, request) else {
+            return each(Reply::Ended(Outcome::NotSent));
+        };
+        let answer = tokio::select! {
+            answer = seat.answer() => answer,
+            () = sleep(Duration::from_nanos(left)) => return each(Reply::Ended(Outcome::TimedOut)),
+            () = passage.cancelled() => return each(Reply::Ended(Outcome::Cancelled)),
+        };
+        match answer {
+            Ok(answer) => meant(answer.status, &answer.headers, &answer.body, &letters),
+            Err(Broken { how, echo }) => {
+                let outcome = match (fate(Wire::Pipeline, how), how) {
+                    // Of a line that broke only the first says that its host may be down.
+                    (Fate::NeverRan, _) if echo => Outcome::NotSent,
+                    (Fate::NeverRan, _) => Outcome::NoConnection,
+                    (Fate::MayHaveRun, Break::AnswerCut | Break::Unreadable) => Outcome::Spoilt,
+                    (Fate::MayHaveRun, _) => Outcome::Broken,
+                };
+                Carried { echo, ..each(Reply::Ended(outcome)) }
+            }
+        }
+    }
+}
+
+/// What an answer says of a call that came whole.
+fn meant(status: StatusCode, headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Carried {
+    let each = |reply| letters.iter().map(|l| (l.branch, reply)).collect();
+    let several = letters.len() > 1;
+    let unread = matches!(status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
+    Carried {
+        replies: match status {
+            StatusCode::OK if several => hook::replies(headers, body, letters),
+            status => each(hook::reply(status, headers)),
+        },
+        limit: hook::limit(headers),
+        wait: if status == StatusCode::OK && several { hook::wait(headers) } else { 0 },
+        refused: unread && several,
+        ..Carried::default()
+    }
+}
+
 /// One request and its answer: what that means, and the rest of it where the rest means nothing.
 async fn exchange(
     lease: &mut Lease,
@@ -174,19 +256,12 @@
     let read = async {
         let response = line.send(request, len).await?;
         let (head, body) = response.into_parts();
-        let limit = hook::limit(&head.headers);
-        let each = |reply| letters.iter().map(|l| (l.branch, reply)).collect();
         if letters.len() == 1 && head.status == StatusCode::OK {
-            let replies = each(hook::reply(head.status, &head.headers));
-            return Ok((Carried { replies, limit, idle: None }, Some(body)));
+            return Ok((meant(head.status, &head.headers, &Bytes::new(), letters), Some(body)));
         }
         // Only an answer that came whole can say that nothing has run.
         let body = read_body(body, BODY_MOST).await.ok_or(Unsent::Perhaps)?;
-        let replies = match head.status {
-            StatusCode::OK => hook::replies(&head.headers, &body, letters),
-            status => each(hook::reply(status, &head.headers)),
-        };
-        Ok((Carried { replies, limit, idle: None }, None))
+        Ok((meant(head.status, &head.headers, &body, letters), None))
     };
     let stuck = async {
         tap.begins().await;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,10 +1,12 @@
 //! The core: takes transactions on, has the module decide, keeps the journal ahead of what is done.
 
-use super::facade::{Ask, Branch, Call, End, Facade, NextHopId, Picked};
+use super::facade::{Ask, Branch, Call, End, Facade, NextHopId, Picked, Told};
 use super::journal::{Journal, Record, Replayed};
 use super::route_set::{NextHop, RouteNews, RouteSet};
 use super::transactions::{Ending, Transaction, TransactionNo, Transactions};
-use crate::interface::{Nanos, Outcome, Settings};
+use crate::batching::fate::{may_share, Wire};
+use crate::batching::{Counts, Former, Member, Table, Terms};
+use crate::interface::{CallTerms, Nanos, Outcome, Repeat, Settings};
 use bytes::Bytes;
 
 /// Advice for those turned away before the module was asked.
@@ -103,6 +105,12 @@
     pub limit: Option<f64>,
     /// For how long the connection had waited for this call, 0 if it was new; none where nothing was sent.
     pub idle: Option<Nanos>,
+    /// The break that ended it was told of with another call on the same connection.
+    pub echo: bool,
+    /// The next hop told to wait for so long.
+    pub wait: Nanos,
+    /// The call was refused as a whole, as one that cannot be read or is too large.
+    pub refused: bool,
 }
 
 impl From<Vec<(Branch, Reply)>> for Carried {
@@ -129,6 +137,62 @@
     /// A delivery, too, is told to whoever handed the transaction in, and stays owed until acknowledged.
     tells_delivery: bool,
     work: Work,
+    /// Forms calls of what the module releases, by these terms.
+    former: Former,
+    batching: Batching,
+    /// Messages in a call, by kind, that the partners allow.
+    allowed: Vec<usize>,
+    of_classes: Vec<(Nanos, Nanos, Repeat)>,
+    slots: usize,
+}
+
+/// The operator's terms for calls, with the names of the kinds that they speak of.
+#[derive(Clone, Debug, Default)]
+pub struct Batching {
+    pub table: Table,
+    pub kinds: Vec<String>,
+}
+
+/// What a core has to know before it touches what an earlier life left.
+#[derive(Clone, Debug)]
+pub struct First<'a> {
+    /// The route set as last known.
+    pub known: &'a RouteNews,
+    pub batching: Batching,
+    /// A delivery, too, is told to whoever handed the transaction in.
+    pub tells_delivery: bool,
+}
+
+impl Batching {
+    fn of(&self, hop: &NextHop) -> Terms {
+        self.table.of(self.kinds.get(hop.kind).map(String::as_str), &hop.name)
+    }
+}
+
+/// How a call goes on connections that carry several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Piping {
+    /// Calls on a connection.
+    pub depth: usize,
+    /// Connections, as long as they suffice.
+    pub lines: usize,
+    /// It may go behind others, and others behind it.
+    pub repeatable: bool,
+}
+
+/// What a message takes of a call's body: itself, its line with id, key and length, and the line ends.
+fn bytes_of(t: &Transaction) -> usize {
+    t.body.len() + t.id.len() + t.idempotency.as_ref().map_or(1, String::len) + 12
+}
+
+fn call_terms(former: &Former, hop: NextHopId) -> CallTerms {
+    let terms = former.terms(hop);
+    CallTerms {
+        messages: former.size(hop),
+        bytes: terms.bytes,
+        unsafe_shares: terms.unsafe_shares,
+        by_message: terms.counts == Counts::Messages,
+    }
 }
 
 impl Core {
@@ -138,15 +202,32 @@
         seed: u64,
         journal: Journal,
         replayed: Replayed,
-        known: &RouteNews,
-        tells_delivery: bool,
+        first: First<'_>,
         now: Nanos,
     ) -> Core {
+        let First { known, batching, tells_delivery } = first;
         let classes = settings.classes.len();
+        let slots = settings.slots;
+        let former = Former::new(slots * 3 / 4);
+        let allowed = settings.kinds.iter().map(|k| k.per_call.max(1)).collect();
+        let of_classes = settings.classes.iter().map(|c| (c.aim, c.deadline, c.repeat)).collect();
         let Replayed { transactions, next_no, ailing, torn } = replayed;
         let facade = Facade::new(settings, seed, !tells_delivery);
         let (route_set, work) = (RouteSet::default(), Work::default());
-        let mut core = Core { facade, route_set, transactions, journal, next_no, tells_delivery, work };
+        let mut core = Core {
+            facade,
+            route_set,
+            transactions,
+            journal,
+            next_no,
+            tells_delivery,
+            work,
+            former,
+            batching,
+            allowed,
+            of_classes,
+            slots,
+        };
         if torn > 0 {
             core.work
                 .notes
@@ -155,7 +236,7 @@
         core.learn(now, known);
         let sick = ailing.iter().filter_map(|name| core.route_set.find(name)).collect();
         let picked = core.facade.ailing(now, sick);
-        core.absorb(picked);
+        core.absorb(now, picked);
         core.restore(classes, now);
         core
     }
@@ -183,6 +264,7 @@
                 key: t.key.clone(),
                 time_left: t.deadline.saturating_sub(now),
                 past: Some((t.attempts, ran)),
+                bytes: bytes_of(t),
                 ended,
             });
         }
@@ -192,7 +274,7 @@
             self.work.notes.push(Note::new("journal-restored", text));
         }
         let picked = self.facade.pick(now, asks);
-        self.absorb(picked);
+        self.absorb(now, picked);
         strange.into_iter().for_each(|no| self.end(no, Ending::Undelivered(End::Failed)));
     }
 
@@ -229,7 +311,7 @@
         if self.facade.full() || !self.journal.has_room(&t, &self.transactions) {
             return Taken::Refused { after: DOOR_ADVICE, full: true };
         }
-        let no = self.next_no;
+        let (no, bytes) = (self.next_no, bytes_of(&t));
         if let Err(e) = self.journal.write(no, &Record::Taken(&t)) {
             let text = format!("cannot take a transaction on: {e}");
             self.work.notes.push(Note::new("journal-cannot-take", text));
@@ -237,10 +319,10 @@
         }
         self.next_no += 1;
         self.transactions.insert(no, t);
-        let ask = Ask { transaction: no, class, dest, key, time_left, past: None, ended: false };
+        let ask = Ask { transaction: no, class, dest, key, time_left, past: None, bytes, ended: false };
         let mut picked = self.facade.pick(now, vec![ask]);
         let at_once = picked.ends.iter().position(|(of, _)| *of == no).map(|i| picked.ends.remove(i).1);
-        self.absorb(picked);
+        self.absorb(now, picked);
         match at_once {
             None => Taken::On(no),
             // Its answer ends it: nothing is left to be told.
@@ -259,14 +341,19 @@
         if self.transactions.get(no).is_some_and(|t| t.ending.is_none()) {
             self.over(no);
             let picked = self.facade.withdraw(now, no);
-            self.absorb(picked);
+            self.absorb(now, picked);
         }
     }
 
     pub fn learn(&mut self, now: Nanos, news: &RouteNews) {
         let known = self.route_set.learn(now, news);
-        let picked = self.facade.learn(now, news.whole, &known);
-        self.absorb(picked);
+        for hop in &known {
+            self.former.set(hop.id, self.batching.of(hop), self.allowed.get(hop.kind).copied().unwrap_or(1));
+        }
+        let former = &self.former;
+        let picked = self.facade.learn(now, news.whole, &known, |hop| call_terms(former, hop.id));
+        self.absorb(now, picked);
+        self.recall(now);
         // No call will use the connections to those that are not active any more.
         self.work.distrusted.extend(self.route_set.resting());
     }
@@ -278,8 +365,10 @@
 
     /// The relay may be killed from `at` on, and comes back later.
     pub fn closing(&mut self, now: Nanos, at: Nanos) {
+        let calls = self.former.wind_up(now);
+        self.go(calls);
         let picked = self.facade.closing(now, at);
-        self.absorb(picked);
+        self.absorb(now, picked);
     }
 
     /// Called when a call can be written, before its first byte: the branches that may still go, journaled
@@ -311,8 +400,22 @@
 
     /// The outcomes of a call's branches, all in one report, with the limit that the answer told.
     pub fn report(&mut self, now: Nanos, hop: NextHopId, carried: &Carried, took: Nanos) {
-        let Carried { replies, limit, idle } = carried;
+        let Carried { replies, limit, idle, echo, wait, refused } = carried;
         let mut late = Vec::new();
+        // One that has the whole refused is found by halves; the others go on in theirs.
+        let group = if *refused { replies.len().div_ceil(2) } else { usize::MAX };
+        let of_split = |(b, _): &(Branch, Reply)| {
+            Some((b.transaction, bytes_of(self.transactions.get(b.transaction)?), group))
+        };
+        let splits: Vec<_> = replies.iter().filter(|_| group < replies.len()).filter_map(of_split).collect();
+        let served = replies.iter().any(|(_, r)| *r == Reply::Ended(Outcome::Served));
+        let left = replies.iter().filter_map(|(b, _)| {
+            let t = self.transactions.get(b.transaction)?;
+            let (aim, deadline, _) = self.of_classes.get(t.class)?;
+            Some((t.deadline + aim).saturating_sub(deadline + now))
+        });
+        let affordable = left.min().unwrap_or(0);
+        let size = served.then(|| self.former.served(now, hop, replies.len(), took, affordable)).flatten();
         for (branch, reply) in replies {
             let no = branch.transaction;
             let Some(t) = self.transactions.get_mut(no) else { continue };
@@ -341,26 +444,37 @@
             }
         }
         let limit = limit.map(|limit| (hop, limit));
-        let picked = self.facade.report(now, replies, limit, *idle, took);
-        self.absorb(picked);
+        let wait = Some((hop, *wait)).filter(|(_, wait)| *wait > 0);
+        let told = Told { limit, wait, idle: *idle, echo: *echo };
+        let picked = self.facade.report(now, replies, told, took, &splits);
+        self.absorb(now, picked);
+        if size.is_some() {
+            let picked = self.facade.share(now, &[(hop, call_terms(&self.former, hop))]);
+            self.absorb(now, picked);
+        }
         late.into_iter().for_each(|no| self.acknowledged(now, no));
     }
 
     pub fn tick(&mut self, now: Nanos) {
-        let picked = self.facade.tick(now);
-        self.absorb(picked);
+        let lingered = self.former.due() <= now;
+        let calls = self.former.tick(now);
+        self.go(calls);
+        if !lingered || self.facade.due() <= now {
+            let picked = self.facade.tick(now);
+            self.absorb(now, picked);
+        }
     }
 
     /// When `tick` is wanted next.
     pub fn due(&self) -> Nanos {
-        self.facade.due()
+        self.facade.due().min(self.former.due())
     }
 
     /// The end of this transaction has reached whoever it was owed to.
     pub fn acknowledged(&mut self, now: Nanos, no: TransactionNo) {
         self.over(no);
         let picked = self.facade.settled(now, no);
-        self.absorb(picked);
+        self.absorb(now, picked);
     }
 
     pub fn transaction(&self, no: TransactionNo) -> Option<&Transaction> {
@@ -376,6 +490,15 @@
         self.route_set.get(id)
     }
 
+    /// How this call goes where its next hop takes calls behind one another.
+    pub fn piping(&self, call: &Call) -> Option<Piping> {
+        let depth = self.former.terms(call.next_hop).depth;
+        let class = |b: &Branch| self.of_classes.get(self.transactions.get(b.transaction)?.class);
+        let repeatable = |b: &Branch| class(b).is_some_and(|(.., repeat)| may_share(Wire::Pipeline, *repeat));
+        let repeatable = call.branches.iter().all(repeatable);
+        (depth > 1).then(|| Piping { depth, lines: self.slots.div_ceil(depth), repeatable })
+    }
+
     /// Transactions not yet over.
     pub fn open(&self) -> usize {
         self.transactions.len()
@@ -385,13 +508,34 @@
         std::mem::take(&mut self.work)
     }
 
-    fn absorb(&mut self, picked: Picked) {
+    /// Sets going what the module wants; what was held back for a call that is not to go goes back to the module,
+    /// which may want something else then.
+    fn absorb(&mut self, now: Nanos, picked: Picked) {
+        let mut next = Some(picked);
+        while let Some(picked) = next.take() {
+            let unsent = self.absorb_one(now, picked);
+            if !unsent.is_empty() {
+                next = Some(self.facade.report(now, &unsent, Told::default(), 0, &[]));
+            }
+        }
+    }
+
+    /// Returns the branches that are given up and had not gone yet.
+    fn absorb_one(&mut self, now: Nanos, picked: Picked) -> Vec<(Branch, Reply)> {
         for call in picked.calls {
-            if let Some(hop) = self.route_set.get(call.next_hop).cloned() {
-                self.work.calls.push((call, hop));
+            let shares = self.former.terms(call.next_hop).unsafe_shares;
+            let members = call.branches.iter().map(|b| self.member(*b, shares)).collect();
+            let calls = self.former.release(now, call.next_hop, members);
+            self.go(calls);
+        }
+        let mut unsent = Vec::new();
+        for (no, attempt) in picked.dropped {
+            let waits = self.former.find(no).and_then(|hop| self.former.withdraw(hop, no, attempt));
+            match waits {
+                Some(branch) => unsent.push((branch, Reply::Ended(Outcome::NotSent))),
+                None => self.work.dropped.push((no, attempt)),
             }
         }
-        self.work.dropped.extend(picked.dropped);
         self.work.trusted_idle = Some(picked.trusted_idle);
         self.work.distrusted.extend(picked.distrusted);
         let notes: Vec<Note> = picked.notes.iter().map(|text| self.named(text)).collect();
@@ -405,6 +549,57 @@
         for (no, end) in picked.ends {
             self.end(no, Ending::Undelivered(end));
         }
+        unsent
+    }
+
+    fn go(&mut self, calls: Vec<Call>) {
+        for call in calls {
+            if let Some(hop) = self.route_set.get(call.next_hop).cloned() {
+                self.work.calls.push((call, hop));
+            }
+        }
+    }
+
+    /// What its former has to know of a branch.
+    fn member(&self, branch: Branch, unsafe_shares: bool) -> Member {
+        let t = self.transactions.get(branch.transaction);
+        let class = t.and_then(|t| self.of_classes.get(t.class));
+        let (aim, deadline, repeat) = class.copied().unwrap_or((0, 0, Repeat::Unsafe));
+        let alone = !unsafe_shares && !may_share(Wire::Batch, repeat);
+        // A message may have been handed in with less than its class's time, so its aim is told from its end.
+        let aim_at = t.map_or(0, |t| t.deadline.saturating_sub(deadline.saturating_sub(aim)));
+        Member { branch, bytes: t.map_or(0, bytes_of), aim_at, alone }
+    }
+
+    /// What waits for a next hop that is to get nothing more goes back to the module, as never sent.
+    fn recall(&mut self, now: Nanos) {
+        let mut unsent = Vec::new();
+        for hop in self.route_set.resting() {
+            let branches = self.former.recall(now, hop);
+            unsent.extend(branches.into_iter().map(|b| (b, Reply::Ended(Outcome::NotSent))));
+        }
+        let route_set = &self.route_set;
+        self.former.retain(|hop| route_set.get(hop).is_some());
+        if !unsent.is_empty() {
+            let picked = self.facade.report(now, &unsent, Told::default(), 0, &[]);
+            self.absorb(now, picked);
+        }
+    }
+
+    pub fn batching(&self) -> &Batching {
+        &self.batching
+    }
+
+    /// Other terms for calls, from now on. What was released by then goes as it was.
+    pub fn set_batching(&mut self, now: Nanos, batching: Batching) {
+        self.batching = batching;
+        let hops: Vec<NextHop> = self.route_set.iter().cloned().collect();
+        for hop in &hops {
+            self.former.set(hop.id, self.batching.of(hop), self.allowed.get(hop.kind).copied().unwrap_or(1));
+        }
+        let calls: Vec<_> = hops.iter().map(|h| (h.id, call_terms(&self.former, h.id))).collect();
+        let picked = self.facade.share(now, &calls);
+        self.absorb(now, picked);
     }
 
     /// A note of the module with its hosts by the names that the route set gives them.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -5,7 +5,7 @@
 use super::core::Reply;
 use super::route_set::{NextHop, Standing};
 use super::transactions::TransactionNo;
-use crate::interface::{Action, Entry, Event, HostId, Listing, Nanos, Settings};
+use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
 use crate::rules::Relay;
 use std::collections::{BTreeSet, HashMap};
 
@@ -53,6 +53,19 @@
     pub ailing: Option<Vec<NextHopId>>,
 }
 
+/// What came with the answer to a call, beside the ends of its branches.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    /// The next hop's own limit, in calls a second from all relays together; 0 where it has none.
+    pub limit: Option<(NextHopId, f64)>,
+    /// How long it wants to be left alone.
+    pub wait: Option<(NextHopId, Nanos)>,
+    /// For how long the connection had waited before.
+    pub idle: Option<Nanos>,
+    /// The break was told of with another call.
+    pub echo: bool,
+}
+
 /// What the module needs to know of a transaction.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -63,6 +76,8 @@
     pub time_left: Nanos,
     /// Branches of an earlier life, and how long ago and in which zone the first that may have run went out.
     pub past: Option<(u32, Option<(Nanos, usize)>)>,
+    /// Bytes that it takes of a call's body.
+    pub bytes: usize,
     /// It has its end, of which its caller has not been told yet.
     pub ended: bool,
 }
@@ -72,8 +87,6 @@
     relay: Relay,
     max_held: usize,
     in_order: Vec<bool>,
-    per_call: Vec<usize>,
-    kind_of: HashMap<NextHopId, usize>,
     /// Number of the next branch of each transaction that the module holds.
     attempts: HashMap<TransactionNo, u32>,
     /// Wake-ups that the module asked for; it counts on each of them.
@@ -86,9 +99,7 @@
         let mut facade = Facade {
             max_held: settings.max_held,
             in_order: settings.classes.iter().map(|c| c.in_order).collect(),
-            per_call: settings.kinds.iter().map(|k| k.per_call.max(1)).collect(),
             relay: Relay::new(settings, seed),
-            kind_of: HashMap::new(),
             attempts: HashMap::new(),
             dues: BTreeSet::new(),
         };
@@ -117,7 +128,7 @@
     pub fn pick(&mut self, now: Nanos, asks: Vec<Ask>) -> Picked {
         let mut events = Vec::new();
         for a in asks {
-            let Ask { transaction: id, class, dest, key, time_left, past, ended } = a;
+            let Ask { transaction: id, class, dest, key, time_left, past, bytes, ended } = a;
             if ended {
                 let ordered = self.in_order.get(class) == Some(&true);
                 events.extend(key.filter(|_| ordered).map(|key| Event::Unsettled { id, key }));
@@ -130,26 +141,36 @@
                     Event::Restored { id, class, dest, key, time_left, attempts, may_have_run }
                 }
             });
+            events.push(Event::Travels { id, bytes, group: usize::MAX });
         }
         self.step(now, &events)
     }
 
     /// Tells how branches ended: those of one call in one report.
-    /// `limit` is what a next hop told of its own with them, `idle` for how long the connection had waited.
+    /// `splits` names those that may travel on only in smaller groups, with their bytes.
     pub fn report(
         &mut self,
         now: Nanos,
         ended: &[(Branch, Reply)],
-        limit: Option<(NextHopId, f64)>,
-        idle: Option<Nanos>,
+        told: Told,
         took: Nanos,
+        splits: &[(TransactionNo, usize, usize)],
     ) -> Picked {
-        let mut events: Vec<Event> =
-            limit.into_iter().map(|(host, limit)| Event::Reported { host, limit }).collect();
+        let split = |(id, bytes, group): &(TransactionNo, usize, usize)| Event::Travels {
+            id: *id,
+            bytes: *bytes,
+            group: *group,
+        };
+        let mut events: Vec<Event> = splits.iter().map(split).collect();
+        let Told { limit, wait, idle, echo } = told;
+        events.extend(wait.map(|(host, wait)| Event::Waits { host, wait }));
+        let limits = limit.into_iter().map(|(host, limit)| Event::Reported { host, limit });
+        events.extend(limits);
         for (branch, reply) in ended {
             let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
             events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
             events.extend(idle.map(|idle| Event::Idled { id, attempt, idle }));
+            events.extend(echo.then_some(Event::Echo { id, attempt }));
             events.push(Event::Ended { id, attempt, outcome: reply.outcome(), latency: took, over });
             events.extend(matches!(reply, Reply::Rejected { .. }).then_some(Event::Rejected { id }));
             if over {
@@ -159,6 +180,13 @@
         self.step(now, &events)
     }
 
+    /// What may share a call to these next hops, from now on.
+    pub fn share(&mut self, now: Nanos, calls: &[(NextHopId, CallTerms)]) -> Picked {
+        let events: Vec<Event> =
+            calls.iter().map(|(host, call)| Event::Shares { host: *host, call: *call }).collect();
+        self.step(now, &events)
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Nanos) -> Picked {
         self.step(now, &[Event::Woken])
@@ -187,7 +215,14 @@
     }
 
     /// News of the route set; `whole` replaces all that was known.
-    pub fn learn(&mut self, now: Nanos, whole: bool, next_hops: &[NextHop]) -> Picked {
+    /// `calls` says what may share a call to each.
+    pub fn learn(
+        &mut self,
+        now: Nanos,
+        whole: bool,
+        next_hops: &[NextHop],
+        calls: impl Fn(&NextHop) -> CallTerms,
+    ) -> Picked {
         let entry = |n: &NextHop| Entry {
             host: n.id,
             dest: n.dest,
@@ -200,10 +235,9 @@
             },
             scale: n.share,
         };
-        self.kind_of.retain(|id, _| self.relay.knows(*id));
-        self.kind_of.extend(next_hops.iter().map(|n| (n.id, n.kind)));
         let mut events = vec![Event::Listed { whole, entries: next_hops.iter().map(entry).collect() }];
         events.extend(next_hops.iter().filter_map(|n| Some(Event::Terms { host: n.id, terms: n.terms? })));
+        events.extend(next_hops.iter().map(|n| Event::Shares { host: n.id, call: calls(n) }));
         self.step(now, &events)
     }
 
@@ -241,10 +275,10 @@
         let count = self.attempts.entry(id).or_insert(0);
         let branch = Branch { transaction: id, attempt: *count, timeout };
         *count += 1;
-        let kind = self.kind_of.get(&host).copied().unwrap_or(0);
-        let most = self.per_call.get(kind).copied().unwrap_or(1);
+        let most = self.relay.most_in_a_call(host);
         let open = picked.calls.iter_mut().rev().find(|c| c.next_hop == host);
-        match open.filter(|c| c.branches.len() < most) {
+        let together = |c: &Call| c.branches.iter().map(|b| b.transaction).collect::<Vec<_>>();
+        match open.filter(|c| c.branches.len() < most && self.relay.joins(host, &together(c), id, most)) {
             Some(call) => call.branches.push(branch),
             None => picked.calls.push(Call { next_hop: host, branches: vec![branch] }),
         }
--- a/src/routing/route_set.rs
+++ b/src/routing/route_set.rs
@@ -51,6 +51,11 @@
 
 impl RouteSet {
     /// Takes in news and returns its entries under our numbers.
+    /// All next hops that are listed, or were until lately.
+    pub fn iter(&self) -> impl Iterator<Item = &NextHop> {
+        self.next_hops.values().map(|(hop, _)| hop)
+    }
+
     pub fn learn(&mut self, now: Nanos, news: &RouteNews) -> Vec<NextHop> {
         if news.whole {
             for (n, rests) in self.next_hops.values_mut() {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -282,7 +282,7 @@
             let fee = (self.fee(*id) * 1e6) as u64;
             // An open connection saves its set-up: a relay with few calls keeps to one host, each to its own.
             let idle = self.now - h.last_used > self.set.keepalive || h.last_sent == 0;
-            (self.sick(*id), h.bad.min(3), fee, self.load(h), idle, h.last_sent, h.lot)
+            (self.sick(*id), h.bad.min(3), fee, h.load(), idle, h.last_sent, h.lot)
         });
         let f = self.book.flows.get(&dest)?;
         let least_fee = self.least_fee(dest);
@@ -305,7 +305,7 @@
             let mut ids = Vec::new();
             for (_, id) in ranked {
                 let key = self.book.messages[&id].key.as_ref();
-                if ids.len() == most || key.is_some_and(|k| keys.contains(&k)) {
+                if !self.joins(host, &ids, id, most) || key.is_some_and(|k| keys.contains(&k)) {
                     continue;
                 }
                 keys.extend(key);
@@ -320,7 +320,7 @@
 
     /// Messages in the next call: to a cold host half of what may be sent within `fall`, for a trial one.
     fn batch(&self, host: HostId) -> usize {
-        let most = self.book.hosts[&host].kind.per_call.max(1);
+        let most = self.most_in_a_call(host);
         match self.book.hosts[&host].health {
             Health::Down => 1,
             _ if self.book.routes.get(&self.book.hosts[&host].route).is_some_and(Route::probes) => 1,
@@ -510,12 +510,12 @@
 
     /// Counts a call against the pace and the cold budget.
     fn spend(&mut self, host: HostId, messages: usize) {
-        let now = self.now;
+        let (now, units) = (self.now, self.book.units(host, messages));
         let weight = 1.0 + BATCH_WEIGHT * messages.saturating_sub(1) as f64;
         let gap = (self.cold_gap(host, weight) * (1.0 - SPREAD / 2.0 + SPREAD * self.dice.roll())) as Nanos;
         let r = self.route(host);
         if let Some(p) = r.pace {
-            r.tokens = filled(r, p, now) - 1.0;
+            r.tokens = filled(r, p, now) - units;
             r.filled = now;
         }
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
@@ -804,7 +804,7 @@
     // ---- Waits and pace ----
 
     /// A told wait binds its whole route, and the millisecond cut off when it is told.
-    fn heed(&mut self, host: HostId, wait: Nanos) {
+    pub(crate) fn heed(&mut self, host: HostId, wait: Nanos) {
         let until = self.now.saturating_add(wait).saturating_add(WAIT_ROUNDING);
         let r = self.route(host);
         r.wait = r.wait.max(until);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decision module remembers. Plain records and their bookkeeping: nothing is decided here.
 
-use crate::interface::{DestId, Entry, HostId, Kind, Listing, MsgId, Nanos, Terms};
+use crate::interface::{CallTerms, DestId, Entry, HostId, Kind, Listing, MsgId, Nanos, Terms};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A message that still awaits its final answer.
@@ -16,6 +16,9 @@
     pub out: bool,
     /// Send time and zone of the first attempt that may have run.
     pub may_have_run: Option<(Nanos, usize)>,
+    /// Of a call's body, and messages with which it may share one, itself counted.
+    pub bytes: usize,
+    pub group: usize,
 }
 
 /// An attempt without an outcome; it outlives its message.
@@ -220,7 +223,29 @@
 
     pub fn set_terms(&mut self, host: HostId, terms: Terms) {
         if let Some(h) = self.hosts.get_mut(&host) {
-            h.terms = terms;
+            h.terms = Terms { call: h.terms.call, ..terms };
+        }
+    }
+
+    pub fn set_call(&mut self, host: HostId, call: CallTerms) {
+        if let Some(h) = self.hosts.get_mut(&host) {
+            h.terms.call = call;
+        }
+    }
+
+    pub fn set_travels(&mut self, id: MsgId, bytes: usize, group: usize) {
+        if let Some(m) = self.messages.get_mut(&id) {
+            (m.bytes, m.group) = (bytes, group);
+        }
+    }
+
+    /// What a call of so many messages counts against the limit of its host.
+    pub fn units(&self, host: HostId, messages: usize) -> f64 {
+        let by_message = self.hosts.get(&host).is_some_and(|h| h.terms.call.by_message);
+        if by_message {
+            messages as f64
+        } else {
+            1.0
         }
     }
 
@@ -265,6 +290,13 @@
         }
     }
 
+    /// The call of this attempt says nothing of its host any more.
+    pub fn mute(&mut self, attempt: (MsgId, u32)) {
+        if let Some(c) = self.attempts.get(&attempt).and_then(|a| self.calls.get_mut(&a.call)) {
+            c.judged = true;
+        }
+    }
+
     /// One message of a call has its outcome; true for the first of them.
     pub fn close_call(&mut self, call: u64, now: Nanos) -> bool {
         let Some(c) = self.calls.get_mut(&call) else { return false };
@@ -373,7 +405,19 @@
         aim_at: Nanos,
         deadline: Nanos,
     ) -> Self {
-        Message { class, dest, key, taken, aim_at, deadline, attempts: 0, out: false, may_have_run: None }
+        Message {
+            class,
+            dest,
+            key,
+            taken,
+            aim_at,
+            deadline,
+            attempts: 0,
+            out: false,
+            may_have_run: None,
+            bytes: 0,
+            group: usize::MAX,
+        }
     }
 }
 
@@ -409,6 +453,16 @@
 }
 
 impl Host {
+    /// Messages in a call at most.
+    pub fn per_call(&self) -> usize {
+        self.kind.per_call.min(self.terms.call.messages).max(1)
+    }
+
+    /// Calls out as hosts of one destination compare them: by their weights.
+    pub fn load(&self) -> usize {
+        self.out * 1_000 / self.terms.weight.max(1) as usize
+    }
+
     /// A call on a connection idle for so long was served or not; returns what was proven sound before.
     pub fn prove_idle(&mut self, served: bool, idle: Nanos) -> Nanos {
         let before = self.idle_proven;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod door;
 pub mod listener;
 pub mod network;
+pub mod pipeline;
 pub mod pool;
 pub mod proxy;
 
--- /dev/null
+++ b/src/transport/pipeline.rs
@@ -0,0 +1,449 @@
+//! HTTP/1.1 connections on which calls go out behind one another, to next hops that take several. What may go next
+//! and what is known of each at the end is decided by `batching::pipe`.
+
+use super::network::{out_of_room, Net, Stream};
+use super::pool::NoLease;
+use crate::batching::fate::Break;
+use crate::batching::pipe::{GivenUp, Pipe};
+use crate::routing::NextHopId;
+use bytes::{Buf, Bytes, BytesMut};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// Most bytes of an answer, and headers in it.
+const ANSWER_MOST: usize = 128 * 1024;
+const HEADERS_MOST: usize = 64;
+/// An answer that has begun takes no longer to come whole.
+const ANSWER_WITHIN: Duration = Duration::from_millis(500);
+
+/// An answer that came whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Why a call has none. `echo`: another call on the same line has told of this break already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken {
+    pub how: Break,
+    pub echo: bool,
+}
+
+type Told = oneshot::Sender<Result<Answer, Broken>>;
+
+/// A line and the calls on it.
+struct Shared {
+    pipe: RefCell<Pipe<u64>>,
+    /// Calls of which not a byte has been written.
+    queue: RefCell<VecDeque<(u64, Bytes)>>,
+    more: Notify,
+    waiting: RefCell<HashMap<u64, Told>>,
+    next: Cell<u64>,
+    idle_since: Cell<Instant>,
+    tasks: RefCell<Vec<AbortHandle>>,
+}
+
+impl Shared {
+    /// The line ends: each call that is out hears what is known of it.
+    fn end(&self, how: Break) {
+        if self.pipe.borrow().has_ended() {
+            return;
+        }
+        let broke = self.pipe.borrow_mut().broke(how);
+        self.queue.borrow_mut().clear();
+        for (i, (ticket, how)) in broke.into_iter().enumerate() {
+            if let Some(told) = self.waiting.borrow_mut().remove(&ticket) {
+                told.send(Err(Broken { how, echo: i > 0 })).ok();
+            }
+        }
+        self.tasks.borrow().iter().for_each(AbortHandle::abort);
+    }
+
+    /// What has not begun does not go any more.
+    fn withdraw(&self) {
+        while let Some((ticket, bytes)) = self.queue.borrow_mut().pop_back() {
+            if !self.pipe.borrow_mut().take_back(ticket, bytes.len() as u64) {
+                self.queue.borrow_mut().push_back((ticket, bytes));
+                return;
+            }
+            if let Some(told) = self.waiting.borrow_mut().remove(&ticket) {
+                told.send(Err(Broken { how: Break::Unwritten, echo: true })).ok();
+            }
+        }
+    }
+
+    async fn write(self: Rc<Self>, mut output: WriteHalf<Stream>) {
+        loop {
+            let next = self.queue.borrow_mut().pop_front();
+            let Some((_, mut bytes)) = next else {
+                self.more.notified().await;
+                continue;
+            };
+            while !bytes.is_empty() {
+                match output.write(&bytes).await {
+                    Ok(n) if n > 0 => {
+                        self.pipe.borrow_mut().wrote(n as u64);
+                        bytes.advance(n);
+                    }
+                    _ => return self.end(Break::Written),
+                }
+            }
+            if output.flush().await.is_err() {
+                return self.end(Break::Written);
+            }
+        }
+    }
+
+    async fn read(self: Rc<Self>, mut input: ReadHalf<Stream>) {
+        let (mut buffer, mut announced) = (BytesMut::new(), false);
+        let mut whole_by: Option<Instant> = None;
+        loop {
+            match parse(&mut buffer) {
+                Ok(Some((answer, closes))) => {
+                    announced |= closes;
+                    whole_by = (!buffer.is_empty()).then(|| Instant::now() + ANSWER_WITHIN);
+                    let answered = self.pipe.borrow_mut().answered(closes);
+                    let Some((ticket, waited)) = answered else { return self.end(Break::Unreadable) };
+                    self.idle_since.set(Instant::now());
+                    if let Some(told) = self.waiting.borrow_mut().remove(&ticket).filter(|_| waited) {
+                        told.send(Ok(answer)).ok();
+                    }
+                    if self.pipe.borrow().is_spent() {
+                        return self.end(Break::CloseAnnounced);
+                    }
+                    continue;
+                }
+                Ok(None) => {}
+                Err(Unreadable) => return self.end(Break::Unreadable),
+            }
+            let reading = input.read_buf(&mut buffer);
+            let read = match whole_by {
+                Some(by) => timeout_at(by, reading).await.ok(),
+                None => Some(reading.await),
+            };
+            match read {
+                Some(Ok(n)) if n > 0 => {
+                    whole_by.get_or_insert(Instant::now() + ANSWER_WITHIN);
+                }
+                _ if !buffer.is_empty() => return self.end(Break::AnswerCut),
+                _ if announced => return self.end(Break::CloseAnnounced),
+                _ => return self.end(Break::Written),
+            }
+        }
+    }
+}
+
+/// A call on a line; dropped before its answer, it is given up.
+pub struct Seat {
+    line: Rc<Shared>,
+    ticket: u64,
+    answer: oneshot::Receiver<Result<Answer, Broken>>,
+    done: bool,
+}
+
+impl Seat {
+    /// The answer, once it has come whole, or what is known where none comes.
+    pub async fn answer(&mut self) -> Result<Answer, Broken> {
+        let answer = (&mut self.answer).await;
+        self.done = true;
+        answer.unwrap_or(Err(Broken { how: Break::Written, echo: false }))
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        self.line.waiting.borrow_mut().remove(&self.ticket);
+        let given_up = self.line.pipe.borrow_mut().give_up(self.ticket);
+        if given_up == GivenUp::Now {
+            self.line.end(Break::Cancelled);
+        }
+    }
+}
+
+/// The lines to one next hop, each with the address that it was opened to.
+type Lines = Vec<(SocketAddr, Rc<Shared>)>;
+
+/// All lines to next hops that take calls behind one another.
+pub struct Pipelines {
+    net: Net,
+    lines: RefCell<HashMap<NextHopId, Lines>>,
+    opening: RefCell<HashMap<NextHopId, usize>>,
+    connect_timeout: Duration,
+    keepalive: Duration,
+}
+
+impl Pipelines {
+    pub fn new(net: Net, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
+        let (lines, opening) = (RefCell::default(), RefCell::default());
+        Pipelines { net, lines, opening, connect_timeout, keepalive }
+    }
+
+    /// Makes sure that there is a line on which a call may go, which `seat` takes then without a pause: an idle one,
+    /// else a new one while there are fewer than `most`, else the one with the fewest calls out.
+    pub async fn ready(
+        &self,
+        hop: NextHopId,
+        dial: SocketAddr,
+        repeatable: bool,
+        depth: usize,
+        most: usize,
+    ) -> Result<(), NoLease> {
+        loop {
+            let (best, open) = self.best(hop, dial, repeatable);
+            let opening = self.opening.borrow().get(&hop).copied().unwrap_or(0);
+            match best {
+                Some(out) if out == 0 || open + opening >= most.max(1) => return Ok(()),
+                None if open + opening >= most.max(1) + usize::from(!repeatable) => {
+                    // All lines are full, or hold what this may not follow: it goes when one has room.
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                _ => return self.open(hop, dial, depth).await,
+            }
+        }
+    }
+
+    fn best(&self, hop: NextHopId, dial: SocketAddr, repeatable: bool) -> (Option<usize>, usize) {
+        let mut lines = self.lines.borrow_mut();
+        let Some(lines) = lines.get_mut(&hop) else { return (None, 0) };
+        lines.retain(|(at, line)| {
+            let pipe = line.pipe.borrow();
+            let stale = pipe.out() == 0 && (*at != dial || line.idle_since.get().elapsed() >= self.keepalive);
+            let keep = !pipe.has_ended() && !stale && (pipe.is_open() || pipe.out() > 0);
+            drop(pipe);
+            if stale {
+                line.end(Break::Cancelled);
+            }
+            keep
+        });
+        let open = lines.iter().filter(|(_, l)| l.pipe.borrow().is_open()).count();
+        let fits = lines.iter().filter(|(at, l)| *at == dial && l.pipe.borrow().may_take(repeatable));
+        (fits.map(|(_, l)| l.pipe.borrow().out()).min(), open)
+    }
+
+    async fn open(&self, hop: NextHopId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
+        *self.opening.borrow_mut().entry(hop).or_default() += 1;
+        let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
+        let mut opening = self.opening.borrow_mut();
+        if let Some(n) = opening.get_mut(&hop) {
+            *n -= 1;
+        }
+        opening.retain(|_, n| *n > 0);
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if out_of_room(&e) => return Err(NoLease::OutOfRoom),
+            _ => return Err(NoLease::NotUp),
+        };
+        let (input, output) = split(stream);
+        let line = Rc::new(Shared {
+            pipe: RefCell::new(Pipe::new(depth)),
+            queue: RefCell::default(),
+            more: Notify::new(),
+            waiting: RefCell::default(),
+            next: Cell::new(0),
+            idle_since: Cell::new(Instant::now()),
+            tasks: RefCell::default(),
+        });
+        let tasks = [
+            spawn_local(line.clone().write(output)).abort_handle(),
+            spawn_local(line.clone().read(input)).abort_handle(),
+        ];
+        line.tasks.borrow_mut().extend(tasks);
+        self.lines.borrow_mut().entry(hop).or_default().push((dial, line));
+        Ok(())
+    }
+
+    /// Puts a call on the line that `ready` found; `None` where it is gone meanwhile.
+    pub fn seat(&self, hop: NextHopId, dial: SocketAddr, repeatable: bool, request: Bytes) -> Option<Seat> {
+        let lines = self.lines.borrow();
+        let fits =
+            lines.get(&hop)?.iter().filter(|(at, l)| *at == dial && l.pipe.borrow().may_take(repeatable));
+        let line = fits.min_by_key(|(_, l)| l.pipe.borrow().out()).map(|(_, l)| l.clone())?;
+        let ticket = line.next.get();
+        line.next.set(ticket + 1);
+        line.pipe.borrow_mut().push(ticket, request.len() as u64, repeatable);
+        let (told, answer) = oneshot::channel();
+        line.waiting.borrow_mut().insert(ticket, told);
+        line.queue.borrow_mut().push_back((ticket, request));
+        line.more.notify_one();
+        Some(Seat { line, ticket, answer, done: false })
+    }
+
+    /// Nothing new goes to this next hop, and nothing that has not begun; lines without a call close.
+    pub fn rest(&self, hop: NextHopId) {
+        let lines = self.lines.borrow_mut().remove(&hop).unwrap_or_default();
+        for (_, line) in lines {
+            line.withdraw();
+            if line.pipe.borrow().out() == 0 {
+                line.end(Break::Cancelled);
+            }
+        }
+    }
+}
+
+/// What came is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unreadable;
+
+/// Takes the first answer out of what came, if it is whole: with it, whether the line closes after it. 1xx are passed
+/// over.
+pub fn parse(buffer: &mut BytesMut) -> Result<Option<(Answer, bool)>, Unreadable> {
+    loop {
+        if buffer.len() > ANSWER_MOST {
+            return Err(Unreadable);
+        }
+        let mut fields = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut head = httparse::Response::new(&mut fields);
+        let head_len = match head.parse(buffer) {
+            Ok(httparse::Status::Complete(n)) => n,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(Unreadable),
+        };
+        let status = head.code.and_then(|c| StatusCode::from_u16(c).ok()).ok_or(Unreadable)?;
+        if status.is_informational() && status != StatusCode::SWITCHING_PROTOCOLS {
+            buffer.advance(head_len);
+            continue;
+        }
+        let mut headers = HeaderMap::new();
+        for field in head.headers.iter() {
+            let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|_| Unreadable)?;
+            headers.append(name, HeaderValue::from_bytes(field.value).map_err(|_| Unreadable)?);
+        }
+        let says = |value: &str| {
+            let all = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
+            all.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case(value))
+        };
+        let closes = says("close") || (head.version == Some(0) && !says("keep-alive"));
+        let none = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let (body, len) = if none {
+            (Bytes::new(), head_len)
+        } else if let Some(coding) = headers.get(TRANSFER_ENCODING) {
+            // With a length beside it the end of the answer is anybody's guess.
+            if headers.contains_key(CONTENT_LENGTH) || !coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+                return Err(Unreadable);
+            }
+            match chunked(&buffer[head_len..])? {
+                Some((body, len)) => (body, head_len + len),
+                None => return Ok(None),
+            }
+        } else {
+            // Without a length the body would end with the line, on which others wait.
+            let len: usize = one_length(&headers)?;
+            if len > ANSWER_MOST {
+                return Err(Unreadable);
+            }
+            if buffer.len() < head_len + len {
+                return Ok(None);
+            }
+            (Bytes::copy_from_slice(&buffer[head_len..head_len + len]), head_len + len)
+        };
+        buffer.advance(len);
+        return Ok(Some((Answer { status, headers, body }, closes)));
+    }
+}
+
+fn one_length(headers: &HeaderMap) -> Result<usize, Unreadable> {
+    let mut all = headers.get_all(CONTENT_LENGTH).iter();
+    let text = all.next().and_then(|v| v.to_str().ok()).ok_or(Unreadable)?;
+    let plain = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    if !plain || all.any(|other| other.as_bytes() != text.as_bytes()) {
+        return Err(Unreadable);
+    }
+    text.parse().map_err(|_| Unreadable)
+}
+
+/// A body in chunks and how many bytes it took; `None` while it is not whole.
+fn chunked(bytes: &[u8]) -> Result<Option<(Bytes, usize)>, Unreadable> {
+    let (mut body, mut at) = (BytesMut::new(), 0);
+    loop {
+        let rest = bytes.get(at..).unwrap_or_default();
+        let (head, size) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete((head, size))) => (head, size as usize),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(Unreadable),
+        };
+        if size > ANSWER_MOST {
+            return Err(Unreadable);
+        }
+        at += head;
+        if size == 0 {
+            // Trailers are passed over, up to the empty line.
+            loop {
+                let rest = bytes.get(at..).unwrap_or_default();
+                let Some(end) = rest.iter().position(|b| *b == b'\n') else { return Ok(None) };
+                at += end + 1;
+                if matches!(&rest[..end], b"" | b"\r") {
+                    return Ok(Some((body.freeze(), at)));
+                }
+            }
+        }
+        let Some(chunk) = bytes.get(at..at + size + 2) else { return Ok(None) };
+        if !chunk.ends_with(b"\r\n") {
+            return Err(Unreadable);
+        }
+        body.extend_from_slice(&chunk[..size]);
+        at += size + 2;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all(text: &str) -> Result<Vec<(u16, String, bool)>, Unreadable> {
+        let (mut buffer, mut answers) = (BytesMut::from(text), Vec::new());
+        while let Some((answer, closes)) = parse(&mut buffer)? {
+            answers.push((
+                answer.status.as_u16(),
+                String::from_utf8_lossy(&answer.body).into_owned(),
+                closes,
+            ));
+        }
+        Ok(answers)
+    }
+
+    /// Guards answers behind one another: each ends where it says, in lengths or chunks, and what leaves its end open
+    /// is no answer at all.
+    #[test]
+    fn answers_behind_one_another_end_where_they_say() {
+        let text = "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi\
+            HTTP/1.1 204 X\r\n\r\nHTTP/1.1 429 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nt: 1\r\n\r\n\
+            HTTP/1.1 500 X\r\nconnection: keep-alive, Close\r\ncontent-length: 0\r\n\r\n";
+        let wanted = [(200, "hi", false), (204, "", false), (429, "abc", false), (500, "", true)];
+        assert_eq!(all(text), Ok(wanted.map(|(s, b, c)| (s, b.to_string(), c)).to_vec()));
+        // Cut off anywhere, what is whole is read and the rest waited for.
+        for cut in 0..text.len() {
+            let mut buffer = BytesMut::from(&text[..cut]);
+            let mut whole = 0;
+            while let Some((answer, _)) = parse(&mut buffer).expect("a part of an answer is no error") {
+                assert_eq!(answer.body, wanted[whole].1);
+                whole += 1;
+            }
+        }
+        for bad in [
+            "noise\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n\r\nopen end",
+            "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+            "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nabXX0\r\n\r\n",
+        ] {
+            assert_eq!(all(bad), Err(Unreadable), "{bad:?}");
+        }
+        assert_eq!(all("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhal"), Ok(vec![]));
+    }
+}
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -70,7 +70,7 @@
         ]
     );
     let terms = |i: usize| config.known.next_hops[i].terms.unwrap();
-    assert_eq!(terms(0), Terms { most_out: 20, weight: 3, backup: false });
+    assert_eq!(terms(0), Terms { most_out: 20, weight: 3, ..Terms::default() });
     assert!(terms(2).backup && terms(4).most_out == usize::MAX);
     let settings = &config.settings;
     let repeats: Vec<_> = settings.classes.iter().map(|c| c.repeat).collect();
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -127,8 +127,10 @@
 #[test]
 fn terms_bound_and_weigh_calls_and_keep_backups_back() {
     let mut relay = relay(&[0, 1, 2]);
-    let terms =
-        |host, most_out, weight, backup| Event::Terms { host, terms: Terms { most_out, weight, backup } };
+    let terms = |host, most_out, weight, backup| Event::Terms {
+        host,
+        terms: Terms { most_out, weight, backup, ..Terms::default() },
+    };
     relay.step(SEC, &[terms(0, 1, 1, false), terms(1, 9, 3, false), terms(2, 9, 1, true)]);
     let out = sent(&relay.step(2 * SEC, &(1..=12).map(taken).collect::<Vec<_>>()));
     let to = |host| out.iter().filter(|(_, h)| *h == host).count();
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -96,7 +96,7 @@
         "r.conf:24:12: found `here`, expected an address and port such as `127.0.0.1:2775`",
         "r.conf:26:16: found `sometimes`, expected one of `safe`, `keyed`, `unsafe`",
         "r.conf:29:15: found `b`, expected a class of this section: one of `a`",
-        "r.conf:33:1: `unclosed` is unknown, expected one of `admission`, `log`, `smpp`",
+        "r.conf:33:1: `unclosed` is unknown, expected one of `admission`, `batching`, `log`, `smpp`",
     ];
     assert_eq!(told(&faults).lines().collect::<Vec<_>>(), expected);
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! `scenario.rs` has the language in which the tests are written.
 
 mod admission;
+mod batching;
 mod carriers;
 mod network;
 mod platform;
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -92,7 +92,7 @@
 }
 
 /// Reads one HTTP message; none at the end.
-async fn read(stream: &mut ReadHalf<Stream>) -> Option<Said> {
+pub async fn read(stream: &mut ReadHalf<Stream>) -> Option<Said> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
@@ -139,6 +139,12 @@
     }
 }
 
+/// A hop that takes calls behind one another, one connection at a time.
+struct Piped {
+    streams: UnboundedReceiver<Arrived>,
+    open: Option<Halves>,
+}
+
 /// Discovery and notices.
 #[derive(Default)]
 struct Agent {
@@ -243,6 +249,7 @@
     last: Instant,
     relay: Option<Running>,
     hops: HashMap<String, Hop>,
+    piped: HashMap<String, Piped>,
     callers: HashMap<String, Caller>,
     agent: Rc<RefCell<Agent>>,
     pub smscs: HashMap<String, Smsc>,
@@ -276,6 +283,7 @@
             last: Instant::now(),
             relay: None,
             hops: HashMap::new(),
+            piped: HashMap::new(),
             callers: HashMap::new(),
             agent: Rc::default(),
             smscs: HashMap::new(),
@@ -286,6 +294,16 @@
         }
     }
 
+    /// What the operator's file holds from the next start on.
+    pub fn terms(&mut self, text: &str) {
+        self.terms = text.to_string();
+    }
+
+    /// The notices that came and no step has expected.
+    pub fn notices(&self) -> Vec<String> {
+        self.agent.borrow().notices.iter().cloned().collect()
+    }
+
     /// The operator's file as it stands now, its `smpp` section only where that front is to run.
     fn operator(&self, smpp: bool) -> Operator {
         let text = if smpp { carriers::file(&self.leaving) } else { String::new() };
@@ -326,6 +344,7 @@
             ["wait", ms] => sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["relay", what] => self.relay(what).await,
             ["agent", rest @ ..] => self.agent(rest, place).await,
+            ["piped", name, rest @ ..] => self.piped(name, rest, place).await,
             ["descriptors", what] => self.net.short.set(*what == "short"),
             ["opened", name, count] => {
                 let opened = self.net.opened(self.hops[*name].address);
@@ -365,6 +384,51 @@
         }
     }
 
+    /// A hop that reads calls behind one another before it answers any: `expect IDS`, `send STATUS`, `cut TEXT`, and
+    /// `other`, which turns to the next connection.
+    async fn piped(&mut self, name: &str, words: &[&str], place: &str) {
+        let address = hop_address(HOPS.iter().position(|h| h.0 == name).unwrap());
+        if words.is_empty() {
+            let streams = self.net.open(address);
+            self.piped.insert(name.to_string(), Piped { streams, open: None });
+            return;
+        }
+        let piped = self.piped.get_mut(name).unwrap();
+        match words {
+            ["expect", ids, ..] => {
+                for id in ids.split(',') {
+                    let reading = async {
+                        loop {
+                            if piped.open.is_none() {
+                                piped.open = Some(split(piped.streams.recv().await?.stream));
+                            }
+                            match read(&mut piped.open.as_mut()?.0).await {
+                                Some(said) => return Some(said),
+                                // The relay ended that one.
+                                None => piped.open = None,
+                            }
+                        }
+                    };
+                    let said = timeout(Duration::from_secs(60), reading).await.ok().flatten();
+                    let said = said.unwrap_or_else(|| panic!("{place}: {id} did not come"));
+                    assert_eq!(said.headers["x-request-id"], id, "{place}: got {said:?}");
+                }
+            }
+            ["send", status, headers @ ..] => {
+                let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n");
+                headers.iter().for_each(|h| text += &format!("{}\r\n", h.replace('=', ": ")));
+                piped.open.as_mut().unwrap().1.write_all(format!("{text}\r\n").as_bytes()).await.unwrap();
+            }
+            ["other"] => piped.open = piped.streams.recv().await.map(|a| split(a.stream)),
+            ["cut", text @ ..] => {
+                let (_, mut output) = piped.open.take().unwrap();
+                let text = text.join(" ").replace("\\r\\n", "\r\n");
+                output.write_all(text.as_bytes()).await.unwrap();
+            }
+            _ => panic!("{place}: no such step"),
+        }
+    }
+
     pub async fn relay(&mut self, what: &str) {
         match what {
             "start" => {
@@ -510,6 +574,13 @@
                 output.write_all(text.as_bytes()).await.unwrap();
                 back.send((input, output)).ok();
             }
+            // Says something and ends the connection in the middle of it.
+            ["cut", text @ ..] => {
+                let (_, (_, mut output), _) =
+                    hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
+                let text = text.join(" ").replace("\\r\\n", "\r\n");
+                output.write_all(text.as_bytes()).await.unwrap();
+            }
             ["send", status, rest @ ..] => {
                 let (_, (input, mut output), back) =
                     hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
@@ -582,7 +653,7 @@
     }
 }
 
-fn batch_ids(body: &str) -> Vec<String> {
+pub fn batch_ids(body: &str) -> Vec<String> {
     let (mut ids, mut rest) = (Vec::new(), body);
     while let Some((line, after)) = rest.split_once("\r\n") {
         let mut fields = line.split(' ');
