Take back what a pipelined line has queued without borrowing its queue twice

A partner that answers a call before it is written leaves that call in the queue and off the line; the drain that came next pushed it back while the queue was still borrowed and would have panicked. The queue is now taken whole, and what was answered already is dropped unwritten. The new test of a drain after such an answer passes.

--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -70,13 +70,12 @@
         self.tasks.borrow().iter().for_each(AbortHandle::abort);
     }
 
-    /// What has not begun does not go any more.
+    /// What has not begun does not go any more. A partner may have answered a call before it was written: that one
+    /// is off the line already.
     fn withdraw(&self) {
-        while let Some((ticket, bytes)) = self.queue.borrow_mut().pop_back() {
-            if !self.pipe.borrow_mut().take_back(ticket, bytes.len() as u64) {
-                self.queue.borrow_mut().push_back((ticket, bytes));
-                return;
-            }
+        let queued = std::mem::take(&mut *self.queue.borrow_mut());
+        for (ticket, bytes) in queued.into_iter().rev() {
+            self.pipe.borrow_mut().take_back(ticket, bytes.len() as u64);
             if let Some(told) = self.waiting.borrow_mut().remove(&ticket) {
                 told.send(Err(Broken { how: Break::Unwritten, echo: true })).ok();
             }
@@ -415,6 +414,32 @@
         Ok(answers)
     }
 
+    fn line(pipe: Pipe<u64>, queued: &[(u64, &'static [u8])]) -> Shared {
+        Shared {
+            pipe: RefCell::new(pipe),
+            queue: RefCell::new(queued.iter().map(|(t, b)| (*t, Bytes::from_static(b))).collect()),
+            more: Notify::new(),
+            waiting: RefCell::default(),
+            next: Cell::new(0),
+            idle_since: Cell::new(Instant::now()),
+            tasks: RefCell::default(),
+        }
+    }
+
+    /// Guards a drain against a partner that answers what was not sent: what was answered is off the line, what waits
+    /// is taken back, and nothing of either is written.
+    #[test]
+    fn a_call_answered_before_it_was_written_is_no_hindrance_to_a_drain() {
+        let mut pipe = Pipe::new(4);
+        pipe.push(1, 2, true);
+        pipe.push(2, 3, true);
+        assert_eq!(pipe.answered(false), Some((1, true)));
+        let line = line(pipe, &[(1, b"ab"), (2, b"cde")]);
+        line.withdraw();
+        assert!(line.queue.borrow().is_empty());
+        assert_eq!(line.pipe.borrow().out(), 0);
+    }
+
     /// Guards answers behind one another: each ends where it says, in lengths or chunks, and what leaves its end open
     /// is no answer at all.
     #[test]
