Assemble the operator's settings in one place, and list legs without an allocation

An empty file's settings repeated what reading a file does, and each change of a leg allocated a list of the indexes that it stands in, on the way of every connection. Both were seen on reading the change again. The settings have one assembly now, and the indexes are gone through as they are. The tests of the file and of admission pass unchanged.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -699,11 +699,10 @@
             if listed == wanted {
                 continue;
             }
-            let mut indexes = vec![&mut self.index[standing], &mut self.crowds[network].index[standing]];
-            if let Some(crowd) = prefix.and_then(|p| self.prefixes.get_mut(&p)) {
-                indexes.push(&mut crowd.index[standing]);
-            }
-            for index in indexes {
+            let crowd = prefix.and_then(|p| self.prefixes.get_mut(&p));
+            let of_all = [&mut self.index, &mut self.crowds[network].index];
+            for index in of_all.into_iter().chain(crowd.map(|c| &mut c.index)) {
+                let index = &mut index[standing];
                 if let Some((weight, rank)) = listed {
                     index.remove(&(weight, rank, address));
                 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -38,16 +38,24 @@
 /// An empty file's settings.
 impl Default for Operator {
     fn default() -> Operator {
-        let findings = Findings::default();
-        let mut file = Section::new("", &[], &findings);
-        let log = logging::Said::read(file.section("log"));
-        let admission = admission::Said::read(file.section("admission"));
-        let batching = batching::read(file.section("batching"));
-        Operator { log, admission, batching, smpp: None, in_force: findings.in_force.into_inner() }
+        assemble(&[]).0
     }
 }
 
 fn decode(directives: &[Directive]) -> Result<Operator, Vec<Fault>> {
+    let (operator, mut faults) = assemble(directives);
+    if faults.is_empty() {
+        return Ok(operator);
+    }
+    faults.sort_by(|a, b| {
+        let key = |f: &Fault| (f.place.file.clone(), f.place.line, f.place.column);
+        key(a).cmp(&key(b))
+    });
+    Err(faults)
+}
+
+/// The settings, and what is wrong with them.
+fn assemble(directives: &[Directive]) -> (Operator, Vec<Fault>) {
     let findings = Findings::default();
     let mut file = Section::new("", directives, &findings);
     let log = logging::Said::read(file.section("log"));
@@ -56,15 +64,8 @@
     let smpp = file.section("smpp");
     let smpp = smpp.is_there().then(|| SmppConfig::read(smpp));
     file.finish();
-    let mut faults = findings.faults.into_inner();
-    if faults.is_empty() {
-        return Ok(Operator { log, admission, batching, smpp, in_force: findings.in_force.into_inner() });
-    }
-    faults.sort_by(|a, b| {
-        let key = |f: &Fault| (f.place.file.clone(), f.place.line, f.place.column);
-        key(a).cmp(&key(b))
-    });
-    Err(faults)
+    let Findings { faults, in_force } = findings;
+    (Operator { log, admission, batching, smpp, in_force: in_force.into_inner() }, faults.into_inner())
 }
 
 /// Faults as lines of a text.
