Let one piece serve where calls, legs and answers were handled twice

Read again, the change held twins: the ends of all branches of a call and of all letters were built by closures in three places, the patience and bound of an answer stood twice, a table of fates took a wire that decided nothing, and the caps, the room of others and the rest of a leg were written out where they were used. Passage, Carried, the connection's and the pool's constants and small functions serve all of them now; an unused one is gone, and the tests share their batch that is out and their seed.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -123,6 +123,15 @@
         (tier, self.since, no)
     }
 
+    /// No request is open on it any more.
+    fn rests(&mut self, now: Nanos) {
+        self.since = now;
+        self.state = match self.state {
+            State::Closing { .. } => State::Closing { busy: false },
+            State::Idle | State::Busy => State::Idle,
+        };
+    }
+
     fn counts(&self) -> bool {
         !matches!(self.state, State::Closing { .. })
     }
@@ -233,6 +242,11 @@
         self.networks.terms(self.networks.place(address).1).front
     }
 
+    /// Room that is not reserved.
+    fn others_room(&self) -> usize {
+        self.settings.room.saturating_sub(self.settings.reserve)
+    }
+
     /// Legs that may be on their way out at once: beyond that newcomers wait.
     fn slack(&self) -> usize {
         (self.settings.room / 8).max(4)
@@ -261,7 +275,7 @@
         if let Some(rate) = terms.address.rate {
             let lets = record.bucket.lets(now, &rate);
             if !lets && !on_probation {
-                return self.turned_away(now, Group::Address(address), Why::AddressRate);
+                return self.turned_away(now, address, Why::AddressRate);
             }
             if lets {
                 record.bucket.take(now, &rate);
@@ -288,7 +302,7 @@
 
         let room = match self.make_room(now, address, prefix, network, known, free) {
             Ok(victim) => victim,
-            Err(why) => return self.turned_away(now, Group::Address(address), why),
+            Err(why) => return self.turned_away(now, address, why),
         };
         if let Some(victim) = room {
             self.tell_to_close(now, victim);
@@ -316,12 +330,12 @@
     }
 
     /// A refusal counts a little against an address: one that keeps coming has its newcomers weigh more.
-    fn turned_away(&mut self, now: Nanos, group: Group, why: Why) -> Verdict {
+    fn turned_away(&mut self, now: Nanos, address: IpAddr, why: Why) -> Verdict {
         let half = self.settings.penalty_fade;
-        let Group::Address(address) = group else { return Verdict::Refuse(why) };
         match self.holders.get_mut(&address) {
             Some(holder) => holder.record.junk.add(now, half, 0.05),
             None => {
+                let group = Group::Address(address);
                 let mut record = self.records.wake(group);
                 record.junk.add(now, half, 0.05);
                 self.records.rest(group, record);
@@ -341,8 +355,6 @@
         free: bool,
     ) -> Result<Option<LegNo>, Why> {
         let terms = *self.networks.terms(network);
-        let full = |cap: Option<u32>, open: u32| cap.is_some_and(|most| open >= most);
-        let above = |cap: Option<u32>, open: u32| cap.is_some_and(|most| open > most);
         let own = self.holders.get(&address).map_or(0, Holder::open);
         if full(terms.address.legs, own) {
             // One of its own that proved nothing gives way; all else stays.
@@ -367,8 +379,7 @@
             let gives = self.heaviest(now, Some(Of::Network(network)), known, address, Some(weight));
             return gives.map(Some).ok_or(Why::NetworkLegs);
         }
-        let others_room = self.settings.room - self.settings.reserve.min(self.settings.room);
-        if !known && self.open[0] >= others_room {
+        if !known && self.open[0] >= self.others_room() {
             // The reserve is not theirs, so only one of them can give way.
             return self.heaviest(now, None, false, address, Some(weight)).map(Some).ok_or(Why::Room);
         }
@@ -486,11 +497,7 @@
     pub fn answered(&mut self, now: Nanos, leg: LegNo, deed: Deed) -> bool {
         self.deed(now, leg, deed);
         self.change(now, leg, |l| {
-            l.since = now;
-            l.state = match l.state {
-                State::Closing { .. } => State::Closing { busy: false },
-                State::Idle | State::Busy => State::Idle,
-            };
+            l.rests(now);
         });
         let over = self.legs.get(&leg).is_some_and(|l| l.counts() && self.over(l));
         if over {
@@ -521,11 +528,8 @@
     /// All is said on this leg: it is only read on so that its caller hears us.
     pub fn lingers(&mut self, now: Nanos, leg: LegNo) {
         self.change(now, leg, |l| {
-            (l.lingers, l.since) = (true, now);
-            l.state = match l.state {
-                State::Closing { .. } => State::Closing { busy: false },
-                State::Idle | State::Busy => State::Idle,
-            };
+            l.lingers = true;
+            l.rests(now);
         });
     }
 
@@ -600,8 +604,6 @@
     /// Whether a group of this leg holds more than it may.
     fn over(&self, leg: &Leg) -> bool {
         let terms = self.networks.terms(leg.network);
-        let above = |cap: Option<u32>, open: u32| cap.is_some_and(|most| open > most);
-        let others_room = self.settings.room - self.settings.reserve.min(self.settings.room);
         terms.barred
             || above(terms.address.legs, self.holders.get(&leg.address).map_or(0, Holder::open))
             || leg
@@ -610,7 +612,7 @@
                 .is_some_and(|c| above(terms.prefix_caps.legs, c.open))
             || above(terms.together.legs, self.crowds[leg.network].open)
             || (!leg.kept && self.open() > self.settings.room)
-            || (!leg.known && self.open[0] > others_room)
+            || (!leg.known && self.open[0] > self.others_room())
     }
 
     fn tell_to_close(&mut self, now: Nanos, no: LegNo) {
@@ -714,6 +716,14 @@
     }
 }
 
+fn full(cap: Option<u32>, open: u32) -> bool {
+    cap.is_some_and(|most| open >= most)
+}
+
+fn above(cap: Option<u32>, open: u32) -> bool {
+    cap.is_some_and(|most| open > most)
+}
+
 /// Among whom one is to give way.
 #[derive(Clone, Copy)]
 enum Of {
--- a/src/batching/fate.rs
+++ b/src/batching/fate.rs
@@ -59,16 +59,18 @@
     MayHaveRun,
 }
 
-/// The table.
-pub const fn fate(wire: Wire, broke: Break) -> Fate {
-    match (wire, broke) {
+/// The table: what is known is the same on every wire, who is struck is not (`spreads`).
+pub const fn fate(broke: Break) -> Fate {
+    match broke {
         // Nothing whole has reached the other side, or it says itself that it took nothing.
-        (_, Break::NoConnection | Break::Unwritten | Break::Refused) => Fate::NeverRan,
-        // A session's request is answered for itself: an answer that broke off was another's, or is no answer.
-        (_, Break::Written | Break::TimedOut | Break::Cancelled) => Fate::MayHaveRun,
-        // What was written before the word to close was heard may have been run all the same.
-        (_, Break::CloseAnnounced) => Fate::MayHaveRun,
-        (_, Break::AnswerCut | Break::Unreadable) => Fate::MayHaveRun,
+        Break::NoConnection | Break::Unwritten | Break::Refused => Fate::NeverRan,
+        // What was written may have been run, also before a word to close was heard.
+        Break::Written
+        | Break::CloseAnnounced
+        | Break::AnswerCut
+        | Break::Unreadable
+        | Break::TimedOut
+        | Break::Cancelled => Fate::MayHaveRun,
     }
 }
 
@@ -80,16 +82,7 @@
         // One answer for all: whatever spoils it spoils all. A slow member holds up the answer of the others.
         Wire::Batch => !matches!(broke, Break::NoConnection),
         // An answer that is late or spoilt ends the line for those behind it.
-        Wire::Pipeline => matches!(
-            broke,
-            Break::Unwritten
-                | Break::Written
-                | Break::CloseAnnounced
-                | Break::AnswerCut
-                | Break::Unreadable
-                | Break::TimedOut
-                | Break::Cancelled
-        ),
+        Wire::Pipeline => !matches!(broke, Break::NoConnection | Break::Refused),
         // A submit that is late, refused or unreadable leaves the session and the others on it alone; a session
         // that is lost would have been lost for one alone as well.
         Wire::Window => false,
@@ -105,7 +98,7 @@
     let mut i = 0;
     while i < Break::ALL.len() {
         let broke = Break::ALL[i];
-        if spreads(wire, broke) && matches!(fate(wire, broke), Fate::MayHaveRun) {
+        if spreads(wire, broke) && matches!(fate(broke), Fate::MayHaveRun) {
             return false;
         }
         i += 1;
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -145,10 +145,7 @@
         let closed = door.reload(said.admission.settings(plain.clone()));
         if let Some((desk, legs)) = &platform {
             legs.say(words(said.admission.refusal));
-            desk.act(|core, now| {
-                let kinds = core.batching().kinds.clone();
-                core.set_batching(now, Batching { table: said.batching.clone(), kinds });
-            });
+            desk.act(|core, now| core.set_batching(now, said.batching.clone()));
         }
         match (&smpp, &said.smpp) {
             (Some(desk), Some(config)) => smpp::learn(desk, config),
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -1,12 +1,12 @@
 //! The platform's front: callers hand messages in, next hops take them, ends go out as notices.
 
 use super::{fields, hook, notices};
-use crate::batching::fate::{fate, Break, Fate, Wire};
+use crate::batching::fate::{fate, Break, Fate};
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter, Piping, Reply};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, Front, NextHopId, Offer, Taken, TransactionNo};
-use crate::transport::connection::{read_body, Unsent};
+use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN};
 use crate::transport::listener::Leg;
 use crate::transport::network::Net;
 use crate::transport::pipeline::{Broken, Pipelines};
@@ -29,8 +29,6 @@
 const BODY_MOST: usize = 64 * 1024;
 /// Clients give up after 400 ms: a body that is not there by then will not be asked for.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
-/// An answer that has begun takes no longer to come whole.
-const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 const NOTICE_RETRY: Duration = Duration::from_millis(50);
 
 /// What holds for requests of a class that do not say it themselves.
@@ -83,23 +81,19 @@
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
         let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
-        let all = |outcome| {
-            let branches = passage.call.branches.iter();
-            Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
-        };
         let hop = passage.hop;
         if let Some(piping) = passage.desk.see(|core| core.piping(passage.call)) {
             return self.pipe(passage, piping, longest).await;
         }
         let leased = tokio::select! {
             leased = self.pool.lease(hop.id, hop.dial) => leased,
-            () = passage.cancelled() => return all(Outcome::NoConnection),
-            () = sleep(Duration::from_nanos(longest)) => return all(Outcome::NoConnection),
+            () = passage.cancelled() => return passage.all(Outcome::NoConnection),
+            () = sleep(Duration::from_nanos(longest)) => return passage.all(Outcome::NoConnection),
         };
         let mut lease = match leased {
             Ok(lease) => lease,
-            Err(NoLease::NotUp) => return all(Outcome::NoConnection),
-            Err(NoLease::OutOfRoom) => return all(Outcome::NotSent),
+            Err(NoLease::NotUp) => return passage.all(Outcome::NoConnection),
+            Err(NoLease::OutOfRoom) => return passage.all(Outcome::NotSent),
         };
         let letters = passage.begin();
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
@@ -108,8 +102,6 @@
             lease.give_back();
             return Carried::default();
         };
-        let each =
-            |reply: Reply| Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>());
         let exchange = async {
             let mut sent = exchange(&mut lease, request.clone(), len, &letters).await;
             // The line was closed before the request was written whole, be it while it waited or when it was
@@ -154,7 +146,7 @@
                     Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Spoilt,
                     _ => outcome,
                 };
-                Carried { idle, ..each(Reply::Ended(outcome)) }
+                Carried { idle, ..Carried::each(&letters, Reply::Ended(outcome)) }
             }
         }
     }
@@ -179,47 +171,41 @@
     async fn pipe(&self, passage: Passage<'_, Self>, piping: Piping, longest: Nanos) -> Carried {
         let (hop, lines) = (passage.hop, &self.pipelines);
         let from = passage.desk.clock.now();
-        let all = |outcome| {
-            let branches = passage.call.branches.iter();
-            Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
-        };
         let ready = lines.ready(hop.id, hop.dial, piping.repeatable, piping.depth, piping.lines);
         let ready = tokio::select! {
             ready = ready => ready,
-            () = passage.cancelled() => return all(Outcome::NotSent),
-            () = sleep(Duration::from_nanos(longest)) => return all(Outcome::NotSent),
+            () = passage.cancelled() => return passage.all(Outcome::NotSent),
+            () = sleep(Duration::from_nanos(longest)) => return passage.all(Outcome::NotSent),
         };
         match ready {
             Ok(()) => {}
-            Err(NoLease::NotUp) => return all(Outcome::NoConnection),
-            Err(NoLease::OutOfRoom) => return all(Outcome::NotSent),
+            Err(NoLease::NotUp) => return passage.all(Outcome::NoConnection),
+            Err(NoLease::OutOfRoom) => return passage.all(Outcome::NotSent),
         }
         let letters = passage.begin();
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
         let Some(request) = hook::wire(hop.dial, &letters, left).filter(|_| !letters.is_empty()) else {
             return Carried::default();
         };
-        let each =
-            |reply: Reply| Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>());
         let Some(mut seat) = lines.seat(hop.id, hop.dial, piping.repeatable, request) else {
-            return each(Reply::Ended(Outcome::NotSent));
+            return Carried::each(&letters, Reply::Ended(Outcome::NotSent));
         };
         let answer = tokio::select! {
             answer = seat.answer() => answer,
-            () = sleep(Duration::from_nanos(left)) => return each(Reply::Ended(Outcome::TimedOut)),
-            () = passage.cancelled() => return each(Reply::Ended(Outcome::Cancelled)),
+            () = sleep(Duration::from_nanos(left)) => return Carried::each(&letters, Reply::Ended(Outcome::TimedOut)),
+            () = passage.cancelled() => return Carried::each(&letters, Reply::Ended(Outcome::Cancelled)),
         };
         match answer {
             Ok(answer) => meant(answer.status, &answer.headers, &answer.body, &letters),
             Err(Broken { how, echo }) => {
-                let outcome = match (fate(Wire::Pipeline, how), how) {
+                let outcome = match (fate(how), how) {
                     // Of a line that broke only the first says that its host may be down.
                     (Fate::NeverRan, _) if echo => Outcome::NotSent,
                     (Fate::NeverRan, _) => Outcome::NoConnection,
                     (Fate::MayHaveRun, Break::AnswerCut | Break::Unreadable) => Outcome::Spoilt,
                     (Fate::MayHaveRun, _) => Outcome::Broken,
                 };
-                Carried { echo, ..each(Reply::Ended(outcome)) }
+                Carried { echo, ..Carried::each(&letters, Reply::Ended(outcome)) }
             }
         }
     }
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -107,22 +107,18 @@
     const NAME: &'static str = "smpp";
 
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
-        let all = |outcome| {
-            let branches = passage.call.branches.iter();
-            Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
-        };
         let Some(binds) = self.binds.borrow().get(&passage.hop.name).cloned() else {
-            return all(Outcome::NotSent);
+            return passage.all(Outcome::NotSent);
         };
         self.used.borrow_mut().insert(passage.hop.id, binds.clone());
         let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
         let seat = tokio::select! {
             seat = binds.seat() => seat,
-            () = passage.cancelled() => return all(Outcome::NotSent),
-            () = sleep(Duration::from_nanos(longest)) => return all(Outcome::NotSent),
+            () = passage.cancelled() => return passage.all(Outcome::NotSent),
+            () = sleep(Duration::from_nanos(longest)) => return passage.all(Outcome::NotSent),
         };
-        let Some(seat) = seat else { return all(Outcome::NoConnection) };
+        let Some(seat) = seat else { return passage.all(Outcome::NoConnection) };
         // One submit a call: each message is a call of its own here.
         let Some(letter) = passage.begin().into_iter().next() else { return Carried::default() };
         let Some(mut submit) = submit_of(&letter.body) else {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -113,6 +113,13 @@
     pub refused: bool,
 }
 
+impl Carried {
+    /// The same came of each of these.
+    pub fn each(letters: &[Letter], reply: Reply) -> Carried {
+        Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>())
+    }
+}
+
 impl From<Vec<(Branch, Reply)>> for Carried {
     fn from(replies: Vec<(Branch, Reply)>) -> Self {
         Carried { replies, ..Carried::default() }
@@ -348,7 +355,7 @@
     pub fn learn(&mut self, now: Nanos, news: &RouteNews) {
         let known = self.route_set.learn(now, news);
         for hop in &known {
-            self.former.set(hop.id, self.batching.of(hop), self.allowed.get(hop.kind).copied().unwrap_or(1));
+            self.set_terms(hop);
         }
         let former = &self.former;
         let picked = self.facade.learn(now, news.whole, &known, |hop| call_terms(former, hop.id));
@@ -586,16 +593,17 @@
         }
     }
 
-    pub fn batching(&self) -> &Batching {
-        &self.batching
+    fn set_terms(&mut self, hop: &NextHop) {
+        let allowed = self.allowed.get(hop.kind).copied().unwrap_or(1);
+        self.former.set(hop.id, self.batching.of(hop), allowed);
     }
 
     /// Other terms for calls, from now on. What was released by then goes as it was.
-    pub fn set_batching(&mut self, now: Nanos, batching: Batching) {
-        self.batching = batching;
+    pub fn set_batching(&mut self, now: Nanos, table: Table) {
+        self.batching.table = table;
         let hops: Vec<NextHop> = self.route_set.iter().cloned().collect();
         for hop in &hops {
-            self.former.set(hop.id, self.batching.of(hop), self.allowed.get(hop.kind).copied().unwrap_or(1));
+            self.set_terms(hop);
         }
         let calls: Vec<_> = hops.iter().map(|h| (h.id, call_terms(&self.former, h.id))).collect();
         let picked = self.facade.share(now, &calls);
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -63,6 +63,12 @@
         self.desk.act(|core, now| core.begin(now, self.call))
     }
 
+    /// All its branches ended alike, before any was begun.
+    pub fn all(&self, outcome: Outcome) -> Carried {
+        let branches = self.call.branches.iter();
+        Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
+    }
+
     /// Whether its next hop may still get a call.
     pub fn still_open(&self) -> bool {
         let now = self.desk.clock.now();
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -162,6 +162,8 @@
     }
 }
 
+/// An answer that has begun takes no longer to come whole.
+pub const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 /// Most bytes of an answer's head.
 const HEAD_MOST: usize = 32 * 1024;
 
--- a/src/transport/door.rs
+++ b/src/transport/door.rs
@@ -150,10 +150,6 @@
         (admission.open() + admission.closing(), admission.known())
     }
 
-    pub fn room(&self) -> usize {
-        self.admission.borrow().settings().room
-    }
-
     /// Other settings, from now on; what waits beyond them is closed.
     pub fn reload(&self, settings: Settings) -> usize {
         let closed = self.decide(|a, now| a.reload(now, settings));
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -1,8 +1,9 @@
 //! HTTP/1.1 connections on which calls go out behind one another, to next hops that take several. What may go next
 //! and what is known of each at the end is decided by `batching::pipe`.
 
+use super::connection::ANSWER_WITHIN;
 use super::network::{out_of_room, Net, Stream};
-use super::pool::NoLease;
+use super::pool::{NoLease, ANSWER_MOST};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
 use crate::routing::NextHopId;
@@ -19,11 +20,8 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// Most bytes of an answer, and headers in it.
-const ANSWER_MOST: usize = 128 * 1024;
+/// Most headers of an answer.
 const HEADERS_MOST: usize = 64;
-/// An answer that has begun takes no longer to come whole.
-const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 
 /// An answer that came whole.
 #[derive(Debug)]
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep_until, Instant};
 
 /// Most bytes of an answer, with all that comes before and behind it.
-const ANSWER_MOST: usize = 128 * 1024;
+pub(super) const ANSWER_MOST: usize = 128 * 1024;
 
 /// A pool of idle lines by next hop. Each carries one call at a time and is closed before the other side
 /// would close it.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,8 +1,9 @@
 //! The admission module alone, free of I/O: what holds whatever comes.
 
+mod seed;
+
 use basaltloom::admission::{Admission, Caps, Deed, LegNo, Rate, Settings, Terms, Verdict, Why};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 
@@ -175,14 +176,8 @@
     }
 }
 
-/// The same steps each time, unless $PROPTEST_RNG_SEED names others.
-fn seed() -> RngSeed {
-    let named = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|s| s.parse().ok());
-    RngSeed::Fixed(named.unwrap_or(20_261_201))
-}
-
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, rng_seed: seed(), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, rng_seed: seed::seed(), ..ProptestConfig::default() })]
 
     /// Guards what admission owes whatever comes: no leg with a request is closed, none twice; the room, the reserve
     /// and the caps hold at each admission; its counts are those of the outside; records are bounded; nothing is
--- a/tests/batching.rs
+++ b/tests/batching.rs
@@ -1,10 +1,11 @@
 //! Batching alone, free of I/O: what holds whatever comes, and the sizes that follow from what calls cost.
 
+mod seed;
+
 use basaltloom::batching::pace::{self, Arrivals, Cost};
 use basaltloom::batching::{Former, Member, Size, Terms};
 use basaltloom::routing::{Branch, Call};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
 
 const MS: u64 = 1_000_000;
@@ -166,13 +167,8 @@
     }
 }
 
-fn seed() -> RngSeed {
-    let named = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|s| s.parse().ok());
-    RngSeed::Fixed(named.unwrap_or(20_261_201))
-}
-
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: seed(), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: seed::seed(), ..ProptestConfig::default() })]
 
     /// Guards what a former owes whatever comes: each branch leaves it once, in a call or back; no call is over its
     /// bounds; what goes alone goes alone and at once; nothing lingers beyond its time, its aim or the end.
--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -28,6 +28,18 @@
     script
 }
 
+/// Of six calls to destination 1 a batch of three is left out, on a2: the others have been answered.
+fn batch_out() -> String {
+    waiting(&[("t1", "safe"), ("t2", "safe"), ("t3", "safe")])
+        + "hop a2 send 200
+           hop a2 expect t1,t2,t3
+           hop a1 send 200
+           hop a1 send 200
+           hop a1 send 200
+           hop a2 send 200
+           hop a2 send 200\n"
+}
+
 /// Guards the fate rule: what may not be repeated goes in a call of its own, and those that may go together.
 #[test]
 fn what_may_not_be_repeated_travels_alone() {
@@ -65,17 +77,10 @@
 /// and each member may have run. Those that may be repeated go again; no end is told twice.
 #[test]
 fn a_batch_half_accepted_before_a_reset_may_have_run_whole() {
-    let script = waiting(&[("t1", "safe"), ("t2", "safe"), ("t3", "safe")]);
+    let script = batch_out();
     play(
         &(script
-            + "hop a2 send 200
-               hop a2 expect t1,t2,t3
-               hop a1 send 200
-               hop a1 send 200
-               hop a1 send 200
-               hop a2 send 200
-               hop a2 send 200
-               hop a2 cut HTTP/1.1 200 OK\\r\\ncontent-length: 45\\r\\n\\r\\nt1 accepted\\r\\nt2 accep
+            + "hop a2 cut HTTP/1.1 200 OK\\r\\ncontent-length: 45\\r\\n\\r\\nt1 accepted\\r\\nt2 accep
                hop a1 expect t1,t2,t3
                hop a1 send 200 t1 accepted t2 accepted t3 accepted
                agent expect nothing 10000"),
@@ -86,17 +91,10 @@
 /// with different ends may have run and goes again, the others have their ends.
 #[test]
 fn members_are_read_one_by_one_whatever_the_answer_holds() {
-    let script = waiting(&[("t1", "safe"), ("t2", "safe"), ("t3", "safe")]);
+    let script = batch_out();
     play(
         &(script
-            + "hop a2 send 200
-               hop a2 expect t1,t2,t3
-               hop a1 send 200
-               hop a1 send 200
-               hop a1 send 200
-               hop a2 send 200
-               hop a2 send 200
-               hop a2 send 200 zz accepted t3 accepted t1 accepted t1 deferred
+            + "hop a2 send 200 zz accepted t3 accepted t1 accepted t1 deferred
                hop a1 expect t1,t2
                hop a1 send 200 t2 accepted t1 accepted
                agent expect nothing 10000"),
@@ -109,20 +107,13 @@
     for (ends, again) in
         [("t1 accepted t2 deferred t3 accepted", "t2"), ("t1 accepted t2 accepted t3 accepted", "t4")]
     {
-        let script = waiting(&[("t1", "safe"), ("t2", "safe"), ("t3", "safe")]);
+        let script = batch_out();
         let hop = if again == "t4" { "a2" } else { "a1" };
         let late = if again == "t4" { "caller x take /safe id=t4 dest=1 timeout=24000m\n" } else { "" };
         play(
             &(script
                 + &format!(
-                    "hop a2 send 200
-                     hop a2 expect t1,t2,t3
-                     hop a1 send 200
-                     hop a1 send 200
-                     hop a1 send 200
-                     hop a2 send 200
-                     hop a2 send 200
-                     hop a2 send 200 retry-after=1.5 {ends}
+                    "hop a2 send 200 retry-after=1.5 {ends}
                      {late}
                      hop a1 expect nothing 1490
                      hop a2 expect nothing 1
@@ -138,17 +129,10 @@
 /// others are delivered.
 #[test]
 fn a_member_that_has_a_whole_batch_refused_is_found_by_halves() {
-    let script = waiting(&[("t1", "safe"), ("t2", "safe"), ("t3", "safe")]);
+    let script = batch_out();
     play(
         &(script
-            + "hop a2 send 200
-               hop a2 expect t1,t2,t3
-               hop a1 send 200
-               hop a1 send 200
-               hop a1 send 200
-               hop a2 send 200
-               hop a2 send 200
-               hop a2 send 413
+            + "hop a2 send 413
                hop a1 expect t1,t2
                hop a2 expect t3
                hop a2 send 200
