--- a/src/batching/former.rs
+++ b/src/batching/former.rs
@@ -1,7 +1,7 @@
 //! Forms calls of what the module has released to a next hop: lets a call wait to be filled where that pays, learns
 //! what calls cost, and says how large they should be.
 
-use super::pace::{self, Arrivals, Cost};
+use super::pace::{self, Arrivals, Cost, Pressure};
 use super::terms::{Size, Terms};
 use crate::interface::Nanos;
 use crate::routing::{Branch, Call, NextHopId};
@@ -196,21 +196,24 @@
         self.flush(now, hop).map_or(Vec::new(), |call| call.branches)
     }
 
-    /// A call of `n` messages was served in `took`. Returns the size of its next calls where that changed.
-    pub fn served(
+    /// A call of `n` messages ended, after `took` where it was served. Returns the size of its next calls where that
+    /// changed.
+    pub fn ended(
         &mut self,
         now: Nanos,
         hop: NextHopId,
         n: usize,
-        took: Nanos,
-        affordable: Nanos,
+        took: Option<Nanos>,
+        pressure: Pressure,
     ) -> Option<usize> {
         let at_once = self.at_once;
         let h = self.hops.get_mut(&hop)?;
-        h.cost.saw(n, took);
+        if let Some(took) = took {
+            h.cost.saw(n, took);
+        }
         let size = match h.terms.size {
             Size::Fixed => h.most(),
-            Size::Adaptive => pace::size(&h.cost, h.arrivals.rate(now), at_once, affordable, h.most()),
+            Size::Adaptive => pace::size(&h.cost, h.arrivals.rate(now), at_once, pressure, h.most()),
         };
         let before = std::mem::replace(&mut h.size, size);
         (before.min(h.most()) != size).then_some(size)
--- a/src/batching/mod.rs
+++ b/src/batching/mod.rs
@@ -10,4 +10,5 @@
 pub mod terms;
 
 pub use former::{Former, Member};
+pub use pace::Pressure;
 pub use terms::{Counts, Size, Table, Terms};
--- a/src/batching/pace.rs
+++ b/src/batching/pace.rs
@@ -100,30 +100,42 @@
     }
 }
 
-/// The smallest calls that keep up: `at_once` calls may be out, each message has `affordable` left of its aim.
-pub fn size(cost: &Cost, rate: f64, at_once: usize, affordable: Nanos, most: usize) -> usize {
+/// What waits for a partner while a call to it ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pressure {
+    /// What is left of the aim of the oldest message of the call, in nanoseconds.
+    pub affordable: Nanos,
+    /// Messages that wait, and calls that are out, the one that ends among them.
+    pub waiting: usize,
+    pub out: usize,
+}
+
+/// The smallest calls that keep up: `at_once` calls may be out.
+pub fn size(cost: &Cost, rate: f64, at_once: usize, pressure: Pressure, most: usize) -> usize {
+    let most = most.max(1);
     if !cost.known() {
         // Nothing is known: what waits goes together, as far as that is allowed.
-        return most.max(1);
+        return most;
     }
     let (call, item) = cost.fit();
+    let longest = (pressure.affordable as f64 * OF_AIM).max(cost.of(1));
+    let fits = |n: usize| n == 1 || call + item * n as f64 <= longest;
     let each_second = |n: usize| at_once as f64 * n as f64 / ((call + item * n as f64) / 1e9).max(1e-9);
-    let fits = |n: usize| n == 1 || call + item * n as f64 <= (affordable as f64 * OF_AIM).max(cost.of(1));
     let mut best = 1;
-    for n in 1..=most.max(1) {
-        if !fits(n) {
-            break;
-        }
+    for n in (1..=most).take_while(|n| fits(*n)) {
         best = n;
-        if each_second(n) >= rate * HEADROOM {
-            break;
-        }
         // Where the items cost all, larger calls carry no more.
-        if n < most && each_second(n + 1) < each_second(n) * 1.02 {
+        let enough = each_second(n) >= rate * HEADROOM;
+        if enough || each_second(n + 1) < each_second(n) * 1.02 {
             break;
         }
     }
-    best
+    if pressure.out >= at_once {
+        return best;
+    }
+    // Not the slots hold up what waits but a limit, a rest or a budget of calls: then each call has to take more.
+    let each = pressure.waiting.div_ceil(pressure.out.max(1)).min(most);
+    (best..=each).take_while(|n| fits(*n)).last().unwrap_or(best)
 }
 
 /// How long a call may wait to be filled: as long as the messages that come meanwhile save more than the wait costs,
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -5,7 +5,7 @@
 use super::route_set::{NextHop, RouteNews, RouteSet};
 use super::transactions::{Ending, Transaction, TransactionNo, Transactions};
 use crate::batching::fate::{may_share, Wire};
-use crate::batching::{Counts, Former, Member, Table, Terms};
+use crate::batching::{Counts, Former, Member, Pressure, Table, Terms};
 use crate::interface::{CallTerms, Nanos, Outcome, Repeat, Settings};
 use bytes::Bytes;
 
@@ -422,7 +422,9 @@
             Some((t.deadline + aim).saturating_sub(deadline + now))
         });
         let affordable = left.min().unwrap_or(0);
-        let size = served.then(|| self.former.served(now, hop, replies.len(), took, affordable)).flatten();
+        let (waiting, out) = self.facade.load_of(hop);
+        let pressure = Pressure { affordable, waiting, out };
+        let size = self.former.ended(now, hop, replies.len(), served.then_some(took), pressure);
         for (branch, reply) in replies {
             let no = branch.transaction;
             let Some(t) = self.transactions.get_mut(no) else { continue };
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -187,6 +187,11 @@
         self.step(now, &events)
     }
 
+    /// Messages that wait for the destination of this next hop, and calls that are out to it.
+    pub fn load_of(&self, next_hop: NextHopId) -> (usize, usize) {
+        self.relay.load_of(next_hop)
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Nanos) -> Picked {
         self.step(now, &[Event::Woken])
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,7 +40,6 @@
 const ROUGH: f64 = 1.5; // a listed limit may be so many times the true one
 const LEAST_SEEN: f64 = 5e9; // nanoseconds over which messages are counted at least: fewer tell no rate
 const LEAST_CAPACITY: f64 = 1.5; // calls a second, of all relays: even the smallest host serves about that
-const BATCH_WEIGHT: f64 = 0.3; // of each further message of a call in the cold budget, the first being 1
 const BREAKS_EARLY: f64 = 0.5; // share of the usual latency: a break before it is the connection's
 const IDLE_TRUSTED: Nanos = 20 * SEC; // idle time from which on connections are trusted again
 const EVIDENCE: usize = 8; // calls that a rate rests on at least: one in a short span is no rate
@@ -327,7 +326,7 @@
             Health::Well => most,
             Health::Doubted | Health::Warming { .. } => {
                 let weight = self.cold_rate(host, self.now) * self.set.fall as f64 / 2e9;
-                most.min(1 + ((weight - 1.0).max(0.0) / BATCH_WEIGHT) as usize)
+                most.min(1 + ((weight - 1.0).max(0.0) / self.weight_of_more(host)) as usize)
             }
         }
     }
@@ -511,7 +510,7 @@
     /// Counts a call against the pace and the cold budget.
     fn spend(&mut self, host: HostId, messages: usize) {
         let (now, units) = (self.now, self.book.units(host, messages));
-        let weight = 1.0 + BATCH_WEIGHT * messages.saturating_sub(1) as f64;
+        let weight = 1.0 + self.weight_of_more(host) * messages.saturating_sub(1) as f64;
         let gap = (self.cold_gap(host, weight) * (1.0 - SPREAD / 2.0 + SPREAD * self.dice.roll())) as Nanos;
         let r = self.route(host);
         if let Some(p) = r.pace {
--- a/tests/batching.rs
+++ b/tests/batching.rs
@@ -3,7 +3,7 @@
 mod seed;
 
 use basaltloom::batching::pace::{self, Arrivals, Cost};
-use basaltloom::batching::{Former, Member, Size, Terms};
+use basaltloom::batching::{Former, Member, Pressure, Size, Terms};
 use basaltloom::routing::{Branch, Call};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -154,7 +154,9 @@
                 );
             }
             Step::Served { hop, n, took } => {
-                self.former.served(self.now, hop, n, took * MS, 2_000 * MS);
+                let took = (took % 5 > 0).then_some(took * MS);
+                let pressure = Pressure { affordable: 2_000 * MS, waiting: n * 7 % 40, out: n };
+                self.former.ended(self.now, hop, n, took, pressure);
                 assert!((1..=5).contains(&self.former.size(hop)));
             }
             Step::WindUp => {
@@ -214,13 +216,22 @@
 fn calls_are_as_small_as_keeps_up_and_never_outlast_the_aim() {
     let cheap = seen(100 * MS, 10 * MS, &[1, 4, 8]);
     let singles = 12.0 / 0.110;
-    assert_eq!(pace::size(&cheap, 0.5 * singles, 12, 2_000 * MS, 10), 1);
-    let pressed = pace::size(&cheap, 2.0 * singles, 12, 2_000 * MS, 10);
+    // All slots are taken: only they hold up what comes.
+    let full = |affordable: u64| Pressure { affordable: affordable * MS, waiting: 100, out: 12 };
+    assert_eq!(pace::size(&cheap, 0.5 * singles, 12, full(2_000), 10), 1);
+    let pressed = pace::size(&cheap, 2.0 * singles, 12, full(2_000), 10);
     assert!((3..=5).contains(&pressed), "{pressed}");
-    assert_eq!(pace::size(&cheap, 100.0 * singles, 12, 2_000 * MS, 10), 10);
-    assert!(pace::size(&cheap, 100.0 * singles, 12, 300 * MS, 10) <= 5, "half of what is left of the aim");
+    assert_eq!(pace::size(&cheap, 100.0 * singles, 12, full(2_000), 10), 10);
+    assert!(pace::size(&cheap, 100.0 * singles, 12, full(300), 10) <= 5, "half of what is left of the aim");
     let dear = seen(MS, 100 * MS, &[1, 4, 8]);
-    assert!(pace::size(&dear, 1_000.0, 12, 10_000 * MS, 10) <= 5);
+    assert!(pace::size(&dear, 1_000.0, 12, full(10_000), 10) <= 5);
+    // A limit holds them up: what waits is spread over the few calls that go, as far as the aim allows.
+    let limited = |waiting, out| Pressure { affordable: 2_000 * MS, waiting, out };
+    assert_eq!(pace::size(&cheap, 0.5 * singles, 12, limited(0, 2), 10), 1);
+    assert_eq!(pace::size(&cheap, 0.5 * singles, 12, limited(9, 2), 10), 5);
+    assert_eq!(pace::size(&cheap, 0.5 * singles, 12, limited(90, 2), 10), 10);
+    let dear = pace::size(&dear, 1.0, 12, Pressure { affordable: 800 * MS, ..limited(90, 1) }, 10);
+    assert!((2..=5).contains(&dear), "half of what is left of the aim: {dear}");
     assert_eq!(pace::linger(&cheap, 0.5 * singles, 12, 4, 2_000 * MS, 50 * MS), 0, "no pressure, no wait");
     let wait = pace::linger(&cheap, 2.0 * singles, 12, 4, 2_000 * MS, 50 * MS);
     assert!(wait > 0 && wait <= 50 * MS);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -227,10 +227,11 @@
 // ---- Cold returns ----
 
 /// Weight of calls within any `fall`, and messages sent, over the first seconds after a return.
-fn cold_return(outcome: Outcome, kind: usize, before: u64) -> f64 {
+fn cold_return(outcome: Outcome, kind: usize, before: u64, by_message: bool) -> f64 {
     let mut set = settings();
     set.max_held = 400;
     let mut bed = Bed::new(set, &[(0, 5, kind, 0)]);
+    bed.step(&[Event::Shares { host: 0, call: CallTerms { by_message, ..CallTerms::default() } }]);
     let mut id = 0;
     for _ in 0..60 {
         id += 1;
@@ -271,20 +272,29 @@
     // Ten a second were served before, so a share of 0.3 and a factor of 1.5 allow 6.75 within 1.5 s at
     // the start, for this relay as if it were alone; the ramp may add a little in two seconds.
     for outcome in [Outcome::TimedOut, Outcome::Error, Outcome::NoConnection, Outcome::Broken] {
-        let most = cold_return(outcome, 0, 100 * MS);
+        let most = cold_return(outcome, 0, 100 * MS, false);
         assert!((1.0..=14.0).contains(&most), "{outcome:?}: {most}");
     }
-    let shut = cold_return(Outcome::Full { wait: 0 }, 0, 100 * MS);
+    let shut = cold_return(Outcome::Full { wait: 0 }, 0, 100 * MS, false);
     assert!((1.0..=14.0).contains(&shut), "shut: {shut}");
 }
 
 #[test]
 fn batches_do_not_spend_the_budget_of_a_warming_host() {
     // Two calls a second before; eighty messages wait, and ten of them would fit into one call.
-    let most = cold_return(Outcome::NoConnection, 2, 500 * MS);
+    let most = cold_return(Outcome::NoConnection, 2, 500 * MS, false);
     assert!((1.0..=5.0).contains(&most), "{most} messages");
 }
 
+/// Guards a returning host whose limit counts messages: each takes the whole of its part of the cold budget, in
+/// whatever call it goes.
+#[test]
+fn a_returning_host_that_counts_messages_gets_no_more_of_them_in_batches() {
+    let [calls, messages] = [false, true].map(|by| cold_return(Outcome::NoConnection, 2, 100 * MS, by));
+    assert!((1.0..=14.0).contains(&messages), "{messages} messages");
+    assert!(calls > 14.0, "where calls count, batches carry {calls} messages");
+}
+
 #[test]
 fn an_answer_to_a_call_from_before_the_outage_does_not_end_it() {
     let mut bed = Bed::new(settings(), &[(0, 5, 0, 0)]);
