--- a/src/batching/mod.rs
+++ b/src/batching/mod.rs
@@ -1,5 +1,5 @@
 //! Pipelining and batching: what may travel together, how much of it, and what is known of each when it fails.
-//! Decisions without I/O; the module of `src/rules.rs` still decides what goes where and when, and asks here who may
+//! Decisions without I/O; the module of `src/decision` still decides what goes where and when, and asks here who may
 //! join a call.
 
 pub mod fate;
--- a/src/batching/sharing.rs
+++ b/src/batching/sharing.rs
@@ -1,8 +1,8 @@
 //! Who may join a call: the fate rule, the byte bound, and the smaller groups that a refused call is split into.
 
 use super::fate::{may_share, Wire};
+use crate::decision::Relay;
 use crate::interface::{HostId, MsgId};
-use crate::rules::Relay;
 
 /// Of each further message of a call in the cold budget, the first being 1, where the partner counts calls.
 const WEIGHT_OF_MORE: f64 = 0.3;
--- a/src/by_hand.rs
+++ b/src/decision/by_hand.rs
@@ -1,7 +1,7 @@
 //! Tags and pace with numbers worked by hand.
 
-use crate::rules::{filled, retag};
-use crate::state::{Flow, Route};
+use super::records::{filled, Flow, Route};
+use super::release::retag;
 
 /// The paper's example of theorem 1: weights 0.01 then 0.5, unit cost, virtual time 2.
 #[test]
--- a/src/interface.rs
+++ b/src/decision/interface.rs
@@ -1,6 +1,9 @@
 //! What a relay tells the decision module and what the module asks of it. Times are integer nanoseconds.
 
 /// A point in time or a span, in nanoseconds.
+pub(crate) const MS: Nanos = 1_000_000;
+pub(crate) const SEC: Nanos = 1_000 * MS;
+
 pub type Nanos = u64;
 /// A message, unique within one relay's life.
 pub type MsgId = u64;
--- a/src/live.rs
+++ b/src/decision/live.rs
@@ -1,11 +1,12 @@
 //! Decisions that only a relay on real sockets needs: after a restart, before one, and between a decision
-//! and its first byte. Part of the module of `src/rules.rs`.
+//! and its first byte.
 
-use crate::interface::*;
-use crate::rules::{Relay, PACE_CUT};
+use super::health::PACE_CUT;
+use super::interface::*;
+use super::Relay;
 
 impl Relay {
-    pub(crate) fn rare(&mut self, event: &Event) {
+    pub(super) fn rare(&mut self, event: &Event) {
         match event {
             Event::Restored { id, class, dest, key, time_left, attempts, may_have_run } => {
                 self.taken(*id, *class, *dest, key.clone(), *time_left);
@@ -24,9 +25,9 @@
             Event::Unsettled { id, key } => self.book.leave_unsettled(*id, key.clone()),
             Event::Ailing { host } if self.book.hosts.contains_key(host) => self.down(*host, 0),
             Event::Reported { host, limit } if self.book.hosts.contains_key(host) => {
-                self.route(*host).limit = *limit;
+                self.book.route_of(*host).limit = *limit;
                 let part = self.slice(*host) * PACE_CUT;
-                self.route(*host).raise_pace(part);
+                self.book.route_of(*host).raise_pace(part);
             }
             Event::Terms { host, terms } => self.book.set_terms(*host, *terms),
             Event::Shares { host, call } => self.book.set_call(*host, *call),
@@ -52,7 +53,7 @@
     }
 
     /// A message that has its end leaves, but for its place in its key's line.
-    pub(crate) fn part_with(&mut self, id: MsgId) {
+    pub(super) fn part_with(&mut self, id: MsgId) {
         let key = self.book.messages.get(&id).and_then(|m| m.key.clone());
         self.forget(id);
         if let Some(key) = key.filter(|_| self.book.settles_later) {
@@ -68,12 +69,12 @@
     }
 
     /// A call that would be out when the relay is killed may have run, and nobody would know.
-    pub(crate) fn too_late(&self, host: HostId) -> bool {
+    pub(super) fn too_late(&self, host: HostId) -> bool {
         self.book.closing.is_some_and(|at| self.now.saturating_add(self.overdue_after(host)) > at)
     }
 
     /// This relay's part of the listed or reported limit; 0 where there is neither.
-    pub(crate) fn slice(&self, host: HostId) -> f64 {
+    pub(super) fn slice(&self, host: HostId) -> f64 {
         let h = &self.book.hosts[&host];
         let reported = self.book.routes.get(&h.route).map_or(0.0, |r| r.limit);
         let limit = if self.set.limits == Limits::Unlisted { reported } else { h.scale };
@@ -81,7 +82,7 @@
     }
 
     /// An operator's terms: a bound on the calls out, and backups that wait for the others to fall sick.
-    pub(crate) fn within_terms(&self, host: HostId) -> bool {
+    pub(super) fn within_terms(&self, host: HostId) -> bool {
         let h = &self.book.hosts[&host];
         let first = |m: &HostId| {
             let mate = &self.book.hosts[m];
@@ -92,7 +93,7 @@
 
     /// The last of each step. Before a planned end, messages that cannot go any more are handed back where
     /// that is harmless: other relays will have them sooner than this one is back.
-    pub(crate) fn wind_up(&mut self) {
+    pub(super) fn wind_up(&mut self) {
         self.reclaim();
         if self.book.closing.is_none() {
             return;
--- /dev/null
+++ b/src/decision/pace.rs
@@ -0,0 +1,139 @@
+//! Told waits, limits that show themselves by refusals, and the budget of a cold host.
+
+use super::health::{PACE_CUT, PACE_SPAN, TRIAL_GAP};
+use super::interface::*;
+use super::records::*;
+use super::Relay;
+
+const SPREAD: f64 = 0.5; // by chance, on gaps and rests: relays that act alike must not move together
+const COLD_MARGIN: f64 = 2.0 / 3.0; // of the cold budget: a load is ours from two thirds of it on
+const ROUGH: f64 = 1.5; // a listed limit may be so many times the true one
+const LEAST_SEEN: f64 = 5e9; // nanoseconds over which messages are counted at least: fewer tell no rate
+const LEAST_CAPACITY: f64 = 1.5; // calls a second, of all relays: even the smallest host serves about that
+const SHUT_WAIT: Nanos = 2 * SEC; // a longer told wait means shut rather than over the limit,
+const SHUT_AFTER: Nanos = 1_500 * MS; // and so do refusals alone for so long
+const SHUT_REFUSALS: u32 = 3; // and so many, more where refusals in a row are usual
+const PACE_CUT_GAP: Nanos = 500 * MS; // least time between cuts
+const PACE_TRUST: f64 = 1.5; // a pace is cut from this multiple of what was accepted of late at most
+const REST_FIRST: f64 = 0.04; // own rest after a refusal, as part of its bound; grows with each one
+const REST_GROWTH: f64 = 4.0; // factor of each further refusal
+const REST_LEVELS: u32 = 5; // factors at most
+const REST_LEAST_MOST: f64 = 1.2e9; // its bound, in nanoseconds, where few relays send
+const REST_MOST: f64 = 60e9; // and where very many do
+const WAIT_ROUNDING: Nanos = 2 * MS; // added to a told wait, which comes in whole milliseconds
+
+impl Relay {
+    /// Counts a call against the pace and the cold budget.
+    pub(super) fn spend(&mut self, host: HostId, messages: usize) {
+        let (now, units) = (self.now, self.book.units(host, messages));
+        let weight = 1.0 + self.weight_of_more(host) * messages.saturating_sub(1) as f64;
+        let gap = (self.cold_gap(host, weight) * (1.0 - SPREAD / 2.0 + SPREAD * self.dice.roll())) as Nanos;
+        let r = self.book.route_of(host);
+        if let Some(p) = r.pace {
+            r.tokens = filled(r, p, now) - units;
+            r.filled = now;
+        }
+        let Some(h) = self.book.hosts.get_mut(&host) else { return };
+        (h.last_sent, h.last_used) = (now, now);
+        let least = TRIAL_GAP * u64::from(h.health == Health::Down);
+        h.next = if h.health == Health::Well { 0 } else { now + gap.max(least) };
+    }
+
+    /// A clump that meets a shut or full host is refused at one moment at as many relays. What is wanted of
+    /// it is no more than the host takes within the aim: spread over the aim, stretched by what a cold host
+    /// takes, it keeps to half of our margin; relays with more signs have the other half. The same for
+    /// messages that come while saved-up calls could go.
+    pub(super) fn crowd_gap(&mut self, host: HostId) -> Nanos {
+        let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SEC) as f64;
+        let stretch = (COLD_MARGIN / 2.0 * self.set.overload_factor * self.set.cold_share).clamp(0.01, 1.0);
+        (self.dice.roll() * self.cold_gap(host, 1.0).min(aim / stretch)) as Nanos
+    }
+
+    /// Calls a second that this relay may send to a host that is, or may be, coming back: its part of the
+    /// cold budget. Nobody knows when it returns or how warm it is; before a call is served the budget is
+    /// that of its first moment, factor x cold_share x capacity. The parts of all relays add up to no more:
+    /// - messages taken add up to the traffic, which a destination takes in the mean. Others that know of no
+    ///   outage send too: if we keep to two thirds, no load above the budget is two thirds ours.
+    /// - equal parts of the listed limit, lowered by what the list may err, are at most the capacity.
+    /// - rates served over a longer run add up to what was served. Where a relay knows one, all have met the
+    ///   outage within moments, and nobody is left to fill the other third.
+    pub(super) fn cold_rate(&self, host: HostId, at: Nanos) -> f64 {
+        let Some(h) = self.book.hosts.get(&host) else { return 1.0 };
+        let warm = match h.health {
+            Health::Warming { since } => (at - since) as f64 / self.set.warm_up.max(1) as f64,
+            _ => 0.0,
+        };
+        let share = self.set.cold_share + (1.0 - self.set.cold_share) * warm.min(1.0);
+        let mates = self.book.hosts_of(h.dest).iter().map(|m| self.book.hosts[m].scale).sum::<f64>();
+        let seen = (-((self.now - self.book.started) as f64).max(LEAST_SEEN) / self.memory()).exp_m1().abs();
+        let asked = self.book.flows.get(&h.dest).map_or(0.0, |f| f.asked(self.now, self.memory()));
+        let asked = asked / (self.memory() * seen) * 1e9;
+        let listed = if self.set.limits == Limits::Unlisted { 0.0 } else { h.scale / ROUGH };
+        let equal = listed.max(LEAST_CAPACITY) / f64::from(self.set.senders.max(1));
+        let part = COLD_MARGIN * (asked * h.scale / mates.max(h.scale)).max(equal);
+        self.set.overload_factor * share * if h.best_rate > 0.0 { h.best_rate } else { part }
+    }
+
+    /// Nanoseconds in which the part allows a call of this weight, the ramp rising meanwhile, in bounds.
+    pub(super) fn cold_gap(&self, host: HostId, weight: f64) -> f64 {
+        let gap = weight * 1e9 / self.cold_rate(host, self.now);
+        let rate = self.cold_rate(host, self.now.saturating_add((gap / 2.0) as Nanos));
+        (weight * 1e9 / rate).min(Nanos::MAX as f64 / 4.0)
+    }
+
+    /// Longest life of a message: whatever is held was taken within it.
+    pub(super) fn memory(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(SEC).max(SEC) as f64
+    }
+
+    /// A told wait binds its whole route, and the millisecond cut off when it is told.
+    pub(super) fn heed(&mut self, host: HostId, wait: Nanos) {
+        let until = self.now.saturating_add(wait).saturating_add(WAIT_ROUNDING);
+        let r = self.book.route_of(host);
+        r.wait = r.wait.max(until);
+    }
+
+    /// Refused as full: cut the pace; refusals without a success, or a long wait, mean shut and cold later.
+    pub(super) fn refused(&mut self, host: HostId, wait: Nanos) {
+        let (now, route, slice) = (self.now, self.book.hosts[&host].route, self.slice(host));
+        let (roll, most) = (self.dice.roll(), self.longest_rest());
+        let r = self.book.routes.entry(route).or_default();
+        if r.refused == 0 {
+            (r.refused_since, r.usual) = (now, r.level);
+        }
+        (r.refused, r.level) = (r.refused.saturating_add(1), (r.level + 1).min(REST_LEVELS));
+        // A told wait may end for all relays at one moment: the rest after it is spread from nothing on.
+        let rest = (REST_FIRST * most * REST_GROWTH.powi(r.level as i32 - 1)).min(most);
+        let from = if wait == 0 { 1.0 - SPREAD } else { 0.0 };
+        let spread = (rest * (from + 2.0 * SPREAD * roll)) as Nanos;
+        r.rest = r.rest.max(now.max(r.wait).saturating_add(spread));
+        if now >= r.cut + PACE_CUT_GAP {
+            let used = rate_of(&mut r.accepted, PACE_SPAN, now).unwrap_or(0.0);
+            let from = r.pace.map_or(used.max(slice), |p| p.min(used * PACE_TRUST).max(p * 0.5));
+            // Where the limit is told, one cut is enough to come near our part of it.
+            let from = if slice > 0.0 { from.clamp(slice, slice * PACE_TRUST) } else { from };
+            let pace = (from * PACE_CUT).max(1e9 / REST_LEAST_MOST);
+            r.full_at = from;
+            if r.pace.is_none() {
+                let text = format!("host {host} refuses as full, paced at {pace:.1} a second");
+                self.actions.push(Action::Log(text));
+            }
+            (r.pace, r.cut, r.filled, r.tokens) = (Some(pace), now, now, 0.0);
+        }
+        let mut mates = self.book.hosts_of(self.book.hosts[&host].dest).to_vec();
+        mates.retain(|h| self.book.hosts[h].route == route);
+        mates.iter().for_each(|h| self.doubt(*h, true));
+        let r = self.book.routes.entry(route).or_default();
+        let shut =
+            wait > SHUT_WAIT || (r.refused >= SHUT_REFUSALS + r.usual && now >= r.refused_since + SHUT_AFTER);
+        let until = r.wait.max(r.rest);
+        if shut {
+            mates.into_iter().for_each(|h| self.down(h, until));
+        }
+    }
+
+    /// Bound of the rest after refusals: the relays together ask a small destination as often as it can take.
+    fn longest_rest(&self) -> f64 {
+        (f64::from(self.set.senders) / LEAST_CAPACITY * 1e9).clamp(REST_LEAST_MOST, REST_MOST)
+    }
+}
--- a/src/state.rs
+++ b/src/decision/records.rs
@@ -1,6 +1,6 @@
 //! What the decision module remembers. Plain records and their bookkeeping: nothing is decided here.
 
-use crate::interface::{CallTerms, DestId, Entry, HostId, Kind, Listing, MsgId, Nanos, Terms};
+use super::interface::{CallTerms, DestId, Entry, HostId, Kind, Listing, MsgId, Nanos, Terms};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A message that still awaits its final answer.
@@ -161,6 +161,9 @@
     pub rest: (Nanos, MsgId),
 }
 
+const EVIDENCE: usize = 8; // calls that a rate rests on at least: one in a short span is no rate
+const PACE_BURST: f64 = 0.5; // calls saved up at most, in seconds of the pace
+
 /// A host that has left is remembered for so long: a list may come back to it.
 const REMEMBERED: Nanos = 30_000_000_000;
 
@@ -204,6 +207,29 @@
         self.hosts_of.get(&dest).map_or(&[], |h| h)
     }
 
+    /// Takes in news of the list; `whole` replaces all that was known.
+    pub fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry], kinds: &[Kind], dice: &mut Dice) {
+        if whole {
+            self.hosts.values_mut().for_each(|h| h.state = Listing::Gone);
+        }
+        for e in entries {
+            let kind = kinds.get(e.kind).copied().unwrap_or(Kind { apart: false, per_call: 1 });
+            // Listed for another destination, it must not get messages of the one that it left.
+            if self.hosts.get(&e.host).is_none_or(|h| h.dest != e.dest) {
+                let lot = (dice.roll() * 1e9) as u64;
+                self.add_host(e.host, Host::new(e, kind, lot, now));
+            }
+            if let Some(h) = self.hosts.get_mut(&e.host) {
+                (h.state, h.scale) = (e.state, e.scale);
+            }
+        }
+    }
+
+    pub fn route_of(&mut self, host: HostId) -> &mut Route {
+        let id = self.hosts[&host].route;
+        self.routes.entry(id).or_default()
+    }
+
     /// Records a host anew under its destination, with the calls that are still out to it.
     pub fn add_host(&mut self, id: HostId, mut host: Host) {
         if let Some(old) = self.hosts.get(&id) {
@@ -471,18 +497,6 @@
     }
 }
 
-impl crate::rules::Relay {
-    /// Whether there is a record of this host.
-    pub fn knows(&self, host: HostId) -> bool {
-        self.book.hosts.contains_key(&host)
-    }
-
-    /// Idle time after which connections are not to be used any more.
-    pub fn trusted_idle(&self) -> Nanos {
-        self.book.idle_safe.unwrap_or(Nanos::MAX)
-    }
-}
-
 impl Route {
     /// Refused, and no limit was told: nobody knows how much it takes. At a told limit what is refused is
     /// the call, however many messages it has.
@@ -527,6 +541,21 @@
     }
 }
 
+/// Rate of the recorded times over `span`, or over as many calls as it takes to tell; none if too few.
+pub(crate) fn rate_of(times: &mut VecDeque<Nanos>, span: Nanos, now: Nanos) -> Option<f64> {
+    while times.len() > EVIDENCE && times[0] + span < now {
+        times.pop_front();
+    }
+    let over = now.saturating_sub(*times.front()?).max(span);
+    (times.len() >= EVIDENCE).then_some(times.len() as f64 * 1e9 / over as f64)
+}
+
+/// Calls that may go now under a pace, a burst or one being saved up at most.
+pub(crate) fn filled(r: &Route, pace: f64, now: Nanos) -> f64 {
+    let saved = r.tokens + pace * (now - r.filled) as f64 / 1e9;
+    saved.min((pace * PACE_BURST).max(1.0))
+}
+
 /// A small seeded generator (splitmix64).
 #[derive(Debug)]
 pub(crate) struct Dice(pub u64);
--- /dev/null
+++ b/src/decision/worth.rs
@@ -0,0 +1,144 @@
+//! What a message is worth and until when, and the final answers for those that nothing can serve.
+
+use super::interface::*;
+use super::records::*;
+use super::release::{ANSWER_MARGIN, HORIZON_LEAST, HORIZON_MOST};
+use super::Relay;
+
+const RESERVE: f64 = 0.2; // share of its life that an unsafe message keeps when it waits for a sick host
+const ROOM: f64 = 0.05; // places of those held that are kept free for newcomers
+
+impl Relay {
+    /// Until when it may be sent: to its deadline, or while a first attempt that may have run is remembered.
+    pub(super) fn end(&self, m: &Message) -> Nanos {
+        match (m.may_have_run, self.set.classes[m.class].repeat) {
+            (Some((at, _)), Repeat::Keyed { memory, .. }) => m.deadline.min(at.saturating_add(memory)),
+            _ => m.deadline,
+        }
+    }
+
+    /// What it is worth if it is sent at `at`, by the settings.
+    fn worth_at(&self, m: &Message, at: Nanos) -> f64 {
+        let class = &self.set.classes[m.class];
+        if at >= self.end(m) {
+            return 0.0;
+        }
+        let over = at.saturating_sub(m.aim_at) as f64;
+        let share = match self.set.late {
+            _ if at <= m.aim_at => 1.0,
+            Late::Even => {
+                let span = m.deadline.saturating_sub(m.aim_at).max(1) as f64;
+                1.0 - (1.0 - class.late_worth) * (over / span).min(1.0)
+            }
+            Late::Halves => 0.5f64.powf(over / class.aim.max(1) as f64).max(class.late_worth),
+        };
+        class.worth * share
+    }
+
+    /// Worth about to be lost if the message is passed over for `horizon`.
+    pub(super) fn loss(&self, m: &Message, horizon: f64) -> f64 {
+        self.worth_at(m, self.now) - self.worth_at(m, self.now + horizon as Nanos)
+    }
+
+    /// Worth that a failed trial with this message would put in danger: most where it can't be sent again.
+    pub(super) fn at_stake(&self, m: &Message) -> f64 {
+        let share = match self.set.classes[m.class].repeat {
+            _ if m.attempts + 2 >= self.set.max_attempts => 3.0,
+            Repeat::Safe => 0.0,
+            Repeat::Keyed { .. } if m.may_have_run.is_some() => 0.01,
+            Repeat::Keyed { .. } => 0.5,
+            Repeat::Unsafe => 2.0,
+        };
+        share * self.worth_at(m, self.now)
+    }
+
+    /// An unsafe message that fails is lost for good: until its reserve begins it waits for a sound host.
+    pub(super) fn risk_taken(&self, m: &Message) -> bool {
+        let c = &self.set.classes[m.class];
+        c.repeat != Repeat::Unsafe || m.deadline < self.now + (c.deadline as f64 * RESERVE) as Nanos
+    }
+
+    pub(super) fn fee(&self, host: HostId) -> f64 {
+        let h = &self.book.hosts[&host];
+        self.set.zone_fee.get(h.zone).filter(|_| h.kind.apart).copied().unwrap_or(0.0)
+    }
+
+    pub(super) fn least_fee(&self, dest: DestId) -> f64 {
+        let ready = |h: &&HostId| self.book.hosts[h].state == Listing::Ready && self.is_well(**h);
+        let well = self.book.hosts_of(dest).iter().filter(ready);
+        well.map(|h| self.fee(*h)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Final answers for messages that no allowed attempt can still serve.
+    pub(super) fn end_hopeless(&mut self) {
+        if self.now < self.book.next_end {
+            return;
+        }
+        let hopeless = |m: &Message| {
+            let spent = m.attempts >= self.set.max_attempts;
+            let ran_out = self.now + ANSWER_MARGIN >= self.end(m);
+            let lost = m.may_have_run.is_some() && self.set.classes[m.class].repeat == Repeat::Unsafe;
+            (!m.out && (spent || ran_out || lost)) || self.now + ANSWER_MARGIN >= m.deadline
+        };
+        let over = self.book.messages.iter().filter(|(_, m)| hopeless(m));
+        let over: Vec<MsgId> = over.map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.give_up(id));
+        let ends = self.book.messages.values().map(|m| if m.out { m.deadline } else { self.end(m) });
+        self.book.next_end = ends.min().map_or(Nanos::MAX, |t| t.saturating_sub(ANSWER_MARGIN));
+    }
+
+    /// Refused where no effect can be repeated by it, with advice on when to come back; else failed.
+    pub(super) fn give_up(&mut self, id: MsgId) {
+        let Some(m) = self.book.messages.get(&id) else { return };
+        if self.may_refuse(m) && m.deadline > self.now + SEC {
+            let horizon = self.book.flows.get(&m.dest).map_or(HORIZON_LEAST, |f| self.horizon(f));
+            let come_back = (horizon as Nanos).min(self.set.max_come_back);
+            self.actions.push(Action::Refuse { id, come_back });
+        } else {
+            self.actions.push(Action::Fail { id });
+        }
+        self.part_with(id);
+    }
+
+    pub(super) fn may_refuse(&self, m: &Message) -> bool {
+        let clean = m.may_have_run.is_none() && !m.out;
+        match self.set.classes[m.class].repeat {
+            Repeat::Safe => true,
+            Repeat::Keyed { zone_only, .. } => clean || !zone_only,
+            Repeat::Unsafe => clean,
+        }
+    }
+
+    pub(super) fn forget(&mut self, id: MsgId) {
+        let Some(m) = self.book.messages.remove(&id) else { return };
+        if !m.out {
+            self.book.unhold(id, m.dest);
+        }
+        self.book.leave_key(&m.key, id, self.now);
+    }
+
+    /// When a message of this flow that is held now likely has its turn.
+    fn turn_at(&self, dest: DestId) -> Nanos {
+        let dead = self.book.hosts_of(dest).iter().all(|h| self.sick(*h));
+        self.now + if dead { HORIZON_MOST } else { self.horizon(&self.book.flows[&dest]) } as Nanos
+    }
+
+    /// When places run out the door turns away any newcomer: the least hopeful go instead, told to come back.
+    pub(super) fn make_room(&mut self) {
+        let free = ((self.set.max_held as f64 * ROOM) as usize).max(1);
+        while self.book.messages.len() + free > self.set.max_held {
+            let mut least: Option<(f64, Nanos, MsgId)> = None;
+            for dest in &self.book.waiting {
+                let at = self.turn_at(*dest);
+                for id in &self.book.flows[dest].held {
+                    let m = &self.book.messages[id];
+                    let worth = self.worth_at(m, at);
+                    let less = least.is_none_or(|(w, t, _)| worth < w || (worth == w && m.taken > t));
+                    least = if less && self.may_refuse(m) { Some((worth, m.taken, *id)) } else { least };
+                }
+            }
+            let Some((_, _, id)) = least else { return };
+            self.give_up(id);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,17 +27,12 @@
 
 pub mod admission;
 pub mod batching;
-#[cfg(test)]
-mod by_hand;
-pub mod interface;
-mod live;
+pub mod decision;
 pub mod operator;
 pub mod program;
 pub mod protocol;
 pub mod routing;
-mod rules;
-mod state;
 pub mod transport;
 
-pub use interface::*;
-pub use rules::Relay;
+pub use decision::interface::{self, *};
+pub use decision::Relay;
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -2,8 +2,8 @@
 
 use super::fields::{self, seconds, span_text};
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::{Letter, Reply};
-use crate::routing::Branch;
+use crate::routing::core::Letter;
+use crate::routing::{Branch, Reply};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -3,9 +3,9 @@
 use super::{fields, hook, notices};
 use crate::batching::fate::{fate, Break, Fate};
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::{Carried, Letter, Piping, Reply};
+use crate::routing::core::{Carried, Letter, Piping};
 use crate::routing::desk::Passage;
-use crate::routing::{Desk, Front, NextHopId, Offer, Taken, TransactionNo};
+use crate::routing::{Desk, Front, NextHopId, Offer, Reply, Taken, TransactionNo};
 use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN};
 use crate::transport::listener::Leg;
 use crate::transport::network::Net;
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -8,9 +8,9 @@
 mod smsc;
 
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::{Carried, Reply};
+use crate::routing::core::Carried;
 use crate::routing::desk::Passage;
-use crate::routing::{Desk, Front, NextHopId, TransactionNo};
+use crate::routing::{Desk, Front, NextHopId, Reply, TransactionNo};
 use crate::transport::network::{Listen, Net};
 use crate::transport::Door;
 use bytes::{Bytes, BytesMut};
--- a/src/protocol/smpp/smsc.rs
+++ b/src/protocol/smpp/smsc.rs
@@ -3,7 +3,7 @@
 use super::config::{Carrier, Times};
 use super::link::{self, Heard, Link, Reader, Unanswered};
 use crate::interface::Outcome;
-use crate::routing::core::Reply;
+use crate::routing::Reply;
 use crate::transport::network::Net;
 use rusmpp::pdus::BindTransmitter;
 use rusmpp::types::COctetString;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,9 +1,10 @@
 //! The core: takes transactions on, has the module decide, keeps the journal ahead of what is done.
 
-use super::facade::{Ask, Branch, Call, End, Facade, NextHopId, Picked, Told};
+use super::facade::{Ask, Facade, Picked, Told};
 use super::journal::{Journal, Record, Replayed};
 use super::route_set::{NextHop, RouteNews, RouteSet};
-use super::transactions::{Ending, Transaction, TransactionNo, Transactions};
+use super::transactions::{Ending, Transaction, Transactions};
+use super::values::{Branch, Call, End, NextHopId, Reply, TransactionNo};
 use crate::batching::fate::{may_share, Wire};
 use crate::batching::{Counts, Former, Member, Pressure, Table, Terms};
 use crate::interface::{CallTerms, Nanos, Outcome, Repeat, Settings};
@@ -68,34 +69,6 @@
     pub notes: Vec<Note>,
 }
 
-/// How a branch ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reply {
-    Ended(Outcome),
-    /// It was not let through, and nothing more is owed.
-    Over,
-    /// It was not let through, since its transaction has had all its branches.
-    Spent,
-    /// The next hop will never take it, for a reason in the front's own terms.
-    Rejected {
-        reason: u32,
-    },
-}
-
-impl Reply {
-    pub fn outcome(self) -> Outcome {
-        match self {
-            Reply::Ended(outcome) => outcome,
-            Reply::Over | Reply::Spent | Reply::Rejected { .. } => Outcome::NotSent,
-        }
-    }
-
-    /// Nothing more is owed for the transaction.
-    pub fn settles(self) -> bool {
-        matches!(self, Reply::Over | Reply::Ended(Outcome::Served))
-    }
-}
-
 /// What came of a call.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Carried {
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,9 +1,8 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
-use super::core::{Carried, Core, Letter, Note, Reply, Work};
-use super::facade::{Call, NextHopId};
+use super::core::{Carried, Core, Letter, Note, Work};
 use super::route_set::NextHop;
-use super::transactions::TransactionNo;
+use super::values::{Call, NextHopId, Reply, TransactionNo};
 use super::Clock;
 use crate::interface::{Nanos, Outcome};
 use std::cell::RefCell;
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -2,41 +2,12 @@
 //!
 //! Whoever calls them gets back what is to be done now; the module's events and actions stay in this file.
 
-use super::core::Reply;
 use super::route_set::{NextHop, Standing};
-use super::transactions::TransactionNo;
+use super::values::{Branch, Call, End, NextHopId, Reply, TransactionNo};
+use crate::decision::Relay;
 use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
-use crate::rules::Relay;
 use std::collections::{BTreeSet, HashMap};
 
-/// A next hop, as numbered by the route set.
-pub type NextHopId = HostId;
-
-/// One attempt of one transaction.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Branch {
-    pub transaction: TransactionNo,
-    pub attempt: u32,
-    pub timeout: Nanos,
-}
-
-/// Branches that travel to one next hop together.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Call {
-    pub next_hop: NextHopId,
-    pub branches: Vec<Branch>,
-}
-
-/// How a transaction ended that was not delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    Failed,
-    /// Handed back: to hand it in again is harmless, best after this time (0: no advice).
-    Returned {
-        after: Nanos,
-    },
-}
-
 /// What the module wants done now.
 #[derive(Debug, Default)]
 pub struct Picked {
--- a/src/routing/journal.rs
+++ b/src/routing/journal.rs
@@ -4,8 +4,8 @@
 //! process, which is all that is asked. When much of it is dead it is copied, live transactions only, and
 //! the copy takes its place; the budget leaves room for that copy and for the outcomes of all that is live.
 
-use super::facade::End;
-use super::transactions::{Ending, Transaction, TransactionNo, Transactions};
+use super::transactions::{Ending, Transaction, Transactions};
+use super::values::{End, TransactionNo};
 use crate::interface::Nanos;
 use bytes::Bytes;
 use std::collections::HashMap;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,12 +7,13 @@
 pub mod journal;
 pub mod route_set;
 pub mod transactions;
+pub mod values;
 
 pub use crate::interface::{Class, Kind, Late, Limits, Nanos, Outcome, Repeat, Settings};
 pub use clock::Clock;
 pub use core::{Core, Offer, Taken, Work};
 pub use desk::{Desk, Front};
-pub use facade::{Branch, Call, End, NextHopId};
 pub use journal::Journal;
 pub use route_set::{NextHop, RouteNews, RouteSet, Standing};
-pub use transactions::{Transaction, TransactionNo};
+pub use transactions::Transaction;
+pub use values::{Branch, Call, End, NextHopId, Reply, TransactionNo};
--- a/src/routing/route_set.rs
+++ b/src/routing/route_set.rs
@@ -1,6 +1,6 @@
 //! The route set: the next hops that the list names, under numbers of our own.
 
-use super::facade::NextHopId;
+use super::values::NextHopId;
 use crate::interface::{Nanos, Terms};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -1,13 +1,10 @@
 //! The transactions that the relay owes an end, with all that must outlast the process.
 
-use super::facade::End;
+use super::values::{End, TransactionNo};
 use crate::interface::Nanos;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-/// A transaction's place in the order taken, across restarts.
-pub type TransactionNo = u64;
-
 #[derive(Clone, Debug, PartialEq)]
 pub struct Transaction {
     /// The id under which its client handed it in.
--- /dev/null
+++ b/src/routing/values.rs
@@ -0,0 +1,62 @@
+//! What the parts of routing tell one another: branches, calls, ends.
+
+use crate::interface::{HostId, Nanos, Outcome};
+
+/// A transaction's place in the order taken, across restarts.
+pub type TransactionNo = u64;
+
+/// A next hop, as numbered by the route set.
+pub type NextHopId = HostId;
+
+/// One attempt of one transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Branch {
+    pub transaction: TransactionNo,
+    pub attempt: u32,
+    pub timeout: Nanos,
+}
+
+/// Branches that travel to one next hop together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    pub next_hop: NextHopId,
+    pub branches: Vec<Branch>,
+}
+
+/// How a branch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Ended(Outcome),
+    /// It was not let through, and nothing more is owed.
+    Over,
+    /// It was not let through, since its transaction has had all its branches.
+    Spent,
+    /// The next hop will never take it, for a reason in the front's own terms.
+    Rejected {
+        reason: u32,
+    },
+}
+
+impl Reply {
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Reply::Ended(outcome) => outcome,
+            Reply::Over | Reply::Spent | Reply::Rejected { .. } => Outcome::NotSent,
+        }
+    }
+
+    /// Nothing more is owed for the transaction.
+    pub fn settles(self) -> bool {
+        matches!(self, Reply::Over | Reply::Ended(Outcome::Served))
+    }
+}
+
+/// How a transaction ended that was not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Failed,
+    /// Handed back: to hand it in again is harmless, best after this time (0: no advice).
+    Returned {
+        after: Nanos,
+    },
+}
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -1,4 +1,4 @@
-//! The module where only a relay on real sockets asks it (`src/live.rs`), and the reported limit.
+//! The module where only a relay on real sockets asks it (`src/decision/live.rs`), and the reported limit.
 
 use basaltloom::*;
 
