--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -167,3 +167,37 @@
     let missing = folder.0.join("none");
     assert!(Journal::open(&missing, 3_000_000, Vec::new()).is_err());
 }
+
+/// Guards what a next life knows of outages: each that began and did not end, whatever came between, also from a copy;
+/// what is no news is not written.
+#[test]
+fn outages_come_back_as_they_stood_last() {
+    let folder = Folder::new("outages");
+    let ailing = || {
+        let (journal, replayed) = Journal::open(&folder.0, 16 << 20, vec!["a".into(), "b".into()]).unwrap();
+        (journal, replayed.ailing.into_iter().collect::<Vec<_>>())
+    };
+    let (mut journal, none) = ailing();
+    assert!(none.is_empty());
+    for (name, sick) in [("x", true), ("y", true), ("x", false), ("z", true), ("z", true)] {
+        journal.note_ailing(name, sick).unwrap();
+    }
+    let before = journal.bytes();
+    journal.note_ailing("x", false).unwrap();
+    assert_eq!(journal.bytes(), before);
+    drop(journal);
+    let (mut journal, known) = ailing();
+    assert_eq!(known, ["y", "z"]);
+    // Enough that is over for the file to be copied.
+    let transactions = Transactions::default();
+    let t = transaction("t", 8_000);
+    for no in 1..=400 {
+        journal.write(no, &Record::Taken(&t)).unwrap();
+        journal.write(no, &Record::Over).unwrap();
+        journal.tidy(&transactions);
+    }
+    assert!(journal.bytes() < 400 * 8_000, "it was copied");
+    journal.note_ailing("y", false).unwrap();
+    drop(journal);
+    assert_eq!(ailing().1, ["z"]);
+}
