--- a/benches/step.rs
+++ b/benches/step.rs
@@ -4,9 +4,12 @@
 
 #[path = "step/days.rs"]
 mod days;
+#[path = "../tests/fixture/mod.rs"]
+mod fixture;
 
 use basaltloom::*;
 use criterion::{BenchmarkId, Criterion, Throughput};
+use fixture::class;
 use std::hint::black_box;
 use std::time::Duration;
 
@@ -16,33 +19,12 @@
 const SLOTS: usize = 64;
 
 fn settings(held: usize) -> Settings {
-    let class = Class {
-        aim: 3 * SEC,
-        deadline: 30_000 * SEC,
-        worth: 1.0,
-        late_worth: 0.4,
-        repeat: Repeat::Safe,
-        in_order: false,
-    };
     Settings {
-        senders: 2,
         slots: SLOTS,
         max_held: held * 2 + 1_000,
-        max_attempts: 4,
         may_cancel: false,
-        must_subscribe: false,
-        keepalive: 10 * SEC,
-        max_come_back: 2 * SEC,
-        limits: Limits::Unlisted,
-        late: Late::Even,
-        classes: vec![class],
-        kinds: vec![Kind { apart: false, per_call: 1 }],
-        zone_fee: vec![],
-        cold_share: 0.3,
-        warm_up: 10 * SEC,
-        overload_factor: 1.5,
-        fall: 1_500 * MS,
-        key_rest: 100 * MS,
+        classes: vec![Class { deadline: 30_000 * SEC, ..class(Repeat::Safe) }],
+        ..fixture::settings()
     }
 }
 
--- a/benches/step/days.rs
+++ b/benches/step/days.rs
@@ -1,6 +1,7 @@
 //! Seeded random days for the module, with all that it can be told: outages, refusals, waits, keys, lists, batches,
 //! restarts of messages, a planned end.
 
+use super::fixture;
 use basaltloom::*;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,42 +13,17 @@
 const HOSTS: u32 = 40;
 const STEPS: u64 = 4_000;
 
-fn class(repeat: Repeat, in_order: bool) -> Class {
-    Class { aim: 3 * SEC, deadline: 20 * SEC, worth: 1.0, late_worth: 0.4, repeat, in_order }
-}
-
 fn settings(seed: u64) -> Settings {
-    let memory = 6 * SEC;
-    Settings {
-        senders: 2,
-        slots: 8 + (seed % 3) as usize * 8,
-        max_held: 60 + (seed % 4) as usize * 100,
-        max_attempts: 4,
-        may_cancel: seed.is_multiple_of(2),
-        must_subscribe: false,
-        keepalive: 10 * SEC,
-        max_come_back: 2 * SEC,
-        limits: if seed.is_multiple_of(3) { Limits::Unlisted } else { Limits::Rough },
-        late: if seed.is_multiple_of(5) { Late::Halves } else { Late::Even },
-        classes: vec![
-            class(Repeat::Safe, false),
-            class(Repeat::Keyed { memory, zone_only: false }, false),
-            class(Repeat::Unsafe, true),
-            class(Repeat::Keyed { memory, zone_only: true }, true),
-            class(Repeat::Safe, true),
-        ],
-        kinds: vec![
-            Kind { apart: false, per_call: 1 },
-            Kind { apart: true, per_call: 1 },
-            Kind { apart: false, per_call: 5 },
-        ],
-        zone_fee: vec![0.06, 0.0],
-        cold_share: 0.3,
-        warm_up: 10 * SEC,
-        overload_factor: 1.5,
-        fall: 1_500 * MS,
-        key_rest: 100 * MS,
-    }
+    let mut set = fixture::settings();
+    set.slots = 8 + (seed % 3) as usize * 8;
+    set.max_held = 60 + (seed % 4) as usize * 100;
+    set.may_cancel = seed.is_multiple_of(2);
+    set.limits = if seed.is_multiple_of(3) { Limits::Unlisted } else { Limits::Rough };
+    set.late = if seed.is_multiple_of(5) { Late::Halves } else { Late::Even };
+    set.classes[2].in_order = true;
+    set.classes[3].in_order = true;
+    set.kinds[2].per_call = 5;
+    set
 }
 
 struct Day {
--- a/src/batching/sharing.rs
+++ b/src/batching/sharing.rs
@@ -11,8 +11,7 @@
     /// What each further message of a call takes of the cold budget of this host. One that counts messages has its
     /// full work with each: a batch would push it over as it comes back.
     pub(crate) fn weight_of_more(&self, host: HostId) -> f64 {
-        let by_message = self.book.hosts.get(&host).is_some_and(|h| h.terms.call.by_message);
-        if by_message {
+        if self.book.by_message(host) {
             1.0
         } else {
             WEIGHT_OF_MORE
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -39,6 +39,13 @@
     pub in_order: bool,
 }
 
+impl Class {
+    /// From the aim to the deadline.
+    pub(crate) fn span(&self) -> Nanos {
+        self.deadline.saturating_sub(self.aim)
+    }
+}
+
 /// How worth falls between aim and deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Late {
@@ -99,6 +106,11 @@
 }
 
 impl Settings {
+    /// A share of the slots, one at least.
+    pub(crate) fn part_of_slots(&self, share: f64) -> usize {
+        ((self.slots as f64 * share) as usize).max(1)
+    }
+
     /// Longest life of a message, in nanoseconds: whatever is held was taken within it.
     pub(crate) fn longest_life(&self) -> f64 {
         self.classes.iter().map(|c| c.deadline).max().unwrap_or(SEC).max(SEC) as f64
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -88,9 +88,10 @@
         let mut due = vec![self.now + PATROL, self.book.next_end, self.book.turns.due()];
         due.extend(self.book.calls.values().map(|c| self.silent_at(c)));
         // Without a free slot those that could go wait for a call to end.
-        let looks = if self.book.calls.len() < self.set.slots { usize::MAX } else { 0 };
-        let open = self.book.turns.open().take(looks).filter(|d| self.book.calls_to_dest(*d) < self.cap(*d));
-        due.extend(open.flat_map(|d| self.book.hosts_of(d)).map(|h| self.ready_at(*h)));
+        if self.book.calls.len() < self.set.slots {
+            let open = self.book.turns.open().filter(|d| self.book.calls_to_dest(*d) < self.cap(*d));
+            due.extend(open.flat_map(|d| self.book.hosts_of(d)).map(|h| self.ready_at(*h)));
+        }
         let next = due.into_iter().filter(|t| *t > self.now).min().unwrap_or(0).max(self.now + MS);
         // A clock may round a wake-up to just before its time: one so near counts as come.
         if self.book.wake <= self.now + MS || next < self.book.wake {
--- a/src/decision/ranks.rs
+++ b/src/decision/ranks.rs
@@ -4,8 +4,8 @@
 
 use super::interface::*;
 use super::records::{Book, Flow, Message};
-use super::worth::RESERVE;
 use super::Relay;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound::{self, Excluded, Included, Unbounded};
 
@@ -60,7 +60,14 @@
     }
 }
 
-type Range<'a> = Box<dyn Iterator<Item = (f64, Nanos, MsgId)> + 'a>;
+/// A message by what it loses, its aim and itself.
+type Valued = (f64, Nanos, MsgId);
+
+fn most_first(a: &Valued, b: &Valued) -> Ordering {
+    b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2)))
+}
+
+type Range<'a> = Box<dyn Iterator<Item = Valued> + 'a>;
 
 /// Messages by falling loss, older aims first where it is the same, out of ranges that each are in that order.
 pub(super) struct ByLoss<'a> {
@@ -73,10 +80,7 @@
     fn next(&mut self) -> Option<(f64, MsgId)> {
         let heads = self.ranges.iter_mut().enumerate();
         let heads = heads.filter_map(|(i, range)| range.peek().map(|head| (i, *head)));
-        let first = heads.min_by(|(_, a), (_, b)| {
-            let loss = b.0.total_cmp(&a.0);
-            loss.then((a.1, a.2).cmp(&(b.1, b.2)))
-        });
+        let first = heads.min_by(|(_, a), (_, b)| most_first(a, b));
         let (i, (loss, _, id)) = first?;
         self.ranges[i].next();
         Some((loss, id))
@@ -100,6 +104,15 @@
 }
 
 impl Relay {
+    /// Keeps the indexes with a message that is held, or whose past became known.
+    pub(super) fn file(&mut self, id: MsgId) {
+        let Some(m) = self.book.messages.get(&id) else { return };
+        let (c, end) = (&self.set.classes[m.class], self.end(m));
+        let odd = end != m.aim_at.saturating_add(c.span());
+        self.book.ends.set(id, Some(end));
+        self.book.file(id, odd);
+    }
+
     /// The messages of a flow that may be next, by the worth that each loses if it is passed over for `horizon`.
     /// `risky`: of those that may not be repeated only the ones that take the risk.
     pub(super) fn by_loss<'a>(&'a self, f: &'a Flow, horizon: f64, risky: bool) -> ByLoss<'a> {
@@ -124,7 +137,7 @@
         }
         let mut odd: Vec<_> =
             f.ranks.odd.iter().map(|id| valued((self.book.messages[id].aim_at, *id))).collect();
-        odd.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        odd.sort_by(most_first);
         let odd: Range<'a> = Box::new(odd.into_iter());
         ranges.push(odd.peekable());
         ByLoss { ranges }
@@ -132,12 +145,9 @@
 
     /// The last aim with which a message of this class is sent at a risk.
     fn takes_risk_until(&self, c: &Class) -> Nanos {
-        let reserve = self.now + (c.deadline as f64 * RESERVE) as Nanos;
-        let safe = c.repeat != Repeat::Unsafe;
-        if safe {
-            Nanos::MAX
-        } else {
-            reserve.saturating_sub(c.deadline.saturating_sub(c.aim))
+        match c.repeat {
+            Repeat::Unsafe => self.reserve_from(c).saturating_sub(c.span()),
+            _ => Nanos::MAX,
         }
     }
 
@@ -154,10 +164,9 @@
     /// (then the newest comes first) or does not.
     fn stretches(&self, c: &Class, horizon: Nanos) -> Vec<(Option<Nanos>, Nanos, bool)> {
         let now = self.now;
-        let span = c.deadline.saturating_sub(c.aim);
         // Those that end within the horizon lose all that they are worth now: less, the older they are. Those whose
         // aim is still to come would lose the same.
-        let ending = now.saturating_add(horizon).checked_sub(span);
+        let ending = now.saturating_add(horizon).checked_sub(c.span());
         let mut stretches = Vec::new();
         let mut after = None;
         let mut stretch = |to: Option<Nanos>, newest_first: bool| {
@@ -186,8 +195,6 @@
     use super::*;
     use crate::decision::records::Flow;
 
-    const MS: Nanos = 1_000_000;
-
     /// Guards the index against the plain way, which values all: the same order for messages of all ages, in both ways
     /// in which worth falls, with horizons short and long.
     #[test]
@@ -234,6 +241,7 @@
                     m.odd = id % 17 == 0;
                     relay.book.messages.insert(id, m);
                     relay.book.hold(id, 1, (id as f64, id as f64 + 1.0));
+                    relay.book.rank(id);
                 }
                 let horizon = horizon * MS as f64;
                 let mut plain: Vec<(f64, MsgId)> =
--- a/src/decision/records.rs
+++ b/src/decision/records.rs
@@ -291,10 +291,14 @@
         }
     }
 
+    /// Whether the limit of this host counts messages, not calls.
+    pub fn by_message(&self, host: HostId) -> bool {
+        self.hosts.get(&host).is_some_and(|h| h.terms.call.by_message)
+    }
+
     /// What a call of so many messages counts against the limit of its host.
     pub fn units(&self, host: HostId, messages: usize) -> f64 {
-        let by_message = self.hosts.get(&host).is_some_and(|h| h.terms.call.by_message);
-        if by_message {
+        if self.by_message(host) {
             messages as f64
         } else {
             1.0
@@ -380,7 +384,6 @@
         if let Some(m) = self.messages.get_mut(&id) {
             m.place = place;
         }
-        self.rank(id);
         self.turn(dest);
     }
 
@@ -472,15 +475,16 @@
         let Some(key) = key.as_ref().filter(|_| !self.unsettled.contains_key(&id)) else { return };
         if let Some(k) = self.keys.get_mut(key) {
             // Most are the first of their line.
-            match k.line.front() {
-                Some(first) if *first == id => drop(k.line.pop_front()),
-                _ => k.line.retain(|m| *m != id),
+            let was_first = k.line.front() == Some(&id);
+            match was_first {
+                true => drop(k.line.pop_front()),
+                false => k.line.retain(|m| *m != id),
             }
             let first = k.line.front().copied();
             if first.is_none() && k.out == 0 && k.rest.0 <= now {
                 self.keys.remove(key);
             }
-            if let Some(first) = first {
+            if let Some(first) = first.filter(|_| was_first) {
                 self.rank(first);
             }
         }
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -21,6 +21,7 @@
 pub(super) const HORIZON_MOST: f64 = 8e9; // over which loss of worth is weighed
 
 impl Relay {
+    /// Takes a message: its tags by equations 2 to 4.
     pub(super) fn taken(&mut self, id: MsgId, class: usize, dest: DestId, key: Option<String>, left: Nanos) {
         let Some(c) = self.set.classes.get(class) else {
             self.actions.push(Action::Refuse { id, come_back: 0 });
@@ -89,6 +90,7 @@
         self.book.let_go(self.now);
     }
 
+    /// The lowest start tag goes next while fewer than D calls are out.
     pub(super) fn release(&mut self) {
         self.book.turns.wake(self.now);
         let mut turn = None;
@@ -97,10 +99,7 @@
             let Some((_, dest)) = turn else { return };
             match self.choose(dest) {
                 Some((host, ids)) => self.send(host, &ids),
-                None if self.shut_until(dest) > self.now => {
-                    self.book.turns.set_aside(dest, self.shut_until(dest));
-                }
-                None => {}
+                None => self.book.turns.set_aside(dest, self.now, self.shut_until(dest)),
             }
         }
     }
@@ -111,7 +110,7 @@
         if self.book.closing.is_some() {
             return 0;
         }
-        if self.book.calls_to_dest(dest) >= ((self.set.slots as f64 * CAP_WELL) as usize).max(1) {
+        if self.book.calls_to_dest(dest) >= self.set.part_of_slots(CAP_WELL) {
             return Nanos::MAX;
         }
         self.book.hosts_of(dest).iter().map(|h| self.ready_at(*h)).min().unwrap_or(Nanos::MAX)
@@ -120,13 +119,13 @@
     /// The slot cap of a destination: three quarters, half or less while any of its hosts is sick.
     pub(super) fn cap(&self, dest: DestId) -> usize {
         let sick = self.book.hosts_of(dest).iter().any(|h| !self.is_well(*h));
-        ((self.set.slots as f64 * if sick { CAP_SICK } else { CAP_WELL }) as usize).max(1)
+        self.set.part_of_slots(if sick { CAP_SICK } else { CAP_WELL })
     }
 
     /// Several silent destinations would fill the slots: all sick hosts share what one may have.
     fn sick_full(&self) -> bool {
         let sick = self.book.calls.values().filter(|c| !self.is_well(c.host));
-        sick.count() >= ((self.set.slots as f64 * CAP_SICK) as usize).max(1)
+        sick.count() >= self.set.part_of_slots(CAP_SICK)
     }
 
     /// Host and messages of the next call of a flow, or none if nothing of it may go now.
@@ -191,6 +190,7 @@
         (f.held.len() as f64 / rate * 1e9).clamp(HORIZON_LEAST, HORIZON_MOST)
     }
 
+    /// All rules, whatever the heuristics want.
     fn gate(&self, id: MsgId, host: HostId) -> bool {
         let (Some(m), Some(h)) = (self.book.messages.get(&id), self.book.hosts.get(&host)) else {
             return false;
@@ -235,7 +235,7 @@
             return false;
         }
         let overdue = self.overdue(host);
-        let few = ((self.set.slots as f64 * CAP_OVERDUE) as usize).max(2);
+        let few = self.set.part_of_slots(CAP_OVERDUE).max(2);
         let full = (h.health == Health::Down && h.out > overdue) || (overdue > 0 && h.out >= few);
         !full && self.within_terms(host) && (self.is_well(host) || !self.sick_full())
     }
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -46,24 +46,26 @@
 impl Turns {
     /// The first start tag of a destination; `None`: nothing of it waits any more.
     pub fn set(&mut self, dest: DestId, tag: Option<f64>) {
-        let known = self.waiting.get(&dest).copied();
-        match (tag.map(Tag), known) {
-            (None, None) => {}
-            (None, Some((old, until))) => {
+        let (tag, known) = (tag.map(Tag), self.waiting.get(&dest).copied());
+        let (old, aside) = known.map_or((None, None), |(old, aside)| (Some(old), aside));
+        if old == tag {
+            return;
+        }
+        if let Some(old) = old {
+            self.open.remove(&(old, dest));
+        }
+        match (tag, aside) {
+            (Some(tag), None) => {
+                self.waiting.insert(dest, (tag, None));
+                self.open.insert((tag, dest));
+            }
+            (Some(tag), aside) => drop(self.waiting.insert(dest, (tag, aside))),
+            (None, aside) => {
                 self.waiting.remove(&dest);
-                self.open.remove(&(old, dest));
-                if let Some(until) = until {
+                if let Some(until) = aside {
                     self.aside.remove(&(until, dest));
                 }
             }
-            (Some(tag), Some((_, until @ Some(_)))) => drop(self.waiting.insert(dest, (tag, until))),
-            (Some(tag), known) => {
-                if let Some((old, _)) = known {
-                    self.open.remove(&(old, dest));
-                }
-                self.open.insert((tag, dest));
-                self.waiting.insert(dest, (tag, None));
-            }
         }
     }
 
@@ -89,8 +91,11 @@
         }
     }
 
-    /// No call can go there before `until`, unless something happens.
-    pub fn set_aside(&mut self, dest: DestId, until: Nanos) {
+    /// No call can go there before `until`, unless something happens. It stays where that is no time to come.
+    pub fn set_aside(&mut self, dest: DestId, now: Nanos, until: Nanos) {
+        if until <= now {
+            return;
+        }
         if let Some((tag, aside @ None)) = self.waiting.get_mut(&dest) {
             *aside = Some(until);
             self.open.remove(&(*tag, dest));
@@ -100,12 +105,10 @@
 
     /// Something happened to a destination that may let a call go.
     pub fn touch(&mut self, dest: DestId) {
-        if let Some((tag, aside @ Some(_))) = self.waiting.get_mut(&dest) {
-            if let Some(until) = aside.take() {
-                self.aside.remove(&(until, dest));
-            }
-            self.open.insert((*tag, dest));
-        }
+        let Some((tag, aside)) = self.waiting.get_mut(&dest) else { return };
+        let Some(until) = aside.take() else { return };
+        self.aside.remove(&(until, dest));
+        self.open.insert((*tag, dest));
     }
 
     pub fn touch_all(&mut self) {
@@ -184,8 +187,8 @@
         }
         let order = |turns: &Turns| turns.open().collect::<Vec<_>>();
         assert_eq!(order(&turns), [4, 2, 1, 3]);
-        turns.set_aside(4, 100);
-        turns.set_aside(2, 50);
+        turns.set_aside(4, 1, 100);
+        turns.set_aside(2, 1, 50);
         turns.set(4, Some(4.0));
         assert_eq!((order(&turns), turns.due()), (vec![1, 3], 50));
         assert_eq!(turns.next(Some((Tag(5.0), 1))), Some((Tag(5.0), 3)));
@@ -193,7 +196,7 @@
         assert_eq!(order(&turns), [4, 1, 3]);
         turns.wake(50);
         assert_eq!((order(&turns), turns.due()), (vec![2, 4, 1, 3], Nanos::MAX));
-        turns.set_aside(2, 70);
+        turns.set_aside(2, 1, 70);
         turns.set(2, None);
         turns.wake(1_000);
         assert_eq!(order(&turns), [4, 1, 3]);
--- a/src/decision/worth.rs
+++ b/src/decision/worth.rs
@@ -5,7 +5,7 @@
 use super::release::{ANSWER_MARGIN, HORIZON_LEAST, HORIZON_MOST};
 use super::Relay;
 
-pub(super) const RESERVE: f64 = 0.2; // share of its life that an unsafe message keeps when it waits for a sick host
+const RESERVE: f64 = 0.2; // share of its life that an unsafe message keeps when it waits for a sick host
 const LOSS_STEPS: f64 = 1e9; // of a worth: a smaller difference is rounding, and the older aim goes first
 const ROOM: f64 = 0.05; // places of those held that are kept free for newcomers
 
@@ -57,7 +57,12 @@
     /// An unsafe message that fails is lost for good: until its reserve begins it waits for a sound host.
     pub(super) fn risk_taken(&self, m: &Message) -> bool {
         let c = &self.set.classes[m.class];
-        c.repeat != Repeat::Unsafe || m.deadline < self.now + (c.deadline as f64 * RESERVE) as Nanos
+        c.repeat != Repeat::Unsafe || m.deadline < self.reserve_from(c)
+    }
+
+    /// A message of this class that ends sooner is within its reserve.
+    pub(super) fn reserve_from(&self, c: &Class) -> Nanos {
+        self.now + (c.deadline as f64 * RESERVE) as Nanos
     }
 
     pub(super) fn fee(&self, host: HostId) -> f64 {
@@ -71,15 +76,6 @@
         well.map(|h| self.fee(*h)).fold(f64::INFINITY, f64::min)
     }
 
-    /// Keeps the indexes with a message that is held, or whose past became known.
-    pub(super) fn file(&mut self, id: MsgId) {
-        let Some(m) = self.book.messages.get(&id) else { return };
-        let (c, end) = (&self.set.classes[m.class], self.end(m));
-        let odd = end != m.aim_at.saturating_add(c.deadline.saturating_sub(c.aim));
-        self.book.ends.set(id, Some(end));
-        self.book.file(id, odd);
-    }
-
     /// Final answers for messages that no allowed attempt can still serve.
     pub(super) fn end_hopeless(&mut self) {
         if self.now < self.book.next_end {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -214,10 +214,13 @@
                 .push(Note::new("journal-torn", format!("{torn} bytes at the end were no whole record")));
         }
         core.learn(now, known);
-        for gone in ailing.iter().filter(|name| core.route_set.find(name).is_none()) {
-            core.journal.note_ailing(gone, false).ok();
+        let mut sick = Vec::new();
+        for name in &ailing {
+            match core.route_set.find(name) {
+                Some(hop) => sick.push(hop),
+                None => drop(core.journal.note_ailing(name, false)),
+            }
         }
-        let sick = ailing.iter().filter_map(|name| core.route_set.find(name)).collect();
         let picked = core.facade.ailing(now, sick);
         core.absorb(now, picked);
         core.restore(classes, now);
--- a/src/routing/journal.rs
+++ b/src/routing/journal.rs
@@ -146,8 +146,7 @@
             Record::Over => {
                 self.live_bytes -= self.live.remove(&no).unwrap_or(0);
             }
-            Record::Ailing(name, true) => drop(self.ailing.insert(name.to_string())),
-            Record::Ailing(name, false) => drop(self.ailing.remove(*name)),
+            Record::Ailing(name, ailing) => set_ailing(&mut self.ailing, name, *ailing),
             _ => {}
         }
         Ok(())
@@ -243,6 +242,14 @@
     out.extend(reason.to_le_bytes());
 }
 
+fn set_ailing(all: &mut BTreeSet<String>, name: &str, ailing: bool) {
+    if ailing {
+        all.insert(name.to_string());
+    } else {
+        all.remove(name);
+    }
+}
+
 fn encode(no: TransactionNo, record: &Record, classes: &[String]) -> Vec<u8> {
     let mut out = vec![0; HEAD];
     out.extend(no.to_le_bytes());
@@ -364,11 +371,7 @@
     }
     if code == 7 {
         let (ailing, name) = (r.u8()? == 1, r.text()?);
-        if ailing {
-            into.ailing.insert(name);
-        } else {
-            into.ailing.remove(&name);
-        }
+        set_ailing(&mut into.ailing, &name, ailing);
         return Some(());
     }
     if code == 1 {
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -1,31 +1,16 @@
 //! The module where only a relay on real sockets asks it (`src/decision/live.rs`), and the reported limit.
 
+mod fixture;
+
 use basaltloom::*;
+use fixture::{class, settings};
 
 const MS: u64 = 1_000_000;
 const SEC: u64 = 1_000 * MS;
 
 /// One safe class, one unsafe, one kind; a destination 5 with the hosts given, two relays.
 fn relay(hosts: &[HostId]) -> Relay {
-    let class = |repeat| Class {
-        aim: 3 * SEC,
-        deadline: 20 * SEC,
-        worth: 1.0,
-        late_worth: 0.4,
-        repeat,
-        in_order: false,
-    };
     let settings = Settings {
-        senders: 2,
-        slots: 8,
-        max_held: 40,
-        max_attempts: 4,
-        may_cancel: true,
-        must_subscribe: false,
-        keepalive: 10 * SEC,
-        max_come_back: 2 * SEC,
-        limits: Limits::Unlisted,
-        late: Late::Even,
         classes: vec![class(Repeat::Safe), class(Repeat::Unsafe)],
         kinds: vec![Kind { apart: false, per_call: 1 }],
         zone_fee: vec![],
@@ -34,6 +19,7 @@
         overload_factor: 100.0,
         fall: SEC,
         key_rest: 0,
+        ..settings()
     };
     let entry = |h: &HostId| Entry { host: *h, dest: 5, kind: 0, zone: 0, state: Listing::Ready, scale: 1.0 };
     let mut relay = Relay::new(settings, 1);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,51 +1,13 @@
 //! The module by its behaviour: each guard of the six rules at its edges, and each failure found.
 
+mod fixture;
+
 use basaltloom::*;
+use fixture::settings;
 
 const MS: u64 = 1_000_000;
 const SEC: u64 = 1_000 * MS;
 
-fn class(repeat: Repeat) -> Class {
-    Class { aim: 3 * SEC, deadline: 20 * SEC, worth: 1.0, late_worth: 0.4, repeat, in_order: false }
-}
-
-/// Classes: 0 safe, 1 keyed, 2 unsafe, 3 keyed within a zone, 4 safe in order. Kinds: 0 shared, 1 apart.
-fn settings() -> Settings {
-    let memory = 6 * SEC;
-    let mut ordered = class(Repeat::Safe);
-    ordered.in_order = true;
-    Settings {
-        senders: 2,
-        slots: 8,
-        max_held: 40,
-        max_attempts: 4,
-        may_cancel: true,
-        must_subscribe: false,
-        keepalive: 10 * SEC,
-        max_come_back: 2 * SEC,
-        limits: Limits::Unlisted,
-        late: Late::Even,
-        classes: vec![
-            class(Repeat::Safe),
-            class(Repeat::Keyed { memory, zone_only: false }),
-            class(Repeat::Unsafe),
-            class(Repeat::Keyed { memory, zone_only: true }),
-            ordered,
-        ],
-        kinds: vec![
-            Kind { apart: false, per_call: 1 },
-            Kind { apart: true, per_call: 1 },
-            Kind { apart: false, per_call: 10 },
-        ],
-        zone_fee: vec![0.06, 0.0],
-        cold_share: 0.3,
-        warm_up: 10 * SEC,
-        overload_factor: 1.5,
-        fall: 1_500 * MS,
-        key_rest: 100 * MS,
-    }
-}
-
 fn entry(host: HostId, dest: DestId, kind: usize, zone: usize, state: Listing) -> Entry {
     Entry { host, dest, kind, zone, state, scale: 1.0 }
 }
