Ask discovery for a relay's part of what the fleet may ask, spread by the seed

No relay heard of the endpoints that the release replaced: from 20 s on three of seven destinations had nothing but refused connections. Checked: watches held 10 s take all of some 49 places and turn the rest away after 2 s; from= without a wait is taken for a watch given up (drains are then told that no one hears); plain look-ups are answered one by one, about 19 a second, and one that waits over 2 s is turned away at the same cost. So neither longer watches nor sooner repeats help, only fewer calls. At fault: HOLD and RETRY in protocol/discovery.rs, the same whatever the fleet. Now fleet::Asking, without I/O: where news have to be asked for and relays are many, the list is looked up every 75 ms x relays, three quarters of ask_within at most, spread by the seed, more seldom while it fails; the known list needs no call at the start. Few relays, and those whose news are pushed, watch as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod admission;
 pub mod batching;
 pub mod decision;
+pub mod fleet;
 pub mod operator;
 pub mod program;
 pub mod protocol;
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,5 +1,6 @@
 //! The configuration, decoded once into the values that the program uses.
 
+use crate::fleet;
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::fields::{address, at, flag, list, need, num, read_file, text};
@@ -7,6 +8,7 @@
 use crate::routing::RouteNews;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 use tinyjson::JsonValue;
 
 #[derive(Clone, Debug)]
@@ -28,6 +30,8 @@
     pub names: Names,
     pub connect_timeout: Nanos,
     pub known: RouteNews,
+    /// How discovery is to be asked.
+    pub asked: fleet::Terms,
 }
 
 type Res<T> = Result<T, String>;
@@ -61,9 +65,17 @@
         names,
         connect_timeout: span(v, "settings.limits.connect_timeout").unwrap_or(1_500_000_000),
         known: known.unwrap_or_default(),
+        asked: asked(v),
     })
 }
 
+/// Where the settings do not say that news have to be asked for, they come by themselves.
+fn asked(v: &JsonValue) -> fleet::Terms {
+    let asks = text(v, "settings.discovery") == Some("ask");
+    let within = num(v, "settings.rules.ask_within").filter(|n| *n >= 1e9).unwrap_or(1e10);
+    fleet::Terms { within: asks.then(|| Duration::from_nanos(within as Nanos)) }
+}
+
 fn defaults(v: &JsonValue, class: &str) -> Defaults {
     let Some(d) =
         at(v, "defaults").and_then(|d| d.get::<std::collections::HashMap<String, JsonValue>>()?.get(class))
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -4,6 +4,7 @@
 use super::log;
 use crate::admission::ledger::{self, Ledger, Purse};
 use crate::admission::Settings;
+use crate::fleet::Asking;
 use crate::operator::admission::Refusal;
 use crate::operator::Operator;
 use crate::protocol::discovery::{self, Names};
@@ -34,6 +35,8 @@
 const SPARE: usize = 32;
 /// Of them, those that discovery, notices and the journal draw as they need them.
 const RECORDS: usize = SPARE - ledger::ALWAYS;
+/// Sets the chances taken with discovery apart from those of the module.
+const ASKING: u64 = 0x6469_7363_6f76_6572;
 /// More descriptors than this are not planned with, whatever the system allows.
 const MOST: usize = 1 << 20;
 
@@ -266,6 +269,8 @@
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let (settings, known) = (config.settings, &config.known);
+    let asking = Asking::new(settings.senders, config.asked, config.seed ^ ASKING);
+    let seq = (known.whole && !known.next_hops.is_empty()).then_some(known.seq);
     let first = First { known, batching, tells_delivery: false };
     let core = Core::new(settings, config.seed, journal, replayed, first, clock.now());
     let classes =
@@ -284,7 +289,7 @@
     let learner = desk.clone();
     let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
     let agent = desk.front.agent.subscribe();
-    spawn_local(discovery::follow(records, agent, config.names.clone(), learn));
+    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, learn));
     spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery's list and its watch.
 
 use super::fields::{at, flag, list, num, text};
+use crate::fleet::Asking;
 use crate::interface::Terms;
 use crate::routing::{NextHop, RouteNews, Standing};
 use crate::transport::connection::read_body;
@@ -15,11 +16,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// Short, since nothing tells a watch whose connection has fallen silent from one that has no news.
-const HOLD: Duration = Duration::from_secs(1);
-/// The agent answers at once, unless discovery is down: then it is asked again from time to time.
-const PATIENCE: Duration = Duration::from_millis(500);
-const RETRY: Duration = Duration::from_millis(100);
+/// A connection to the agent is up at once, or it is down.
+const CONNECTED: Duration = Duration::from_millis(500);
 const MOST: usize = 4 << 20;
 
 /// Kinds and zones by name, as the settings list them.
@@ -69,18 +67,21 @@
 }
 
 /// Follows the list for good, wherever discovery moves: what the address left behind had still to say does
-/// not count.
+/// not count. `seq`: the version of the whole list that is known already, from which only changes are asked for.
 pub async fn follow(
     net: Net,
     mut agent: watch::Receiver<Option<SocketAddr>>,
     names: Names,
+    mut asking: Asking,
+    mut seq: Option<u64>,
     mut learn: impl FnMut(RouteNews),
 ) {
     loop {
         let at = *agent.borrow_and_update();
+        let known = seq.take();
         let following = async {
             match at {
-                Some(at) => follow_one(&net, at, &names, &mut learn).await,
+                Some(at) => follow_one(&net, at, &names, &mut asking, known, &mut learn).await,
                 None => std::future::pending().await,
             }
         };
@@ -91,52 +92,79 @@
     }
 }
 
-/// Follows the list at one address: the whole of it first, then watches, each following the last answer at
-/// once.
-async fn follow_one(net: &Net, agent: SocketAddr, names: &Names, learn: &mut impl FnMut(RouteNews)) {
-    let mut seq = None;
+/// Follows the list at one address: the whole of it first, unless it is known, then its changes,
+/// or where that is too much for discovery the whole of it again and again.
+async fn follow_one(
+    net: &Net,
+    agent: SocketAddr,
+    names: &Names,
+    asking: &mut Asking,
+    mut seq: Option<u64>,
+    learn: &mut impl FnMut(RouteNews),
+) {
     let mut line = None;
     let mut failing = false;
+    sleep(asking.first()).await;
     loop {
         // An idle connection may have been closed under the question: that is no sign of silence.
         let kept = line.is_some();
-        match ask(net, agent, &mut line, seq).await.and_then(|v| news(&v, names)) {
-            Some(told) => {
+        let told = ask(net, agent, &mut line, seq, asking).await;
+        let failed = match told.and_then(|v| news(&v, names).ok_or(true)) {
+            Ok(told) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!(target: "platform", event = "discovery-back", "discovery answers again");
                 }
-                if seq != Some(told.seq) || told.whole {
+                if seq != Some(told.seq) || (told.whole && asking.watches()) {
                     seq = Some(told.seq);
                     learn(told);
                 }
+                false
+            }
+            Err(false) if kept && !failing => {
+                line = None;
+                continue;
             }
-            None if kept && !failing => line = None,
-            None => {
+            Err(_) => {
                 line = None;
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(target: "platform", event = "discovery-silent", "discovery does not answer");
                 }
-                sleep(RETRY).await;
+                true
             }
+        };
+        let pause = asking.pause(failed);
+        if !pause.is_zero() {
+            sleep(pause).await;
         }
     }
 }
 
-async fn ask(net: &Net, agent: SocketAddr, line: &mut Option<Line>, seq: Option<u64>) -> Option<JsonValue> {
-    let (path, patience) = match seq {
-        None => ("/v1/endpoints".to_string(), PATIENCE),
-        Some(seq) => (format!("/v1/endpoints?from={seq}&hold_ms={}", HOLD.as_millis()), HOLD + PATIENCE),
+/// Asks once; without a list: whether it was turned away, by an answer that came whole.
+async fn ask(
+    net: &Net,
+    agent: SocketAddr,
+    line: &mut Option<Line>,
+    seq: Option<u64>,
+    asking: &Asking,
+) -> Result<JsonValue, bool> {
+    let (path, patience) = match seq.filter(|_| asking.watches()) {
+        None => ("/v1/endpoints".to_string(), asking.patience()),
+        Some(seq) => {
+            let hold = asking.hold();
+            (format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis()), hold + asking.patience())
+        }
     };
     if !line.as_ref().is_some_and(Line::usable) {
-        *line = Some(Line::open(net, agent, PATIENCE, MOST).await.ok()?);
+        *line = Some(Line::open(net, agent, CONNECTED, MOST).await.map_err(|_| false)?);
     }
-    let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new())).ok()?;
+    let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
+    let request = request.map_err(|_| false)?;
     let asked = async {
         let response = line.as_mut()?.send(request, 0).await.ok()?;
         let ok = response.status() == 200;
         let body = read_body(response.into_body(), MOST).await?;
-        let text = std::str::from_utf8(&body).ok()?;
-        text.parse::<JsonValue>().ok().filter(|_| ok)
+        let text = std::str::from_utf8(&body).ok().filter(|_| ok);
+        Some(text.and_then(|text| text.parse::<JsonValue>().ok()).ok_or(true))
     };
-    timeout(patience, asked).await.ok().flatten()
+    timeout(patience, asked).await.ok().flatten().unwrap_or(Err(false))
 }
