Pace a small part of a told limit by what is left of it

Checked: of refused calls 83 to 87 in a hundred came on kept connections, so full connection tables are not the cause; x0 and x1 in the answers were right within a second (x0 0 while refusals lasted), and x0 was not read at all. At fault: refused() in decision/pace.rs cut to 0.85 to 1.28 of a relay's part and the growth went above it, in calls, however small the part; the rest after refusals was bounded by 66 s (senders over the least capacity) although the limit was told; a first refusal counted as a sign of an outage, which holds a relay to its cold budget for 7 s in the mean, and three as a shut host with a warm-up of 9.4 s. Now, where a relay's part is under 2 calls a second: the cut goes to 0.43 to 0.85 of the part, growth goes by the part and faster where most is left, a limit that moves moves the pace with it, from 0.3 left on nobody takes more than its part, the first calls after a wait are spread over the time of one, and what a told limit explains is no outage. Larger parts, and so small fleets, go on as before.

--- a/src/bin/basaltloom-adapter.rs
+++ b/src/bin/basaltloom-adapter.rs
@@ -198,8 +198,9 @@
     relay: Relay,
     ids: BTreeMap<String, HostId>,
     names: Vec<String>,
-    /// Place of the limit among the values of a report.
+    /// Places of the limit and of the share of it that is left among the values of a report.
     limit_at: Option<usize>,
+    left_at: Option<usize>,
 }
 
 impl Instance {
@@ -265,10 +266,10 @@
                 News::Launch { salt, params } => {
                     events.clear();
                     let relay = Relay::new(settings(&params), salt);
-                    let limit_at =
-                        params.report.as_ref().and_then(|r| r.fields.iter().position(|f| f == "x1"));
+                    let place = |name| params.report.as_ref()?.fields.iter().position(|f| f == name);
+                    let (limit_at, left_at) = (place("x1"), place("x0"));
                     let (ids, names) = (BTreeMap::new(), Vec::new());
-                    self.instances.insert(who, Instance { relay, ids, names, limit_at });
+                    self.instances.insert(who, Instance { relay, ids, names, limit_at, left_at });
                 }
                 News::Exit {} => {
                     events.clear();
@@ -291,7 +292,8 @@
     fn reported(inst: &mut Instance, told: &News) -> Option<Event> {
         let News::Verdict { host: Some(host), metrics: Some(metrics), .. } = told else { return None };
         let limit = *metrics.get(inst.limit_at?)?;
-        Some(Event::Reported { host: inst.host(host), limit })
+        let left = inst.left_at.and_then(|at| metrics.get(at)).map_or(0.5, |left| left.clamp(0.0, 1.0));
+        Some(Event::Reported { host: inst.host(host), limit, left })
     }
 
     fn event(inst: &mut Instance, pages: &BTreeMap<u64, Vec<Member>>, told: News) -> Res<Option<Event>> {
--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -22,6 +22,7 @@
 pub(super) const PACE_CUT: f64 = 0.85; // of the pace at a refusal
 const PACE_GROWTH: f64 = 0.04; // of the pace by a served call
 const PACE_REGROWTH: f64 = 0.1; // the same below the pace at which it was refused
+const ROOMY: f64 = 8.0; // by which both are larger where most of a told limit is left
 
 impl Relay {
     pub(super) fn sick(&self, host: HostId) -> bool {
@@ -99,10 +100,9 @@
         }
     }
 
-    /// Something on the way may drop idle connections: the next call on one breaks at once, and is lost if
-    /// unsafe. Where a call breaks sooner than its host answers and the host serves the very next one (after
-    /// a crash it does not), connections idle for half as long are closed before use; trust regrows. What
-    /// breaks after no longer than others of its host lately served after broke for another reason.
+    /// Something on the way may drop idle connections. Where a call breaks sooner than its host answers, and the host
+    /// serves the very next one, those idle for half as long are closed before use; trust regrows. What breaks
+    /// after no longer than others of its host lately served after broke for another reason.
     fn distrust_idle(&mut self, idle: Nanos, proven: Nanos) {
         self.book.idle_safe = Some((self.book.idle_safe.unwrap_or(idle).min(idle) / 2).max(proven));
     }
@@ -150,6 +150,7 @@
             Health::Warming { since } if now >= since + warm_up => self.turn(host, Health::Well, "is warm"),
             _ => {}
         }
+        let few = self.few(host);
         let r = self.book.route_of(host);
         if sent >= r.refused_since {
             (r.refused, r.rest, r.level) = (0, 0, r.level / 2);
@@ -158,9 +159,10 @@
         rate_of(&mut r.accepted, PACE_SPAN, now);
         if let Some(p) = r.pace {
             r.tokens = filled(r, p, now);
-            r.filled = now;
+            r.filled = now.max(r.filled);
             let growth = if p < r.full_at * PACE_CUT { PACE_REGROWTH } else { PACE_GROWTH };
-            r.pace = Some(p + growth * p.max(1.0));
+            let roomy = if few > 0.0 { 1.0 + ROOMY * (r.left - 0.5).max(0.0) } else { 1.0 };
+            r.pace = Some(p + growth * roomy * p.max(if few > 0.0 { few } else { 1.0 }));
         }
     }
 
@@ -171,8 +173,7 @@
         self.actions.push(Action::Log(format!("destination {} host {host} {word}", h.dest)));
     }
 
-    /// A failure that no answering host produces (`hard`), or an error answer. One error among successes is
-    /// everyday; two in a row, or most calls failing, are an outage: the host will come back cold.
+    /// A failure that no answering host produces (`hard`), or an error: two in a row or most are an outage.
     fn failed(&mut self, host: HostId, hard: bool) {
         self.note_fail(host, 1.0);
         self.doubt(host, false);
@@ -182,9 +183,8 @@
         }
     }
 
-    /// A failed or refused call may be the first of an outage: this relay now counts as one that knew. One
-    /// failed call is tried again at once, among as many of relays that know nothing; one refused comes when
-    /// those are gone and is spread like a crowd. From two signs on (a relay with a known rate has them at
+    /// A failed or refused call may be the first of an outage: this relay now counts as one that knew. One failed
+    /// call is tried again at once; one refused is spread like a crowd. From two signs on (with a known rate at
     /// once) it keeps to its part of the cold budget until a call is served.
     pub(super) fn doubt(&mut self, host: HostId, refused: bool) {
         let (crowd, gap) = (self.crowd_gap(host), self.dice.roll() * self.cold_gap(host, 1.0));
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -1,7 +1,5 @@
-//! Decisions that only a relay on real sockets needs: after a restart, before one, and between a decision
-//! and its first byte.
+//! Decisions that only a relay on real sockets needs: about restarts, and between a decision and its first byte.
 
-use super::health::PACE_CUT;
 use super::interface::*;
 use super::Relay;
 
@@ -25,10 +23,8 @@
             }
             Event::Unsettled { id, key } => self.book.leave_unsettled(*id, key.clone()),
             Event::Ailing { host } if self.book.hosts.contains_key(host) => self.down(*host, 0),
-            Event::Reported { host, limit } if self.book.hosts.contains_key(host) => {
-                self.book.route_of(*host).limit = *limit;
-                let part = self.slice(*host) * PACE_CUT;
-                self.book.route_of(*host).raise_pace(part);
+            Event::Reported { host, limit, left } if self.book.hosts.contains_key(host) => {
+                self.reported(*host, *limit, *left);
                 self.book.turns.touch(self.book.hosts[host].dest);
             }
             Event::Terms { host, terms } => self.book.set_terms(*host, *terms),
@@ -45,19 +41,6 @@
         }
     }
 
-    /// From now on a message that has its end is over only once `Event::Settled` says so.
-    pub fn settle_later(&mut self) {
-        self.book.settles_later = true;
-    }
-
-    /// Hosts of which it may have changed, since this was last asked, whether they are in an outage or just back from
-    /// one, and whether they are: a next life has to know, since what this relay saw fail it may not push over.
-    pub fn ailing(&mut self) -> Vec<(HostId, bool)> {
-        let turned = std::mem::take(&mut self.book.turned);
-        let there = |id: &HostId| self.book.hosts.get(id).is_some_and(|h| h.state != Listing::Gone);
-        turned.into_iter().map(|id| (id, there(&id) && self.sick(id))).collect()
-    }
-
     /// A message that has its end leaves, but for its place in its key's line.
     pub(super) fn part_with(&mut self, id: MsgId) {
         let key = self.book.messages.get(&id).and_then(|m| m.key.clone());
@@ -67,8 +50,7 @@
         }
     }
 
-    /// Whether a call decided on a moment ago may still be written: its connection may have been slow to
-    /// come up, and the host may be leaving or a wait for it may run by now.
+    /// Whether a call decided on a moment ago may still be written: its connection may have been slow to come up.
     pub fn still_open(&self, host: HostId, now: Nanos) -> bool {
         let Some(h) = self.book.hosts.get(&host) else { return false };
         h.state == Listing::Ready && self.book.routes.get(&h.route).is_none_or(|r| r.wait <= now)
@@ -97,8 +79,7 @@
         h.out < h.terms.most_out && !(h.terms.backup && self.book.hosts_of(h.dest).iter().any(first))
     }
 
-    /// The last of each step. Before a planned end, messages that cannot go any more are handed back where
-    /// that is harmless: other relays will have them sooner than this one is back.
+    /// The last of each step. Before a planned end what cannot go any more is handed back where that is harmless.
     pub(super) fn wind_up(&mut self) {
         self.reclaim();
         if self.book.closing.is_none() {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,7 +1,6 @@
 //! All decisions of the relay, without I/O or clock: `interface` says what it is told and asks for, `records` holds
-//! what it remembers. One file a concern: `release` (who goes next, and the gate that every send passes), `worth`
-//! (what a message is worth, and giving up), `health`, `pace` (limits, waits, cold returns), `live` (what only real
-//! sockets need).
+//! what it remembers. One file a concern: `release` (who goes next, the gate of every send), `worth` (and giving up),
+//! `health`, `pace` (limits, waits, cold returns), `live` (what only real sockets need).
 
 #[cfg(test)]
 mod by_hand;
@@ -13,6 +12,7 @@
 mod records;
 mod release;
 mod turns;
+mod views;
 mod worth;
 
 use interface::*;
@@ -40,11 +40,6 @@
         Relay { set: settings, dice: Dice(seed), now: 0, book, slowness: 1.0, mean_cost, actions }
     }
 
-    /// Messages that still await their final answer.
-    pub fn held(&self) -> usize {
-        self.book.messages.len()
-    }
-
     /// Takes in what happened at `now` and returns what to do. One step is one batch: its sends to one
     /// host share calls as far as its kind allows.
     pub fn step(&mut self, now: Nanos, events: &[Event]) -> Vec<Action> {
@@ -99,14 +94,4 @@
             self.actions.push(Action::Wake { at: next });
         }
     }
-
-    /// Whether there is a record of this host.
-    pub fn knows(&self, host: HostId) -> bool {
-        self.book.hosts.contains_key(&host)
-    }
-
-    /// Idle time after which connections are not to be used any more.
-    pub fn trusted_idle(&self) -> Nanos {
-        self.book.idle_safe.unwrap_or(Nanos::MAX)
-    }
 }
--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -15,6 +15,9 @@
 const SHUT_REFUSALS: u32 = 3; // and so many, more where refusals in a row are usual
 const PACE_CUT_GAP: Nanos = 500 * MS; // least time between cuts
 const PACE_TRUST: f64 = 1.5; // a pace is cut from this multiple of what was accepted of late at most
+const LEAST_PART: f64 = 0.5; // of our part of a told limit: refusals cut the pace no further
+const FEW: f64 = 2.0; // calls a second: from so many on a relay finds its part by its own refusals
+const SCARCE: f64 = 0.3; // share of a told limit that is left, below which no relay takes more than its part
 const REST_FIRST: f64 = 0.04; // own rest after a refusal, as part of its bound; grows with each one
 const REST_GROWTH: f64 = 4.0; // factor of each further refusal
 const REST_LEVELS: u32 = 5; // factors at most
@@ -31,7 +34,7 @@
         let r = self.book.route_of(host);
         if let Some(p) = r.pace {
             r.tokens = filled(r, p, now) - units;
-            r.filled = now;
+            r.filled = now.max(r.filled);
         }
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
         (h.last_sent, h.last_used) = (now, now);
@@ -39,10 +42,9 @@
         h.next = if h.health == Health::Well { 0 } else { now + gap.max(least) };
     }
 
-    /// A clump that meets a shut or full host is refused at one moment at as many relays. What is wanted of
-    /// it is no more than the host takes within the aim: spread over the aim, stretched by what a cold host
-    /// takes, it keeps to half of our margin; relays with more signs have the other half. The same for
-    /// messages that come while saved-up calls could go.
+    /// A clump that meets a shut or full host is refused at one moment at as many relays. Spread over the aim,
+    /// stretched by what a cold host takes, it keeps to half of our margin; relays with more signs have the
+    /// other half. The same for messages that come while saved-up calls could go.
     pub(super) fn crowd_gap(&mut self, host: HostId) -> Nanos {
         let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SEC) as f64;
         let stretch = (COLD_MARGIN / 2.0 * self.set.overload_factor * self.set.cold_share).clamp(0.01, 1.0);
@@ -50,13 +52,11 @@
     }
 
     /// Calls a second that this relay may send to a host that is, or may be, coming back: its part of the
-    /// cold budget. Nobody knows when it returns or how warm it is; before a call is served the budget is
-    /// that of its first moment, factor x cold_share x capacity. The parts of all relays add up to no more:
+    /// cold budget; before a call is served that of its first moment. The parts of all relays add up to no more:
     /// - messages taken add up to the traffic, which a destination takes in the mean. Others that know of no
     ///   outage send too: if we keep to two thirds, no load above the budget is two thirds ours.
     /// - equal parts of the listed limit, lowered by what the list may err, are at most the capacity.
-    /// - rates served over a longer run add up to what was served. Where a relay knows one, all have met the
-    ///   outage within moments, and nobody is left to fill the other third.
+    /// - rates served over a longer run add up to what was served; where one is known, all have met the outage.
     pub(super) fn cold_rate(&self, host: HostId, at: Nanos) -> f64 {
         let Some(h) = self.book.hosts.get(&host) else { return 1.0 };
         let warm = match h.health {
@@ -65,13 +65,13 @@
         };
         let share = self.set.cold_share + (1.0 - self.set.cold_share) * warm.min(1.0);
         let mates = self.book.hosts_of(h.dest).iter().map(|m| self.book.hosts[m].scale).sum::<f64>();
-        let seen = (-((self.now - self.book.started) as f64).max(LEAST_SEEN) / self.set.longest_life())
-            .exp_m1()
-            .abs();
-        let asked = self.book.flows.get(&h.dest).map_or(0.0, |f| f.asked(self.now, self.set.longest_life()));
-        let asked = asked / (self.set.longest_life() * seen) * 1e9;
+        let life = self.set.longest_life();
+        let seen = -(-((self.now - self.book.started) as f64).max(LEAST_SEEN) / life).exp_m1();
+        let asked = self.book.flows.get(&h.dest).map_or(0.0, |f| f.asked(self.now, life));
+        let asked = asked / (life * seen) * 1e9;
         let listed = if self.set.limits == Limits::Unlisted { 0.0 } else { h.scale / ROUGH };
-        let equal = listed.max(LEAST_CAPACITY) / f64::from(self.set.senders.max(1));
+        let told = self.few(host) * h.scale / mates.max(h.scale);
+        let equal = (listed.max(LEAST_CAPACITY) / f64::from(self.set.senders.max(1))).max(told);
         let part = COLD_MARGIN * (asked * h.scale / mates.max(h.scale)).max(equal);
         self.set.overload_factor * share * if h.best_rate > 0.0 { h.best_rate } else { part }
     }
@@ -90,10 +90,35 @@
         r.wait = r.wait.max(until);
     }
 
+    /// Our part of a told limit where it is so small that our own calls tell too little of it; else 0.
+    pub(super) fn few(&self, host: HostId) -> f64 {
+        Some(self.slice(host)).filter(|s| *s < FEW).unwrap_or(0.0)
+    }
+
+    /// A told limit, and what is left of it, binds as soon as it is heard of: all relays hear the same.
+    pub(super) fn reported(&mut self, host: HostId, limit: f64, left: f64) {
+        let before = self.slice(host);
+        let r = self.book.route_of(host);
+        (r.limit, r.left) = (limit, if limit > 0.0 { left } else { 0.5 });
+        let (slice, few, now) = (self.slice(host), self.few(host), self.now);
+        let r = self.book.route_of(host);
+        if few == 0.0 {
+            r.pace = r.pace.map(|p| p.max(slice * PACE_CUT));
+        } else if let Some(p) = r.pace.filter(|_| before > 0.0) {
+            (r.tokens, r.filled) = (filled(r, p, now), now.max(r.filled));
+            r.pace = Some(p * slice / before);
+        }
+        if few > 0.0 && left < SCARCE {
+            let used = rate_of(&mut r.accepted, PACE_SPAN, now).unwrap_or(0.0);
+            r.pace = Some(r.pace.unwrap_or(f64::MAX).min(used.max(slice)));
+        }
+    }
+
     /// Refused as full: cut the pace; refusals without a success, or a long wait, mean shut and cold later.
     pub(super) fn refused(&mut self, host: HostId, wait: Nanos) {
         let (now, route, slice) = (self.now, self.book.hosts[&host].route, self.slice(host));
-        let (roll, most) = (self.dice.roll(), self.longest_rest());
+        let (roll, few) = (self.dice.roll(), self.few(host));
+        let (most, told) = (self.longest_rest(few), few > 0.0);
         let r = self.book.routes.entry(route).or_default();
         if r.refused == 0 {
             (r.refused_since, r.usual) = (now, r.level);
@@ -107,9 +132,10 @@
         if now >= r.cut + PACE_CUT_GAP {
             let used = rate_of(&mut r.accepted, PACE_SPAN, now).unwrap_or(0.0);
             let from = r.pace.map_or(used.max(slice), |p| p.min(used * PACE_TRUST).max(p * 0.5));
-            // Where the limit is told, one cut is enough to come near our part of it.
-            let from = if slice > 0.0 { from.clamp(slice, slice * PACE_TRUST) } else { from };
-            let pace = (from * PACE_CUT).max(1e9 / REST_LEAST_MOST);
+            // One cut is enough to come under our part of a told limit: refused calls use it up, so at it all are.
+            let trust = if told { (LEAST_PART, 1.0) } else { (1.0, PACE_TRUST) };
+            let from = if slice > 0.0 { from.clamp(slice * trust.0, slice * trust.1) } else { from };
+            let pace = (from * PACE_CUT).max(if told { 0.0 } else { 1e9 / REST_LEAST_MOST });
             r.full_at = from;
             if r.pace.is_none() {
                 let text = format!("host {host} refuses as full, paced at {pace:.1} a second");
@@ -117,12 +143,19 @@
             }
             (r.pace, r.cut, r.filled, r.tokens) = (Some(pace), now, now, 0.0);
         }
+        if told {
+            (r.filled, r.tokens) = (now.max(r.wait), roll); // all waits end at one moment
+        }
         let mut mates = self.book.hosts_of(self.book.hosts[&host].dest).to_vec();
         mates.retain(|h| self.book.hosts[h].route == route);
-        mates.iter().for_each(|h| self.doubt(*h, true));
+        let r = &self.book.routes[&route]; // what a limit explains is no outage
+        if !told || r.refused > 1 && r.left > SCARCE {
+            mates.iter().for_each(|h| self.doubt(*h, true));
+        }
         let r = self.book.routes.entry(route).or_default();
-        let shut =
-            wait > SHUT_WAIT || (r.refused >= SHUT_REFUSALS + r.usual && now >= r.refused_since + SHUT_AFTER);
+        let shut = wait > SHUT_WAIT
+            || (!told || r.left > SCARCE)
+                && (r.refused >= SHUT_REFUSALS + r.usual && now >= r.refused_since + SHUT_AFTER);
         let until = r.wait.max(r.rest);
         if shut {
             mates.into_iter().for_each(|h| self.down(h, until));
@@ -130,7 +163,8 @@
     }
 
     /// Bound of the rest after refusals: the relays together ask a small destination as often as it can take.
-    fn longest_rest(&self) -> f64 {
-        (f64::from(self.set.senders) / LEAST_CAPACITY * 1e9).clamp(REST_LEAST_MOST, REST_MOST)
+    fn longest_rest(&self, slice: f64) -> f64 {
+        let each = (LEAST_CAPACITY / f64::from(self.set.senders.max(1))).max(slice);
+        (1e9 / each).clamp(REST_LEAST_MOST, REST_MOST)
     }
 }
--- a/src/decision/records.rs
+++ b/src/decision/records.rs
@@ -106,7 +106,7 @@
 }
 
 /// What shares one limit: a host where routes are apart, else a destination.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Route {
     /// End of a wait that was told.
     pub wait: Nanos,
@@ -115,6 +115,8 @@
     pub refused: u32,
     /// The limit as last told by the destination, in calls a second; 0: none was told.
     pub limit: f64,
+    /// The share of it that was left then; half where nothing is known.
+    pub left: f64,
     /// Steps in the length of the rest, kept in part when a call is accepted.
     pub level: u32,
     /// The same as it was before the refusals since the last accepted call.
@@ -568,18 +570,33 @@
     }
 }
 
+impl Default for Route {
+    fn default() -> Self {
+        Route {
+            wait: 0,
+            rest: 0,
+            refused: 0,
+            limit: 0.0,
+            left: 0.5,
+            level: 0,
+            usual: 0,
+            refused_since: 0,
+            pace: None,
+            full_at: 0.0,
+            tokens: 0.0,
+            filled: 0,
+            cut: 0,
+            accepted: VecDeque::new(),
+        }
+    }
+}
+
 impl Route {
     /// Refused, and no limit was told: nobody knows how much it takes. At a told limit what is refused is
     /// the call, however many messages it has.
     pub fn probes(&self) -> bool {
         self.refused > 0 && self.limit == 0.0
     }
-
-    /// A pace below `least` is lifted to it: a limit that has risen is there for us at once, however far
-    /// refusals had cut the pace.
-    pub fn raise_pace(&mut self, least: f64) {
-        self.pace = self.pace.map(|p| p.max(least));
-    }
 }
 
 impl Flow {
@@ -649,7 +666,7 @@
 
 /// Calls that may go now under a pace, a burst or one being saved up at most.
 pub(crate) fn filled(r: &Route, pace: f64, now: Nanos) -> f64 {
-    let saved = r.tokens + pace * (now - r.filled) as f64 / 1e9;
+    let saved = r.tokens + pace * now.saturating_sub(r.filled) as f64 / 1e9;
     saved.min((pace * PACE_BURST).max(1.0))
 }
 
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -3,7 +3,7 @@
 use super::fields::{self, seconds, span_text};
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::Letter;
-use crate::routing::{Branch, Reply};
+use crate::routing::{Branch, Limit, Reply};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
@@ -84,10 +84,13 @@
     told.and_then(seconds).unwrap_or(0)
 }
 
-/// The limit in `X-Server-Load: x0=0.4,x1=25`: calls a second, 0 where there is none.
-pub fn limit(headers: &HeaderMap) -> Option<f64> {
+/// The limit in `X-Server-Load: x0=0.4,x1=25`: the share that is left and calls a second, 0 where there is none.
+pub fn limit(headers: &HeaderMap) -> Option<Limit> {
     let report = headers.get("x-server-load")?.to_str().ok()?;
-    fields::value::<f64>(report, "x1").filter(|limit| limit.is_finite() && *limit >= 0.0)
+    let usable = |n: &f64| n.is_finite() && *n >= 0.0;
+    let rate = fields::value::<f64>(report, "x1").filter(usable)?;
+    let left = fields::value::<f64>(report, "x0").filter(usable).unwrap_or(0.5);
+    Some(Limit { rate, left: left.min(1.0) })
 }
 
 /// What the answer to a batch says of each branch; one that it does not name may have run.
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -4,7 +4,7 @@
 use super::journal::{Journal, Record, Replayed};
 use super::route_set::{NextHop, RouteNews, RouteSet};
 use super::transactions::{Ending, Transaction, Transactions};
-use super::values::{Branch, Call, End, NextHopId, Reply, TransactionNo};
+use super::values::{Branch, Call, End, Limit, NextHopId, Reply, TransactionNo};
 use crate::batching::fate::{may_share, Wire};
 use crate::batching::{Counts, Former, Member, Pressure, Table, Terms};
 use crate::interface::{CallTerms, Nanos, Outcome, Repeat, Settings};
@@ -74,8 +74,8 @@
 pub struct Carried {
     /// Branches that were never begun may be left out.
     pub replies: Vec<(Branch, Reply)>,
-    /// The limit that the next hop told, in calls a second from all relays together; 0 where it has none.
-    pub limit: Option<f64>,
+    /// The limit that the next hop told.
+    pub limit: Option<Limit>,
     /// For how long the connection had waited for this call, 0 if it was new; none where nothing was sent.
     pub idle: Option<Nanos>,
     /// The break that ended it was told of with another call on the same connection.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -3,7 +3,7 @@
 //! Whoever calls them gets back what is to be done now; the module's events and actions stay in this file.
 
 use super::route_set::{NextHop, Standing};
-use super::values::{Branch, Call, End, NextHopId, Reply, TransactionNo};
+use super::values::{Branch, Call, End, Limit, NextHopId, Reply, TransactionNo};
 use crate::decision::Relay;
 use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
 use std::collections::{BTreeSet, HashMap};
@@ -27,8 +27,8 @@
 /// What came with the answer to a call, beside the ends of its branches.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
-    /// The next hop's own limit, in calls a second from all relays together; 0 where it has none.
-    pub limit: Option<(NextHopId, f64)>,
+    /// The next hop's own limit.
+    pub limit: Option<(NextHopId, Limit)>,
     /// How long it wants to be left alone.
     pub wait: Option<(NextHopId, Nanos)>,
     /// For how long the connection had waited before.
@@ -135,7 +135,8 @@
         let mut events: Vec<Event> = splits.iter().map(split).collect();
         let Told { limit, wait, idle, echo } = told;
         events.extend(wait.map(|(host, wait)| Event::Waits { host, wait }));
-        let limits = limit.into_iter().map(|(host, limit)| Event::Reported { host, limit });
+        let limits =
+            limit.into_iter().map(|(host, Limit { rate, left })| Event::Reported { host, limit: rate, left });
         events.extend(limits);
         for (branch, reply) in ended {
             let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -16,4 +16,4 @@
 pub use journal::Journal;
 pub use route_set::{NextHop, RouteNews, RouteSet, Standing};
 pub use transactions::Transaction;
-pub use values::{Branch, Call, End, NextHopId, Reply, TransactionNo};
+pub use values::{Branch, Call, End, Limit, NextHopId, Reply, TransactionNo};
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// A next hop's own limit, as an answer told it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Calls a second from all relays together; 0 where it has none.
+    pub rate: f64,
+    /// The share of it that was left, 0 to 1; a half where nothing is said of that.
+    pub left: f64,
+}
+
 /// How a transaction ended that was not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
