--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -90,9 +90,10 @@
         r.wait = r.wait.max(until);
     }
 
-    /// Our part of a told limit where it is so small that our own calls tell too little of it; else 0.
+    /// Our part of a reported limit where it is so small that our own calls tell too little of it; else 0.
     pub(super) fn few(&self, host: HostId) -> f64 {
-        Some(self.slice(host)).filter(|s| *s < FEW).unwrap_or(0.0)
+        let limit = self.book.routes.get(&self.book.hosts[&host].route).map_or(0.0, |r| r.limit);
+        Some(self.slice(host)).filter(|s| limit > 0.0 && *s < FEW).unwrap_or(0.0)
     }
 
     /// A told limit, and what is left of it, binds as soon as it is heard of: all relays hear the same.
@@ -100,8 +101,7 @@
         let before = self.slice(host);
         let r = self.book.route_of(host);
         (r.limit, r.left) = (limit, if limit > 0.0 { left } else { 0.5 });
-        let (slice, few, now) = (self.slice(host), self.few(host), self.now);
-        let r = self.book.route_of(host);
+        let (slice, few, now, r) = (self.slice(host), self.few(host), self.now, self.book.route_of(host));
         if few == 0.0 {
             r.pace = r.pace.map(|p| p.max(slice * PACE_CUT));
         } else if let Some(p) = r.pace.filter(|_| before > 0.0) {
@@ -148,7 +148,7 @@
         }
         let mut mates = self.book.hosts_of(self.book.hosts[&host].dest).to_vec();
         mates.retain(|h| self.book.hosts[h].route == route);
-        let r = &self.book.routes[&route]; // what a limit explains is no outage
+        let r = &self.book.routes[&route];
         if !told || r.refused > 1 && r.left > SCARCE {
             mates.iter().for_each(|h| self.doubt(*h, true));
         }
