Say in one place what an unsaid share of a limit means

Need: the half that stands for an unsaid x0 was written in the hook, the adapter, the module's report and a Default of Route spelt out field by field for it, though the share is read only where a limit was told.

--- a/benches/step/days.rs
+++ b/benches/step/days.rs
@@ -148,7 +148,7 @@
                 let until = self.now + (200 + self.below(7_000)) * MS;
                 self.trouble.insert(host, (until, how));
             }
-            13 => events.push(Event::Reported { host, limit: self.below(40) as f64, left: 0.5 }),
+            13 => events.push(Event::Reported { host, limit: self.below(40) as f64, left: Some(0.5) }),
             14 => {
                 let most_out = 1 + self.below(6) as usize;
                 let terms = Terms { most_out, weight: 1, backup: self.below(4) == 0, ..Terms::default() };
--- a/src/bin/basaltloom-adapter.rs
+++ b/src/bin/basaltloom-adapter.rs
@@ -292,7 +292,7 @@
     fn reported(inst: &mut Instance, told: &News) -> Option<Event> {
         let News::Verdict { host: Some(host), metrics: Some(metrics), .. } = told else { return None };
         let limit = *metrics.get(inst.limit_at?)?;
-        let left = inst.left_at.and_then(|at| metrics.get(at)).map_or(0.5, |left| left.clamp(0.0, 1.0));
+        let left = inst.left_at.and_then(|at| metrics.get(at)).copied();
         Some(Event::Reported { host: inst.host(host), limit, left })
     }
 
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -234,8 +234,8 @@
     /// This host was sick in an earlier life of this relay.
     Ailing { host: HostId },
     /// The destination tells its limit, in calls a second from all relays together.
-    /// `left`: the share of it that was left, 0 to 1; a half where nothing is said of that.
-    Reported { host: HostId, limit: f64, left: f64 },
+    /// `left`: the share of it that was left, 0 to 1; none where nothing is said of that.
+    Reported { host: HostId, limit: f64, left: Option<f64> },
     /// What an operator's own list says of a host beyond its listing.
     Terms { host: HostId, terms: Terms },
     /// The break that ends this attempt was told of with another: it says nothing more of its host.
--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -97,10 +97,10 @@
     }
 
     /// A told limit, and what is left of it, binds as soon as it is heard of: all relays hear the same.
-    pub(super) fn reported(&mut self, host: HostId, limit: f64, left: f64) {
-        let before = self.slice(host);
+    pub(super) fn reported(&mut self, host: HostId, limit: f64, left: Option<f64>) {
+        let (before, left) = (self.slice(host), left.map_or(0.5, |left| left.clamp(0.0, 1.0)));
         let r = self.book.route_of(host);
-        (r.limit, r.left) = (limit, if limit > 0.0 { left } else { 0.5 });
+        (r.limit, r.left) = (limit, left);
         let (slice, few, now, r) = (self.slice(host), self.few(host), self.now, self.book.route_of(host));
         if few == 0.0 {
             r.pace = r.pace.map(|p| p.max(slice * PACE_CUT));
--- a/src/decision/records.rs
+++ b/src/decision/records.rs
@@ -106,7 +106,7 @@
 }
 
 /// What shares one limit: a host where routes are apart, else a destination.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Route {
     /// End of a wait that was told.
     pub wait: Nanos,
@@ -115,7 +115,7 @@
     pub refused: u32,
     /// The limit as last told by the destination, in calls a second; 0: none was told.
     pub limit: f64,
-    /// The share of it that was left then; half where nothing is known.
+    /// The share of it that was left then; means nothing where none was told.
     pub left: f64,
     /// Steps in the length of the rest, kept in part when a call is accepted.
     pub level: u32,
@@ -570,27 +570,6 @@
     }
 }
 
-impl Default for Route {
-    fn default() -> Self {
-        Route {
-            wait: 0,
-            rest: 0,
-            refused: 0,
-            limit: 0.0,
-            left: 0.5,
-            level: 0,
-            usual: 0,
-            refused_since: 0,
-            pace: None,
-            full_at: 0.0,
-            tokens: 0.0,
-            filled: 0,
-            cut: 0,
-            accepted: VecDeque::new(),
-        }
-    }
-}
-
 impl Route {
     /// Refused, and no limit was told: nobody knows how much it takes. At a told limit what is refused is
     /// the call, however many messages it has.
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -104,7 +104,7 @@
 ) {
     let mut line = None;
     let mut failing = false;
-    sleep(asking.first()).await;
+    pass(asking.first()).await;
     loop {
         // An idle connection may have been closed under the question: that is no sign of silence.
         let kept = line.is_some();
@@ -132,10 +132,14 @@
                 true
             }
         };
-        let pause = asking.pause(failed);
-        if !pause.is_zero() {
-            sleep(pause).await;
-        }
+        pass(asking.pause(failed)).await;
+    }
+}
+
+/// No time at all is not even a turn of the timer: a watch goes on at once.
+async fn pass(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
     }
 }
 
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -89,8 +89,8 @@
     let report = headers.get("x-server-load")?.to_str().ok()?;
     let usable = |n: &f64| n.is_finite() && *n >= 0.0;
     let rate = fields::value::<f64>(report, "x1").filter(usable)?;
-    let left = fields::value::<f64>(report, "x0").filter(usable).unwrap_or(0.5);
-    Some(Limit { rate, left: left.min(1.0) })
+    let left = fields::value::<f64>(report, "x0").filter(usable);
+    Some(Limit { rate, left })
 }
 
 /// What the answer to a batch says of each branch; one that it does not name may have run.
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -56,8 +56,8 @@
 pub struct Limit {
     /// Calls a second from all relays together; 0 where it has none.
     pub rate: f64,
-    /// The share of it that was left, 0 to 1; a half where nothing is said of that.
-    pub left: f64,
+    /// The share of it that was left, 0 to 1; none where nothing is said of that.
+    pub left: Option<f64>,
 }
 
 /// How a transaction ended that was not delivered.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -93,7 +93,7 @@
                     let served = outcome == Outcome::Served;
                     done[second].0 += usize::from(served);
                     done[second].1 += usize::from(!served);
-                    let report = Event::Reported { host, limit: dest.limit, left: dest.left(now) };
+                    let report = Event::Reported { host, limit: dest.limit, left: Some(dest.left(now)) };
                     let ended = Event::Ended { id, attempt, outcome, latency: ANSWER, over: served };
                     due.entry((now + ANSWER, i)).or_default().extend([report, ended]);
                 }
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -48,14 +48,15 @@
 fn served_after_a_refusal(limit: Option<f64>, later: Option<f64>) -> usize {
     let mut relay = relay(&[0]);
     let mut now = 2 * SEC;
-    let report = limit.map(|limit| Event::Reported { host: 0, limit, left: 0.5 });
+    let report = limit.map(|limit| Event::Reported { host: 0, limit, left: Some(0.5) });
     let mut out = sent(&relay.step(now, &(1..=30).map(taken).collect::<Vec<_>>()));
     let (first, _) = out.remove(0);
     let refusal = [report, Some(ended(first, 0, Outcome::Full { wait: 0 }))].into_iter().flatten();
     out.extend(sent(&relay.step(now, &refusal.collect::<Vec<_>>())));
     let (mut served, half, end) = (0, now + SEC / 2, now + 2 * SEC);
     while now < end {
-        let news = later.filter(|_| now == half).map(|limit| Event::Reported { host: 0, limit, left: 0.5 });
+        let news =
+            later.filter(|_| now == half).map(|limit| Event::Reported { host: 0, limit, left: Some(0.5) });
         out.extend(sent(&relay.step(now, &Vec::from_iter(news))));
         now += 5 * MS;
         let back: Vec<Event> =
