Keep attempts in the relay's own room where the site prices a crossing

Neither the settings nor the module read `zone` or `prices.cross_zone`; src/decision/worth.rs fee() priced only routes apart by `route_fee`. Our site has one room and no such price, so this only worked there by luck.

--- a/src/bin/basaltloom-adapter.rs
+++ b/src/bin/basaltloom-adapter.rs
@@ -74,6 +74,16 @@
     services: Vec<Service>,
     weights: Option<String>,
     report: Option<Report>,
+    #[serde(default)]
+    zone: usize,
+    #[serde(default)]
+    prices: Prices,
+}
+
+#[derive(Default, Deserialize)]
+struct Prices {
+    #[serde(default)]
+    cross_zone: f64,
 }
 
 #[derive(Deserialize)]
@@ -171,6 +181,8 @@
         classes: p.services.iter().map(class).collect(),
         kinds,
         zone_fee: d.route_fee.clone(),
+        zone: p.zone,
+        cross_zone: p.prices.cross_zone,
         cold_share: p.rules.cold_share,
         warm_up: p.rules.warm_up,
         overload_factor: p.rules.overload_factor,
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -93,6 +93,9 @@
     pub kinds: Vec<Kind>,
     /// Price of a message taken on by a route apart, by zone, in worth of a mean message.
     pub zone_fee: Vec<f64>,
+    /// This relay's zone, and the price of each attempt at an endpoint of another, in worth of a mean message.
+    pub zone: usize,
+    pub cross_zone: f64,
     /// Share of its capacity that a destination has at least after an outage...
     pub cold_share: f64,
     /// ...and the time in which it has all of it again.
--- a/src/decision/ranks.rs
+++ b/src/decision/ranks.rs
@@ -223,6 +223,8 @@
                     classes: vec![class(1_000, 9_000), class(3_000, 6_000)],
                     kinds: vec![],
                     zone_fee: vec![],
+                    zone: 0,
+                    cross_zone: 0.0,
                     cold_share: 0.3,
                     warm_up: 1,
                     overload_factor: 1.0,
--- a/src/decision/worth.rs
+++ b/src/decision/worth.rs
@@ -67,13 +67,13 @@
 
     pub(super) fn fee(&self, host: HostId) -> f64 {
         let h = &self.book.hosts[&host];
-        self.set.zone_fee.get(h.zone).filter(|_| h.kind.apart).copied().unwrap_or(0.0)
+        let cross = if h.zone == self.set.zone { 0.0 } else { self.set.cross_zone };
+        cross + self.set.zone_fee.get(h.zone).filter(|_| h.kind.apart).copied().unwrap_or(0.0)
     }
 
     pub(super) fn least_fee(&self, dest: DestId) -> f64 {
         let ready = |h: &&HostId| self.book.hosts[h].state == Listing::Ready && self.is_well(**h);
-        let well = self.book.hosts_of(dest).iter().filter(ready);
-        well.map(|h| self.fee(*h)).fold(f64::INFINITY, f64::min)
+        self.book.hosts_of(dest).iter().filter(ready).map(|h| self.fee(*h)).fold(f64::INFINITY, f64::min)
     }
 
     /// Final answers for messages that no allowed attempt can still serve.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! let settings = Settings { senders: 2, slots: 8, max_held: 100, max_attempts: 6, may_cancel: true,
 //!     must_subscribe: false, keepalive: 10 * second, max_come_back: second, limits: Limits::Unlisted,
 //!     late: Late::Even, classes: vec![class], kinds: vec![Kind { apart: false, per_call: 1 }],
-//!     zone_fee: vec![], cold_share: 0.3, warm_up: 10 * second,
+//!     zone_fee: vec![], zone: 0, cross_zone: 0.0, cold_share: 0.3, warm_up: 10 * second,
 //!     overload_factor: 2.0, fall: 2 * second, key_rest: 0 };
 //! let mut relay = Relay::new(settings, 7);
 //! let entry = Entry { host: 0, dest: 5, kind: 0, zone: 0, state: Listing::Ready, scale: 1.0 };
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -132,6 +132,8 @@
         classes: services.iter().map(class).collect::<Res<_>>()?,
         kinds: (0..per_call.len().max(apart.len())).map(kind).collect(),
         zone_fee: list(s, "domain.route_fee").iter().filter_map(|f| f.get::<f64>().copied()).collect(),
+        zone: num(s, "zone").map_or(0, |z| z as usize),
+        cross_zone: num(s, "prices.cross_zone").unwrap_or(0.0),
         cold_share: number("rules.cold_share")?,
         warm_up: number("rules.warm_up")? as Nanos,
         overload_factor: number("rules.overload_factor")?,
--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -180,6 +180,8 @@
         classes,
         kinds: vec![Kind { apart: false, per_call: 1 }],
         zone_fee: Vec::new(),
+        zone: 0,
+        cross_zone: 0.0,
         cold_share: rules.or("cold-share", "0.2", number(0.001, 1.0)),
         warm_up: rules.or("warm-up", "10s", span),
         overload_factor: rules.or("overload-factor", "2", number(1.0, 1e6)),
