Pace a route from its first call where the list gives the partner's rate

Our site lists no rates (`weights` none), so Limits::Exact and Rough had never served: src/decision/pace.rs spend() counted a call against a pace only once a refusal had set one, so a relay sent unpaced, was refused as full, cut, rested and doubted.

Change: spend() starts a route's pace at 1.5 times (PACE_TRUST) this relay's part of the listed limit (slice()) at its first call, where the list tells limits; nothing changes where it does not.

--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -26,15 +26,17 @@
 const WAIT_ROUNDING: Nanos = 2 * MS; // added to a told wait, which comes in whole milliseconds
 
 impl Relay {
-    /// Counts a call against the pace and the cold budget.
+    /// Counts a call against the pace, from the first on our part of a listed limit, and the cold budget.
     pub(super) fn spend(&mut self, host: HostId, messages: usize) {
         let (now, units) = (self.now, self.book.units(host, messages));
         let weight = 1.0 + self.weight_of_more(host) * messages.saturating_sub(1) as f64;
         let gap = (self.cold_gap(host, weight) * (1.0 - SPREAD / 2.0 + SPREAD * self.dice.roll())) as Nanos;
+        let listed = self.set.limits != Limits::Unlisted;
+        let part = Some(self.slice(host) * PACE_TRUST).filter(|p| listed && p > &0.0);
         let r = self.book.route_of(host);
-        if let Some(p) = r.pace {
+        if let Some(p) = r.pace.or(part) {
             r.tokens = filled(r, p, now) - units;
-            r.filled = now.max(r.filled);
+            (r.filled, r.pace) = (now.max(r.filled), Some(p));
         }
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
         (h.last_sent, h.last_used) = (now, now);
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -137,14 +137,12 @@
             self.book.hosts_of(dest).iter().copied().filter(|h| self.may_call(*h)).collect();
         hosts.sort_by_key(|id| {
             let h = &self.book.hosts[id];
-            let fee = (self.fee(*id) * 1e6) as u64;
             // An open connection saves its set-up: a relay with few calls keeps to one host, each to its own.
             let idle = self.now - h.last_used > self.set.keepalive || h.last_sent == 0;
-            (self.sick(*id), h.bad.min(3), fee, h.load(), idle, h.last_sent, h.lot)
+            (self.sick(*id), h.bad.min(3), (self.fee(*id) * 1e6) as u64, h.load(), idle, h.last_sent, h.lot)
         });
         let f = self.book.flows.get(&dest)?;
-        let least_fee = self.least_fee(dest);
-        let horizon = self.horizon(f);
+        let (least_fee, horizon) = (self.least_fee(dest), self.horizon(f));
         for host in hosts {
             let trial = matches!(self.book.hosts[&host].health, Health::Down);
             let extra = self.fee(host) - least_fee;
