Remember a branch that was out at a kill over the next kill too

The third life took the second's time for the first branch's, and the window of 15 s began anew. In memory the second life knew better (Core::restore); only the file forgot it.

Change: an out that follows one without a back keeps the earlier as the first that may have run.

--- a/src/routing/journal.rs
+++ b/src/routing/journal.rs
@@ -383,8 +383,9 @@
     let Some(t) = into.transactions.get_mut(no) else { return Some(()) };
     match code {
         2 => {
-            let moment = r.moment()?;
-            (t.attempts, t.out) = (t.attempts + 1, moment);
+            // One that never came back was out when an earlier life ended: it may have run, and it was the first.
+            t.may_have_run = t.may_have_run.or(t.out.take());
+            (t.attempts, t.out) = (t.attempts + 1, r.moment()?);
         }
         3 => {
             let ran = r.u8()? == 1;
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -87,6 +87,25 @@
     assert_eq!((replayed.get(1), replayed.len(), next), (Some(&kept), 1, 2_000));
 }
 
+/// Guards the window of a repeat over two kills: a branch that was out at the first may have run, whatever came of those
+/// that a second life began. A herd day had seen a message go again 15 s after its first branch, right after the second
+/// restart: what the second life wrote had taken the place of what the first had.
+#[test]
+fn a_branch_out_at_a_kill_is_remembered_over_the_next_one() {
+    let folder = Folder::new("twice");
+    folder.open(3_000_000).0.write(1, &Record::Taken(&transaction("m1", 10))).unwrap();
+    folder.open(3_000_000).0.write(1, &Record::Out { at: 100, zone: 3 }).unwrap();
+    let (mut journal, replayed, _, _) = folder.open(3_000_000);
+    assert_eq!(replayed.get(1).unwrap().out, Some((100, 3)));
+    journal.write(1, &Record::Out { at: 200, zone: 4 }).unwrap();
+    let (mut journal, replayed, _, _) = folder.open(3_000_000);
+    let t = replayed.get(1).unwrap();
+    assert_eq!((t.may_have_run, t.out, t.attempts), (Some((100, 3)), Some((200, 4)), 2));
+    journal.write(1, &Record::Back { may_have_run: false }).unwrap();
+    let t = folder.open(3_000_000).1.get(1).unwrap().clone();
+    assert_eq!((t.may_have_run, t.out), (Some((100, 3)), None));
+}
+
 /// Guards a kill in the middle of a write, and bytes that have gone bad: what is whole before them counts,
 /// and new records follow it.
 #[test]
