--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -190,25 +190,23 @@
 
     /// All rules, whatever the heuristics want.
     fn gate(&self, id: MsgId, host: HostId) -> bool {
-        let (Some(m), Some(h)) = (self.book.messages.get(&id), self.book.hosts.get(&host)) else {
-            return false;
-        };
-        let open = !m.out && m.attempts < self.set.max_attempts && self.now + ANSWER_MARGIN < m.deadline;
-        open && m.dest == h.dest
-            && self.book.calls.len() < self.set.slots
+        let Some(m) = self.book.messages.get(&id) else { return false };
+        let open = !m.out && m.attempts < self.set.max_attempts && self.may_begin(id, host, self.now);
+        open && self.book.calls.len() < self.set.slots
             && self.opens_at(host) <= self.now
-            && self.repeat_allowed(m, h)
             && self.book.key_free(id, m, self.now)
     }
 
-    fn repeat_allowed(&self, m: &Message, h: &Host) -> bool {
-        match (m.may_have_run, self.set.classes[m.class].repeat) {
+    /// Whether its first byte may go to this host at `at`: before its end, and as its class may be repeated.
+    pub fn may_begin(&self, id: MsgId, host: HostId, at: Nanos) -> bool {
+        let Some((m, h)) = self.book.messages.get(&id).zip(self.book.hosts.get(&host)) else { return false };
+        let (at, first) = (at.saturating_add(ANSWER_MARGIN), m.may_have_run);
+        let repeats = match (first, self.set.classes[m.class].repeat) {
             (None, _) | (_, Repeat::Safe) => true,
             (Some(_), Repeat::Unsafe) => false,
-            (Some((at, zone)), Repeat::Keyed { memory, zone_only }) => {
-                self.now < at.saturating_add(memory) && (!zone_only || zone == h.zone)
-            }
-        }
+            (Some((_, zone)), Repeat::Keyed { zone_only, .. }) => !zone_only || zone == h.zone,
+        };
+        repeats && m.dest == h.dest && at < self.end(m)
     }
 
     /// Listed as ready (to a draining one nothing is sent at all), not within a wait, not within a cold gap.
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -109,7 +109,7 @@
             for _ in 0..2 {
                 if !matches!(sent, Err(Unsent::Never))
                     || lease.renew().await.is_err()
-                    || !passage.still_open()
+                    || !passage.may_go_on(&letters)
                 {
                     break;
                 }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -346,11 +346,6 @@
         self.work.distrusted.extend(self.route_set.resting());
     }
 
-    /// Whether this next hop may still get a call.
-    pub fn still_open(&self, next_hop: NextHopId, now: Nanos) -> bool {
-        self.facade.still_open(next_hop, now)
-    }
-
     /// The relay may be killed from `at` on, and comes back later.
     pub fn closing(&mut self, now: Nanos, at: Nanos) {
         let calls = self.former.wind_up(now);
@@ -370,8 +365,17 @@
         let mut letters = Vec::new();
         for branch in &call.branches {
             let no = branch.transaction;
+            let in_time = self.facade.may_begin(no, call.next_hop, now);
             let Some(t) = self.transactions.get_mut(no) else { continue };
-            if t.ending.is_some() || t.dest != dest || t.deadline <= now {
+            if t.ending.is_some() || t.dest != dest {
+                continue;
+            }
+            if !in_time {
+                let first = t.may_have_run.map_or(0, |(at, _)| now.saturating_sub(at) / 1_000_000);
+                let left = t.deadline.saturating_sub(now) / 1_000_000;
+                let text = "a branch was ready too late to be begun";
+                let text = format!("{text}: {}, {first} ms after its first, {left} ms left", t.id);
+                self.work.notes.push(Note { event: "branch-late", hop: Some(hop.name.clone()), text });
                 continue;
             }
             if let Err(e) = self.journal.write(no, &Record::Out { at: now, zone }) {
@@ -386,6 +390,12 @@
         letters
     }
 
+    /// Whether what was begun may still be written, on another connection than it was begun for.
+    pub fn may_go_on(&self, now: Nanos, call: &Call, letters: &[Letter]) -> bool {
+        let in_time = |l: &Letter| self.facade.may_begin(l.branch.transaction, call.next_hop, now);
+        self.facade.still_open(call.next_hop, now) && letters.iter().all(in_time)
+    }
+
     /// The outcomes of a call's branches, all in one report, with the limit that the answer told.
     pub fn report(&mut self, now: Nanos, hop: NextHopId, carried: &Carried, took: Nanos) {
         let Carried { replies, limit, idle, echo, wait, refused } = carried;
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -68,10 +68,10 @@
         Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
     }
 
-    /// Whether its next hop may still get a call.
-    pub fn still_open(&self) -> bool {
+    /// Whether what was begun may still be written, on another connection.
+    pub fn may_go_on(&self, letters: &[Letter]) -> bool {
         let now = self.desk.clock.now();
-        self.desk.see(|core| core.still_open(self.call.next_hop, now))
+        self.desk.see(|core| core.may_go_on(now, self.call, letters))
     }
 
     /// Completes when the core gives the call up.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -95,6 +95,12 @@
         self.relay.still_open(next_hop, now)
     }
 
+    /// Whether this transaction may still be begun there: its time, and that in which it may be repeated, go on
+    /// while a connection comes up.
+    pub fn may_begin(&self, no: TransactionNo, next_hop: NextHopId, now: Nanos) -> bool {
+        self.relay.may_begin(no, next_hop, now)
+    }
+
     /// Puts transactions before the module, in the order in which they were taken.
     pub fn pick(&mut self, now: Nanos, asks: Vec<Ask>) -> Picked {
         let mut events = Vec::new();
