--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod batching;
 pub mod decision;
 pub mod fleet;
+pub mod membership;
 pub mod operator;
 pub mod program;
 pub mod protocol;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod batching;
+pub mod fleet;
 pub mod logging;
 pub mod section;
 pub mod syntax;
@@ -19,6 +20,8 @@
     pub log: logging::Said,
     pub admission: admission::Said,
     pub batching: Table,
+    /// Membership among relays, which is off where the file has no such section.
+    pub fleet: Option<fleet::Fleet>,
     /// The SMPP front, which is off where the file has no such section.
     pub smpp: Option<SmppConfig>,
     /// All settings as they hold, in the order of the file's sections.
@@ -61,11 +64,12 @@
     let log = logging::Said::read(file.section("log"));
     let admission = admission::Said::read(file.section("admission"));
     let batching = batching::read(file.section("batching"));
+    let fleet = fleet::read(file.section("fleet"));
     let smpp = file.section("smpp");
     let smpp = smpp.is_there().then(|| SmppConfig::read(smpp));
     file.finish();
     let Findings { faults, in_force } = findings;
-    (Operator { log, admission, batching, smpp, in_force: in_force.into_inner() }, faults.into_inner())
+    (Operator { log, admission, batching, fleet, smpp, in_force: in_force.into_inner() }, faults.into_inner())
 }
 
 /// Faults as lines of a text.
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -2,7 +2,7 @@
 
 use super::signals::Signals;
 use super::wiring::{Plan, PlatformPlan, SmppPlan};
-use super::{config, import, log, wiring};
+use super::{config, fleet, import, log, wiring};
 use crate::operator;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
@@ -29,6 +29,7 @@
     Version(Version),
     CheckConfig(CheckConfig),
     Import(Import),
+    Members(Members),
 }
 
 /// run the relay in the foreground
@@ -43,6 +44,15 @@
     operator: Option<PathBuf>,
 }
 
+/// print who of the fleet was there in the last view written
+#[derive(FromArgs)]
+#[argh(subcommand, name = "members")]
+struct Members {
+    /// the relay's lasting folder
+    #[argh(positional)]
+    dir: PathBuf,
+}
+
 /// print the version
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -80,6 +90,7 @@
         Command::CheckConfig(c) => check(c),
         Command::Serve(s) => serve(s),
         Command::Import(i) => print_import(&i.nginx),
+        Command::Members(m) => fleet::members(&m.dir).map(|text| print!("{text}")),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -100,11 +111,14 @@
     if args.config.is_none() && args.operator.is_none() {
         return Err("nothing to check: name a configuration file".to_string());
     }
+    let mut peers = None;
     if let Some(path) = args.config {
-        println!("{}", config::read(&path)?.summary());
+        let config = config::read(&path)?;
+        peers = config.peers;
+        println!("{}", config.summary());
     }
     if let Some(path) = args.operator {
-        let operator = operator::read(&path).map_err(|faults| operator::told(&faults))?;
+        let operator = operator_file(&path, peers)?;
         operator.in_force.iter().for_each(|setting| println!("{setting}"));
         if let Some(smpp) = operator.smpp {
             println!("{}", smpp.summary());
@@ -113,6 +127,13 @@
     Ok(())
 }
 
+/// The operator's file, or what is wrong with it, by itself or with what the platform's settings allow.
+fn operator_file(path: &std::path::Path, peers: Option<bool>) -> Result<operator::Operator, String> {
+    let operator = operator::read(path).map_err(|faults| operator::told(&faults))?;
+    operator.fleet.as_ref().map_or(Ok(()), |fleet| fleet.allowed(peers))?;
+    Ok(operator)
+}
+
 fn print_import(path: &std::path::Path) -> Result<(), String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
@@ -137,8 +158,9 @@
     if let Some(config) = &mut platform {
         config.heed_environment(environment)?;
     }
-    let operator = args.operator.as_ref().map(|path| operator::read(path)).transpose();
-    let operator = operator.map_err(|faults| operator::told(&faults))?.unwrap_or_default();
+    let peers = platform.as_ref().and_then(|c| c.peers);
+    let operator = args.operator.as_ref().map(|path| operator_file(path, peers)).transpose();
+    let operator = operator?.unwrap_or_default();
     if platform.is_none() && operator.smpp.is_none() {
         let missing = "give --config, an operator's file with a section `smpp`, or set LB_CONFIG";
         return Err(format!("nothing to serve: {missing}"));
@@ -171,11 +193,12 @@
                 }
                 None => {}
             }
-            match args.operator.as_ref().map(|path| operator::read(path)) {
+            match args.operator.as_ref().map(|path| operator_file(path, peers)) {
                 Some(Ok(operator)) => drop(again.send(operator)),
                 Some(Err(faults)) => {
-                    let (text, count) = ("the operator's file stays as it was read before", faults.len());
-                    let first = faults.first().map(ToString::to_string).unwrap_or_default();
+                    let (text, count) =
+                        ("the operator's file stays as it was read before", faults.lines().count());
+                    let first = faults.lines().next().unwrap_or_default();
                     tracing::error!(target: "operator", event = "operator-faulty", count, "{text}: {first}");
                 }
                 None => {}
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -20,6 +20,8 @@
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
+    /// Whether relays may talk to one another, where the settings say.
+    pub peers: Option<bool>,
     pub disk_bytes: u64,
     pub settings: Settings,
     pub classes: Vec<String>,
@@ -56,6 +58,7 @@
         discovery: text(v, "discovery").map(|d| address(d, "discovery")).transpose()?,
         state: PathBuf::from(text(v, "state").unwrap_or(".")),
         seed: seed(text(v, "seed").unwrap_or("")),
+        peers: flag(v, "settings.limits.peers"),
         sockets: num(v, "limits.sockets").unwrap_or(1024.0) as usize,
         disk_bytes: (num(v, "limits.disk_mb").unwrap_or(3.0) * 1e6) as u64,
         settings: settings(v, services)?,
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -16,8 +16,8 @@
 const EACH: Duration = Duration::from_secs(1);
 /// Kinds of events told apart at once: beyond that they are summed up by their names alone.
 const KINDS: usize = 1_024;
-/// What answers a message, not an operator: each is a line of its own.
-const NEVER_SUMMED: &str = "message-end";
+/// What answers a message, not an operator, or tells who is there: each is a line of its own.
+const NEVER_SUMMED: &[&str] = &["message-end", "repeated", "member-alive", "member-faulty", "member-left"];
 
 /// Words on what keeps a command from being done; not part of the log.
 pub fn complain(text: &str) {
@@ -97,7 +97,7 @@
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
         let mut about = About::default();
         event.record(&mut about);
-        if about.event == NEVER_SUMMED || about.event == "repeated" {
+        if NEVER_SUMMED.contains(&about.event.as_str()) {
             return true;
         }
         let mut kinds = lock(&self.shared.kinds);
@@ -138,7 +138,7 @@
     fn record_str(&mut self, field: &Field, value: &str) {
         match field.name() {
             "event" => self.event = value.to_string(),
-            "hop" | "from" | "account" => self.about = value.to_string(),
+            "hop" | "from" | "account" | "member" => self.about = value.to_string(),
             _ => {}
         }
     }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 pub mod config;
+pub mod fleet;
 pub mod import;
 pub mod log;
 mod signals;
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -1,6 +1,7 @@
 //! Starts the parts and ties them together.
 
 use super::config::Config;
+use super::fleet;
 use super::log;
 use crate::admission::ledger::{self, Ledger, Purse};
 use crate::admission::Settings;
@@ -79,11 +80,14 @@
         started = start(plan, net, clock) => started?,
         () = told_to_end.as_mut() => return Ok(()),
     };
-    let (platform, smpp) = started;
+    let (platform, smpp, member) = started;
 
     told_to_end.await;
     let told = Instant::now();
     tracing::info!(target: "relay", event = "told-to-end", "callers are asked to leave, what is out is seen to its end");
+    if let Some(member) = &member {
+        member.leave();
+    }
     if let Some((desk, legs)) = &platform {
         legs.close_when_idle();
         close(desk);
@@ -110,17 +114,19 @@
 }
 
 type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
+type Started = (Option<PlatformDesk>, Option<Rc<Desk<Smpp>>>, Option<Rc<fleet::Running>>);
 
-async fn start(
-    mut plan: Plan,
-    net: Net,
-    clock: Clock,
-) -> Result<(Option<PlatformDesk>, Option<Rc<Desk<Smpp>>>), String> {
+async fn start(mut plan: Plan, net: Net, clock: Clock) -> Result<Started, String> {
     let door = open_door(&plan, &net);
     spawn_local(door.clone().give_way());
     spawn_local(watch(door.clone()));
     let (changes, operator) = (plan.changes.take(), plan.operator.clone());
     let plain = plain(&plan);
+    let member = match &operator.fleet {
+        Some(said) => Some(join_fleet(said, &mut plan, clock).await?),
+        None => None,
+    };
+    let said_fleet = operator.fleet.clone();
     let platform = match plan.platform {
         Some(plan) => Some(start_platform(plan, net.clone(), door.clone(), &operator, clock).await?),
         None => None,
@@ -130,15 +136,43 @@
         None => None,
     };
     if let Some(changes) = changes {
-        spawn_local(follow_operator(changes, plain, door, platform.clone(), smpp.clone()));
+        spawn_local(follow_operator(changes, plain, said_fleet, door, platform.clone(), smpp.clone()));
     }
-    Ok((platform, smpp))
+    Ok((platform, smpp, member))
+}
+
+/// Sets apart the seed of membership from that of the module.
+const MEMBERSHIP: u64 = 0x6d65_6d62_6572_7368;
+
+/// Membership lives beside the journal, and within its room.
+async fn join_fleet(
+    said: &crate::operator::fleet::Fleet,
+    plan: &mut Plan,
+    clock: Clock,
+) -> Result<Rc<fleet::Running>, String> {
+    let (name, dir, seed) = match (&mut plan.platform, &plan.smpp) {
+        (Some(PlatformPlan { config, .. }), _) => {
+            if config.disk_bytes < 2 * fleet::DISK {
+                let (has, wants) = (config.disk_bytes, 2 * fleet::DISK);
+                return Err(format!(
+                    "fleet: the lasting folder may hold {has} bytes, expected {wants} at least"
+                ));
+            }
+            config.disk_bytes -= fleet::DISK;
+            (config.name.clone(), config.state.clone(), config.seed)
+        }
+        (None, Some(smpp)) => ("relay".to_string(), smpp.state.clone(), smpp.seed),
+        (None, None) => return Err("fleet: nothing is served".to_string()),
+    };
+    std::fs::create_dir_all(&dir).map_err(|e| format!("fleet: {}: {e}", dir.display()))?;
+    fleet::start(said, &name, &dir, seed ^ MEMBERSHIP, clock).await
 }
 
 /// Takes in the operator's file as it was read again: the log, admission, and of SMPP its next hops.
 async fn follow_operator(
     mut changes: UnboundedReceiver<Operator>,
     plain: Settings,
+    fleet: Option<crate::operator::fleet::Fleet>,
     door: Rc<Door>,
     platform: Option<PlatformDesk>,
     smpp: Option<Rc<Desk<Smpp>>>,
@@ -150,6 +184,11 @@
             legs.say(words(said.admission.refusal));
             desk.act(|core, now| core.set_batching(now, said.batching.clone()));
         }
+        let same =
+            |a: &crate::operator::fleet::Fleet| crate::operator::fleet::Fleet { place: None, ..a.clone() };
+        if fleet.as_ref().map(same) != said.fleet.as_ref().map(same) {
+            tracing::warn!(target: "operator", event = "reread-needs-restart", "section `fleet` holds from the next start on");
+        }
         match (&smpp, &said.smpp) {
             (Some(desk), Some(config)) => smpp::learn(desk, config),
             (None, None) => {}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: listeners with their caller legs, connections, pools of connections to next hops.
 
 pub mod connection;
+pub mod datagrams;
 pub mod door;
 pub mod listener;
 pub mod network;
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 
 /// Both directions of a connection.
 pub trait Duplex: AsyncRead + AsyncWrite + Unpin {
@@ -110,6 +110,11 @@
     }
 }
 
+/// A socket for datagrams.
+pub async fn datagrams(at: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::bind(at).await
+}
+
 /// Small messages go at once, not when the last one is acknowledged.
 fn ready(stream: TcpStream) -> io::Result<Stream> {
     stream.set_nodelay(true)?;
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -96,11 +96,41 @@
         "r.conf:24:12: found `here`, expected an address and port such as `127.0.0.1:2775`",
         "r.conf:26:16: found `sometimes`, expected one of `safe`, `keyed`, `unsafe`",
         "r.conf:29:15: found `b`, expected a class of this section: one of `a`",
-        "r.conf:33:1: `unclosed` is unknown, expected one of `admission`, `batching`, `log`, `smpp`",
+        "r.conf:33:1: `unclosed` is unknown, expected one of `admission`, `batching`, `fleet`, `log`, `smpp`",
     ];
     assert_eq!(told(&faults).lines().collect::<Vec<_>>(), expected);
 }
 
+/// Guards the section `fleet`: off where it is left out, its spans in proportion to what is said, and each mistake told
+/// with where it stands and what was expected.
+#[test]
+fn a_fleet_is_read_and_what_is_wrong_with_it_is_told() {
+    assert_eq!(operator::parse("r.conf", "log {\n}\n").unwrap().fleet, None);
+    let text = "fleet {\n name huron\n listen 10.0.0.4:7000\n join 10.0.0.5:7000 10.0.0.6:7000\n probe 400ms\n suspect 5s\n}\n";
+    let fleet = operator::parse("r.conf", text).unwrap().fleet.unwrap();
+    assert_eq!((fleet.reach, fleet.join.len()), ("10.0.0.4:7000".parse().unwrap(), 2));
+    let terms = &fleet.terms;
+    assert_eq!((terms.probe, terms.accuse), (400_000_000, 1_400_000_000));
+    assert_eq!((terms.suspect_least, terms.suspect_most), (5_000_000_000, 15_000_000_000));
+    assert!(fleet.allowed(None).is_ok() && fleet.allowed(Some(true)).is_ok());
+    let refused = fleet.allowed(Some(false)).unwrap_err();
+    assert!(refused.starts_with("r.conf:1:1: `fleet` is set, but the platform's settings say `limits.peers` false"));
+    let faulty = "fleet {\n listen here\n join 10.0.0.5\n probe 1ms\n forget 90d\n rom a\n}\nfleet {\n}\n";
+    let faults = operator::parse("r.conf", faulty).unwrap_err();
+    let expected = [
+        "r.conf:1:1: `fleet` has no `name`, expected one",
+        "r.conf:2:9: found `here`, expected an IP address and a port such as `10.0.0.4:7000`",
+        "r.conf:3:7: found `10.0.0.5`, expected an IP address and a port such as `10.0.0.4:7000`",
+        "r.conf:4:8: found `1ms`, expected a time from 50ms to 10s",
+        "r.conf:5:9: found `90d`, expected a time from 1s to 30 days",
+        "r.conf:6:2: `rom` is unknown in `fleet`, expected one of `forget`, `join`, `listen`, `name`, `probe`, `reach`, `room`, `suspect`",
+        "r.conf:8:1: section `fleet` is said again, it stands at r.conf:1:1",
+    ];
+    assert_eq!(told(&faults).lines().collect::<Vec<_>>(), expected);
+    let anywhere = operator::parse("r.conf", "fleet {\n name t\n listen 0.0.0.0:7000\n}\n").unwrap_err();
+    assert!(told(&anywhere).contains("r.conf:1:1: the others cannot reach 0.0.0.0:7000, expected `reach`"));
+}
+
 /// Guards includes: read where they stand, from within the file's own tree alone, and never in a circle.
 #[test]
 fn includes_stay_within_the_files_own_tree() {
