--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -114,7 +114,8 @@
     assert_eq!((terms.suspect_least, terms.suspect_most), (5_000_000_000, 15_000_000_000));
     assert!(fleet.allowed(None).is_ok() && fleet.allowed(Some(true)).is_ok());
     let refused = fleet.allowed(Some(false)).unwrap_err();
-    assert!(refused.starts_with("r.conf:1:1: `fleet` is set, but the platform's settings say `limits.peers` false"));
+    assert!(refused
+        .starts_with("r.conf:1:1: `fleet` is set, but the platform's settings say `limits.peers` false"));
     let faulty = "fleet {\n listen here\n join 10.0.0.5\n probe 1ms\n forget 90d\n rom a\n}\nfleet {\n}\n";
     let faults = operator::parse("r.conf", faulty).unwrap_err();
     let expected = [
