--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -84,7 +84,7 @@
     fn judge(&mut self, host: HostId, sent: Nanos, outcome: Outcome, latency: Nanos) {
         match outcome {
             Outcome::Served => self.served(host, sent, latency),
-            Outcome::Full { wait } => self.refused(host, wait),
+            Outcome::Full { wait } => self.refused(host, sent, wait),
             Outcome::Error | Outcome::Broken => self.failed(host, false),
             Outcome::Spoilt => self.note_fail(host, SPOILT),
             // A host that served others meanwhile lost this one call, unless it loses most of them.
@@ -132,7 +132,7 @@
         self.slowness += SLOWNESS_GAIN * ((l / mean.max(1.0)).min(SLOWNESS_MOST) - self.slowness);
         h.latency = Some((mean + LATENCY_GAIN * (l - mean), dev + LATENCY_GAIN * ((l - mean).abs() - dev)));
         h.signs /= 2;
-        let brief = now < h.last_served + LOST_ONE && once;
+        let brief = now < h.last_served + LOST_ONE && once && !h.turned_again(warm_up);
         h.last_served = now;
         h.served.push_back(now);
         let (last_sent, health) = (h.last_sent, h.health);
@@ -168,7 +168,7 @@
 
     fn turn(&mut self, host: HostId, to: Health, word: &str) {
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
-        h.health = to;
+        h.turn(to, self.now);
         self.book.turned.insert(host);
         self.actions.push(Action::Log(format!("destination {} host {host} {word}", h.dest)));
     }
--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -117,15 +117,18 @@
     }
 
     /// Refused as full: cut the pace; refusals without a success, or a long wait, mean shut and cold later.
-    pub(super) fn refused(&mut self, host: HostId, wait: Nanos) {
+    pub(super) fn refused(&mut self, host: HostId, sent: Nanos, wait: Nanos) {
         let (now, route, slice) = (self.now, self.book.hosts[&host].route, self.slice(host));
-        let (roll, few) = (self.dice.roll(), self.few(host));
+        let (roll, few, cold) = (self.dice.roll(), self.few(host), self.may_be_cold(host));
         let (most, told) = (self.longest_rest(few), few > 0.0);
         let r = self.book.routes.entry(route).or_default();
         if r.refused == 0 {
             (r.refused_since, r.usual) = (now, r.level);
         }
-        (r.refused, r.level) = (r.refused.saturating_add(1), (r.level + 1).min(REST_LEVELS));
+        // Calls out together at a sound host are refused for one reason: one sent after that was heard is a step more.
+        let step = u32::from(r.refused == 0 || sent >= r.stepped || cold);
+        (r.refused, r.level) = (r.refused.saturating_add(1), (r.level + step).min(REST_LEVELS));
+        r.stepped = if step > 0 { now } else { r.stepped };
         // A told wait may end for all relays at one moment: the rest after it is spread from nothing on.
         let rest = (REST_FIRST * most * REST_GROWTH.powi(r.level as i32 - 1)).min(most);
         let from = if wait == 0 { 1.0 - SPREAD } else { 0.0 };
--- a/src/decision/records.rs
+++ b/src/decision/records.rs
@@ -103,6 +103,10 @@
     pub best_rate: f64,
     /// When it was last doubted or taken for down.
     pub down_at: Nanos,
+    /// When an outage of it, or its way back from one, last took a turn; none if there was none.
+    pub turned_at: Option<Nanos>,
+    /// The turn before that one.
+    pub turned_before: Option<Nanos>,
 }
 
 /// What shares one limit: a host where routes are apart, else a destination.
@@ -122,6 +126,8 @@
     /// The same as it was before the refusals since the last accepted call.
     pub usual: u32,
     pub refused_since: Nanos,
+    /// When the level last rose.
+    pub stepped: Nanos,
     /// Calls a second; none while no limit has shown itself.
     pub pace: Option<f64>,
     /// The rate at which it was last refused.
@@ -547,12 +553,25 @@
             served: VecDeque::new(),
             best_rate: 0.0,
             down_at: 0,
+            turned_at: None,
+            turned_before: None,
         }
     }
 }
 
 impl Host {
     /// Messages in a call at most.
+    pub fn turn(&mut self, to: Health, now: Nanos) {
+        (self.health, self.turned_before, self.turned_at) = (to, self.turned_at, Some(now));
+    }
+
+    /// Whether its last turn came sooner than this after the one before: an outage that is not over is no lost call.
+    pub fn turned_again(&self, within: Nanos) -> bool {
+        self.turned_at
+            .zip(self.turned_before)
+            .is_some_and(|(now, before)| now < before.saturating_add(within))
+    }
+
     pub fn per_call(&self) -> usize {
         self.kind.per_call.min(self.terms.call.messages).max(1)
     }
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -200,13 +200,12 @@
     /// Whether its first byte may go to this host at `at`: before its end, and as its class may be repeated.
     pub fn may_begin(&self, id: MsgId, host: HostId, at: Nanos) -> bool {
         let Some((m, h)) = self.book.messages.get(&id).zip(self.book.hosts.get(&host)) else { return false };
-        let (at, first) = (at.saturating_add(ANSWER_MARGIN), m.may_have_run);
-        let repeats = match (first, self.set.classes[m.class].repeat) {
+        let repeats = match (m.may_have_run, self.set.classes[m.class].repeat) {
             (None, _) | (_, Repeat::Safe) => true,
             (Some(_), Repeat::Unsafe) => false,
             (Some((_, zone)), Repeat::Keyed { zone_only, .. }) => !zone_only || zone == h.zone,
         };
-        repeats && m.dest == h.dest && at < self.end(m)
+        repeats && m.dest == h.dest && at.saturating_add(ANSWER_MARGIN) < self.end(m)
     }
 
     /// Listed as ready (to a draining one nothing is sent at all), not within a wait, not within a cold gap.
--- a/src/decision/views.rs
+++ b/src/decision/views.rs
@@ -19,6 +19,12 @@
         self.book.idle_safe.unwrap_or(Nanos::MAX)
     }
 
+    /// Whether it is in an outage, or the last turn on its way back from one is no longer ago than it takes to warm up.
+    pub(super) fn may_be_cold(&self, host: HostId) -> bool {
+        let turned = self.book.hosts[&host].turned_at;
+        self.sick(host) || turned.is_some_and(|at| self.now < at.saturating_add(self.set.warm_up))
+    }
+
     /// From now on a message that has its end is over only once `Event::Settled` says so.
     pub fn settle_later(&mut self) {
         self.book.settles_later = true;
