--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -132,7 +132,7 @@
         self.slowness += SLOWNESS_GAIN * ((l / mean.max(1.0)).min(SLOWNESS_MOST) - self.slowness);
         h.latency = Some((mean + LATENCY_GAIN * (l - mean), dev + LATENCY_GAIN * ((l - mean).abs() - dev)));
         h.signs /= 2;
-        let brief = now < h.last_served + LOST_ONE && once && !h.turned_again(warm_up);
+        let brief = now < h.last_served + LOST_ONE && once;
         h.last_served = now;
         h.served.push_back(now);
         let (last_sent, health) = (h.last_sent, h.health);
--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -125,8 +125,8 @@
         if r.refused == 0 {
             (r.refused_since, r.usual) = (now, r.level);
         }
-        // Calls out together at a sound host are refused for one reason: one sent after that was heard is a step more.
-        let step = u32::from(r.refused == 0 || sent >= r.stepped || cold);
+        // Where rests are long, calls out together at a sound host are refused once: one sent later is a step more.
+        let step = u32::from(r.refused == 0 || sent >= r.stepped || cold || most <= REST_LEAST_MOST);
         (r.refused, r.level) = (r.refused.saturating_add(1), (r.level + step).min(REST_LEVELS));
         r.stepped = if step > 0 { now } else { r.stepped };
         // A told wait may end for all relays at one moment: the rest after it is spread from nothing on.
--- a/src/decision/records.rs
+++ b/src/decision/records.rs
@@ -105,8 +105,6 @@
     pub down_at: Nanos,
     /// When an outage of it, or its way back from one, last took a turn; none if there was none.
     pub turned_at: Option<Nanos>,
-    /// The turn before that one.
-    pub turned_before: Option<Nanos>,
 }
 
 /// What shares one limit: a host where routes are apart, else a destination.
@@ -554,7 +552,6 @@
             best_rate: 0.0,
             down_at: 0,
             turned_at: None,
-            turned_before: None,
         }
     }
 }
@@ -562,14 +559,7 @@
 impl Host {
     /// Messages in a call at most.
     pub fn turn(&mut self, to: Health, now: Nanos) {
-        (self.health, self.turned_before, self.turned_at) = (to, self.turned_at, Some(now));
-    }
-
-    /// Whether its last turn came sooner than this after the one before: an outage that is not over is no lost call.
-    pub fn turned_again(&self, within: Nanos) -> bool {
-        self.turned_at
-            .zip(self.turned_before)
-            .is_some_and(|(now, before)| now < before.saturating_add(within))
+        (self.health, self.turned_at) = (to, Some(now));
     }
 
     pub fn per_call(&self) -> usize {
