Read in the rig whether a view is stale from the events that always tell it

The relay itself was right.

Change: the rig takes it from view-stale and view-fresh. Open: the view line itself should be told whenever part, of or stale change.

--- a/tests/processes/rig.rs
+++ b/tests/processes/rig.rs
@@ -345,7 +345,9 @@
             match (s.event.as_str(), s.member) {
                 ("member-alive" | "member-suspect", Some(m)) => drop(there.insert(m)),
                 ("member-faulty" | "member-left" | "member-forgotten", Some(m)) => drop(there.remove(&m)),
-                ("view", _) => *stale = s.fields.get("stale").and_then(Value::as_str).map(str::to_string),
+                // Not `view`: of several in a second only the first is told.
+                ("view-stale", _) => *stale = s.fields.get("why").and_then(Value::as_str).map(str::to_string),
+                ("view-fresh", _) => *stale = None,
                 _ => {}
             }
         }
