--- a/src/batching/former.rs
+++ b/src/batching/former.rs
@@ -4,7 +4,7 @@
 use super::pace::{self, Arrivals, Cost, Pressure};
 use super::terms::{Size, Terms};
 use crate::interface::Nanos;
-use crate::routing::{Branch, Call, NextHopId};
+use crate::routing::{Branch, Call, EndpointId};
 use std::collections::{BTreeSet, HashMap};
 
 /// A branch that the module has released.
@@ -49,8 +49,8 @@
 
 #[derive(Debug)]
 pub struct Former {
-    hops: HashMap<NextHopId, Hop>,
-    due: BTreeSet<(Nanos, NextHopId)>,
+    hops: HashMap<EndpointId, Hop>,
+    due: BTreeSet<(Nanos, EndpointId)>,
     /// Calls that may be out to one next hop.
     at_once: usize,
     /// Nothing waits any more.
@@ -63,7 +63,7 @@
     }
 
     /// A next hop is listed, or its terms changed; its kind allows so many messages a call. What was learned stays.
-    pub fn set(&mut self, hop: NextHopId, terms: Terms, allowed: usize) {
+    pub fn set(&mut self, hop: EndpointId, terms: Terms, allowed: usize) {
         let known = self.hops.entry(hop).or_insert_with(|| Hop {
             terms,
             allowed,
@@ -77,16 +77,16 @@
     }
 
     /// Forgets what is not listed any more.
-    pub fn retain(&mut self, known: impl Fn(NextHopId) -> bool) {
+    pub fn retain(&mut self, known: impl Fn(EndpointId) -> bool) {
         self.hops.retain(|id, hop| known(*id) || !hop.waiting.is_empty());
     }
 
     /// Messages in a call to this next hop, as things stand.
-    pub fn size(&self, hop: NextHopId) -> usize {
+    pub fn size(&self, hop: EndpointId) -> usize {
         self.hops.get(&hop).map_or(usize::MAX, |h| h.size.min(h.most()))
     }
 
-    pub fn terms(&self, hop: NextHopId) -> Terms {
+    pub fn terms(&self, hop: EndpointId) -> Terms {
         self.hops.get(&hop).map(|h| h.terms).unwrap_or_default()
     }
 
@@ -96,10 +96,10 @@
     }
 
     /// The module released these together; returns the calls that go now.
-    pub fn release(&mut self, now: Nanos, hop: NextHopId, members: Vec<Member>) -> Vec<Call> {
+    pub fn release(&mut self, now: Nanos, hop: EndpointId, members: Vec<Member>) -> Vec<Call> {
         let at_once = self.at_once;
         let all =
-            |members: &[Member]| Call { next_hop: hop, branches: members.iter().map(|m| m.branch).collect() };
+            |members: &[Member]| Call { endpoint: hop, branches: members.iter().map(|m| m.branch).collect() };
         let Some(h) = self.hops.get_mut(&hop) else { return vec![all(&members)] };
         h.arrivals.came(now, members.len());
         let most = h.size.min(h.most());
@@ -138,7 +138,7 @@
     }
 
     /// The call that waits for this next hop goes now. Its branches have waited: their patience is so much shorter.
-    fn flush(&mut self, now: Nanos, hop: NextHopId) -> Option<Call> {
+    fn flush(&mut self, now: Nanos, hop: EndpointId) -> Option<Call> {
         let h = self.hops.get_mut(&hop)?;
         self.due.remove(&(h.until, hop));
         let shorter = |w: Waiting| {
@@ -146,7 +146,7 @@
             Branch { timeout, ..w.member.branch }
         };
         let branches: Vec<Branch> = h.waiting.drain(..).map(shorter).collect();
-        (!branches.is_empty()).then_some(Call { next_hop: hop, branches })
+        (!branches.is_empty()).then_some(Call { endpoint: hop, branches })
     }
 
     /// Lets time pass: the calls whose wait is over.
@@ -170,7 +170,7 @@
     }
 
     /// A branch is not to go any more; true where it waited here, and so never went.
-    pub fn withdraw(&mut self, hop: NextHopId, transaction: u64, attempt: u32) -> Option<Branch> {
+    pub fn withdraw(&mut self, hop: EndpointId, transaction: u64, attempt: u32) -> Option<Branch> {
         let h = self.hops.get_mut(&hop)?;
         let is =
             |w: &Waiting| (w.member.branch.transaction, w.member.branch.attempt) == (transaction, attempt);
@@ -183,7 +183,7 @@
     }
 
     /// Where a branch waits, looked for among the few next hops for which any does.
-    pub fn find(&self, transaction: u64) -> Option<NextHopId> {
+    pub fn find(&self, transaction: u64) -> Option<EndpointId> {
         let mut waiting = self.due.iter().map(|(_, hop)| *hop);
         waiting.find(|hop| {
             let of = self.hops.get(hop);
@@ -192,7 +192,7 @@
     }
 
     /// A next hop is to get nothing more: what waited for it, which never went.
-    pub fn recall(&mut self, now: Nanos, hop: NextHopId) -> Vec<Branch> {
+    pub fn recall(&mut self, now: Nanos, hop: EndpointId) -> Vec<Branch> {
         self.flush(now, hop).map_or(Vec::new(), |call| call.branches)
     }
 
@@ -201,7 +201,7 @@
     pub fn ended(
         &mut self,
         now: Nanos,
-        hop: NextHopId,
+        hop: EndpointId,
         n: usize,
         took: Option<Nanos>,
         pressure: Pressure,
--- /dev/null
+++ b/src/catalog/endpoint.rs
@@ -0,0 +1,52 @@
+//! Endpoints as a list names them.
+
+use crate::interface::{HostId, Terms};
+use std::net::SocketAddr;
+
+/// An endpoint, as numbered by the catalog. A number is never given again.
+pub type EndpointId = HostId;
+
+/// What the list says of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointState {
+    /// It takes new calls.
+    Active,
+    /// Draining: it finishes what it has and wants nothing new.
+    Leaving,
+    /// Removed from the list.
+    Left,
+}
+
+/// An address to which messages of one destination may be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Endpoint {
+    /// Given by the catalog; decoders leave it at 0.
+    pub id: EndpointId,
+    /// The same at every relay.
+    pub name: String,
+    /// Where calls to it go.
+    pub address: SocketAddr,
+    /// Number of the destination that it serves.
+    pub dest: u64,
+    /// Index into the settings' kinds; `usize::MAX` where the name is not known.
+    pub kind: usize,
+    /// Index into the settings' zones.
+    pub zone: usize,
+    /// What the list says of it.
+    pub state: EndpointState,
+    /// The listed weight, or rate in calls a second where the site lists rates.
+    pub share: f64,
+    /// Limits that an operator's own list sets; none in discovery's.
+    pub terms: Option<Terms>,
+}
+
+/// A list, or the changes of one, as a front decoded it; the catalog gives the ids.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EndpointUpdate {
+    /// Version of the list.
+    pub seq: u64,
+    /// It replaces all that was known.
+    pub whole: bool,
+    /// Its entries, in the order listed.
+    pub endpoints: Vec<Endpoint>,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub mod admission;
 pub mod batching;
+pub mod catalog;
 pub mod crowding;
 pub mod decision;
 pub mod fleet;
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -5,7 +5,7 @@
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::fields::{address, at, flag, list, need, num, read_file, text};
 use crate::protocol::platform::Defaults;
-use crate::routing::RouteNews;
+use crate::routing::EndpointUpdate;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -31,7 +31,7 @@
     pub default_class: Option<usize>,
     pub names: Names,
     pub connect_timeout: Nanos,
-    pub known: RouteNews,
+    pub known: EndpointUpdate,
     /// How discovery is to be asked.
     pub asked: fleet::Terms,
 }
@@ -189,7 +189,7 @@
     }
 
     pub fn summary(&self) -> String {
-        let (classes, hops) = (self.classes.join(", "), self.known.next_hops.len());
+        let (classes, hops) = (self.classes.join(", "), self.known.endpoints.len());
         format!("{}: listens on {}, classes {classes}, {hops} next hops known", self.name, self.listen)
     }
 }
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -13,7 +13,7 @@
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
-use crate::routing::{Clock, Core, Desk, Front, Journal, RouteNews};
+use crate::routing::{Clock, Core, Desk, EndpointUpdate, Front, Journal};
 use crate::transport::network::{Counted, Net};
 use crate::transport::pipeline::Pipelines;
 use crate::transport::{Door, Leg, Legs, Pool};
@@ -317,7 +317,7 @@
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let (settings, known) = (config.settings, &config.known);
     let asking = Asking::new(settings.senders, config.asked, config.seed ^ ASKING);
-    let seq = (known.whole && !known.next_hops.is_empty()).then_some(known.seq);
+    let seq = (known.whole && !known.endpoints.is_empty()).then_some(known.seq);
     let first = First { known, batching, tells_delivery: false };
     let core = Core::new(settings, config.seed, journal, replayed, first, clock.now());
     let classes =
@@ -334,7 +334,7 @@
     keep_up("the notices", move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
     let learner = desk.clone();
-    let learn = move |news: RouteNews| learner.act(|core, now| core.learn(now, &news));
+    let learn = move |news: EndpointUpdate| learner.act(|core, now| core.learn(now, &news));
     let agent = desk.front.agent.subscribe();
     spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, learn));
     spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery.rs
@@ -3,7 +3,7 @@
 use super::fields::{at, flag, list, num, text};
 use crate::fleet::{Asking, Heard};
 use crate::interface::Terms;
-use crate::routing::{NextHop, RouteNews, Standing};
+use crate::routing::{Endpoint, EndpointState, EndpointUpdate};
 use crate::transport::connection::read_body;
 use crate::transport::network::Net;
 use crate::transport::Line;
@@ -28,27 +28,27 @@
 }
 
 /// Decodes a list or its changes. Entries that cannot be used are left out.
-pub fn news(value: &JsonValue, names: &Names) -> Option<RouteNews> {
+pub fn news(value: &JsonValue, names: &Names) -> Option<EndpointUpdate> {
     let whole = flag(value, "whole")?;
-    let next_hops = list(value, "hosts").iter().filter_map(|h| next_hop(h, names)).collect();
-    Some(RouteNews { seq: num(value, "seq")? as u64, whole, next_hops })
+    let endpoints = list(value, "hosts").iter().filter_map(|h| endpoint(h, names)).collect();
+    Some(EndpointUpdate { seq: num(value, "seq")? as u64, whole, endpoints })
 }
 
-fn next_hop(h: &JsonValue, names: &Names) -> Option<NextHop> {
+fn endpoint(h: &JsonValue, names: &Names) -> Option<Endpoint> {
     let place = |names: &[String], name: Option<&str>| names.iter().position(|n| Some(n.as_str()) == name);
-    let standing = match text(h, "health")? {
-        "active" => Standing::Active,
-        "leaving" => Standing::Leaving,
-        _ => Standing::Left,
+    let state = match text(h, "health")? {
+        "active" => EndpointState::Active,
+        "leaving" => EndpointState::Leaving,
+        _ => EndpointState::Left,
     };
-    Some(NextHop {
+    Some(Endpoint {
         id: 0,
         name: text(h, "host")?.to_string(),
-        dial: text(h, "dial")?.parse().ok()?,
+        address: text(h, "dial")?.parse().ok()?,
         dest: num(h, "block")? as u64,
         kind: place(&names.kinds, text(h, "class")).unwrap_or(usize::MAX),
         zone: place(&names.zones, text(h, "site")).unwrap_or(0),
-        standing,
+        state,
         share: num(h, "share").unwrap_or(1.0),
         terms: terms(h),
     })
@@ -74,7 +74,7 @@
     names: Names,
     mut asking: Asking,
     mut seq: Option<u64>,
-    mut learn: impl FnMut(RouteNews),
+    mut learn: impl FnMut(EndpointUpdate),
 ) {
     let mut first = asking.first();
     loop {
@@ -105,7 +105,7 @@
     names: &Names,
     asking: &mut Asking,
     mut seq: Option<u64>,
-    learn: &mut impl FnMut(RouteNews),
+    learn: &mut impl FnMut(EndpointUpdate),
 ) {
     let mut line = None;
     let mut failing = false;
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -5,7 +5,7 @@
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter, Piping};
 use crate::routing::desk::Passage;
-use crate::routing::{Desk, Front, NextHopId, Offer, Reply, Taken, TransactionNo};
+use crate::routing::{Desk, EndpointId, Front, Offer, Reply, Taken, TransactionNo};
 use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN};
 use crate::transport::listener::Leg;
 use crate::transport::network::Net;
@@ -86,7 +86,7 @@
             return self.pipe(passage, piping, longest).await;
         }
         let leased = tokio::select! {
-            leased = self.pool.lease(hop.id, hop.dial, hop.kind) => leased,
+            leased = self.pool.lease(hop.id, hop.address, hop.kind) => leased,
             () = passage.cancelled() => return passage.all(Outcome::NoConnection),
             () = sleep(Duration::from_nanos(longest)) => return passage.all(Outcome::NoConnection),
         };
@@ -97,7 +97,7 @@
         };
         let letters = passage.begin();
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
-        let Some((request, len)) = hook::request(hop.dial, &letters, left).filter(|_| !letters.is_empty())
+        let Some((request, len)) = hook::request(hop.address, &letters, left).filter(|_| !letters.is_empty())
         else {
             lease.give_back();
             return Carried::default();
@@ -159,9 +159,9 @@
         self.more_owed.notify_one();
     }
 
-    fn distrust(&self, next_hop: NextHopId) {
-        self.pool.close_idle(next_hop);
-        self.pipelines.rest(next_hop);
+    fn distrust(&self, endpoint: EndpointId) {
+        self.pool.close_idle(endpoint);
+        self.pipelines.rest(endpoint);
     }
 
     fn trust(&self, idle: Nanos) {
@@ -174,7 +174,7 @@
     async fn pipe(&self, passage: Passage<'_, Self>, piping: Piping, longest: Nanos) -> Carried {
         let (hop, lines) = (passage.hop, &self.pipelines);
         let from = passage.desk.clock.now();
-        let ready = lines.ready(hop.id, hop.dial, piping.repeatable, piping.depth, piping.lines);
+        let ready = lines.ready(hop.id, hop.address, piping.repeatable, piping.depth, piping.lines);
         let ready = tokio::select! {
             ready = ready => ready,
             () = passage.cancelled() => return passage.all(Outcome::NotSent),
@@ -187,10 +187,10 @@
         }
         let letters = passage.begin();
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
-        let Some(request) = hook::wire(hop.dial, &letters, left).filter(|_| !letters.is_empty()) else {
+        let Some(request) = hook::wire(hop.address, &letters, left).filter(|_| !letters.is_empty()) else {
             return Carried::default();
         };
-        let Some(mut seat) = lines.seat(hop.id, hop.dial, piping.repeatable, request) else {
+        let Some(mut seat) = lines.seat(hop.id, hop.address, piping.repeatable, request) else {
             return Carried::each(&letters, Reply::Ended(Outcome::NotSent));
         };
         let answer = tokio::select! {
--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -3,7 +3,7 @@
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
 use crate::operator::section::{choice, count, duration, form, number, span, text, Section};
 use crate::operator::syntax::Word;
-use crate::routing::{NextHop, RouteNews, Standing};
+use crate::routing::{Endpoint, EndpointState, EndpointUpdate};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -268,19 +268,19 @@
         self.prefixes.iter().find(|(p, _)| digits.starts_with(p.as_str())).map(|(_, dest)| *dest)
     }
 
-    pub fn route_news(&self) -> RouteNews {
-        let next_hop = |c: &Carrier| NextHop {
+    pub fn route_news(&self) -> EndpointUpdate {
+        let endpoint = |c: &Carrier| Endpoint {
             id: 0,
             name: c.name.clone(),
-            dial: c.dial,
+            address: c.dial,
             dest: c.dest,
             kind: 0,
             zone: 0,
-            standing: if c.leaving { Standing::Leaving } else { Standing::Active },
+            state: if c.leaving { EndpointState::Leaving } else { EndpointState::Active },
             share: 1.0,
             terms: None,
         };
-        RouteNews { seq: 0, whole: true, next_hops: self.carriers.iter().map(next_hop).collect() }
+        EndpointUpdate { seq: 0, whole: true, endpoints: self.carriers.iter().map(endpoint).collect() }
     }
 
     pub fn summary(&self) -> String {
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -10,7 +10,7 @@
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::Carried;
 use crate::routing::desk::Passage;
-use crate::routing::{Desk, Front, NextHopId, Reply, TransactionNo};
+use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
 use crate::transport::network::{Listen, Net};
 use crate::transport::Door;
 use bytes::{Bytes, BytesMut};
@@ -41,7 +41,7 @@
     accounts: Vec<Rc<Account>>,
     binds: RefCell<HashMap<String, Rc<Binds>>>,
     /// The binds by the numbers under which the core knows them.
-    used: RefCell<HashMap<NextHopId, Rc<Binds>>>,
+    used: RefCell<HashMap<EndpointId, Rc<Binds>>>,
     legs: RefCell<Vec<Rc<Link>>>,
     net: Net,
     ids: Cell<u32>,
@@ -158,8 +158,8 @@
         }
     }
 
-    fn distrust(&self, next_hop: NextHopId) {
-        if let Some(binds) = self.used.borrow().get(&next_hop) {
+    fn distrust(&self, endpoint: EndpointId) {
+        if let Some(binds) = self.used.borrow().get(&endpoint) {
             binds.close_idle();
         }
     }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -2,12 +2,12 @@
 
 use super::facade::{Ask, Facade, Picked, Told};
 use super::journal::{Journal, Record, Replayed};
-use super::route_set::{NextHop, RouteNews, RouteSet};
 use super::shares::Shares;
 use super::transactions::{Ending, Transaction, Transactions};
-use super::values::{Branch, Call, End, Limit, NextHopId, Reply, TransactionNo};
+use super::values::{Branch, Call, End, Limit, Reply, TransactionNo};
 use crate::batching::fate::{may_share, Wire};
 use crate::batching::{Counts, Former, Member, Pressure, Table, Terms};
+use crate::catalog::{Endpoint, EndpointCatalog, EndpointId, EndpointUpdate};
 use crate::fleet::record;
 use crate::fleet::together::{Deal, Own};
 use crate::interface::{CallTerms, Nanos, Outcome, Repeat, Settings};
@@ -63,11 +63,11 @@
 /// What the network is to do now.
 #[derive(Debug, Default)]
 pub struct Work {
-    pub calls: Vec<(Call, NextHop)>,
+    pub calls: Vec<(Call, Endpoint)>,
     /// Transactions whose end is now owed to whoever handed them in.
     pub ended: Vec<TransactionNo>,
     pub dropped: Vec<(TransactionNo, u32)>,
-    pub distrusted: Vec<NextHopId>,
+    pub distrusted: Vec<EndpointId>,
     /// Idle time after which connections are not to be used any more, where a step was made.
     pub trusted_idle: Option<Nanos>,
     pub notes: Vec<Note>,
@@ -114,7 +114,7 @@
 
 pub struct Core {
     facade: Facade,
-    route_set: RouteSet,
+    catalog: EndpointCatalog,
     transactions: Transactions,
     journal: Journal,
     next_no: TransactionNo,
@@ -143,14 +143,14 @@
 #[derive(Clone, Debug)]
 pub struct First<'a> {
     /// The route set as last known.
-    pub known: &'a RouteNews,
+    pub known: &'a EndpointUpdate,
     pub batching: Batching,
     /// A delivery, too, is told to whoever handed the transaction in.
     pub tells_delivery: bool,
 }
 
 impl Batching {
-    fn of(&self, hop: &NextHop) -> Terms {
+    fn of(&self, hop: &Endpoint) -> Terms {
         self.table.of(self.kinds.get(hop.kind).map(String::as_str), &hop.name)
     }
 }
@@ -171,7 +171,7 @@
     t.body.len() + t.id.len() + t.idempotency.as_ref().map_or(1, String::len) + 12
 }
 
-fn call_terms(former: &Former, hop: NextHopId) -> CallTerms {
+fn call_terms(former: &Former, hop: EndpointId) -> CallTerms {
     let terms = former.terms(hop);
     CallTerms {
         messages: former.size(hop),
@@ -199,10 +199,10 @@
         let of_classes = settings.classes.iter().map(|c| (c.aim, c.deadline, c.repeat)).collect();
         let Replayed { transactions, next_no, ailing, torn } = replayed;
         let facade = Facade::new(settings, seed, !tells_delivery);
-        let (route_set, work) = (RouteSet::default(), Work::default());
+        let (catalog, work) = (EndpointCatalog::default(), Work::default());
         let mut core = Core {
             facade,
-            route_set,
+            catalog,
             transactions,
             journal,
             next_no,
@@ -223,7 +223,7 @@
         core.learn(now, known);
         let mut sick = Vec::new();
         for name in &ailing {
-            match core.route_set.find(name) {
+            match core.catalog.find(name) {
                 Some(hop) => sick.push(hop),
                 None => drop(core.journal.note_ailing(name, false)),
             }
@@ -280,7 +280,7 @@
             return Taken::Already;
         }
         // What no next hop serves could only be held until its time is up.
-        if !self.route_set.serves(offer.dest) {
+        if !self.catalog.serves(offer.dest) {
             return Taken::Refused { after: DOOR_ADVICE, full: false };
         }
         let Offer { id, class, dest, key, idempotency, time_left, body, owner } = offer;
@@ -351,19 +351,19 @@
 
     fn name_shares(&mut self) {
         if let Some(shares) = &mut self.shares {
-            shares.learn(self.route_set.iter().map(|hop| (record::key(&hop.name), hop.id)));
+            shares.learn(self.catalog.iter().map(|hop| (record::key(&hop.name), hop.id)));
         }
     }
 
     /// What this relay knows of the next hops that it uses, and of these others.
     pub fn own(&self, others: impl Iterator<Item = record::Key>) -> Vec<Own> {
         let Some(shares) = &self.shares else { return Vec::new() };
-        let mut hops: Vec<NextHopId> =
+        let mut hops: Vec<EndpointId> =
             shares.used().chain(others.filter_map(|key| shares.hop(key))).collect();
         hops.sort_unstable();
         hops.dedup();
-        let own = |hop: NextHopId| {
-            let name = record::key(&self.route_set.get(hop)?.name);
+        let own = |hop: EndpointId| {
+            let name = record::key(&self.catalog.get(hop)?.name);
             Some(shares.own(name, hop, &self.facade.standing(hop)?))
         };
         hops.into_iter().filter_map(own).collect()
@@ -378,8 +378,8 @@
         }
     }
 
-    pub fn learn(&mut self, now: Nanos, news: &RouteNews) {
-        let known = self.route_set.learn(now, news);
+    pub fn learn(&mut self, now: Nanos, news: &EndpointUpdate) {
+        let known = self.catalog.learn(now, news);
         self.name_shares();
         for hop in &known {
             self.set_terms(hop);
@@ -389,7 +389,7 @@
         self.absorb(now, picked);
         self.recall(now);
         // No call will use the connections to those that are not active any more.
-        self.work.distrusted.extend(self.route_set.resting());
+        self.work.distrusted.extend(self.catalog.resting());
     }
 
     /// The relay may be killed from `at` on, and comes back later.
@@ -403,16 +403,16 @@
     /// Called when a call can be written, before its first byte: the branches that may still go, journaled
     /// as out. What is not among them was never sent.
     pub fn begin(&mut self, now: Nanos, call: &Call) -> Vec<Letter> {
-        let Some(hop) = self.route_set.get(call.next_hop) else { return Vec::new() };
-        let leased = self.shares.as_ref().is_none_or(|s| s.in_force(call.next_hop, now));
-        if !leased || !self.facade.still_open(call.next_hop, now) {
+        let Some(hop) = self.catalog.get(call.endpoint) else { return Vec::new() };
+        let leased = self.shares.as_ref().is_none_or(|s| s.in_force(call.endpoint, now));
+        if !leased || !self.facade.still_open(call.endpoint, now) {
             return Vec::new();
         }
         let (dest, zone) = (hop.dest, hop.zone);
         let mut letters = Vec::new();
         for branch in &call.branches {
             let no = branch.transaction;
-            let in_time = self.facade.may_begin(no, call.next_hop, now);
+            let in_time = self.facade.may_begin(no, call.endpoint, now);
             let Some(t) = self.transactions.get_mut(no) else { continue };
             if t.ending.is_some() || t.dest != dest {
                 continue;
@@ -445,12 +445,12 @@
 
     /// Whether what was begun may still be written, on another connection than it was begun for.
     pub fn may_go_on(&self, now: Nanos, call: &Call, letters: &[Letter]) -> bool {
-        let in_time = |l: &Letter| self.facade.may_begin(l.branch.transaction, call.next_hop, now);
-        self.facade.still_open(call.next_hop, now) && letters.iter().all(in_time)
+        let in_time = |l: &Letter| self.facade.may_begin(l.branch.transaction, call.endpoint, now);
+        self.facade.still_open(call.endpoint, now) && letters.iter().all(in_time)
     }
 
     /// The outcomes of a call's branches, all in one report, with the limit that the answer told.
-    pub fn report(&mut self, now: Nanos, hop: NextHopId, carried: &Carried, took: Nanos) {
+    pub fn report(&mut self, now: Nanos, hop: EndpointId, carried: &Carried, took: Nanos) {
         let Carried { replies, limit, idle, echo, wait, refused } = carried;
         let mut late = Vec::new();
         // One that has the whole refused is found by halves; the others go on in theirs.
@@ -542,13 +542,13 @@
         self.transactions.get(self.transactions.find(id)?)
     }
 
-    pub fn next_hop(&self, id: NextHopId) -> Option<&NextHop> {
-        self.route_set.get(id)
+    pub fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.catalog.get(id)
     }
 
     /// How this call goes where its next hop takes calls behind one another.
     pub fn piping(&self, call: &Call) -> Option<Piping> {
-        let depth = self.former.terms(call.next_hop).depth;
+        let depth = self.former.terms(call.endpoint).depth;
         let class = |b: &Branch| self.of_classes.get(self.transactions.get(b.transaction)?.class);
         let repeatable = |b: &Branch| class(b).is_some_and(|(.., repeat)| may_share(Wire::Pipeline, *repeat));
         let repeatable = call.branches.iter().all(repeatable);
@@ -579,9 +579,9 @@
     /// Returns the branches that are given up and had not gone yet.
     fn absorb_one(&mut self, now: Nanos, picked: Picked) -> Vec<(Branch, Reply)> {
         for call in picked.calls {
-            let shares = self.former.terms(call.next_hop).unsafe_shares;
+            let shares = self.former.terms(call.endpoint).unsafe_shares;
             let members = call.branches.iter().map(|b| self.member(*b, shares)).collect();
-            let calls = self.former.release(now, call.next_hop, members);
+            let calls = self.former.release(now, call.endpoint, members);
             self.go(calls);
         }
         let mut unsent = Vec::new();
@@ -597,7 +597,7 @@
         let notes: Vec<Note> = picked.notes.iter().map(|text| self.named(text)).collect();
         self.work.notes.extend(notes);
         for (id, ailing) in picked.ailing {
-            if let Some(hop) = self.route_set.get(id) {
+            if let Some(hop) = self.catalog.get(id) {
                 // Known to the next life only as far as it can be written.
                 self.journal.note_ailing(&hop.name, ailing).ok();
             }
@@ -610,7 +610,7 @@
 
     fn go(&mut self, calls: Vec<Call>) {
         for call in calls {
-            if let Some(hop) = self.route_set.get(call.next_hop).cloned() {
+            if let Some(hop) = self.catalog.get(call.endpoint).cloned() {
                 self.work.calls.push((call, hop));
             }
         }
@@ -630,19 +630,19 @@
     /// What waits for a next hop that is to get nothing more goes back to the module, as never sent.
     fn recall(&mut self, now: Nanos) {
         let mut unsent = Vec::new();
-        for hop in self.route_set.resting() {
+        for hop in self.catalog.resting() {
             let branches = self.former.recall(now, hop);
             unsent.extend(branches.into_iter().map(|b| (b, Reply::Ended(Outcome::NotSent))));
         }
-        let route_set = &self.route_set;
-        self.former.retain(|hop| route_set.get(hop).is_some());
+        let catalog = &self.catalog;
+        self.former.retain(|hop| catalog.get(hop).is_some());
         if !unsent.is_empty() {
             let picked = self.facade.report(now, &unsent, Told::default(), 0, &[]);
             self.absorb(now, picked);
         }
     }
 
-    fn set_terms(&mut self, hop: &NextHop) {
+    fn set_terms(&mut self, hop: &Endpoint) {
         let allowed = self.allowed.get(hop.kind).copied().unwrap_or(1);
         self.former.set(hop.id, self.batching.of(hop), allowed);
     }
@@ -650,7 +650,7 @@
     /// Other terms for calls, from now on. What was released by then goes as it was.
     pub fn set_batching(&mut self, now: Nanos, table: Table) {
         self.batching.table = table;
-        let hops: Vec<NextHop> = self.route_set.iter().cloned().collect();
+        let hops: Vec<Endpoint> = self.catalog.iter().cloned().collect();
         for hop in &hops {
             self.set_terms(hop);
         }
@@ -672,7 +672,7 @@
         let plain = || Note::new(event, text.to_string());
         let Some((before, rest)) = text.split_once("host ") else { return plain() };
         let (number, after) = rest.split_once(' ').unwrap_or((rest, ""));
-        match number.parse().ok().and_then(|id| self.route_set.get(id)) {
+        match number.parse().ok().and_then(|id| self.catalog.get(id)) {
             Some(hop) => {
                 let text = format!("{before}next hop {} {after}", hop.name);
                 Note { event, hop: Some(hop.name.clone()), text }
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,9 +1,9 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
 use super::core::{Carried, Core, Letter, Note, Work};
-use super::route_set::NextHop;
-use super::values::{Call, NextHopId, Reply, TransactionNo};
+use super::values::{Call, Reply, TransactionNo};
 use super::Clock;
+use crate::catalog::{Endpoint, EndpointId};
 use crate::interface::{Nanos, Outcome};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -20,7 +20,7 @@
     /// These transactions have their end, which is to be told until it is acknowledged.
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
     /// Idle connections to this next hop are not to be used any more.
-    fn distrust(&self, next_hop: NextHopId);
+    fn distrust(&self, endpoint: EndpointId);
     /// Nor are, from now on, those that have waited for so long.
     fn trust(&self, _idle: Nanos) {}
     /// What the log calls it.
@@ -52,7 +52,7 @@
 pub struct Passage<'a, F> {
     pub desk: &'a Rc<Desk<F>>,
     pub call: &'a Call,
-    pub hop: &'a NextHop,
+    pub hop: &'a Endpoint,
     cancel: &'a Notify,
 }
 
@@ -133,7 +133,7 @@
         }
     }
 
-    async fn carry(self: Rc<Self>, call: Call, hop: NextHop, cancel: Rc<Notify>) {
+    async fn carry(self: Rc<Self>, call: Call, hop: Endpoint, cancel: Rc<Notify>) {
         let from = self.clock.now();
         let passage = Passage { desk: &self, call: &call, hop: &hop, cancel: &cancel };
         let mut carried = self.front.carry(passage).await;
@@ -144,7 +144,7 @@
             self.out.borrow_mut().remove(&(branch.transaction, branch.attempt));
         }
         let took = self.clock.now().saturating_sub(from);
-        self.act(|core, now| core.report(now, call.next_hop, &carried, took));
+        self.act(|core, now| core.report(now, call.endpoint, &carried, took));
     }
 
     /// Wakes the core when it wants to be.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -2,8 +2,8 @@
 //!
 //! Whoever calls them gets back what is to be done now; the module's events and actions stay in this file.
 
-use super::route_set::{NextHop, Standing};
-use super::values::{Branch, Call, End, Limit, NextHopId, Reply, TransactionNo};
+use super::values::{Branch, Call, End, Limit, Reply, TransactionNo};
+use crate::catalog::{Endpoint, EndpointId, EndpointState};
 use crate::decision::views::HostView;
 use crate::decision::Relay;
 use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
@@ -17,21 +17,21 @@
     /// Branches to give up.
     pub dropped: Vec<(TransactionNo, u32)>,
     /// Next hops whose idle connections are to be closed.
-    pub distrusted: Vec<NextHopId>,
+    pub distrusted: Vec<EndpointId>,
     pub notes: Vec<String>,
     /// Idle time after which connections are not to be used any more.
     pub trusted_idle: Nanos,
     /// Next hops of which it may have changed whether they are in an outage or just back from one, and whether they are.
-    pub ailing: Vec<(NextHopId, bool)>,
+    pub ailing: Vec<(EndpointId, bool)>,
 }
 
 /// What came with the answer to a call, beside the ends of its branches.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
     /// The next hop's own limit.
-    pub limit: Option<(NextHopId, Limit)>,
+    pub limit: Option<(EndpointId, Limit)>,
     /// How long it wants to be left alone.
-    pub wait: Option<(NextHopId, Nanos)>,
+    pub wait: Option<(EndpointId, Nanos)>,
     /// For how long the connection had waited before.
     pub idle: Option<Nanos>,
     /// The break was told of with another call.
@@ -92,14 +92,14 @@
     }
 
     /// Whether a branch picked for this next hop may still be written.
-    pub fn still_open(&self, next_hop: NextHopId, now: Nanos) -> bool {
-        self.relay.still_open(next_hop, now)
+    pub fn still_open(&self, endpoint: EndpointId, now: Nanos) -> bool {
+        self.relay.still_open(endpoint, now)
     }
 
     /// Whether this transaction may still be begun there: its time, and that in which it may be repeated, go on
     /// while a connection comes up.
-    pub fn may_begin(&self, no: TransactionNo, next_hop: NextHopId, now: Nanos) -> bool {
-        self.relay.may_begin(no, next_hop, now)
+    pub fn may_begin(&self, no: TransactionNo, endpoint: EndpointId, now: Nanos) -> bool {
+        self.relay.may_begin(no, endpoint, now)
     }
 
     /// Puts transactions before the module, in the order in which they were taken.
@@ -160,7 +160,7 @@
     }
 
     /// What may share a call to these next hops, from now on.
-    pub fn share(&mut self, now: Nanos, calls: &[(NextHopId, CallTerms)]) -> Picked {
+    pub fn share(&mut self, now: Nanos, calls: &[(EndpointId, CallTerms)]) -> Picked {
         let events: Vec<Event> =
             calls.iter().map(|(host, call)| Event::Shares { host: *host, call: *call }).collect();
         self.step(now, &events)
@@ -168,20 +168,20 @@
 
     /// What the fleet deals out to this relay of next hops, in calls a second; none: one part of as many as there are
     /// relays.
-    pub fn deal(&mut self, now: Nanos, parts: &[(NextHopId, Option<f64>)]) -> Picked {
+    pub fn deal(&mut self, now: Nanos, parts: &[(EndpointId, Option<f64>)]) -> Picked {
         let events: Vec<Event> =
             parts.iter().map(|(host, rate)| Event::Dealt { host: *host, rate: *rate }).collect();
         self.step(now, &events)
     }
 
     /// How things stand between this relay and a next hop.
-    pub fn standing(&self, next_hop: NextHopId) -> Option<HostView> {
-        self.relay.standing(next_hop)
+    pub fn standing(&self, endpoint: EndpointId) -> Option<HostView> {
+        self.relay.standing(endpoint)
     }
 
     /// Messages that wait for the destination of this next hop, and calls that are out to it.
-    pub fn load_of(&self, next_hop: NextHopId) -> (usize, usize) {
-        self.relay.load_of(next_hop)
+    pub fn load_of(&self, endpoint: EndpointId) -> (usize, usize) {
+        self.relay.load_of(endpoint)
     }
 
     /// Lets time pass.
@@ -200,8 +200,8 @@
     }
 
     /// These next hops were in an outage when an earlier life of the relay ended.
-    pub fn ailing(&mut self, now: Nanos, next_hops: Vec<NextHopId>) -> Picked {
-        let events: Vec<Event> = next_hops.into_iter().map(|host| Event::Ailing { host }).collect();
+    pub fn ailing(&mut self, now: Nanos, endpoints: Vec<EndpointId>) -> Picked {
+        let events: Vec<Event> = endpoints.into_iter().map(|host| Event::Ailing { host }).collect();
         self.step(now, &events)
     }
 
@@ -217,24 +217,24 @@
         &mut self,
         now: Nanos,
         whole: bool,
-        next_hops: &[NextHop],
-        calls: impl Fn(&NextHop) -> CallTerms,
+        endpoints: &[Endpoint],
+        calls: impl Fn(&Endpoint) -> CallTerms,
     ) -> Picked {
-        let entry = |n: &NextHop| Entry {
+        let entry = |n: &Endpoint| Entry {
             host: n.id,
             dest: n.dest,
             kind: n.kind,
             zone: n.zone,
-            state: match n.standing {
-                Standing::Active => Listing::Ready,
-                Standing::Leaving => Listing::Draining,
-                Standing::Left => Listing::Gone,
+            state: match n.state {
+                EndpointState::Active => Listing::Ready,
+                EndpointState::Leaving => Listing::Draining,
+                EndpointState::Left => Listing::Gone,
             },
             scale: n.share,
         };
-        let mut events = vec![Event::Listed { whole, entries: next_hops.iter().map(entry).collect() }];
-        events.extend(next_hops.iter().filter_map(|n| Some(Event::Terms { host: n.id, terms: n.terms? })));
-        events.extend(next_hops.iter().map(|n| Event::Shares { host: n.id, call: calls(n) }));
+        let mut events = vec![Event::Listed { whole, entries: endpoints.iter().map(entry).collect() }];
+        events.extend(endpoints.iter().filter_map(|n| Some(Event::Terms { host: n.id, terms: n.terms? })));
+        events.extend(endpoints.iter().map(|n| Event::Shares { host: n.id, call: calls(n) }));
         self.step(now, &events)
     }
 
@@ -272,11 +272,11 @@
         let branch = Branch { transaction: id, attempt: *count, timeout };
         *count += 1;
         let most = self.relay.most_in_a_call(host);
-        let open = picked.calls.iter_mut().rev().find(|c| c.next_hop == host);
+        let open = picked.calls.iter_mut().rev().find(|c| c.endpoint == host);
         let together = |c: &Call| c.branches.iter().map(|b| b.transaction).collect::<Vec<_>>();
         match open.filter(|c| c.branches.len() < most && self.relay.joins(host, &together(c), id, most)) {
             Some(call) => call.branches.push(branch),
-            None => picked.calls.push(Call { next_hop: host, branches: vec![branch] }),
+            None => picked.calls.push(Call { endpoint: host, branches: vec![branch] }),
         }
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,16 +5,15 @@
 pub mod desk;
 pub mod facade;
 pub mod journal;
-pub mod route_set;
 mod shares;
 pub mod transactions;
 pub mod values;
 
+pub use crate::catalog::{Endpoint, EndpointCatalog, EndpointId, EndpointState, EndpointUpdate};
 pub use crate::interface::{Class, Kind, Late, Limits, Nanos, Outcome, Repeat, Settings};
 pub use clock::Clock;
 pub use core::{Core, Offer, Taken, Work};
 pub use desk::{Desk, Front};
 pub use journal::Journal;
-pub use route_set::{NextHop, RouteNews, RouteSet, Standing};
 pub use transactions::Transaction;
-pub use values::{Branch, Call, End, Limit, NextHopId, Reply, TransactionNo};
+pub use values::{Branch, Call, End, Limit, Reply, TransactionNo};
--- a/src/routing/shares.rs
+++ b/src/routing/shares.rs
@@ -1,6 +1,7 @@
 //! What a core tells the fleet of its next hops, and what it may send them by the fleet's word.
 
-use super::values::{NextHopId, Reply};
+use super::values::Reply;
+use crate::catalog::EndpointId;
 use crate::decision::views::HostView;
 use crate::fleet::record::Key;
 use crate::fleet::together::{Deal, Own};
@@ -17,18 +18,18 @@
 /// Counts by next hop and destination, and the parts in force.
 #[derive(Debug, Default)]
 pub struct Shares {
-    tallies: HashMap<NextHopId, Tally>,
+    tallies: HashMap<EndpointId, Tally>,
     taken: HashMap<u64, u64>,
-    keys: HashMap<Key, NextHopId>,
+    keys: HashMap<Key, EndpointId>,
     /// Until when each part holds that was dealt out.
-    until: HashMap<NextHopId, Nanos>,
+    until: HashMap<EndpointId, Nanos>,
 }
 
 impl Shares {
     /// Another route set: each next hop with the key that all relays know it by.
-    pub fn learn(&mut self, hops: impl Iterator<Item = (Key, NextHopId)>) {
+    pub fn learn(&mut self, hops: impl Iterator<Item = (Key, EndpointId)>) {
         self.keys = hops.collect();
-        let there: std::collections::HashSet<NextHopId> = self.keys.values().copied().collect();
+        let there: std::collections::HashSet<EndpointId> = self.keys.values().copied().collect();
         self.tallies.retain(|hop, _| there.contains(hop));
         self.until.retain(|hop, _| there.contains(hop));
     }
@@ -38,23 +39,23 @@
     }
 
     /// A call came back: it was served or refused as a whole, or counts as neither.
-    pub fn ended(&mut self, hop: NextHopId, replies: &[Reply]) {
+    pub fn ended(&mut self, hop: EndpointId, replies: &[Reply]) {
         let outcome = |f: fn(&Outcome) -> bool| replies.iter().any(|r| f(&r.outcome()));
         let tally = self.tallies.entry(hop).or_default();
         tally.served += u64::from(outcome(|o| *o == Outcome::Served));
         tally.refused += u64::from(outcome(|o| matches!(o, Outcome::Full { .. })));
     }
 
-    pub fn hop(&self, key: Key) -> Option<NextHopId> {
+    pub fn hop(&self, key: Key) -> Option<EndpointId> {
         self.keys.get(&key).copied()
     }
 
     /// Next hops that had calls.
-    pub fn used(&self) -> impl Iterator<Item = NextHopId> + '_ {
+    pub fn used(&self) -> impl Iterator<Item = EndpointId> + '_ {
         self.tallies.keys().copied()
     }
 
-    pub fn own(&self, key: Key, hop: NextHopId, s: &HostView) -> Own {
+    pub fn own(&self, key: Key, hop: EndpointId, s: &HostView) -> Own {
         let tally = self.tallies.get(&hop).copied().unwrap_or_default();
         let hosts = s.hosts.max(1) as f64;
         Own {
@@ -72,7 +73,7 @@
     }
 
     /// Takes parts in, and until when they hold; returns them as the module wants them.
-    pub fn deal(&mut self, deals: &[Deal]) -> Vec<(NextHopId, Option<f64>)> {
+    pub fn deal(&mut self, deals: &[Deal]) -> Vec<(EndpointId, Option<f64>)> {
         let mut parts = Vec::new();
         for deal in deals {
             let Some(hop) = self.hop(deal.key) else { continue };
@@ -86,7 +87,7 @@
     }
 
     /// Whether what was picked under a part may go now: a lease may have run out while the process stood still.
-    pub fn in_force(&self, hop: NextHopId, now: Nanos) -> bool {
+    pub fn in_force(&self, hop: EndpointId, now: Nanos) -> bool {
         self.until.get(&hop).is_none_or(|until| now < *until)
     }
 }
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -1,13 +1,11 @@
 //! What the parts of routing tell one another: branches, calls, ends.
 
-use crate::interface::{HostId, Nanos, Outcome};
+use crate::catalog::EndpointId;
+use crate::interface::{Nanos, Outcome};
 
 /// A transaction's place in the order taken, across restarts.
 pub type TransactionNo = u64;
 
-/// A next hop, as numbered by the route set.
-pub type NextHopId = HostId;
-
 /// One attempt of one transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Branch {
@@ -19,7 +17,7 @@
 /// Branches that travel to one next hop together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
-    pub next_hop: NextHopId,
+    pub endpoint: EndpointId,
     pub branches: Vec<Branch>,
 }
 
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -6,7 +6,7 @@
 use super::pool::{NoLease, ANSWER_MOST};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
-use crate::routing::NextHopId;
+use crate::routing::EndpointId;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
@@ -177,8 +177,8 @@
 /// All lines to next hops that take calls behind one another.
 pub struct Pipelines {
     net: Net,
-    lines: RefCell<HashMap<NextHopId, Lines>>,
-    opening: RefCell<HashMap<NextHopId, usize>>,
+    lines: RefCell<HashMap<EndpointId, Lines>>,
+    opening: RefCell<HashMap<EndpointId, usize>>,
     connect_timeout: Duration,
     keepalive: Duration,
 }
@@ -193,7 +193,7 @@
     /// else a new one while there are fewer than `most`, else the one with the fewest calls out.
     pub async fn ready(
         &self,
-        hop: NextHopId,
+        hop: EndpointId,
         dial: SocketAddr,
         repeatable: bool,
         depth: usize,
@@ -213,7 +213,7 @@
         }
     }
 
-    fn best(&self, hop: NextHopId, dial: SocketAddr, repeatable: bool) -> (Option<usize>, usize) {
+    fn best(&self, hop: EndpointId, dial: SocketAddr, repeatable: bool) -> (Option<usize>, usize) {
         let mut lines = self.lines.borrow_mut();
         let Some(lines) = lines.get_mut(&hop) else { return (None, 0) };
         lines.retain(|(at, line)| {
@@ -231,7 +231,7 @@
         (fits.map(|(_, l)| l.pipe.borrow().out()).min(), open)
     }
 
-    async fn open(&self, hop: NextHopId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
+    async fn open(&self, hop: EndpointId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
         *self.opening.borrow_mut().entry(hop).or_default() += 1;
         let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
         let mut opening = self.opening.borrow_mut();
@@ -264,7 +264,7 @@
     }
 
     /// Puts a call on the line that `ready` found; `None` where it is gone meanwhile.
-    pub fn seat(&self, hop: NextHopId, dial: SocketAddr, repeatable: bool, request: Bytes) -> Option<Seat> {
+    pub fn seat(&self, hop: EndpointId, dial: SocketAddr, repeatable: bool, request: Bytes) -> Option<Seat> {
         let lines = self.lines.borrow();
         let fits =
             lines.get(&hop)?.iter().filter(|(at, l)| *at == dial && l.pipe.borrow().may_take(repeatable));
@@ -280,7 +280,7 @@
     }
 
     /// Nothing new goes to this next hop, and nothing that has not begun; lines without a call close.
-    pub fn rest(&self, hop: NextHopId) {
+    pub fn rest(&self, hop: EndpointId) {
         let lines = self.lines.borrow_mut().remove(&hop).unwrap_or_default();
         for (_, line) in lines {
             line.withdraw();
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -4,7 +4,7 @@
 use super::network::{out_of_room, Net};
 use crate::crowding::Holding;
 use crate::interface::Nanos;
-use crate::routing::NextHopId;
+use crate::routing::EndpointId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 /// would close it.
 pub struct Pool {
     net: Net,
-    idle: RefCell<HashMap<NextHopId, Vec<Idle>>>,
+    idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
     /// Lines that are open or opening.
     open: Cell<usize>,
     most: usize,
@@ -54,7 +54,7 @@
 /// A line taken out of the pool; dropped, it closes.
 pub struct Lease {
     pool: Rc<Pool>,
-    next_hop: NextHopId,
+    endpoint: EndpointId,
     dial: SocketAddr,
     kind: usize,
     line: Option<Line>,
@@ -102,7 +102,7 @@
             line.idle_since = Instant::now();
             self.pool.open.set(self.pool.open.get() + 1);
             let idle = Idle { dial: self.dial, kind: self.kind, lives: self.lives, line };
-            self.pool.idle.borrow_mut().entry(self.next_hop).or_default().push(idle);
+            self.pool.idle.borrow_mut().entry(self.endpoint).or_default().push(idle);
         }
     }
 }
@@ -139,15 +139,15 @@
     /// A line to this next hop: the one used last of those that wait, else a new one.
     pub async fn lease(
         self: &Rc<Self>,
-        next_hop: NextHopId,
+        endpoint: EndpointId,
         dial: SocketAddr,
         kind: usize,
     ) -> Result<Lease, NoLease> {
         let held = self.held(kind).min(self.trusted.get());
-        while let Some(Idle { dial: at, line, lives, .. }) = self.pop(next_hop) {
+        while let Some(Idle { dial: at, line, lives, .. }) = self.pop(endpoint) {
             let waited = line.idle_since.elapsed().max(Duration::from_nanos(1));
             let mut lease =
-                Lease { pool: self.clone(), next_hop, dial, kind, lives, line: Some(line), waited };
+                Lease { pool: self.clone(), endpoint, dial, kind, lives, line: Some(line), waited };
             let fresh = |l: &Line| l.usable() && l.idle_since.elapsed() < held;
             if at == dial && lease.line.as_ref().is_some_and(fresh) {
                 return Ok(lease);
@@ -159,18 +159,18 @@
         }
         self.open.set(self.open.get() + 1);
         let waited = Duration::ZERO;
-        let mut lease = Lease { pool: self.clone(), next_hop, dial, kind, lives: 0, line: None, waited };
+        let mut lease = Lease { pool: self.clone(), endpoint, dial, kind, lives: 0, line: None, waited };
         lease.renew().await?;
         Ok(lease)
     }
 
-    fn pop(&self, next_hop: NextHopId) -> Option<Idle> {
-        self.idle.borrow_mut().get_mut(&next_hop)?.pop()
+    fn pop(&self, endpoint: EndpointId) -> Option<Idle> {
+        self.idle.borrow_mut().get_mut(&endpoint)?.pop()
     }
 
     fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let first = |(hop, lines): (&NextHopId, &Vec<Idle>)| Some((lines.first()?.line.idle_since, *hop));
+        let first = |(hop, lines): (&EndpointId, &Vec<Idle>)| Some((lines.first()?.line.idle_since, *hop));
         let Some((_, hop)) = idle.iter().filter_map(first).min() else { return false };
         if let Some(lines) = idle.get_mut(&hop) {
             lines.remove(0);
@@ -185,8 +185,8 @@
     }
 
     /// Closes what waits for this next hop.
-    pub fn close_idle(&self, next_hop: NextHopId) {
-        let lines = self.idle.borrow_mut().remove(&next_hop).unwrap_or_default();
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        let lines = self.idle.borrow_mut().remove(&endpoint).unwrap_or_default();
         self.open.set(self.open.get() - lines.len());
     }
 
--- a/tests/batching.rs
+++ b/tests/batching.rs
@@ -81,7 +81,7 @@
         for call in calls {
             let fates: Vec<Fate> = call.branches.iter().map(|b| self.leave(b)).collect();
             assert!(!fates.is_empty(), "no empty call goes");
-            assert!(fates.iter().all(|f| f.hop == call.next_hop), "to the hop that the module chose");
+            assert!(fates.iter().all(|f| f.hop == call.endpoint), "to the hop that the module chose");
             assert!(fates.len() <= 5, "no call over its messages");
             // What the module released together is its own to bound; what was added must fit.
             let together = fates.iter().all(|f| f.at == fates[0].at);
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -3,7 +3,7 @@
 use basaltloom::interface::{Repeat, Terms};
 use basaltloom::program::config::{decode, Config};
 use basaltloom::program::import::import;
-use basaltloom::routing::Standing;
+use basaltloom::routing::EndpointState;
 
 const NGINX: &str = r#"
 worker_processes auto;                          # line 2
@@ -55,8 +55,8 @@
     let dests: Vec<_> = config.defaults.iter().map(|d| d.dest).collect();
     assert_eq!(dests, [Some(1), Some(2), Some(3)]);
     let hops: Vec<_> =
-        config.known.next_hops.iter().map(|n| (n.dial.to_string(), n.dest, n.standing)).collect();
-    let (active, left) = (Standing::Active, Standing::Leaving);
+        config.known.endpoints.iter().map(|n| (n.address.to_string(), n.dest, n.state)).collect();
+    let (active, left) = (EndpointState::Active, EndpointState::Leaving);
     let hop = |dial: &str, dest, standing| (dial.to_string(), dest, standing);
     assert_eq!(
         hops,
@@ -69,7 +69,7 @@
             hop("127.0.0.1:9090", 3, active),
         ]
     );
-    let terms = |i: usize| config.known.next_hops[i].terms.unwrap();
+    let terms = |i: usize| config.known.endpoints[i].terms.unwrap();
     assert_eq!(terms(0), Terms { most_out: 20, weight: 3, ..Terms::default() });
     assert!(terms(2).backup && terms(4).most_out == usize::MAX);
     let settings = &config.settings;
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -4,7 +4,9 @@
 mod fixture;
 
 use basaltloom::routing::core::{Batching, Carried, First, Letter};
-use basaltloom::routing::{Branch, Call, Core, Journal, NextHop, Offer, Reply, RouteNews, Standing, Taken};
+use basaltloom::routing::{
+    Branch, Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
+};
 use basaltloom::*;
 use bytes::Bytes;
 use fixture::settings;
@@ -81,17 +83,17 @@
     begun: usize,
 }
 
-fn hop(name: &str, zone: usize) -> NextHop {
+fn hop(name: &str, zone: usize) -> Endpoint {
     let dial = "127.0.0.1:9".parse().unwrap();
-    let (name, standing) = (name.to_string(), Standing::Active);
-    NextHop { id: 0, name, dial, dest: 5, kind: 0, zone, standing, share: 1.0, terms: None }
+    let (name, standing) = (name.to_string(), EndpointState::Active);
+    Endpoint { id: 0, name, address: dial, dest: 5, kind: 0, zone, state: standing, share: 1.0, terms: None }
 }
 
 impl Life {
     fn new(dir: &Path, now: u64, seed: u64, oracle: Oracle) -> Life {
         let classes = (0..5).map(|i| format!("c{i}")).collect();
         let (journal, replayed) = Journal::open(dir, 3_000_000, classes).unwrap();
-        let known = RouteNews { seq: 1, whole: true, next_hops: vec![hop("a", 0), hop("b", 1)] };
+        let known = EndpointUpdate { seq: 1, whole: true, endpoints: vec![hop("a", 0), hop("b", 1)] };
         let first = First { known: &known, batching: Batching::default(), tells_delivery: false };
         let core = Core::new(settings(), seed, journal, replayed, first, now);
         let (due, gone) = (BTreeMap::new(), BTreeSet::new());
@@ -131,7 +133,7 @@
                 carried.replies.push((*b, Reply::Ended(Outcome::NotSent)));
             }
         }
-        self.core.report(self.now, call.next_hop, &carried, took);
+        self.core.report(self.now, call.endpoint, &carried, took);
     }
 
     /// The next thing that happens; none once all is over.
