Keep of a host only what is listed until it is used, in a dense table

Cause: 190,000 listed endpoints are to fit a relay of 64 MB, and the module kept some 600 bytes for each, walked over all of them twice an interval, and worked on each entry of an update that repeated what was known. Change: Host is what is listed (48 bytes) and an optional Condition, made at the first write and let go of 15 minutes after the last use unless something binds; kind, zone and terms are kept once for all that have the same; Table keeps hosts in pages by their numbers; those that left are found by their due time; walks go over hosts with a condition.

--- a/src/batching/sharing.rs
+++ b/src/batching/sharing.rs
@@ -24,12 +24,12 @@
         let mut bytes = 0;
         for m in ids.iter().chain([&id]).filter_map(|id| self.book.messages.get(id)) {
             let repeat = self.set.classes[m.class].repeat;
-            if !h.terms.call.unsafe_shares && !may_share(Wire::Batch, repeat) {
+            if !h.terms().call.unsafe_shares && !may_share(Wire::Batch, repeat) {
                 return false;
             }
             (bytes, most) = (bytes + m.bytes, most.min(m.group));
         }
-        bytes <= h.terms.call.bytes && ids.len() < most
+        bytes <= h.terms().call.bytes && ids.len() < most
     }
 
     /// Messages that wait for the destination of this host, and calls that are out to it.
--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -68,7 +68,7 @@
         if let Some(f) = self.book.hosts.get(&a.host).and_then(|h| self.book.flows.get_mut(&h.dest)) {
             f.count(outcome, latency);
         }
-        let zone = self.book.hosts.get(&a.host).map_or(0, |h| h.zone);
+        let zone = self.book.hosts.get(&a.host).map_or(0, |h| h.zone());
         let Some(m) = self.book.messages.get_mut(&id) else {
             self.book.leave_key(&a.key, id, self.now);
             return;
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -39,7 +39,7 @@
     /// Whether a call decided on a moment ago may still be written: its connection may have been slow to come up.
     pub fn still_open(&self, host: HostId, now: Nanos) -> bool {
         let Some(h) = self.book.hosts.get(&host) else { return false };
-        h.state == Listing::Ready && self.book.routes.get(&h.route).is_none_or(|r| r.wait <= now)
+        h.state == Listing::Ready && self.book.route(host).is_none_or(|r| r.wait <= now)
     }
 
     /// A call that would be out when the relay is killed may have run, and nobody would know.
@@ -50,7 +50,7 @@
     /// What the fleet deals out to this relay, else its part of the listed or reported limit; 0 where there is none.
     pub(super) fn slice(&self, host: HostId) -> f64 {
         let h = &self.book.hosts[&host];
-        let (reported, dealt) = self.book.routes.get(&h.route).map_or((0.0, None), |r| (r.limit, r.dealt));
+        let (reported, dealt) = self.book.route(host).map_or((0.0, None), |r| (r.limit, r.dealt));
         let limit = if self.set.limits == Limits::Unlisted { reported } else { h.scale };
         dealt.unwrap_or(limit / f64::from(self.set.senders.max(1)))
     }
@@ -60,9 +60,9 @@
         let h = &self.book.hosts[&host];
         let first = |m: &HostId| {
             let mate = &self.book.hosts[m];
-            !mate.terms.backup && mate.state == Listing::Ready && self.is_well(*m)
+            !mate.terms().backup && mate.state == Listing::Ready && self.is_well(*m)
         };
-        h.out < h.terms.most_out && !(h.terms.backup && self.book.hosts_of(h.dest).iter().any(first))
+        h.out < h.terms().most_out && !(h.terms().backup && self.book.hosts_of(h.dest).iter().any(first))
     }
 
     /// The last of each step. Before a planned end what cannot go any more is handed back where that is harmless.
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -11,6 +11,7 @@
 mod ranks;
 mod records;
 mod release;
+pub mod table;
 mod turns;
 pub mod views;
 mod worth;
--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -60,7 +60,7 @@
     /// - rates served over a longer run add up to what was served; where one is known, all have met the outage.
     pub(super) fn cold_rate(&self, host: HostId, at: Nanos) -> f64 {
         let Some(h) = self.book.hosts.get(&host) else { return 1.0 };
-        let dealt = self.book.routes.get(&h.route).and_then(|r| r.dealt);
+        let dealt = self.book.route(host).and_then(|r| r.dealt);
         let warm = match h.health {
             Health::Warming { since } => (at - since) as f64 / self.set.warm_up.max(1) as f64,
             _ => 0.0,
@@ -93,7 +93,7 @@
 
     /// Our part of a reported limit where it is so small that our own calls tell too little of it; else 0.
     pub(super) fn few(&self, host: HostId) -> f64 {
-        let limit = self.book.routes.get(&self.book.hosts[&host].route).map_or(0.0, |r| r.limit);
+        let limit = self.book.route(host).map_or(0.0, |r| r.limit);
         Some(self.slice(host)).filter(|s| limit > 0.0 && *s < FEW).unwrap_or(0.0)
     }
 
@@ -129,7 +129,7 @@
 
     /// Refused as full: cut the pace; refusals without a success, or a long wait, mean shut and cold later.
     pub(super) fn refused(&mut self, host: HostId, sent: Nanos, wait: Nanos) {
-        let (now, route, slice) = (self.now, self.book.hosts[&host].route, self.slice(host));
+        let (now, route, slice) = (self.now, self.book.hosts[&host].route(host), self.slice(host));
         let (roll, few, cold) = (self.dice.roll(), self.few(host), self.may_be_cold(host));
         let dealt = self.book.routes.get(&route).and_then(|r| r.dealt);
         let (most, told) = (self.longest_rest(dealt.unwrap_or(few)), few > 0.0);
@@ -164,7 +164,7 @@
             (r.filled, r.tokens) = (now.max(r.wait), roll); // all waits end at one moment
         }
         let mut mates = self.book.hosts_of(self.book.hosts[&host].dest).to_vec();
-        mates.retain(|h| self.book.hosts[h].route == route);
+        mates.retain(|h| self.book.hosts[h].route(*h) == route);
         let r = &self.book.routes[&route];
         let doubted = !told || r.refused > 1 && r.left > SCARCE;
         let shut = wait > SHUT_WAIT
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -1,19 +1,20 @@
 //! The book of all that the module remembers, and the indexes over it.
 
+use super::hosts::{Change, Hosts, IDLE_REMEMBERED};
 use super::*;
-use crate::decision::interface::{CallTerms, Event, Settings};
+use crate::decision::interface::{Entry, Event, Kind, Settings};
 use crate::decision::turns::{Ends, Turns};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A host that has left is remembered for so long: a list may come back to it.
-const REMEMBERED: Nanos = 30_000_000_000;
+/// Lots that may be drawn for a host.
+const LOTS: f64 = 1e9;
 
 #[derive(Debug, Default)]
 pub(crate) struct Book {
     pub messages: BTreeMap<MsgId, Message>,
     pub attempts: BTreeMap<(MsgId, u32), Attempt>,
     pub calls: BTreeMap<u64, Call>,
-    pub hosts: BTreeMap<HostId, Host>,
+    pub hosts: Hosts,
     pub routes: BTreeMap<RouteId, Route>,
     pub flows: BTreeMap<DestId, Flow>,
     /// Destinations with held messages, messages by their ends, and the calls out to each host.
@@ -22,8 +23,6 @@
     calls_to: BTreeSet<(HostId, u64)>,
     /// Hosts of which the health or the listing has changed since it was last asked for.
     pub turned: BTreeSet<HostId>,
-    /// The hosts of each destination.
-    pub hosts_of: BTreeMap<DestId, Vec<HostId>>,
     pub keys: BTreeMap<String, KeyLine>,
     next_call: u64,
     pub virtual_time: f64,
@@ -50,37 +49,38 @@
     }
 
     pub fn hosts_of(&self, dest: DestId) -> &[HostId] {
-        self.hosts_of.get(&dest).map_or(&[], |h| h)
+        self.hosts.of(dest)
     }
 
-    /// Takes in news of the list; `whole` replaces all that was known.
-    pub fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry], kinds: &[Kind], dice: &mut Dice) {
+    /// Takes in an update of the list; `whole` replaces all that was known. What changes nothing is only looked up.
+    pub fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry], kinds: &[Kind], rng: &mut Dice) {
         if whole {
-            for (id, h) in self.hosts.iter_mut() {
-                h.state = Listing::Gone;
-                // Its outage, if it is in one, is news to those who keep it only as long as it is listed.
-                if h.health != Health::Well {
-                    self.turned.insert(*id);
-                }
+            let mut listed: Vec<HostId> = entries.iter().map(|e| e.host).collect();
+            listed.sort_unstable();
+            for id in self.hosts.leave_but(&listed) {
+                self.turned_unless_well(id);
             }
         }
         for e in entries {
             let kind = kinds.get(e.kind).copied().unwrap_or(Kind { apart: false, per_call: 1 });
-            // Listed for another destination, it must not get messages of the one that it left.
-            if self.hosts.get(&e.host).is_none_or(|h| h.dest != e.dest) {
-                let lot = (dice.roll() * 1e9) as u64;
-                self.add_host(e.host, Host::new(e, kind, lot, now));
-            }
-            if let Some(h) = self.hosts.get_mut(&e.host) {
-                (h.state, h.scale) = (e.state, e.scale);
-                if h.health != Health::Well {
-                    self.turned.insert(e.host);
-                }
+            match self.hosts.list(now, e, kind, || (rng.roll() * LOTS) as u32) {
+                Change::Nothing => continue,
+                // Listed for another destination, it must not get messages of the one that it left.
+                Change::Moved => drop(self.turned.insert(e.host)),
+                // Its outage, if it is in one, matters to those who keep it only as long as it is listed.
+                Change::Listing | Change::New => self.turned_unless_well(e.host),
             }
             self.turns.touch(e.dest);
         }
     }
 
+    /// The health of a host that is not well may have changed.
+    pub fn turned_unless_well(&mut self, host: HostId) {
+        if self.hosts.get(&host).is_some_and(|h| h.health != Health::Well) {
+            self.turned.insert(host);
+        }
+    }
+
     /// Takes down what nothing follows from at once.
     pub fn note(&mut self, now: Nanos, event: &Event, attempts: u32) {
         match event {
@@ -90,8 +90,8 @@
                 self.leave_key(&key, *id, now);
             }
             Event::Unsettled { id, key } => self.leave_unsettled(*id, key.clone()),
-            Event::Terms { host, terms } => self.set_terms(*host, *terms),
-            Event::Shares { host, call } => self.set_call(*host, *call),
+            Event::Terms { host, terms } => self.hosts.set_terms(*host, *terms),
+            Event::Shares { host, call } => self.hosts.set_call(*host, *call),
             Event::Travels { id, bytes, group } => self.set_travels(*id, *bytes, *group),
             Event::Idled { id, attempt, idle } => self.idled((*id, *attempt), *idle),
             Event::Echo { id, attempt } => self.mute((*id, *attempt)),
@@ -109,20 +109,14 @@
         h.crowd.turned_away(now, roll);
     }
 
-    pub fn route_of(&mut self, host: HostId) -> &mut Route {
-        let id = self.hosts[&host].route;
-        self.routes.entry(id).or_default()
+    /// The route of a host, if there is a record of it.
+    pub fn route(&self, host: HostId) -> Option<&Route> {
+        self.routes.get(&self.hosts.get(&host)?.route(host))
     }
 
-    /// Records a host anew under its destination, with the calls that are still out to it.
-    pub fn add_host(&mut self, id: HostId, mut host: Host) {
-        if let Some(old) = self.hosts.get(&id) {
-            host.out = old.out;
-            self.turned.insert(id);
-            self.hosts_of.entry(old.dest).or_default().retain(|h| *h != id);
-        }
-        self.hosts_of.entry(host.dest).or_default().push(id);
-        self.hosts.insert(id, host);
+    pub fn route_of(&mut self, host: HostId) -> &mut Route {
+        let id = self.hosts[&host].route(host);
+        self.routes.entry(id).or_default()
     }
 
     /// What is known of the connection of an attempt, in place of what its host lets suppose.
@@ -132,18 +126,6 @@
         }
     }
 
-    pub fn set_terms(&mut self, host: HostId, terms: Terms) {
-        if let Some(h) = self.hosts.get_mut(&host) {
-            h.terms = Terms { call: h.terms.call, ..terms };
-        }
-    }
-
-    pub fn set_call(&mut self, host: HostId, call: CallTerms) {
-        if let Some(h) = self.hosts.get_mut(&host) {
-            h.terms.call = call;
-        }
-    }
-
     pub fn set_travels(&mut self, id: MsgId, bytes: usize, group: usize) {
         if let Some(m) = self.messages.get_mut(&id) {
             (m.bytes, m.group) = (bytes, group);
@@ -152,7 +134,7 @@
 
     /// Whether the limit of this host counts messages, not calls.
     pub fn by_message(&self, host: HostId) -> bool {
-        self.hosts.get(&host).is_some_and(|h| h.terms.call.by_message)
+        self.hosts.get(&host).is_some_and(|h| h.terms().call.by_message)
     }
 
     /// What a call of so many messages counts against the limit of its host.
@@ -165,22 +147,22 @@
     }
 
     /// Lets go of what nothing refers to any more: hosts that have left, the destinations of which none is
-    /// there, lines of keys.
-    pub fn let_go(&mut self, now: Nanos) {
+    /// there, lines of keys; and of what was learned of hosts that have long been idle. It walks over what is used.
+    pub fn let_go(&mut self, now: Nanos, set: &Settings) {
         self.keys.retain(|_, k| !(k.line.is_empty() && k.out == 0 && k.rest.0 <= now));
-        let gone = |h: &Host| h.state == Listing::Gone && h.out == 0 && h.last_used + REMEMBERED < now;
-        let left: Vec<HostId> = self.hosts.iter().filter(|(_, h)| gone(h)).map(|(id, _)| *id).collect();
-        for (id, host) in left.into_iter().filter_map(|id| Some((id, self.hosts.remove(&id)?))) {
+        for id in self.hosts.forget_left(now) {
             self.routes.remove(&RouteId::Host(id));
-            if let Some(hosts) = self.hosts_of.get_mut(&host.dest) {
-                hosts.retain(|h| *h != id);
-            }
         }
-        self.hosts_of.retain(|_, hosts| !hosts.is_empty());
-        let (hosts_of, turns) = (&self.hosts_of, &self.turns);
-        self.flows.retain(|d, f| hosts_of.contains_key(d) || turns.waits(*d) || f.out > 0);
-        let told = |r: &Route| r.wait > now || r.rest > now;
-        self.routes.retain(|id, r| told(r) || !matches!(id, RouteId::Dest(d) if !hosts_of.contains_key(d)));
+        let (routes, turned) = (&self.routes, &self.turned);
+        let binds =
+            |id, h: &Host| turned.contains(&id) || routes.get(&h.route(id)).is_some_and(|r| r.binds(now));
+        self.hosts.rest(now, set.warm_up, binds);
+        let (hosts, turns) = (&self.hosts, &self.turns);
+        self.flows.retain(|d, f| hosts.serve(*d) || turns.waits(*d) || f.out > 0);
+        self.routes.retain(|id, r| match id {
+            RouteId::Dest(d) if !hosts.serve(*d) => r.rests(now),
+            _ => r.binds(now) || r.last_active().saturating_add(IDLE_REMEMBERED) >= now,
+        });
     }
 
     pub fn open_call(&mut self, host: HostId, dest: DestId, sent: Nanos, open: usize) -> u64 {
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -2,12 +2,14 @@
 
 mod book;
 mod flow;
+mod host;
+mod hosts;
 
 pub(crate) use book::Book;
 pub(crate) use flow::Flow;
+pub(crate) use host::{Health, Host};
 
-use super::interface::{DestId, Entry, HostId, Kind, Listing, MsgId, Nanos, Terms};
-use crate::crowding::Crowd;
+use super::interface::{DestId, HostId, MsgId, Nanos, Terms};
 use std::collections::VecDeque;
 
 /// A message that still awaits its final answer.
@@ -54,65 +56,6 @@
     pub judged: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Health {
-    Well,
-    /// It failed or refused a call: an outage may be on, or this was all.
-    Doubted,
-    /// An outage is taken to be on: single trials.
-    Down,
-    /// It answered again at `since`.
-    Warming {
-        since: Nanos,
-    },
-}
-
-/// Nothing on the way drops connections so soon: a shorter idle time explains no break.
-const IDLE_NOISE: Nanos = 100_000_000;
-
-#[derive(Clone, Debug)]
-pub(crate) struct Host {
-    pub dest: DestId,
-    pub kind: Kind,
-    pub route: RouteId,
-    pub zone: usize,
-    pub state: Listing,
-    pub scale: f64,
-    pub terms: Terms,
-    /// Drawn by this relay, so that relays differ in which of equal hosts they take first.
-    pub lot: u64,
-    /// Calls out.
-    pub out: usize,
-    pub health: Health,
-    /// The next call may go then, unless it is well.
-    pub next: Nanos,
-    /// Failed outcomes since the last served one.
-    pub bad: u32,
-    /// Failed or refused calls, halved by each served one.
-    pub signs: u32,
-    /// Smoothed share of failed calls, as of `fail_at`.
-    pub fail: f64,
-    pub fail_at: Nanos,
-    /// Smoothed latency and its mean deviation; none before the first served call.
-    pub latency: Option<(f64, f64)>,
-    pub last_served: Nanos,
-    pub last_sent: Nanos,
-    /// Last send or outcome.
-    pub last_used: Nanos,
-    /// Idle time before a call that broke early, and what was proven then, until the next outcome.
-    pub broke_idle: Option<(Nanos, Nanos)>,
-    /// The longest idle time after which a call was served of late.
-    pub idle_proven: Nanos,
-    pub crowd: Crowd,
-    pub served: VecDeque<Nanos>,
-    /// Highest sustained rate of served calls, a second.
-    pub best_rate: f64,
-    /// When it was last doubted or taken for down.
-    pub down_at: Nanos,
-    /// When an outage of it, or its way back from one, last took a turn; none if there was none.
-    pub turned_at: Option<Nanos>,
-}
-
 /// What shares one limit: a host where routes are apart, else a destination.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Route {
@@ -189,62 +132,6 @@
     }
 }
 
-impl Host {
-    pub fn new(e: &Entry, kind: Kind, lot: u64, now: Nanos) -> Self {
-        Host {
-            dest: e.dest,
-            kind,
-            route: if kind.apart { RouteId::Host(e.host) } else { RouteId::Dest(e.dest) },
-            zone: e.zone,
-            state: e.state,
-            scale: e.scale,
-            terms: Terms::default(),
-            lot,
-            out: 0,
-            health: Health::Well,
-            next: 0,
-            bad: 0,
-            signs: 0,
-            fail: 0.0,
-            fail_at: now,
-            latency: None,
-            last_served: 0,
-            last_sent: 0,
-            last_used: now,
-            broke_idle: None,
-            idle_proven: IDLE_NOISE,
-            crowd: Crowd::default(),
-            served: VecDeque::new(),
-            best_rate: 0.0,
-            down_at: 0,
-            turned_at: None,
-        }
-    }
-}
-
-impl Host {
-    pub fn turn(&mut self, to: Health, now: Nanos) {
-        (self.health, self.turned_at) = (to, Some(now));
-    }
-
-    /// Messages in a call at most.
-    pub fn per_call(&self) -> usize {
-        self.kind.per_call.min(self.terms.call.messages).max(1)
-    }
-
-    /// Calls out as hosts of one destination compare them: by their weights.
-    pub fn load(&self) -> usize {
-        self.out * 1_000 / self.terms.weight.max(1) as usize
-    }
-
-    /// A call on a connection idle for so long was served or not; returns what was proven sound before.
-    pub fn prove_idle(&mut self, served: bool, idle: Nanos) -> Nanos {
-        let before = self.idle_proven;
-        self.idle_proven = if served { before.max(idle) } else { before };
-        before.max(IDLE_NOISE)
-    }
-}
-
 impl Route {
     /// Counts what its pace has saved up by now.
     pub fn refill(&mut self, now: Nanos) {
@@ -258,6 +145,25 @@
     pub fn probes(&self) -> bool {
         self.refused > 0 && self.limit == 0.0
     }
+
+    /// A wait of the destination's, or a rest of our own, is not over.
+    pub fn rests(&self, now: Nanos) -> bool {
+        self.wait > now || self.rest > now
+    }
+
+    /// When a call that went that way, or what its destination said of it, last changed something.
+    pub fn last_active(&self) -> Nanos {
+        let accepted = self.accepted.back().copied().unwrap_or(0);
+        let paced = self.filled.max(self.cut).max(self.stepped);
+        accepted.max(paced).max(self.wait).max(self.rest)
+    }
+
+    /// It holds calls back: it rests, or a limit of it was reported, was dealt out or has shown itself by refusals. A pace
+    /// that has come of the listing alone would be the same again.
+    pub fn binds(&self, now: Nanos) -> bool {
+        let limited = self.limit > 0.0 || self.dealt.is_some();
+        self.rests(now) || limited || self.refused > 0 || (self.cut > 0 && self.pace.is_some())
+    }
 }
 
 /// Rate of the recorded times over `span`, or over as many calls as it takes to tell; none if too few.
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -43,7 +43,7 @@
         for host in self.book.hosts_of(dest).to_vec().into_iter().filter(|_| idle) {
             let at = self.now + self.crowd_gap(host);
             let saved = |h: &&mut Host| h.health != Health::Well && h.next < self.now;
-            if let Some(h) = self.book.hosts.get_mut(&host).filter(saved) {
+            if let Some(h) = self.book.hosts.used_mut(&host).filter(saved) {
                 h.next = at;
             }
         }
@@ -66,7 +66,7 @@
         self.book.next_interval = self.now + INTERVAL;
         let seen: Vec<f64> = self.book.flows.values().map(|f| f.cost).collect();
         self.mean_cost = seen.iter().sum::<f64>() / seen.len().max(1) as f64;
-        let (v, mean) = (self.book.virtual_time, self.mean_cost);
+        let (now, v, mean) = (self.now, self.book.virtual_time, self.mean_cost);
         let mut moved = Vec::new();
         for (dest, f) in self.book.flows.iter_mut() {
             let target = ((f.served + PHI_PRIOR) / (f.calls + PHI_PRIOR)).max(PHI_FLOOR);
@@ -80,13 +80,13 @@
             }
         }
         moved.into_iter().for_each(|dest| self.book.turn(dest));
-        for h in self.book.hosts.values_mut() {
-            let rate = rate_of(&mut h.served, RATE_SPAN, self.now);
+        self.book.hosts.for_each_used(|h| {
+            let rate = rate_of(&mut h.served, RATE_SPAN, now);
             h.best_rate = h.best_rate.max(rate.unwrap_or(0.0));
             h.idle_proven -= h.idle_proven / 4;
-        }
+        });
         self.book.idle_safe = self.book.idle_safe.map(|s| s + s / 4 + MS).filter(|s| *s < IDLE_TRUSTED);
-        self.book.let_go(self.now);
+        self.book.let_go(now, &self.set);
     }
 
     /// The lowest start tag goes next while fewer than D calls are out.
@@ -172,7 +172,7 @@
         let most = self.most_in_a_call(host);
         match self.book.hosts[&host].health {
             Health::Down => 1,
-            _ if self.book.routes.get(&self.book.hosts[&host].route).is_some_and(Route::probes) => 1,
+            _ if self.book.route(host).is_some_and(Route::probes) => 1,
             Health::Well => most,
             Health::Doubted | Health::Warming { .. } => {
                 let weight = self.cold_rate(host, self.now) * self.set.fall as f64 / 2e9;
@@ -202,7 +202,7 @@
         let repeats = match (m.may_have_run, self.set.classes[m.class].repeat) {
             (None, _) | (_, Repeat::Safe) => true,
             (Some(_), Repeat::Unsafe) => false,
-            (Some((_, zone)), Repeat::Keyed { zone_only, .. }) => !zone_only || zone == h.zone,
+            (Some((_, zone)), Repeat::Keyed { zone_only, .. }) => !zone_only || zone == h.zone(),
         };
         repeats && m.dest == h.dest && at.saturating_add(ANSWER_MARGIN) < self.end(m)
     }
@@ -213,7 +213,7 @@
         if h.state != Listing::Ready || self.too_late(host) {
             return Nanos::MAX;
         }
-        let wait = self.book.routes.get(&h.route).map_or(0, |r| r.wait);
+        let wait = self.book.route(host).map_or(0, |r| r.wait);
         wait.max(h.crowd.until()).max(match h.health {
             Health::Well => 0,
             Health::Warming { since } => h.next.min(since.saturating_add(self.set.warm_up)),
@@ -225,7 +225,7 @@
     fn may_call(&self, host: HostId) -> bool {
         let h = &self.book.hosts[&host];
         // Further sends of this step to a host that takes batches would join the same call unasked.
-        if self.ready_at(host) > self.now || (h.kind.per_call > 1 && h.last_sent == self.now) {
+        if self.ready_at(host) > self.now || (h.kind().per_call > 1 && h.last_sent == self.now) {
             return false;
         }
         let overdue = self.overdue(host);
@@ -236,9 +236,8 @@
 
     /// From when on wait, cold gap, own rest and pace let a call go.
     pub(super) fn ready_at(&self, host: HostId) -> Nanos {
-        let h = &self.book.hosts[&host];
-        let Some(r) = self.book.routes.get(&h.route) else { return self.opens_at(host) };
-        if r.refused > 0 && h.out > 0 {
+        let Some(r) = self.book.route(host) else { return self.opens_at(host) };
+        if r.refused > 0 && self.book.hosts[&host].out > 0 {
             return Nanos::MAX;
         }
         let token = |p: f64| r.filled.saturating_add(((1.0 - r.tokens).max(0.0) / p * 1e9).ceil() as Nanos);
--- a/src/decision/views.rs
+++ b/src/decision/views.rs
@@ -44,7 +44,7 @@
     /// How things stand between this relay and a host.
     pub fn standing(&self, host: HostId) -> Option<HostView> {
         let h = self.book.hosts.get(&host)?;
-        let r = self.book.routes.get(&h.route);
+        let r = self.book.route(host);
         let listed = if self.set.limits == Limits::Exact { h.scale } else { 0.0 };
         Some(HostView {
             dest: h.dest,
--- a/src/decision/worth.rs
+++ b/src/decision/worth.rs
@@ -67,8 +67,8 @@
 
     pub(super) fn fee(&self, host: HostId) -> f64 {
         let h = &self.book.hosts[&host];
-        let cross = if h.zone == self.set.zone { 0.0 } else { self.set.cross_zone };
-        cross + self.set.zone_fee.get(h.zone).filter(|_| h.kind.apart).copied().unwrap_or(0.0)
+        let cross = if h.zone() == self.set.zone { 0.0 } else { self.set.cross_zone };
+        cross + self.set.zone_fee.get(h.zone()).filter(|_| h.kind().apart).copied().unwrap_or(0.0)
     }
 
     pub(super) fn least_fee(&self, dest: DestId) -> f64 {
