Name a host as turned only where its health may have changed

Cause: served() and doubt() put their host among those turned on every call, so that each call of a sound host had its name looked up and its record compared, and no condition could have been let go of. Change: only hosts that are not well, before a served call or after a doubted one, are named.

--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -131,7 +131,7 @@
         }
         let (now, warm_up) = (self.now, self.set.warm_up);
         let gap = self.cold_gap(host, 1.0) as Nanos;
-        self.book.turned.insert(host);
+        self.book.turned_unless_well(host);
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
         let l = latency as f64;
         let (mean, dev) = h.latency.unwrap_or((l, l));
@@ -194,7 +194,6 @@
     /// once) it keeps to its part of the cold budget until a call is served.
     pub(super) fn doubt(&mut self, host: HostId, refused: bool) {
         let (crowd, gap) = (self.crowd_gap(host), self.dice.roll() * self.cold_gap(host, 1.0));
-        self.book.turned.insert(host);
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
         h.signs = (h.signs + 1).min(2 * SIGNS); // so two served calls outweigh any outage
         let once = h.signs < SIGNS;
@@ -204,6 +203,7 @@
         if h.health == Health::Doubted {
             h.next = h.next.max(self.now + if once { crowd } else { gap as Nanos });
         }
+        self.book.turned_unless_well(host);
     }
 
     pub(super) fn down(&mut self, host: HostId, until: Nanos) {
