--- a/tests/many_hosts.rs
+++ b/tests/many_hosts.rs
@@ -75,6 +75,7 @@
         for _ in 0..span / (4 * SEC) {
             self.now += 4 * SEC;
             self.step(&[Event::Woken]);
+            self.relay.ailing();
         }
     }
 
@@ -201,6 +202,13 @@
     bed.pass(30 * MINUTE);
     bed.end(1, Outcome::NoConnection);
     assert!(bed.standing(0).down);
+    // One that has served since counts as sound, and the call as out.
+    let mut bed = Bed::new(1);
+    assert_eq!(bed.take(1), Some(0));
+    bed.call(2, Outcome::Served);
+    bed.step(&[Event::Terms { host: 0, terms: Terms { most_out: 1, ..Terms::default() } }]);
+    bed.pass(30 * MINUTE);
+    assert!(!bed.standing(0).down && bed.take(3).is_none(), "it has as many calls out as it may");
 }
 
 /// Guards a host that leaves the list for a moment: it comes back as it was, by an update and by a whole list.
