Hand discovery's lists to a receiver entry by entry, with a setting for their size

Cause: the follow loop handed a whole decoded list to a closure, so that whoever keeps the endpoints could neither take entries in pieces nor let go of half a list.

Change: trait ListReceiver (begin, entry, commit); follow takes one and the limits of a list (limits.list_mb, else a quarter of limits.memory_mb, 4 MiB at least, else 64 MB). Decoding is as before; program/listing.rs hands lists to the core whole.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet;
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
-use crate::protocol::discovery::{self, Names};
+use crate::protocol::discovery::{self, ListLimits, Names};
 use crate::protocol::fields::{address, at, flag, list, need, num, read_file, text};
 use crate::protocol::platform::Defaults;
 use crate::routing::EndpointUpdate;
@@ -23,6 +23,8 @@
     /// Whether relays may talk to one another, where the settings say.
     pub peers: Option<bool>,
     pub disk_bytes: u64,
+    /// How much of discovery's list is taken in.
+    pub list: ListLimits,
     pub settings: Settings,
     pub classes: Vec<String>,
     /// What holds for requests of a class that do not say it themselves; empty on the platform.
@@ -51,7 +53,7 @@
         let place = classes.iter().position(|c| c == name);
         place.ok_or_else(|| format!("`default_class`: there is no class {name:?}"))
     });
-    let known = at(v, "known").and_then(|k| discovery::news(k, &names));
+    let known = at(v, "known").and_then(|k| discovery::decode_update(k, &names));
     Ok(Config {
         name: text(v, "name").unwrap_or("relay").to_string(),
         listen: address(need(text(v, "listen"), "listen")?, "listen")?,
@@ -61,6 +63,7 @@
         peers: flag(v, "settings.limits.peers"),
         sockets: num(v, "limits.sockets").unwrap_or(1024.0) as usize,
         disk_bytes: (num(v, "limits.disk_mb").unwrap_or(3.0) * 1e6) as u64,
+        list: list_limits(v)?,
         settings: settings(v, services)?,
         defaults: classes.iter().map(|c| defaults(v, c)).collect(),
         default_class: default_class.transpose()?,
@@ -72,6 +75,18 @@
     })
 }
 
+/// `limits.list_mb`, else what fits `limits.memory_mb`.
+fn list_limits(v: &JsonValue) -> Res<ListLimits> {
+    let megabytes = |path: &str| match num(v, path) {
+        Some(n) if n > 0.0 => Ok(Some((n * 1e6) as usize)),
+        Some(n) => Err(format!("`{path}`: {n} is no size")),
+        None => Ok(None),
+    };
+    let said = megabytes("limits.list_mb")?.map(|bytes| ListLimits { bytes });
+    let memory = megabytes("limits.memory_mb").ok().flatten();
+    Ok(said.unwrap_or_else(|| memory.map_or_else(ListLimits::default, ListLimits::within)))
+}
+
 /// Where the settings do not say that news have to be asked for, they come by themselves.
 fn asked(v: &JsonValue) -> fleet::Terms {
     let asks = text(v, "settings.discovery") == Some("ask");
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod fleet;
 pub mod import;
+pub mod listing;
 pub mod log;
 mod signals;
 pub mod wiring;
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -2,6 +2,7 @@
 
 use super::config::Config;
 use super::fleet;
+use super::listing::Listing;
 use super::log;
 use crate::admission::ledger::{self, Ledger, Purse};
 use crate::admission::Settings;
@@ -13,7 +14,7 @@
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
-use crate::routing::{Clock, Core, Desk, EndpointUpdate, Front, Journal};
+use crate::routing::{Clock, Core, Desk, Front, Journal};
 use crate::transport::network::{Counted, Net};
 use crate::transport::pipeline::Pipelines;
 use crate::transport::{Door, Leg, Legs, Pool};
@@ -333,10 +334,9 @@
     keep_up("the timer", move || timed.clone().keep_time());
     keep_up("the notices", move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
-    let learner = desk.clone();
-    let learn = move |news: EndpointUpdate| learner.act(|core, now| core.learn(now, &news));
+    let listing = Listing { desk: desk.clone() };
     let agent = desk.front.agent.subscribe();
-    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, learn));
+    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, config.list, listing));
     spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
--- a/src/protocol/discovery.rs
+++ b/src/protocol/discovery/mod.rs
@@ -1,8 +1,12 @@
 //! Discovery's list and its watch.
 
-use super::fields::{at, flag, list, num, text};
+mod receiver;
+
+pub use receiver::ListReceiver;
+
 use crate::fleet::{Asking, Heard};
 use crate::interface::Terms;
+use crate::protocol::fields::{at, flag, list, num, text};
 use crate::routing::{Endpoint, EndpointState, EndpointUpdate};
 use crate::transport::connection::read_body;
 use crate::transport::network::Net;
@@ -18,7 +22,6 @@
 
 /// A connection to the agent is up at once, or it is down.
 const CONNECTED: Duration = Duration::from_millis(500);
-const MOST: usize = 4 << 20;
 
 /// Kinds and zones by name, as the settings list them.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,8 +30,31 @@
     pub zones: Vec<String>,
 }
 
+/// How much of a list is taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListLimits {
+    /// Most bytes of an answer's body.
+    pub bytes: usize,
+}
+
+impl ListLimits {
+    /// Whatever the memory, a list of so many bytes is taken in.
+    const LEAST: usize = 4 << 20;
+
+    /// For a relay that may hold so many bytes of memory: a quarter of it is left to the body's bytes.
+    pub fn within(memory: usize) -> ListLimits {
+        ListLimits { bytes: (memory / 4).max(Self::LEAST) }
+    }
+}
+
+impl Default for ListLimits {
+    fn default() -> Self {
+        ListLimits { bytes: 64_000_000 }
+    }
+}
+
 /// Decodes a list or its changes. Entries that cannot be used are left out.
-pub fn news(value: &JsonValue, names: &Names) -> Option<EndpointUpdate> {
+pub fn decode_update(value: &JsonValue, names: &Names) -> Option<EndpointUpdate> {
     let whole = flag(value, "whole")?;
     let endpoints = list(value, "hosts").iter().filter_map(|h| endpoint(h, names)).collect();
     Some(EndpointUpdate { seq: num(value, "seq")? as u64, whole, endpoints })
@@ -74,7 +100,8 @@
     names: Names,
     mut asking: Asking,
     mut seq: Option<u64>,
-    mut learn: impl FnMut(EndpointUpdate),
+    limits: ListLimits,
+    receiver: impl ListReceiver,
 ) {
     let mut first = asking.first();
     loop {
@@ -84,7 +111,7 @@
             match at {
                 Some(at) => {
                     pass(first).await;
-                    follow_one(&net, at, &names, &mut asking, known, &mut learn).await
+                    follow_one(&net, at, &names, &mut asking, known, limits, &receiver).await
                 }
                 None => std::future::pending().await,
             }
@@ -105,7 +132,8 @@
     names: &Names,
     asking: &mut Asking,
     mut seq: Option<u64>,
-    learn: &mut impl FnMut(EndpointUpdate),
+    limits: ListLimits,
+    receiver: &impl ListReceiver,
 ) {
     let mut line = None;
     let mut failing = false;
@@ -113,15 +141,17 @@
         let from = Instant::now();
         // An idle connection may have been closed under the question: that is no sign of silence.
         let kept = line.is_some();
-        let told = ask(net, agent, &mut line, seq, asking).await;
-        let heard = match told.and_then(|v| news(&v, names).ok_or(Heard::Nothing)) {
+        let told = ask(net, agent, &mut line, seq, asking, limits.bytes).await;
+        let heard = match told.and_then(|v| decode_update(&v, names).ok_or(Heard::Nothing)) {
             Ok(told) => {
                 if std::mem::take(&mut failing) {
                     tracing::info!(target: "platform", event = "discovery-back", "discovery answers again");
                 }
                 if seq != Some(told.seq) || (told.whole && asking.watches()) {
                     seq = Some(told.seq);
-                    learn(told);
+                    let mut draft = receiver.begin().await;
+                    told.endpoints.into_iter().for_each(|e| receiver.entry(&mut draft, e));
+                    receiver.commit(draft, told.seq, told.whole).await;
                 }
                 Heard::List
             }
@@ -155,6 +185,7 @@
     line: &mut Option<Line>,
     seq: Option<u64>,
     asking: &Asking,
+    most: usize,
 ) -> Result<JsonValue, Heard> {
     let (path, patience) = match seq.filter(|_| asking.watches()) {
         None => ("/v1/endpoints".to_string(), asking.patience()),
@@ -164,14 +195,14 @@
         }
     };
     if !line.as_ref().is_some_and(Line::usable) {
-        *line = Some(Line::open(net, agent, CONNECTED, MOST).await.map_err(|_| Heard::Nothing)?);
+        *line = Some(Line::open(net, agent, CONNECTED, most).await.map_err(|_| Heard::Nothing)?);
     }
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
     let request = request.map_err(|_| Heard::Nothing)?;
     let asked = async {
         let response = line.as_mut()?.send(request, 0).await.ok()?;
         let ok = response.status() == 200;
-        let body = read_body(response.into_body(), MOST).await?;
+        let body = read_body(response.into_body(), most).await?;
         let list = std::str::from_utf8(&body).ok().and_then(|text| text.parse::<JsonValue>().ok());
         Some(if ok { list.ok_or(Heard::Nothing) } else { Err(Heard::Refusal) })
     };
