Decode discovery's list while it comes, and say what is wrong with one

Cause: a list over 4 MiB was dropped without a word on its size and asked for again 8 times a second; the body was kept whole and decoded into a tree of JSON values.

Change: discovery/ in small files. A push parser (actson) decodes each piece as it comes and hands entries on; the cap is a setting; a list over it, damaged, cut or too slow is told once (size, cap, offset) and asked for again with growing pauses. Patience is a bound on silence and on the whole, which grows by what came beyond 64 KiB.

--- a/src/fleet/asking.rs
+++ b/src/fleet/asking.rs
@@ -101,6 +101,19 @@
         told.saturating_sub(self.patience() + MARGIN)
     }
 
+    /// The longest pause after a call that failed, of which the answer was waited for so long: one that begins later may
+    /// have its answer after the time when it counts as told.
+    pub fn longest_after_failure(&self, took: Duration) -> Duration {
+        self.in_time_for(TOLD_AFTER_FAILURE).saturating_sub(took)
+    }
+
+    /// Chances of the same seed that take none from the relay's own.
+    pub fn chances_apart(&self) -> ChaCha8Rng {
+        let mut apart = self.chance.clone();
+        apart.set_stream(1);
+        apart
+    }
+
     /// For how long a watch waits for news.
     pub fn hold(&self) -> Duration {
         HOLD
@@ -131,7 +144,7 @@
         let failed = match heard {
             Heard::List => return self.gap.mul_f64(spread),
             // The call began when discovery may have been back already.
-            _ => self.in_time_for(TOLD_AFTER_FAILURE).saturating_sub(took).min(self.gap),
+            _ => self.longest_after_failure(took).min(self.gap),
         };
         match self.refusals - REFUSED_BY_CHANCE {
             ..=0 => failed.mul_f64(spread),
--- /dev/null
+++ b/src/protocol/discovery/request.rs
@@ -0,0 +1,131 @@
+//! One question to discovery, and its answer.
+
+use super::decode::{Decoder, Heading};
+use super::fault::ListFault;
+use super::patience::Patience;
+use crate::catalog::Endpoint;
+use crate::fleet::Asking;
+use crate::transport::connection::read_body;
+use crate::transport::network::Net;
+use crate::transport::Line;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::{Request, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::timeout_at;
+
+/// A connection to the agent is up at once, or it is down.
+const CONNECTED: Duration = Duration::from_millis(500);
+/// Most bytes of the body of a refusal.
+const REFUSAL_MOST: usize = 64 * 1024;
+/// After so many bytes parsed the event loop has its turn: well under a millisecond.
+const TURN: usize = 32 * 1024;
+
+/// Why there is no list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unheard {
+    /// The call was turned away, by an answer that came whole.
+    Refused,
+    /// No answer came.
+    Silent,
+    /// A list began to come and cannot be used.
+    Unusable {
+        /// Why.
+        fault: ListFault,
+        /// Its bytes, where they were announced.
+        size: Option<u64>,
+    },
+}
+
+/// An answer whose list is still to come.
+pub struct Answer {
+    body: Incoming,
+    /// How long the rest is waited for.
+    pub patience: Patience,
+}
+
+/// Asks for the list, or for its changes since `seq`, over `line` or a new one.
+pub async fn ask(
+    net: &Net,
+    agent: SocketAddr,
+    line: &mut Option<Line>,
+    seq: Option<u64>,
+    asking: &Asking,
+) -> Result<Answer, Unheard> {
+    let (path, hold) = match seq.filter(|_| asking.watches()) {
+        None => ("/v1/endpoints".to_string(), Duration::ZERO),
+        Some(seq) => {
+            let hold = asking.hold();
+            (format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis()), hold)
+        }
+    };
+    if !line.as_ref().is_some_and(Line::usable) {
+        // The body is counted as it is read, so that its size can be told.
+        let opened = Line::open(net, agent, CONNECTED, usize::MAX).await;
+        *line = Some(opened.map_err(|_| Unheard::Silent)?);
+    }
+    let line = line.as_mut().ok_or(Unheard::Silent)?;
+    let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
+    let request = request.map_err(|_| Unheard::Silent)?;
+    let patience = Patience::new(hold, asking.patience());
+    let answered = timeout_at(patience.head(), async {
+        let response = line.send(request, 0).await.map_err(|_| Unheard::Silent)?;
+        if response.status() == StatusCode::OK {
+            return Ok(response.into_body());
+        }
+        let refusal = read_body(response.into_body(), REFUSAL_MOST).await;
+        Err(refusal.map_or(Unheard::Silent, |_| Unheard::Refused))
+    });
+    let body = answered.await.unwrap_or(Err(Unheard::Silent))?;
+    Ok(Answer { body, patience })
+}
+
+impl Answer {
+    /// Reads the list to its end, of `cap` bytes at most, and hands on its entries as they come.
+    pub async fn read(
+        mut self,
+        decoder: Decoder<'_>,
+        cap: usize,
+        entry: impl FnMut(Endpoint),
+    ) -> Result<Heading, Unheard> {
+        let size = self.body.size_hint().exact();
+        let read = match size.filter(|size| *size > cap as u64) {
+            Some(size) => Err(ListFault::TooLarge { size, offset: 0 }),
+            None => self.decode(decoder, cap as u64, entry).await,
+        };
+        read.map_err(|fault| Unheard::Unusable { fault, size })
+    }
+
+    async fn decode(
+        &mut self,
+        mut decoder: Decoder<'_>,
+        cap: u64,
+        mut entry: impl FnMut(Endpoint),
+    ) -> Result<Heading, ListFault> {
+        let mut in_turn = 0;
+        loop {
+            let offset = decoder.offset();
+            let frame = timeout_at(self.patience.after(offset), self.body.frame()).await;
+            let frame = match frame.map_err(|_| ListFault::Slow { offset })? {
+                None => return decoder.finish(),
+                Some(frame) => frame.map_err(|_| ListFault::Cut { offset })?,
+            };
+            let Ok(mut bytes) = frame.into_data() else { continue };
+            if offset + bytes.len() as u64 > cap {
+                return Err(ListFault::TooLarge { size: offset + bytes.len() as u64, offset });
+            }
+            while !bytes.is_empty() {
+                let piece = bytes.split_to(bytes.len().min(TURN));
+                in_turn += piece.len();
+                decoder.feed(piece, &mut entry)?;
+                if in_turn >= TURN {
+                    in_turn = 0;
+                    yield_now().await;
+                }
+            }
+        }
+    }
+}
