--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -77,14 +77,13 @@
 
 /// `limits.list_mb`, else what fits `limits.memory_mb`.
 fn list_limits(v: &JsonValue) -> Res<ListLimits> {
-    let megabytes = |path: &str| match num(v, path) {
-        Some(n) if n > 0.0 => Ok(Some((n * 1e6) as usize)),
-        Some(n) => Err(format!("`{path}`: {n} is no size")),
-        None => Ok(None),
-    };
-    let said = megabytes("limits.list_mb")?.map(|bytes| ListLimits { bytes });
-    let memory = megabytes("limits.memory_mb").ok().flatten();
-    Ok(said.unwrap_or_else(|| memory.map_or_else(ListLimits::default, ListLimits::within)))
+    let megabytes = |path: &str| num(v, path).filter(|n| *n > 0.0).map(|n| (n * 1e6) as usize);
+    let (list, memory) = (megabytes("limits.list_mb"), megabytes("limits.memory_mb"));
+    if list.is_none() && at(v, "limits.list_mb").is_some() {
+        return Err("`limits.list_mb` is no size".to_string());
+    }
+    let fitting = || memory.map_or_else(ListLimits::default, ListLimits::within);
+    Ok(list.map_or_else(fitting, |bytes| ListLimits { bytes }))
 }
 
 /// Where the settings do not say that news have to be asked for, they come by themselves.
--- a/tests/discovery/decode.rs
+++ b/tests/discovery/decode.rs
@@ -142,11 +142,7 @@
         bytes[place] = 1;
         let fault = ListFault::Damaged { offset: place as u64, damage: Damage::Syntax };
         for piece in [1, 7, usize::MAX] {
-            assert_eq!(
-                in_pieces(&bytes, std::iter::repeat(piece)),
-                Err(fault.clone()),
-                "in pieces of {piece}"
-            );
+            assert_eq!(in_pieces(&bytes, std::iter::repeat(piece)), Err(fault), "in pieces of {piece}");
         }
     }
     let damaged = |text: &str, offset, damage| {
@@ -173,7 +169,7 @@
 fn a_token_without_end_is_damage() {
     let text = format!(r#"{{"seq":1,"whole":true,"hosts":[{{"host":"{}"#, "x".repeat(200_000));
     let fault = ListFault::Damaged { offset: 38, damage: Damage::TooLong };
-    assert_eq!(in_pieces(text.as_bytes(), std::iter::repeat(4096)), Err(fault.clone()));
+    assert_eq!(in_pieces(text.as_bytes(), std::iter::repeat(4096)), Err(fault));
     let deep = format!(r#"{{"x":{}"#, "[".repeat(100_000));
     assert!(matches!(at_once(&deep), Err(ListFault::Damaged { offset: 0..1_000, damage: Damage::Syntax })));
 }
--- a/tests/discovery/main.rs
+++ b/tests/discovery/main.rs
@@ -3,6 +3,7 @@
 
 mod decode;
 mod follow;
+mod limits;
 mod rig;
 #[path = "../seed/mod.rs"]
 mod seed;
