--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -3,6 +3,7 @@
 mod cli;
 pub mod config;
 pub mod fleet;
+mod fronts;
 pub mod import;
 pub mod log;
 mod signals;
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -2,25 +2,21 @@
 
 use super::config::Config;
 use super::fleet;
+use super::fronts::{start_platform, start_smpp};
 use super::log;
-use crate::admission::ledger::{self, Ledger, Purse};
+use crate::admission::ledger::{self, Ledger};
 use crate::admission::Settings;
-use crate::fleet::Asking;
 use crate::operator::admission::Refusal;
 use crate::operator::Operator;
-use crate::protocol::discovery::{self, Names};
-use crate::protocol::platform::{self, Classes, Platform};
+use crate::protocol::platform::Platform;
 use crate::protocol::smpp::config::SmppConfig;
 use crate::protocol::smpp::{self, Smpp};
-use crate::routing::core::{Batching, First};
-use crate::routing::{Clock, Core, Desk, EndpointUpdate, Front, Journal};
-use crate::transport::network::{Counted, Net};
-use crate::transport::pipeline::Pipelines;
-use crate::transport::{Door, Leg, Legs, Pool};
+use crate::routing::{Clock, Core, Desk, Front};
+use crate::transport::network::Net;
+use crate::transport::{Door, Legs};
 use bytes::Bytes;
 use std::future::Future;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,8 +32,6 @@
 const SPARE: usize = 32;
 /// Of them, those that discovery, notices and the journal draw as they need them.
 const RECORDS: usize = SPARE - ledger::ALWAYS;
-/// Sets the chances taken with discovery apart from those of the module.
-const ASKING: u64 = 0x6469_7363_6f76_6572;
 /// More descriptors than this are not planned with, whatever the system allows.
 const MOST: usize = 1 << 20;
 
@@ -113,7 +107,7 @@
     Ok(())
 }
 
-type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
+pub(super) type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
 type Started = (Option<PlatformDesk>, Option<Rc<Desk<Smpp>>>, Option<Rc<fleet::Running>>);
 
 async fn start(mut plan: Plan, net: Net, clock: Clock) -> Result<Started, String> {
@@ -209,7 +203,7 @@
 }
 
 /// What a caller is told that is turned away before it has asked.
-fn words(refusal: Refusal) -> Bytes {
+pub(super) fn words(refusal: Refusal) -> Bytes {
     match refusal {
         Refusal::Close => Bytes::new(),
         Refusal::Unavailable(after) => {
@@ -273,7 +267,7 @@
 }
 
 /// Starts a task without which the relay would stand still, and starts it again if it panics.
-fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
+pub(super) fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
     spawn_local(async move {
         while spawn_local(task()).await.is_err_and(|e| e.is_panic()) {
             tracing::error!(target: "relay", event = "part-failed", part = name, "{name} failed and goes on");
@@ -284,121 +278,3 @@
 fn close<F: Front>(desk: &Rc<Desk<F>>) {
     desk.act(|core, now| core.closing(now, now + KILLED_AFTER.as_nanos() as u64));
 }
-
-fn journal(
-    state: &Path,
-    bytes: u64,
-    classes: Vec<String>,
-) -> Result<(Journal, crate::routing::journal::Replayed), String> {
-    std::fs::create_dir_all(state)
-        .and_then(|()| Journal::open(state, bytes, classes))
-        .map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))
-}
-
-async fn start_platform(
-    plan: PlatformPlan,
-    net: Net,
-    door: Rc<Door>,
-    said: &Operator,
-    clock: Clock,
-) -> Result<PlatformDesk, String> {
-    let PlatformPlan { config, reread } = plan;
-    let batching = Batching { table: said.batching.clone(), kinds: config.names.kinds.clone() };
-    let (journal, replayed) = journal(&config.state, config.disk_bytes, config.classes.clone())?;
-    let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
-    let connect = Duration::from_nanos(config.connect_timeout);
-    let drawing = |purse| Counted::over(net.clone(), door.ledger().clone(), purse);
-    let most = door.ledger().kept(Purse::Calls);
-    let pool = Pool::new(drawing(Purse::Calls), most, keepalive, config.settings.senders, connect);
-    let pipelines = Pipelines::new(drawing(Purse::Calls), keepalive, connect);
-    let legs = Legs::new(door.clone(), words(said.admission.refusal));
-    let records = drawing(Purse::Records);
-    // Well beyond what the settings give any class, a deadline is a mistake.
-    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
-    let (settings, known) = (config.settings, &config.known);
-    let asking = Asking::new(settings.senders, config.asked, config.seed ^ ASKING);
-    let seq = (known.whole && !known.endpoints.is_empty()).then_some(known.seq);
-    let first = First { known, batching, tells_delivery: false };
-    let core = Core::new(settings, config.seed, journal, replayed, first, clock.now());
-    let classes =
-        Classes { names: config.classes, defaults: config.defaults, rest: config.default_class, longest };
-    let front = Platform::new(records.clone(), pool.clone(), pipelines, classes, config.discovery);
-    let desk = Desk::new(core, clock, front);
-    desk.act(|_, _| ());
-
-    let listener = net.listen(config.listen).await;
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let address = listener.address().unwrap_or(config.listen);
-    let (timed, telling) = (desk.clone(), desk.clone());
-    keep_up("the timer", move || timed.clone().keep_time());
-    keep_up("the notices", move || platform::tell_ends(telling.clone()));
-    spawn_local(pool.sweep());
-    let learner = desk.clone();
-    let learn = move |news: EndpointUpdate| learner.act(|core, now| core.learn(now, &news));
-    let agent = desk.front.agent.subscribe();
-    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, learn));
-    spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
-    let (answering, withdrawing) = (desk.clone(), desk.clone());
-    let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
-    let gone = move |leg: &Rc<Leg>| {
-        if let Some(no) = leg.unheard() {
-            withdrawing.act(|core, now| core.withdraw(now, no));
-        }
-    };
-    spawn_local(legs.clone().accept(listener, answer, gone));
-    let name = &config.name;
-    tracing::info!(target: "relay", event = "serves", front = "platform", %address, "{name} serves on {address}");
-    Ok((desk, legs))
-}
-
-/// Takes in the configuration as it was read again: where discovery and notices go, from now on, and the
-/// known list where there is no discovery. All else holds from the next start on.
-async fn heed(
-    desk: Rc<Desk<Platform>>,
-    names: Names,
-    first: Option<SocketAddr>,
-    mut reread: UnboundedReceiver<Config>,
-) {
-    while let Some(config) = reread.recv().await {
-        // An address that only the environment gave stays.
-        let agent = config.discovery.or(first);
-        desk.front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
-        match agent {
-            Some(agent) => {
-                tracing::info!(target: "relay", event = "reread", %agent, "the configuration was read again: discovery at {agent}");
-            }
-            None if config.names == names => {
-                desk.act(|core, now| core.learn(now, &config.known));
-                tracing::info!(target: "relay", event = "reread", "the configuration was read again: its list stands");
-            }
-            None => {
-                let text = "the configuration was read again: other kinds or zones need a restart";
-                tracing::warn!(target: "relay", event = "reread-needs-restart", "{text}");
-            }
-        }
-    }
-}
-
-async fn start_smpp(
-    plan: SmppPlan,
-    net: Net,
-    door: Rc<Door>,
-    clock: Clock,
-) -> Result<Rc<Desk<Smpp>>, String> {
-    let SmppPlan { config, state, disk_bytes, seed } = plan;
-    let (journal, replayed) = journal(&state, disk_bytes, config.class_list())?;
-    let (settings, known) = (config.settings.clone(), config.route_news());
-    let first = First { known: &known, batching: Batching::default(), tells_delivery: true };
-    let core = Core::new(settings, seed, journal, replayed, first, clock.now());
-    let listener = net.listen(config.listen).await;
-    let listener = listener.map_err(|e| format!("smpp: cannot listen on {}: {e}", config.listen))?;
-    let address = listener.address().unwrap_or(config.listen);
-    let calls = Counted::over(net, door.ledger().clone(), Purse::Calls);
-    let desk = Desk::new(core, clock, Smpp::new(config, calls, clock.now()));
-    desk.act(|_, _| ());
-    let timed = desk.clone();
-    keep_up("the SMPP timer", move || timed.clone().keep_time());
-    spawn_local(smpp::accept(desk.clone(), door, listener));
-    tracing::info!(target: "relay", event = "serves", front = "smpp", %address, "smpp: serves on {address}");
-    Ok(desk)
-}
