Keep endpoints in a compact catalog and apply lists by what changed

Cause: each list, also one that repeats what is known, was a walk over all endpoints: in the catalog, in the former, in the shares, and in the module, which got each entry anew. Only what changed reaches the module. A former makes its record of an endpoint at its first call; departed endpoints go by due time.

--- a/src/batching/former.rs
+++ b/src/batching/former.rs
@@ -62,7 +62,12 @@
         Former { hops: HashMap::new(), due: BTreeSet::new(), at_once: at_once.max(1), winding_up: false }
     }
 
-    /// A next hop is listed, or its terms changed; its kind allows so many messages a call. What was learned stays.
+    /// Whether anything was released to this next hop, or its terms were set.
+    pub fn knows(&self, hop: EndpointId) -> bool {
+        self.hops.contains_key(&hop)
+    }
+
+    /// A next hop gets its first call, or its terms changed; its kind allows so many messages a call. What was learned stays.
     pub fn set(&mut self, hop: EndpointId, terms: Terms, allowed: usize) {
         let known = self.hops.entry(hop).or_insert_with(|| Hop {
             terms,
@@ -76,9 +81,11 @@
         (known.terms, known.allowed) = (terms, allowed.max(1));
     }
 
-    /// Forgets what is not listed any more.
-    pub fn retain(&mut self, known: impl Fn(EndpointId) -> bool) {
-        self.hops.retain(|id, hop| known(*id) || !hop.waiting.is_empty());
+    /// Forgets what is not listed any more and has nothing that waits.
+    pub fn forget(&mut self, hop: EndpointId) {
+        if self.hops.get(&hop).is_some_and(|h| h.waiting.is_empty()) {
+            self.hops.remove(&hop);
+        }
     }
 
     /// Messages in a call to this next hop, as things stand.
--- a/src/catalog/endpoint.rs
+++ b/src/catalog/endpoint.rs
@@ -40,6 +40,46 @@
     pub terms: Option<Terms>,
 }
 
+/// An endpoint as the catalog holds it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointView<'a> {
+    /// Its number.
+    pub id: EndpointId,
+    /// The same at every relay.
+    pub name: &'a str,
+    /// Where calls to it go.
+    pub address: SocketAddr,
+    /// Number of the destination that it serves.
+    pub dest: u64,
+    /// Index into the settings' kinds; `usize::MAX` where the name is not known.
+    pub kind: usize,
+    /// Index into the settings' zones.
+    pub zone: usize,
+    /// What the list says of it.
+    pub state: EndpointState,
+    /// The listed weight, or rate in calls a second where the site lists rates.
+    pub share: f64,
+    /// Limits that an operator's own list sets.
+    pub terms: Option<Terms>,
+}
+
+impl EndpointView<'_> {
+    /// A copy that outlasts the catalog's next change.
+    pub fn to_endpoint(self) -> Endpoint {
+        Endpoint {
+            id: self.id,
+            name: self.name.to_string(),
+            address: self.address,
+            dest: self.dest,
+            kind: self.kind,
+            zone: self.zone,
+            state: self.state,
+            share: self.share,
+            terms: self.terms,
+        }
+    }
+}
+
 /// A list, or the changes of one, as a front decoded it; the catalog gives the ids.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointUpdate {
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,8 +1,17 @@
-//! The endpoints that the list names: what is known of each, without I/O.
+//! The endpoints that the list names: what is known of each, and how a list is put in force, without I/O.
+//!
+//! `store` holds what is in force, `update` compares a list with it while it comes in and yields what differs in
+//! pieces of bounded size. `entry`, `table` and `names` are the parts of the store.
 #![warn(missing_docs)]
 
 mod endpoint;
+mod entry;
+mod names;
 mod store;
+mod table;
+mod update;
 
-pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
-pub use store::EndpointCatalog;
+pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate, EndpointView};
+pub use names::name_hash;
+pub use store::{Applied, EndpointCatalog, Forgotten};
+pub use update::{Draft, PendingUpdate, Piece, Progress, MOST_IN_A_PIECE};
--- a/src/catalog/store.rs
+++ b/src/catalog/store.rs
@@ -1,91 +1,224 @@
 //! The endpoint catalog: what the list names, under numbers of our own.
 
-use super::endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
+use super::endpoint::{EndpointId, EndpointState, EndpointView};
+use super::entry::Entry;
+use super::names::{name_hash, NameIndex};
+use super::table::PagedTable;
+use super::update::{Draft, Piece};
 use crate::interface::Nanos;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// A endpoint that has left is remembered for so long: a list may come back to it.
+/// An endpoint that has left is remembered for so long since it was last active: a list may come back to it.
 const REMEMBERED: Nanos = 30_000_000_000;
+/// So many are forgotten at a time, and the next ones after a pause: no message waits while a whole list is forgotten.
+const MOST_FORGOTTEN: usize = 256;
+const FORGETS_EACH: Nanos = 2_000_000;
 
 /// What has left is forgotten after a while, its number never given again: a new endpoint at an old address
 /// has nothing of the one before it.
 #[derive(Debug, Default)]
 pub struct EndpointCatalog {
-    ids: HashMap<String, EndpointId>,
-    /// With the time since when it is not active.
-    endpoints: BTreeMap<EndpointId, (Endpoint, Option<Nanos>)>,
-    /// How many of them there are for a destination.
-    of_dest: HashMap<u64, usize>,
+    table: PagedTable<Entry>,
+    names: NameIndex,
+    /// How many endpoints there are for a destination.
+    of_dest: BTreeMap<u64, u32>,
+    /// Those that are not active, and since when.
+    resting: BTreeMap<EndpointId, Nanos>,
+    /// Those that have left, by the time at which they are forgotten.
+    departed: BTreeSet<(Nanos, EndpointId)>,
+    /// Nothing is forgotten before.
+    pause_until: Nanos,
     next: EndpointId,
+    /// Counts the pieces put in force.
+    version: u64,
+    /// A list was put in force to its end, and something is known since.
+    is_known: bool,
 }
 
-fn leaves(of_dest: &mut HashMap<u64, usize>, dest: u64) {
-    if let Some(n) = of_dest.get_mut(&dest) {
-        *n -= 1;
-        if *n == 0 {
-            of_dest.remove(&dest);
-        }
-    }
+/// What a piece has changed.
+#[derive(Debug, Default)]
+pub struct Applied {
+    /// Endpoints of which something is different now, in the order listed; those that have left the list come first.
+    pub changed: Vec<EndpointId>,
+    /// What went to make room for it.
+    pub forgotten: Forgotten,
+}
+
+/// What the catalog does not know any more.
+#[derive(Debug, Default)]
+pub struct Forgotten {
+    /// Numbers that are never given again.
+    pub endpoints: Vec<EndpointId>,
+    /// Destinations for which no endpoint is known.
+    pub dests: Vec<u64>,
 }
 
 impl EndpointCatalog {
     /// All endpoints that are listed, or were until lately.
-    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values().map(|(hop, _)| hop)
-    }
-
-    /// Takes in news and returns its entries under our numbers.
-    pub fn learn(&mut self, now: Nanos, news: &EndpointUpdate) -> Vec<Endpoint> {
-        if news.whole {
-            for (n, rests) in self.endpoints.values_mut() {
-                n.state = EndpointState::Left;
-                rests.get_or_insert(now);
-            }
-        }
-        let mut known = Vec::new();
-        for told in &news.endpoints {
-            let id = *self.ids.entry(told.name.clone()).or_insert_with(|| {
-                self.next += 1;
-                self.next - 1
-            });
-            let hop = Endpoint { id, ..told.clone() };
-            let rested = self.endpoints.get(&id).and_then(|(_, rests)| *rests);
-            let rests = (hop.state != EndpointState::Active).then(|| rested.unwrap_or(now));
-            *self.of_dest.entry(hop.dest).or_default() += 1;
-            if let Some((old, _)) = self.endpoints.insert(id, (hop.clone(), rests)) {
-                leaves(&mut self.of_dest, old.dest);
-            }
-            known.push(hop);
-        }
-        self.endpoints.retain(|_, (hop, rests)| {
-            let kept = hop.state != EndpointState::Left || rests.is_none_or(|at| now < at + REMEMBERED);
-            if !kept {
-                self.ids.remove(&hop.name);
-                leaves(&mut self.of_dest, hop.dest);
-            }
-            kept
-        });
-        known
+    pub fn iter(&self) -> impl Iterator<Item = EndpointView<'_>> {
+        self.table.iter().map(|(id, entry)| entry.view(id))
     }
 
     /// The number of the endpoint with this name.
     pub fn find(&self, name: &str) -> Option<EndpointId> {
-        self.ids.get(name).copied()
+        self.find_hashed(name_hash(name), name)
+    }
+
+    pub(super) fn find_hashed(&self, hash: u64, name: &str) -> Option<EndpointId> {
+        self.names.find(hash, |id| self.table.get(id).is_some_and(|entry| *entry.name == *name))
+    }
+
+    /// The number of the endpoint whose name has this hash.
+    pub fn find_by_hash(&self, hash: u64) -> Option<EndpointId> {
+        self.names.find(hash, |id| self.table.get(id).is_some_and(|entry| name_hash(&entry.name) == hash))
     }
 
     /// The endpoint with this number.
-    pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
-        Some(&self.endpoints.get(&id)?.0)
+    pub fn get(&self, id: EndpointId) -> Option<EndpointView<'_>> {
+        Some(self.table.get(id)?.view(id))
+    }
+
+    pub(super) fn entry(&self, id: EndpointId) -> Option<&Entry> {
+        self.table.get(id)
     }
 
-    /// Those that are not active.
-    pub fn resting(&self) -> impl Iterator<Item = EndpointId> + '_ {
-        self.endpoints.iter().filter(|(_, (_, rests))| rests.is_some()).map(|(id, _)| *id)
+    pub(super) fn table(&self) -> &PagedTable<Entry> {
+        &self.table
     }
 
     /// Whether any endpoint is, or was a moment ago, there for this destination. A relay without a list
-    /// cannot tell.
+    /// cannot tell, nor can one that has the first part of its first list.
     pub fn serves(&self, dest: u64) -> bool {
-        self.endpoints.is_empty() || self.of_dest.contains_key(&dest)
+        !self.is_known || self.of_dest.contains_key(&dest)
+    }
+
+    /// Whether an endpoint of this destination is known.
+    pub fn has(&self, dest: u64) -> bool {
+        self.of_dest.contains_key(&dest)
+    }
+
+    /// When the next one is to be forgotten.
+    pub fn due(&self) -> Nanos {
+        self.departed.first().map_or(Nanos::MAX, |(due, _)| (*due).max(self.pause_until))
+    }
+
+    /// Begins a draft, which compares a list with what is in force now.
+    pub fn begin(&self) -> Draft {
+        Draft::new(self.version)
+    }
+
+    /// Whether nothing was put in force since this draft was begun.
+    pub fn is_current(&self, draft: &Draft) -> bool {
+        draft.version() == self.version
+    }
+
+    /// Puts a piece of an update in force.
+    pub fn apply(&mut self, now: Nanos, piece: Piece) -> Applied {
+        self.version += 1;
+        let mut applied = Applied::default();
+        for id in piece.departures {
+            if let Some(entry) = self.table.get_mut(id).filter(|e| e.state != EndpointState::Left) {
+                entry.state = EndpointState::Left;
+                self.note_state(now, id, EndpointState::Left);
+                applied.changed.push(id);
+            }
+        }
+        for entry in piece.entries {
+            applied.changed.extend(self.put(now, entry, &mut applied.forgotten));
+        }
+        self.is_known |= piece.is_last && !self.table.is_empty();
+        applied
+    }
+
+    /// Takes an entry in; its number where it says anything new.
+    fn put(&mut self, now: Nanos, entry: Entry, forgotten: &mut Forgotten) -> Option<EndpointId> {
+        let hash = name_hash(&entry.name);
+        let known = self.find_hashed(hash, &entry.name);
+        let is_over = |id: &EndpointId| self.forgotten_at(*id).is_some_and(|due| due <= now);
+        if let Some(id) = known.filter(is_over) {
+            self.forget(id, forgotten);
+        }
+        let known = known.filter(|id| self.table.get(*id).is_some());
+        if known.and_then(|id| self.table.get(id)).is_some_and(|old| *old == entry) {
+            return None;
+        }
+        let id = known.unwrap_or_else(|| self.add_name(hash));
+        let (dest, state) = (entry.dest, entry.state);
+        *self.of_dest.entry(dest).or_default() += 1;
+        if let Some(old) = self.table.insert(id, entry) {
+            self.leave(old.dest, forgotten);
+        }
+        self.note_state(now, id, state);
+        Some(id)
+    }
+
+    fn add_name(&mut self, hash: u64) -> EndpointId {
+        let id = self.next;
+        self.next += 1;
+        let table = &self.table;
+        self.names.insert(hash, id, |other| table.get(other).map_or(hash, |e| name_hash(&e.name)));
+        id
+    }
+
+    /// When an endpoint that has left is forgotten.
+    fn forgotten_at(&self, id: EndpointId) -> Option<Nanos> {
+        let has_left = self.table.get(id)?.state == EndpointState::Left;
+        Some(self.resting.get(&id)? + REMEMBERED).filter(|_| has_left)
+    }
+
+    fn note_state(&mut self, now: Nanos, id: EndpointId, state: EndpointState) {
+        let since = self.resting.get(&id).copied();
+        if let Some(since) = since {
+            self.departed.remove(&(since + REMEMBERED, id));
+        }
+        let since = since.unwrap_or(now);
+        match state {
+            EndpointState::Active => drop(self.resting.remove(&id)),
+            EndpointState::Leaving => drop(self.resting.insert(id, since)),
+            EndpointState::Left => {
+                self.resting.insert(id, since);
+                self.departed.insert((since + REMEMBERED, id));
+            }
+        }
+    }
+
+    /// Forgets what has been gone for long enough, some of it at a time.
+    pub fn forget_due(&mut self, now: Nanos) -> Forgotten {
+        let mut forgotten = Forgotten::default();
+        if now < self.pause_until {
+            return forgotten;
+        }
+        while let Some((_, id)) = self.departed.first().copied().filter(|(due, _)| *due <= now) {
+            if forgotten.endpoints.len() == MOST_FORGOTTEN {
+                self.pause_until = now + FORGETS_EACH;
+                break;
+            }
+            self.forget(id, &mut forgotten);
+        }
+        forgotten
+    }
+
+    fn forget(&mut self, id: EndpointId, forgotten: &mut Forgotten) {
+        if let Some(since) = self.resting.remove(&id) {
+            self.departed.remove(&(since + REMEMBERED, id));
+        }
+        let Some(entry) = self.table.remove(id) else { return };
+        let table = &self.table;
+        let hash = name_hash(&entry.name);
+        self.names.remove(hash, id, |other| table.get(other).map_or(hash, |e| name_hash(&e.name)));
+        self.leave(entry.dest, forgotten);
+        forgotten.endpoints.push(id);
+        self.is_known &= !self.table.is_empty();
+    }
+
+    /// One endpoint less is there for a destination.
+    fn leave(&mut self, dest: u64, forgotten: &mut Forgotten) {
+        if let Some(count) = self.of_dest.get_mut(&dest) {
+            *count -= 1;
+            if *count == 0 {
+                self.of_dest.remove(&dest);
+                forgotten.dests.push(dest);
+            }
+        }
     }
 }
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -1,9 +1,9 @@
 //! Calls: formed of what the module releases, begun, and reported once they are back.
 
-use super::{bytes_of, call_terms, Carried, Core, Letter, Note, Piping};
+use super::{bytes_of, Carried, Core, Letter, Note, Piping};
 use crate::batching::fate::{may_share, Wire};
-use crate::batching::{Member, Pressure};
-use crate::catalog::EndpointId;
+use crate::batching::{Member, Pressure, Terms};
+use crate::catalog::{EndpointId, EndpointView};
 use crate::interface::{Nanos, Outcome, Repeat};
 use crate::routing::facade::Told;
 use crate::routing::journal::Record;
@@ -34,7 +34,7 @@
                 let left = t.deadline.saturating_sub(now) / 1_000_000;
                 let text = "a branch was ready too late to be begun";
                 let text = format!("{text}: {}, {first} ms after its first, {left} ms left", t.id);
-                self.work.notes.push(Note { event: "branch-late", hop: Some(hop.name.clone()), text });
+                self.work.notes.push(Note { event: "branch-late", hop: Some(hop.name.to_string()), text });
                 continue;
             }
             if let Err(e) = self.journal.write(no, &Record::Out { at: now, zone }) {
@@ -117,16 +117,26 @@
         let picked = self.facade.report(now, replies, told, took, &splits);
         self.absorb(now, picked);
         if size.is_some() {
-            let picked = self.facade.share(now, &[(hop, call_terms(&self.former, hop))]);
+            let call = self.catalog.get(hop).map(|endpoint| (hop, self.call_terms(&endpoint)));
+            let picked = self.facade.share(now, call.as_slice());
             self.absorb(now, picked);
         }
         late.into_iter().for_each(|no| self.acknowledged(now, no));
     }
 
+    /// Before calls are formed to an endpoint its former is told its terms; whether what may not be repeated shares
+    /// calls there.
+    pub(super) fn prepare(&mut self, id: EndpointId) -> bool {
+        let Some(endpoint) = self.catalog.get(id) else { return Terms::default().unsafe_shares };
+        let (terms, allowed) = self.batching_terms(&endpoint);
+        self.former.set(id, terms, allowed);
+        terms.unsafe_shares
+    }
+
     pub(super) fn go(&mut self, calls: Vec<Call>) {
         for call in calls {
-            if let Some(hop) = self.catalog.get(call.endpoint).cloned() {
-                self.work.calls.push((call, hop));
+            if let Some(endpoint) = self.catalog.get(call.endpoint).map(EndpointView::to_endpoint) {
+                self.work.calls.push((call, endpoint));
             }
         }
     }
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -13,9 +13,9 @@
 use super::shares::Shares;
 use super::transactions::{Ending, Transaction, Transactions};
 use super::values::{Branch, Reply, TransactionNo};
-use crate::batching::{Counts, Former, Table, Terms};
-use crate::catalog::{Endpoint, EndpointCatalog, EndpointId, EndpointUpdate};
-use crate::interface::{CallTerms, Nanos, Outcome, Repeat, Settings};
+use crate::batching::{Former, Table, Terms};
+use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
+use crate::interface::{Nanos, Outcome, Repeat, Settings};
 
 /// Advice for those turned away before the module was asked.
 const DOOR_ADVICE: Nanos = 1_000_000_000;
@@ -58,8 +58,8 @@
 }
 
 impl Batching {
-    fn of(&self, hop: &Endpoint) -> Terms {
-        self.table.of(self.kinds.get(hop.kind).map(String::as_str), &hop.name)
+    fn of(&self, endpoint: &EndpointView<'_>) -> Terms {
+        self.table.of(self.kinds.get(endpoint.kind).map(String::as_str), endpoint.name)
     }
 }
 
@@ -68,16 +68,6 @@
     t.body.len() + t.id.len() + t.idempotency.as_ref().map_or(1, String::len) + 12
 }
 
-fn call_terms(former: &Former, hop: EndpointId) -> CallTerms {
-    let terms = former.terms(hop);
-    CallTerms {
-        messages: former.size(hop),
-        bytes: terms.bytes,
-        unsafe_shares: terms.unsafe_shares,
-        by_message: terms.counts == Counts::Messages,
-    }
-}
-
 impl Core {
     /// Starts from what an earlier life left, with the route set as last known.
     pub fn new(
@@ -143,7 +133,8 @@
         let lingered = self.former.due() <= now;
         let calls = self.former.tick(now);
         self.go(calls);
-        if !lingered || self.facade.due() <= now {
+        let forgot = self.catalog.due() <= now && self.forget_departed(now);
+        if !(lingered || forgot) || self.facade.due() <= now {
             let picked = self.facade.tick(now);
             self.absorb(now, picked);
         }
@@ -151,7 +142,7 @@
 
     /// When `tick` is wanted next.
     pub fn due(&self) -> Nanos {
-        self.facade.due().min(self.former.due())
+        self.facade.due().min(self.former.due()).min(self.catalog.due())
     }
 
     /// The end of this transaction has reached whoever it was owed to.
@@ -170,7 +161,7 @@
         self.transactions.get(self.transactions.find(id)?)
     }
 
-    pub fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
+    pub fn endpoint(&self, id: EndpointId) -> Option<EndpointView<'_>> {
         self.catalog.get(id)
     }
 
@@ -198,7 +189,7 @@
     /// Returns the branches that are given up and had not gone yet.
     fn absorb_one(&mut self, now: Nanos, picked: Picked) -> Vec<(Branch, Reply)> {
         for call in picked.calls {
-            let shares = self.former.terms(call.endpoint).unsafe_shares;
+            let shares = self.prepare(call.endpoint);
             let members = call.branches.iter().map(|b| self.member(*b, shares)).collect();
             let calls = self.former.release(now, call.endpoint, members);
             self.go(calls);
@@ -218,7 +209,7 @@
         for (id, ailing) in picked.ailing {
             if let Some(hop) = self.catalog.get(id) {
                 // Known to the next life only as far as it can be written.
-                self.journal.note_ailing(&hop.name, ailing).ok();
+                self.journal.note_ailing(hop.name, ailing).ok();
             }
         }
         for (no, end) in picked.ends {
@@ -243,7 +234,7 @@
         match number.parse().ok().and_then(|id| self.catalog.get(id)) {
             Some(hop) => {
                 let text = format!("{before}next hop {} {after}", hop.name);
-                Note { event, hop: Some(hop.name.clone()), text }
+                Note { event, hop: Some(hop.name.to_string()), text }
             }
             None => plain(),
         }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -3,7 +3,7 @@
 //! Whoever calls them gets back what is to be done now; the module's events and actions stay in this file.
 
 use super::values::{Branch, Call, End, Limit, Reply, TransactionNo};
-use crate::catalog::{Endpoint, EndpointId, EndpointState};
+use crate::catalog::{EndpointId, EndpointState, EndpointView};
 use crate::decision::views::HostView;
 use crate::decision::Relay;
 use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
@@ -54,6 +54,22 @@
     pub ended: bool,
 }
 
+/// An endpoint as the module is told of it.
+fn entry(endpoint: &EndpointView<'_>) -> Entry {
+    Entry {
+        host: endpoint.id,
+        dest: endpoint.dest,
+        kind: endpoint.kind,
+        zone: endpoint.zone,
+        state: match endpoint.state {
+            EndpointState::Active => Listing::Ready,
+            EndpointState::Leaving => Listing::Draining,
+            EndpointState::Left => Listing::Gone,
+        },
+        scale: endpoint.share,
+    }
+}
+
 #[derive(Debug)]
 pub struct Facade {
     relay: Relay,
@@ -211,30 +227,21 @@
         self.step(now, &[Event::Withdrawn { id }])
     }
 
-    /// News of the route set; `whole` replaces all that was known.
-    /// `calls` says what may share a call to each.
-    pub fn learn(
+    /// What the list says of these endpoints is different now; `calls` of each is what may share a call to it.
+    pub fn learn<'a>(
         &mut self,
         now: Nanos,
-        whole: bool,
-        endpoints: &[Endpoint],
-        calls: impl Fn(&Endpoint) -> CallTerms,
+        changed: impl Iterator<Item = (EndpointView<'a>, CallTerms)>,
     ) -> Picked {
-        let entry = |n: &Endpoint| Entry {
-            host: n.id,
-            dest: n.dest,
-            kind: n.kind,
-            zone: n.zone,
-            state: match n.state {
-                EndpointState::Active => Listing::Ready,
-                EndpointState::Leaving => Listing::Draining,
-                EndpointState::Left => Listing::Gone,
-            },
-            scale: n.share,
-        };
-        let mut events = vec![Event::Listed { whole, entries: endpoints.iter().map(entry).collect() }];
-        events.extend(endpoints.iter().filter_map(|n| Some(Event::Terms { host: n.id, terms: n.terms? })));
-        events.extend(endpoints.iter().map(|n| Event::Shares { host: n.id, call: calls(n) }));
+        let (mut entries, mut terms) = (Vec::new(), Vec::new());
+        for (endpoint, call) in changed {
+            let host = endpoint.id;
+            entries.push(entry(&endpoint));
+            terms.extend(endpoint.terms.map(|terms| Event::Terms { host, terms }));
+            terms.push(Event::Shares { host, call });
+        }
+        let mut events = vec![Event::Listed { whole: false, entries }];
+        events.append(&mut terms);
         self.step(now, &events)
     }
 
