--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -1,6 +1,7 @@
 //! Starts the fronts: the platform's and the SMPP one, each on a core and a journal of its own.
 
 use super::config::Config;
+use super::listing::{Feed, Listing};
 use super::wiring::{keep_up, words, PlatformDesk, PlatformPlan, SmppPlan};
 use crate::admission::ledger::Purse;
 use crate::fleet::Asking;
@@ -9,7 +10,7 @@
 use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
-use crate::routing::{Clock, Core, Desk, EndpointUpdate, Journal};
+use crate::routing::{Clock, Core, Desk, Journal};
 use crate::transport::network::{Counted, Net};
 use crate::transport::pipeline::Pipelines;
 use crate::transport::{Door, Leg, Legs, Pool};
@@ -71,11 +72,12 @@
     keep_up("the timer", move || timed.clone().keep_time());
     keep_up("the notices", move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
-    let learner = desk.clone();
-    let learn = move |news: EndpointUpdate| learner.act(|core, now| core.learn(now, &news));
-    let agent = desk.front.agent.subscribe();
-    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, learn));
-    spawn_local(heed(desk.clone(), config.names, config.discovery, reread));
+    let listing = Listing::new(desk.clone());
+    let applying = listing.clone();
+    keep_up("the list", move || applying.clone().apply());
+    let (agent, feed) = (desk.front.agent.subscribe(), Feed(listing.clone()));
+    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, config.list, feed));
+    spawn_local(heed(desk.clone(), listing, config.names, config.discovery, reread));
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
     let gone = move |leg: &Rc<Leg>| {
@@ -93,6 +95,7 @@
 /// known list where there is no discovery. All else holds from the next start on.
 async fn heed(
     desk: Rc<Desk<Platform>>,
+    listing: Rc<Listing<Platform>>,
     names: Names,
     first: Option<SocketAddr>,
     mut reread: UnboundedReceiver<Config>,
@@ -106,7 +109,7 @@
                 tracing::info!(target: "relay", event = "reread", %agent, "the configuration was read again: discovery at {agent}");
             }
             None if config.names == names => {
-                desk.act(|core, now| core.learn(now, &config.known));
+                listing.learn(&config.known).await;
                 tracing::info!(target: "relay", event = "reread", "the configuration was read again: its list stands");
             }
             None => {
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 mod fronts;
 pub mod import;
+pub mod listing;
 pub mod log;
 mod signals;
 pub mod wiring;
