--- a/src/fleet/together.rs
+++ b/src/fleet/together.rs
@@ -10,7 +10,7 @@
 use super::pledges::{Dealer, Holder, Spans, Written, WHOLE};
 use super::record::{place, Deals, Id, Key, Record, Tells, GRANTS_MOST};
 use crate::interface::{Nanos, MS, SEC};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Known for so long, a partner was heard of from all others.
 const FIT: Nanos = 1_500 * MS;
@@ -225,11 +225,9 @@
                 p.cause = now;
             }
         }
-        let heard: Vec<Key> = self.heard_of(now).collect();
+        let spoken_of: HashSet<Key> = self.heard_of(now).chain(own.iter().map(|o| o.key)).collect();
         // What nobody has spoken of for long goes, and so does its window.
-        self.partners.retain(|key, p| {
-            now < p.cause + 2 * CAUSE || heard.contains(key) || own.iter().any(|o| o.key == *key)
-        });
+        self.partners.retain(|key, p| now < p.cause + 2 * CAUSE || spoken_of.contains(key));
     }
 
     fn note_peers(&mut self, now: Nanos, peers: &[Peer<'_>]) {
--- a/src/routing/core/listing.rs
+++ b/src/routing/core/listing.rs
@@ -1,6 +1,6 @@
 //! What the list says: endpoints that come, change and go, and the terms of calls to them.
 
-use super::Core;
+use super::{Batching, Core};
 use crate::batching::{Counts, Table, Terms};
 use crate::catalog::{
     Draft, EndpointCatalog, EndpointId, EndpointState, EndpointUpdate, EndpointView, Forgotten,
@@ -114,10 +114,14 @@
         if self.batching.table == table {
             return;
         }
-        self.batching.table = table;
+        let kinds = self.batching.kinds.clone();
+        let before = Batching { table: std::mem::replace(&mut self.batching.table, table), kinds };
         let mut calls = Vec::new();
         for endpoint in self.catalog.iter() {
             let (terms, allowed) = self.batching_terms(&endpoint);
+            if before.of(&endpoint) == terms {
+                continue;
+            }
             if self.former.knows(endpoint.id) {
                 self.former.set(endpoint.id, terms, allowed);
             }
