Cut long chains of moves, and keep a known name where it is

Change: at most 1,024 entries or destinations come into force together for moves' sake; a changed entry keeps the name that is stored.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -14,4 +14,4 @@
 pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate, EndpointView};
 pub use names::name_hash;
 pub use store::{Applied, EndpointCatalog, Forgotten};
-pub use update::{Draft, PendingUpdate, Piece, Progress, MOST_IN_A_PIECE};
+pub use update::{Draft, PendingUpdate, Piece, Progress, MOST_IN_A_PIECE, MOST_MOVED_TOGETHER};
--- a/src/catalog/store.rs
+++ b/src/catalog/store.rs
@@ -131,7 +131,7 @@
     }
 
     /// Takes an entry in; its number where it says anything new.
-    fn put(&mut self, now: Nanos, entry: Entry, forgotten: &mut Forgotten) -> Option<EndpointId> {
+    fn put(&mut self, now: Nanos, mut entry: Entry, forgotten: &mut Forgotten) -> Option<EndpointId> {
         let hash = name_hash(&entry.name);
         let known = self.find_hashed(hash, &entry.name);
         let is_over = |id: &EndpointId| self.forgotten_at(*id).is_some_and(|due| due <= now);
@@ -145,8 +145,19 @@
         let id = known.unwrap_or_else(|| self.add_name(hash));
         let (dest, state) = (entry.dest, entry.state);
         *self.of_dest.entry(dest).or_default() += 1;
-        if let Some(old) = self.table.insert(id, entry) {
-            self.leave(old.dest, forgotten);
+        // The name stays where it is: what comes in with a list and goes again leaves no holes.
+        let before = match self.table.get_mut(id) {
+            Some(old) => {
+                std::mem::swap(&mut entry.name, &mut old.name);
+                Some(std::mem::replace(old, entry).dest)
+            }
+            None => {
+                self.table.insert(id, entry);
+                None
+            }
+        };
+        if let Some(dest) = before {
+            self.leave(dest, forgotten);
         }
         self.note_state(now, id, state);
         Some(id)
--- a/src/catalog/update.rs
+++ b/src/catalog/update.rs
@@ -12,6 +12,8 @@
 
 /// Entries in a piece at most, unless one destination has more.
 pub const MOST_IN_A_PIECE: usize = 256;
+/// Entries, and destinations, that come into force together at most because endpoints move between them.
+pub const MOST_MOVED_TOGETHER: usize = 1_024;
 /// Pages of the catalog that are looked over for departures at a time.
 const PAGES_IN_A_LOOK: usize = 64;
 /// Staged entries in a chunk: large enough to go back to the system as a whole.
@@ -274,6 +276,7 @@
             }
             for dest in dests {
                 self.draft.urgent.remove(&dest);
+                self.draft.moves.remove(&dest);
                 if let Some(group) = self.draft.groups.remove(&dest) {
                     self.collect(&group, &mut places);
                     departures.extend(group.departures);
@@ -287,12 +290,20 @@
         Piece { departures, entries, is_last: self.draft.groups.is_empty() }
     }
 
-    /// This destination and those that an endpoint moves from or to, as far as they have anything to apply.
+    /// This destination and those that an endpoint moves from or to, as far as they have anything to apply. A chain of
+    /// them that is too long is cut: no message waits for half of the list.
     fn moved_together(&self, dest: u64) -> BTreeSet<u64> {
-        let (mut dests, mut open) = (BTreeSet::from([dest]), vec![dest]);
+        let len = |dest: &u64| self.draft.groups.get(dest).map_or(0, Group::len);
+        let (mut dests, mut open, mut entries) = (BTreeSet::from([dest]), vec![dest], len(&dest));
         while let Some(dest) = open.pop() {
-            let others = self.draft.moves.get(&dest).into_iter().flatten();
-            open.extend(others.copied().filter(|other| dests.insert(*other)));
+            for other in self.draft.moves.get(&dest).into_iter().flatten() {
+                let more = entries + len(other);
+                let fits = dests.len() < MOST_MOVED_TOGETHER && more <= MOST_MOVED_TOGETHER;
+                if fits && dests.insert(*other) {
+                    entries = more;
+                    open.push(*other);
+                }
+            }
         }
         dests
     }
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -4,7 +4,7 @@
 
 use basaltloom::catalog::{
     Applied, Endpoint, EndpointCatalog, EndpointId, EndpointState, EndpointUpdate, PendingUpdate, Piece,
-    Progress, MOST_IN_A_PIECE,
+    Progress, MOST_IN_A_PIECE, MOST_MOVED_TOGETHER,
 };
 use basaltloom::fleet::record;
 use proptest::prelude::*;
@@ -187,6 +187,24 @@
     assert_eq!((together, seen.len()), (1, 1_000));
 }
 
+/// Guards the messages that wait while all endpoints move at once, each destination's to the next: such a chain has no
+/// end, and is cut.
+#[test]
+fn a_chain_of_moves_is_cut_where_it_grows_too_long() {
+    let mut catalog = EndpointCatalog::default();
+    learn(&mut catalog, 0, true, &many(20_000, 4));
+    let list = many(20_000, 5);
+    let mut pending = pending(&catalog, true, &list);
+    let mut pieces = 0;
+    while let Some(piece) = next(&mut pending, &catalog) {
+        assert!(piece.len() <= MOST_MOVED_TOGETHER, "{}", piece.len());
+        catalog.apply(SEC, piece);
+        pieces += 1;
+    }
+    assert!(pieces >= 20_000 / MOST_MOVED_TOGETHER);
+    assert!(list.iter().all(|e| catalog.get(catalog.find(&e.name).unwrap()).unwrap().dest == e.dest));
+}
+
 /// Guards the time in which a drain binds: destinations with drains and departures come before all others.
 #[test]
 fn drains_and_departures_come_first() {
