--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -166,8 +166,9 @@
     let mut catalog = EndpointCatalog::default();
     let mut list = many(4_000, 4);
     learn(&mut catalog, 0, true, &list);
-    // 1 -> 900 -> 30, of which 30 also loses one; all others get another weight.
+    // 1 -> 900 -> 30, of which 30 also loses one; all others get another weight, and one of each drains.
     list.iter_mut().for_each(|e| e.share = 2.0);
+    list.iter_mut().step_by(4).for_each(|e| e.state = EndpointState::Leaving);
     list[4].dest = 900;
     list[3_600].dest = 30;
     let lost = list.remove(121);
