--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -1,30 +1,125 @@
-//! What the platform's front does with discovery's lists.
+//! Puts discovery's lists in force piece by piece, so that no message waits for a long one.
+//!
+//! A list that has come whole is applied by a task of its own: it goes on to its end whatever becomes of whoever
+//! followed discovery, so a move of discovery or the relay's end leaves no destination between two lists.
 
-use crate::catalog::{Endpoint, EndpointUpdate};
+use crate::catalog::{Draft, Endpoint, EndpointUpdate, PendingUpdate};
 use crate::protocol::discovery::ListReceiver;
-use crate::protocol::platform::Platform;
-use crate::routing::Desk;
+use crate::routing::{Desk, Front};
+use std::cell::RefCell;
 use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::task::yield_now;
 
-/// Collects a list and hands it to the core in one piece.
-pub struct Listing {
-    /// The desk whose core learns it.
-    pub desk: Rc<Desk<Platform>>,
+/// Entries of a list at hand that are compared in one turn of the loop.
+const COMPARED_AT_ONCE: usize = 1_024;
+
+/// Takes lists in for the core of one desk.
+pub struct Listing<F> {
+    desk: Rc<Desk<F>>,
+    /// The update that is being put in force.
+    pending: RefCell<Option<PendingUpdate>>,
+    /// Tells the task that there is one.
+    queued: Notify,
+    /// Tells those who wait that there is none any more.
+    idle: Notify,
+}
+
+/// Something else was put in force since the draft was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stale;
+
+impl<F: Front> Listing<F> {
+    /// For this desk; `apply` has to run for anything to come into force.
+    pub fn new(desk: Rc<Desk<F>>) -> Rc<Self> {
+        Rc::new(Listing { desk, pending: RefCell::default(), queued: Notify::new(), idle: Notify::new() })
+    }
+
+    /// Applies what is committed, for good.
+    pub async fn apply(self: Rc<Self>) {
+        loop {
+            while self.advance() {
+                yield_now().await;
+            }
+            self.idle.notify_waiters();
+            self.queued.notified().await;
+        }
+    }
+
+    /// Takes one step of the pending update; false once none is pending.
+    fn advance(&self) -> bool {
+        let Some(mut pending) = self.pending.take() else { return false };
+        if self.desk.act(|core, now| core.advance(now, &mut pending)) {
+            self.pending.replace(Some(pending));
+        }
+        true
+    }
+
+    /// Waits until nothing is pending.
+    async fn settled(&self) {
+        loop {
+            let idle = self.idle.notified();
+            if self.pending.borrow().is_none() {
+                return;
+            }
+            idle.await;
+        }
+    }
+
+    async fn begin(&self) -> Draft {
+        self.settled().await;
+        self.desk.see(|core| core.catalog().begin())
+    }
+
+    fn put(&self, draft: Draft, whole: bool) -> Result<(), Stale> {
+        let current = self.desk.see(|core| core.is_current(&draft));
+        if !current || self.pending.borrow().is_some() {
+            return Err(Stale);
+        }
+        self.pending.replace(Some(draft.complete(whole)));
+        self.queued.notify_one();
+        Ok(())
+    }
+
+    fn compare(&self, draft: &mut Draft, endpoint: Endpoint) {
+        self.desk.see(|core| draft.entry(core.catalog(), endpoint));
+    }
+
+    /// Puts a list at hand in force, after all that is pending.
+    pub async fn learn(&self, update: &EndpointUpdate) {
+        loop {
+            let mut draft = self.begin().await;
+            for entries in update.endpoints.chunks(COMPARED_AT_ONCE) {
+                entries.iter().for_each(|endpoint| self.compare(&mut draft, endpoint.clone()));
+                yield_now().await;
+            }
+            if self.put(draft, update.whole).is_ok() {
+                return self.settled().await;
+            }
+        }
+    }
 }
 
-impl ListReceiver for Listing {
-    type Draft = Vec<Endpoint>;
+/// What `follow` is given.
+pub struct Feed<F>(pub Rc<Listing<F>>);
+
+impl<F: Front> ListReceiver for Feed<F> {
+    type Draft = Draft;
 
-    async fn begin(&self) -> Vec<Endpoint> {
-        Vec::new()
+    async fn begin(&self) -> Draft {
+        self.0.begin().await
     }
 
-    fn entry(&self, draft: &mut Vec<Endpoint>, endpoint: Endpoint) {
-        draft.push(endpoint);
+    fn entry(&self, draft: &mut Draft, endpoint: Endpoint) {
+        self.0.compare(draft, endpoint);
     }
 
-    async fn commit(&self, endpoints: Vec<Endpoint>, seq: u64, whole: bool) {
-        let update = EndpointUpdate { seq, whole, endpoints };
-        self.desk.act(|core, now| core.learn(now, &update));
+    async fn commit(&self, draft: Draft, _seq: u64, whole: bool) {
+        // A list at hand has taken discovery's place meanwhile.
+        if self.0.put(draft, whole) == Err(Stale) {
+            tracing::info!(target: "platform", event = "list-superseded", "a list of discovery came after another had taken its place");
+            return;
+        }
+        self.0.settled().await;
     }
 }
