Split the fleet's turn by concern: records, one destination, its allocator

What one relay knows and may send at a destination is destination.rs, what the allocator of it works out is allocation.rs, records and whom to go by stay. Names as in the field where they moved: partner to destination, lead to allocation, told to notified. Record format and public paths as before.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! What a relay owes the others of its fleet: without a word, its share of what all of them ask for (`asking`); where they
-//! may talk, its part of what a partner takes, by pledges and leases (`together` and the files that it ties together).
+//! may talk, its part of what a destination takes, by reservations and leases (`together` and the files that it ties together).
 
+pub mod allocation;
 pub mod asking;
+pub mod destination;
 pub mod learner;
 pub mod outage;
 pub mod parts;
