--- a/src/fleet/allocation.rs
+++ b/src/fleet/allocation.rs
@@ -174,7 +174,8 @@
                 // It was back before the first call that was served: half a gap between trials, in the mean.
                 let back = since.saturating_sub(self.outage.lag());
                 let rate = full * self.eased * warmth(terms.cold_share, terms.warm_up, now, back);
-                Some(rate.max(COLD_LEAST)).filter(|_| full > 0.0)
+                let most = if limit > 0.0 { limit } else { f64::MAX };
+                Some(rate.max(COLD_LEAST).min(most)).filter(|_| full > 0.0)
             }
         };
         let Some(rate) = rate else {
@@ -185,11 +186,11 @@
         let pledgers = self.dealer.pledgers(now);
         self.wanted = match phase {
             Phase::Down { .. } => {
-                let may: Vec<Word> = words.iter().copied().filter(|w| pledgers.contains(&w.from)).collect();
+                let may: Vec<Word> = words.into_iter().filter(|w| pledgers.contains(&w.from)).collect();
                 self.outage.tries(now, key, &may).into_iter().map(|id| (id, pool)).collect()
             }
             _ => {
-                // One that alone cannot reach the partner would only keep its part from the others.
+                // One that alone cannot reach the destination would only keep its part from the others.
                 let apart = |id: &Id| words.iter().any(|w| w.from == *id && w.down);
                 let wants = |id: &Id| match wants.get(id).copied().unwrap_or(0.0) {
                     w if apart(id) => w.min(self.outage.trials()),
--- a/tests/overload/refusing.rs
+++ b/tests/overload/refusing.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// Guards a limit that the list tells: also on the way back what is allocated adds up to no more.
+#[test]
+fn a_listed_limit_is_kept_on_the_way_back() {
+    for seed in 0..4 {
+        let played = World::play(Case { listed: true, ..case_of(12, seed % 2 == 1) }, seed);
+        assert!(played.most_dealt <= 160.5, "seed {seed}: {:.1} allocated", played.most_dealt);
+    }
+}
+
 /// Guards against states of the fleet out of which a served trial does not lead: each day's bound is below what three
 /// seeds gave, and the cold budget is kept on all of them.
 #[test]
@@ -109,8 +118,11 @@
     (roll * RELAYS as f64) as usize
 }
 
-/// Days after which a served trial must lead back up: name, seconds counted, the least share (0: no verdict), and the day.
-const DAYS: &[(&str, usize, usize, f64, fn() -> Case)] = &[
+/// Name, seconds counted, the least share (0: no verdict), and what happens.
+type Day = (&'static str, usize, usize, f64, fn() -> Case);
+
+/// Days after which a served trial must lead back up.
+const DAYS: &[Day] = &[
     ("half killed in the outage", 15, 26, 0.85, || {
         let mut day = case::<12>(false);
         day.faults.extend((0..6).map(|i| (10.0, Fault::Kill(2 * i + 1))));
