Force an outage of plain refusals on twelve processes

Cause: no test had a destination that answers every call with 503 and is back cold, nor more than eight processes.

--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -40,22 +40,26 @@
 
 impl Scene {
     fn new(seed: u64, talk: bool, rate: f64, at: fn(f64, f64) -> usize) -> Scene {
-        let mut rig = Rig::new(N, seed);
-        let partner = Partner::of(&mut rig, N, LIMIT);
+        Scene::of(N, seed, talk, rate, at)
+    }
+
+    fn of(relays: usize, seed: u64, talk: bool, rate: f64, at: fn(f64, f64) -> usize) -> Scene {
+        let mut rig = Rig::new(relays, seed);
+        let partner = Partner::of(&mut rig, relays, LIMIT);
         rig.alone = !talk;
-        (0..N).for_each(|i| rig.start(i));
+        (0..relays).for_each(|i| rig.start(i));
         if talk {
-            assert!(rig.until_agreed(&all(N), secs(20)).is_some(), "{:?}", rig.parts());
+            assert!(rig.until_agreed(&all(relays), secs(20)).is_some(), "{:?}", rig.parts());
         }
         let up = rig.until(secs(20), |rig| {
             let said = rig.said(Duration::ZERO);
-            (0..N).all(|i| said.iter().any(|s| s.relay == i && s.event == "serves"))
+            (0..relays).all(|i| said.iter().any(|s| s.relay == i && s.event == "serves"))
         });
         assert!(up.is_some(), "not all serve");
         // Seconds are counted from a whole one of the partner's.
         sleep(Duration::from_secs_f64(1.0 - partner.now().fract()));
         let from = partner.now().round();
-        let callers = Callers::start(&rig, &partner, N, rate, at, seed);
+        let callers = Callers::start(&rig, &partner, relays, rate, at, seed);
         Scene { rig, partner, callers, from }
     }
 
@@ -150,6 +154,34 @@
     scene.settle(&[]);
 }
 
+/// Six tenths of the demand at the first of twelve.
+fn six_tenths_of_twelve(_: f64, roll: f64) -> usize {
+    if roll < 0.6 {
+        0
+    } else {
+        1 + ((roll - 0.6) / 0.4 * 11.0) as usize
+    }
+}
+
+/// Guards twelve at a partner that refuses all for 4 s and is back cold: from 2 s after its return it is used as it warms,
+/// and is never sent more than its cold budget. Before, it got 4 to 6 calls in all.
+#[test]
+fn a_partner_that_refused_all_is_warmed_by_twelve() {
+    let scene = Scene::of(12, 24, true, 1.15 * LIMIT, six_tenths_of_twelve);
+    scene.until(7.0);
+    scene.partner.shut(4.0);
+    scene.until(25.2);
+    let seconds = scene.seconds(0, 25);
+    let served: usize = seconds[13..25].iter().map(|s| s.served).sum();
+    let warm = |s: usize| 0.2 + 0.8 * ((s as f64 + 0.5 - 11.0) / 8.0).min(1.0);
+    let could: f64 = (13..25).map(|s| (LIMIT * warm(s)).min(seconds[s].asked as f64)).sum();
+    let share = served as f64 / could;
+    println!("{share:.3} served, {} beyond the cold budget", scene.partner.beyond());
+    assert_eq!((scene.partner.pushed(), scene.partner.beyond()), (0, 0), "pushed over: {seconds:?}");
+    assert!(share >= 0.85, "{share:.2} served: {seconds:?}");
+    scene.settle(&[]);
+}
+
 /// Guards survivors: with half of the fleet killed the others use what those had.
 #[test]
 fn half_of_the_fleet_uses_the_whole_limit() {
--- a/tests/processes/partner.rs
+++ b/tests/processes/partner.rs
@@ -83,7 +83,11 @@
 impl Partner {
     /// One that each relay of the rig knows as its only next hop.
     pub fn of(rig: &mut Rig, n: usize, limit: f64) -> Arc<Partner> {
-        rig.settings = SETTINGS;
+        // Leaked: a rig's settings last as long as its test.
+        rig.settings = match n {
+            1..=8 => SETTINGS,
+            _ => SETTINGS.replace("\"fleet_size\":8", &format!("\"fleet_size\":{n}")).leak(),
+        };
         let at: Vec<SocketAddr> = (0..n).map(|i| rig.stand_in(i)).collect();
         let dial = at.clone();
         rig.known = Some(Box::new(move |i| {
@@ -161,6 +165,16 @@
         self.state.lock().unwrap().limited.down(nanos(self.now()), nanos(seconds));
     }
 
+    /// Refuses every call for so many seconds from now on, and is back cold.
+    pub fn shut(&self, seconds: f64) {
+        self.state.lock().unwrap().limited.shut(nanos(self.now()), nanos(seconds));
+    }
+
+    /// Calls sent to it beyond its cold budget.
+    pub fn beyond(&self) -> usize {
+        self.state.lock().unwrap().limited.beyond
+    }
+
     pub fn limit(&self, limit: f64) {
         self.state.lock().unwrap().limited.limit = limit;
     }
