Measure what the program costs by destinations, held messages, relays and watchers

Stand-ins of discovery and of endpoints, and the real program as a process measured from outside, lie in tests/scale for tests to use.

--- /dev/null
+++ b/tests/scale/mod.rs
@@ -0,0 +1,15 @@
+//! What the scale bench (`benches/scale/`) and the tests of scale share.
+#![allow(dead_code)]
+
+pub mod capacity;
+pub mod capacity_figures;
+pub mod capacity_terms;
+pub mod discovery;
+pub mod endpoint;
+pub mod fit;
+pub mod http;
+pub mod list;
+pub mod process_figures;
+pub mod real_relay;
+pub mod run_file;
+pub mod tables;
