Run hollow relays beside processes of the program, with a small fleet as a test

Need: nothing showed what a fleet of our size does: the most that ever ran at once were eight processes.

Change: hollow relays have the program's own membership, view on disk, turns of shared limits and watch at discovery, and no data path; many live in a thread.

--- a/benches/scale/destinations.rs
+++ b/benches/scale/destinations.rs
@@ -14,7 +14,7 @@
 
 /// Destinations in two years.
 pub const PLANNED: f64 = 190_000.0;
-const SIZES: [usize; 5] = [1_000, 10_000, 25_000, 50_000, 190_000];
+const SIZES: [usize; 6] = [1_000, 3_000, 10_000, 30_000, 50_000, 190_000];
 const QUICK: [usize; 3] = [100, 300, 1_000];
 /// A list that is not known by then never is.
 const KNOWN_WITHIN: Duration = Duration::from_secs(30);
@@ -28,7 +28,7 @@
 /// After the list came, what is left of it in memory has settled.
 const SETTLES: Duration = Duration::from_secs(1);
 
-const COLUMNS: [&str; 15] = [
+const COLUMNS: [&str; 17] = [
     "entries",
     "list bytes",
     "known after (ms)",
@@ -42,6 +42,8 @@
     "CPU a message (us)",
     "idle CPU (% of a core)",
     "list never known within (s)",
+    "CPU while never known (% of a core)",
+    "peak while never known (MB)",
     "bytes fetched",
     "lists fetched",
 ];
@@ -49,6 +51,7 @@
 /// Measures all sizes.
 pub fn measure(slopes: &Slopes) -> Run {
     let mut run = Run::begin("destinations", &slopes.label, slopes.seed, &COLUMNS);
+    run.heed_program(slopes.program.as_deref());
     run.notes.push("One relay, the real program, measured from outside; discovery and all endpoints are stand-ins on loopback. The machine was shared with other work.".to_string());
     run.notes.push("CPU a change: mean over single-entry changes, each told before the next. CPU a message: taken on, delivered to a destination picked by chance, all destinations at one address.".to_string());
     for size in slopes.sizes(&SIZES, &QUICK) {
@@ -95,12 +98,11 @@
             entries,
             bytes,
             ("list never known within (s)", KNOWN_WITHIN.as_secs_f64().into()),
-            ("CPU until known (ms)", "never known".into()),
             (
-                "idle CPU (% of a core)",
+                "CPU while never known (% of a core)",
                 (100.0 * after_list.processor_time.as_secs_f64() / KNOWN_WITHIN.as_secs_f64()).into(),
             ),
-            ("peak (MB)", megabytes(after_list.peak_kb)),
+            ("peak while never known (MB)", megabytes(after_list.peak_kb)),
             ("bytes fetched", (answered.bytes as f64).into()),
             ("lists fetched", (answered.whole_lists as f64).into()),
         ]);
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -3,6 +3,7 @@
 
 mod charts;
 mod destinations;
+mod fleet;
 mod held;
 mod options;
 mod pages;
@@ -14,7 +15,8 @@
 #[allow(dead_code)]
 mod world;
 
-use options::{Command, Options, Slopes, Subject};
+use fleet::Verdict;
+use options::{Command, FleetOptions, Options, Slopes, Subject};
 use scale::run_file::Run;
 use std::io;
 use std::process::ExitCode;
@@ -23,6 +25,7 @@
     let options: Options = options::from_command_line();
     let done = match options.command {
         Command::Slopes(slopes) => measure_slopes(&slopes),
+        Command::Fleet(fleet) => measure_fleet(&fleet),
         Command::Tables(_) => pages::rewrite_all(),
     };
     match done {
@@ -49,3 +52,12 @@
     }
     Ok(())
 }
+
+fn measure_fleet(options: &FleetOptions) -> io::Result<()> {
+    let (run, verdict) = fleet::measure(options);
+    println!("{}", run.save(&options.folder())?.display());
+    match verdict {
+        Verdict::HollowIsRight => Ok(()),
+        Verdict::HollowIsWrong => Err(io::Error::other("a hollow relay does not cost what a real one does")),
+    }
+}
--- a/benches/scale/options.rs
+++ b/benches/scale/options.rs
@@ -16,6 +16,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Slopes(Slopes),
+    Fleet(FleetOptions),
     Tables(Tables),
 }
 
@@ -38,6 +39,9 @@
     /// names the state of the program, as `before` or `after`
     #[argh(option, default = "String::from(\"trial\")")]
     pub label: String,
+    /// the commit that BASALTLOOM_PROGRAM was built from, where it is not the one checked out
+    #[argh(option)]
+    pub program: Option<String>,
     /// small sizes and few repeats: shows that the bench runs, its figures are of no use
     #[argh(switch)]
     pub quick: bool,
@@ -59,6 +63,46 @@
     }
 }
 
+/// runs hollow relays beside processes of the program
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "fleet")]
+pub struct FleetOptions {
+    /// processes of the program (8 otherwise)
+    #[argh(option, default = "8")]
+    pub real: usize,
+    /// hollow relays (2692 otherwise)
+    #[argh(option, default = "2_692")]
+    pub hollow: usize,
+    /// threads of hollow relays (6 otherwise)
+    #[argh(option, default = "6")]
+    pub threads: usize,
+    /// entries of the list (190000 otherwise)
+    #[argh(option, default = "190_000")]
+    pub entries: usize,
+    /// the seed (1 otherwise)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// where the run's file goes (docs/measurements/scale otherwise)
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+    /// names the state of the program, as `before` or `after`
+    #[argh(option, default = "String::from(\"trial\")")]
+    pub label: String,
+    /// the commit that BASALTLOOM_PROGRAM was built from, where it is not the one checked out
+    #[argh(option)]
+    pub program: Option<String>,
+    /// short phases
+    #[argh(switch)]
+    pub quick: bool,
+}
+
+impl FleetOptions {
+    /// The folder of the run's file.
+    pub fn folder(&self) -> PathBuf {
+        folder(self.out.as_deref())
+    }
+}
+
 /// The folder asked for, or the one in the repository.
 pub fn folder(out: Option<&Path>) -> PathBuf {
     out.map_or_else(|| Path::new(env!("CARGO_MANIFEST_DIR")).join(FOLDER), Path::to_path_buf)
--- a/tests/scale/capacity_figures.rs
+++ b/tests/scale/capacity_figures.rs
@@ -76,7 +76,7 @@
     ),
     figure(
         Role::Control,
-        "the whole list, against the most that is read",
+        "the whole list, against the 4 MiB of an answer that are read",
         line("destinations", "list bytes", 1.0),
         "bytes",
         Some((4 << 20) as f64),
@@ -146,6 +146,14 @@
         CONTROL_CPU,
         DISCOVERY,
     ),
+    figure(
+        Role::Control,
+        "processor time of a relay that never knows its list and asks again",
+        largest("destinations", "CPU while never known (% of a core)", 1.0),
+        "% of a core",
+        CONTROL_CPU,
+        DISCOVERY,
+    ),
     figure(
         Role::Control,
         "bytes of membership, nothing going on",
--- a/tests/scale/run_file.rs
+++ b/tests/scale/run_file.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Says which commit the processes ran, where that is another than the one checked out.
+    pub fn heed_program(&mut self, commit: Option<&str>) {
+        if let Some(commit) = commit {
+            self.notes.push(format!("The processes of the program were built from commit {commit}."));
+        }
+    }
+
     /// Adds what was measured at one size, and prints it.
     pub fn push<const N: usize>(&mut self, values: [(&str, Value); N]) {
         let row: Row = values.into_iter().map(|(name, value)| (name.to_string(), value)).collect();
