--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -154,20 +154,21 @@
     scene.settle(&[]);
 }
 
-/// Six tenths of the demand at the first of twelve.
-fn six_tenths_of_twelve(_: f64, roll: f64) -> usize {
+/// Six tenths of the demand at the first of so many.
+fn six_tenths_of<const RELAYS: usize>(_: f64, roll: f64) -> usize {
     if roll < 0.6 {
         0
     } else {
-        1 + ((roll - 0.6) / 0.4 * 11.0) as usize
+        1 + ((roll - 0.6) / 0.4 * (RELAYS - 1) as f64) as usize
     }
 }
 
-/// Guards twelve at a partner that refuses all for 4 s and is back cold: from 2 s after its return it is used as it warms,
-/// and is never sent more than its cold budget. Before, it got 4 to 6 calls in all.
-#[test]
-fn a_partner_that_refused_all_is_warmed_by_twelve() {
-    let scene = Scene::of(12, 24, true, 1.15 * LIMIT, six_tenths_of_twelve);
+/// A partner that refuses all from second 7 to 11 and is back cold, some killed 3 s before: from 2 s after its return it is
+/// used as it warms, and is never sent more than its cold budget.
+fn back_from_refusals<const RELAYS: usize>(seed: u64, killed: &[usize]) {
+    let mut scene = Scene::of(RELAYS, seed, true, 1.15 * LIMIT, six_tenths_of::<RELAYS>);
+    scene.until(4.0);
+    killed.iter().for_each(|i| scene.kill(*i));
     scene.until(7.0);
     scene.partner.shut(4.0);
     scene.until(25.2);
@@ -176,10 +177,29 @@
     let warm = |s: usize| 0.2 + 0.8 * ((s as f64 + 0.5 - 11.0) / 8.0).min(1.0);
     let could: f64 = (13..25).map(|s| (LIMIT * warm(s)).min(seconds[s].asked as f64)).sum();
     let share = served as f64 / could;
-    println!("{share:.3} served, {} beyond the cold budget", scene.partner.beyond());
-    assert_eq!((scene.partner.pushed(), scene.partner.beyond()), (0, 0), "pushed over: {seconds:?}");
+    let beyond = scene.partner.beyond();
+    println!("{RELAYS} relays, {} killed: {share:.3} served, {beyond} beyond the cold budget", killed.len());
+    assert_eq!((scene.partner.pushed(), beyond), (0, 0), "pushed over: {seconds:?}");
     assert!(share >= 0.85, "{share:.2} served: {seconds:?}");
-    scene.settle(&[]);
+    scene.settle(killed);
+}
+
+/// Guards twelve at a partner that refused all. Before, it got 4 to 6 calls in all after its return.
+#[test]
+fn a_partner_that_refused_all_is_warmed_by_twelve() {
+    back_from_refusals::<12>(24, &[]);
+}
+
+/// The same with other numbers of relays, and with half of them killed before.
+#[test]
+#[ignore = "takes three minutes"]
+fn refusals_table() {
+    let odd = |n: usize| (0..n / 2).map(|i| 2 * i + 1).collect::<Vec<_>>();
+    back_from_refusals::<12>(25, &odd(12));
+    back_from_refusals::<4>(26, &[]);
+    back_from_refusals::<4>(27, &odd(4));
+    back_from_refusals::<24>(28, &[]);
+    back_from_refusals::<24>(29, &odd(24));
 }
 
 /// Guards survivors: with half of the fleet killed the others use what those had.
