Name what watches and lists bring without a withdrawn word

Need: 'told' is withdrawn from identifiers. Change: 'listed', 'counted', 'taken in' and 'others_record' in the scale bench.

--- a/benches/scale/destinations.rs
+++ b/benches/scale/destinations.rs
@@ -150,7 +150,7 @@
     relay.figures().processor_time.saturating_sub(before)
 }
 
-/// Milliseconds of processor time and bytes sent for one change, each told before the next is made. Nothing where the
+/// Milliseconds of processor time and bytes sent for one change, each taken in before the next is made. Nothing where the
 /// relay falls behind.
 fn changes(
     relay: &RealRelay,
@@ -160,15 +160,15 @@
     chance: &mut ChaCha8Rng,
 ) -> (Option<f64>, Option<f64>) {
     let bytes = discovery.answered().bytes;
-    let mut told = true;
+    let mut taken_in = true;
     let spent = cpu_of(relay, || {
         for i in 0..count {
             let place = chance.next_u64() as usize % size;
             let version = discovery.change(place, |entry| entry.share = if i % 2 == 0 { 0.5 } else { 2.0 });
-            told = told && discovery.until_confirmed(version, IN_FORCE_WITHIN).is_some();
+            taken_in = taken_in && discovery.until_confirmed(version, IN_FORCE_WITHIN).is_some();
         }
     });
-    let each = |sum: f64| told.then_some(sum / count as f64);
+    let each = |sum: f64| taken_in.then_some(sum / count as f64);
     (each(spent.as_secs_f64() * 1e3), each((discovery.answered().bytes - bytes) as f64))
 }
 
--- a/benches/scale/relays.rs
+++ b/benches/scale/relays.rs
@@ -236,7 +236,7 @@
             best: 20.0,
         }];
         let version = turn / 2;
-        let bytes = told(partner, id(&names[best]), turn as u32, heard);
+        let bytes = others_record(partner, id(&names[best]), turn as u32, heard);
         let others = (0..relays).filter(|i| *i != me);
         let peers: Vec<Peer<'_>> =
             others.map(|i| Peer { id: id(&names[i]), version: (1, version), record: &bytes }).collect();
@@ -254,7 +254,7 @@
 }
 
 /// What each other relay tells: it goes by the dealer, whose last record it has heard.
-fn told(partner: u64, dealer: u32, tick: u32, heard: u32) -> Vec<u8> {
+fn others_record(partner: u64, dealer: u32, tick: u32, heard: u32) -> Vec<u8> {
     let tells = Tells {
         key: partner,
         wanted: 30.0,
--- a/benches/scale/watchers.rs
+++ b/benches/scale/watchers.rs
@@ -65,14 +65,14 @@
     let discovery = source(WATCHED_LIST);
     let mut builder = tokio::runtime::Builder::new_multi_thread();
     let clients = builder.worker_threads(2).enable_all().build().expect("a runtime for watchers");
-    let told = tokio::sync::watch::Sender::new(0_usize);
+    let counted = tokio::sync::watch::Sender::new(0_usize);
     for _ in 0..watchers {
-        clients.spawn(watch(discovery.address(), discovery.version(), told.clone()));
+        clients.spawn(watch(discovery.address(), discovery.version(), counted.clone()));
     }
     // All are there once a first change has reached each.
     discovery.change(0, |entry| entry.share = 3.0);
     let all = |count: usize| {
-        let mut heard = told.subscribe();
+        let mut heard = counted.subscribe();
         let reached = async {
             tokio::time::timeout(WITHIN, heard.wait_for(|n| *n >= count)).await.is_ok_and(|r| r.is_ok())
         };
@@ -99,8 +99,8 @@
     clients.shutdown_background();
 }
 
-/// Watches from a version on for good; counts what it is told.
-async fn watch(at: SocketAddr, from: u64, told: tokio::sync::watch::Sender<usize>) -> std::io::Result<()> {
+/// Watches from a version on for good; counts the versions that come.
+async fn watch(at: SocketAddr, from: u64, counted: tokio::sync::watch::Sender<usize>) -> std::io::Result<()> {
     let mut stream = tokio::io::BufReader::new(tokio::net::TcpStream::connect(at).await?);
     let mut version = from;
     loop {
@@ -121,7 +121,7 @@
         let seq = said.strip_prefix(r#"{"seq":"#).and_then(|rest| rest.split(',').next()?.parse().ok());
         if let Some(seq) = seq.filter(|seq| *seq > version) {
             version = seq;
-            told.send_modify(|n| *n += 1);
+            counted.send_modify(|n| *n += 1);
         }
     }
 }
--- a/tests/scale/hollow_list.rs
+++ b/tests/scale/hollow_list.rs
@@ -36,12 +36,12 @@
     /// Compares an entry with what is held, and holds it.
     fn take(&self, endpoint: Endpoint) {
         let Endpoint { name, address, dest: destination, state, share, .. } = endpoint;
-        let told = Known { address, destination, state, share };
+        let listed = Known { address, destination, state, share };
         let mut entries = self.entries.borrow_mut();
         match entries.get_mut(&name) {
-            Some(known) if *known == told => {}
-            Some(known) => *known = told,
-            None => drop(entries.insert(name, told)),
+            Some(known) if *known == listed => {}
+            Some(known) => *known = listed,
+            None => drop(entries.insert(name, listed)),
         }
     }
 }
