--- a/src/batching/former.rs
+++ b/src/batching/former.rs
@@ -4,13 +4,13 @@
 use super::pace::{self, Arrivals, Cost, Pressure};
 use super::terms::{Size, Terms};
 use crate::interface::Nanos;
-use crate::routing::{Branch, Call, EndpointId};
+use crate::routing::{Attempt, Call, EndpointId};
 use std::collections::{BTreeSet, HashMap};
 
-/// A branch that the module has released.
+/// An attempt that the module has released.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
-    pub branch: Branch,
+    pub attempt: Attempt,
     /// Of the call's body.
     pub bytes: usize,
     /// When its worth begins to fall.
@@ -105,8 +105,10 @@
     /// The module released these together; returns the calls that go now.
     pub fn release(&mut self, now: Nanos, hop: EndpointId, members: Vec<Member>) -> Vec<Call> {
         let at_once = self.at_once;
-        let all =
-            |members: &[Member]| Call { endpoint: hop, branches: members.iter().map(|m| m.branch).collect() };
+        let all = |members: &[Member]| Call {
+            endpoint: hop,
+            attempts: members.iter().map(|m| m.attempt).collect(),
+        };
         let Some(h) = self.hops.get_mut(&hop) else { return vec![all(&members)] };
         h.arrivals.came(now, members.len());
         let most = h.size.min(h.most());
@@ -144,16 +146,16 @@
         calls
     }
 
-    /// The call that waits for this next hop goes now. Its branches have waited: their patience is so much shorter.
+    /// The call that waits for this next hop goes now. Its attempts have waited: their patience is so much shorter.
     fn flush(&mut self, now: Nanos, hop: EndpointId) -> Option<Call> {
         let h = self.hops.get_mut(&hop)?;
         self.due.remove(&(h.until, hop));
         let shorter = |w: Waiting| {
-            let timeout = w.member.branch.timeout.saturating_sub(now - w.since).max(1);
-            Branch { timeout, ..w.member.branch }
+            let timeout = w.member.attempt.timeout.saturating_sub(now - w.since).max(1);
+            Attempt { timeout, ..w.member.attempt }
         };
-        let branches: Vec<Branch> = h.waiting.drain(..).map(shorter).collect();
-        (!branches.is_empty()).then_some(Call { endpoint: hop, branches })
+        let attempts: Vec<Attempt> = h.waiting.drain(..).map(shorter).collect();
+        (!attempts.is_empty()).then_some(Call { endpoint: hop, attempts })
     }
 
     /// Lets time pass: the calls whose wait is over.
@@ -176,31 +178,31 @@
         self.flush_until(now, Nanos::MAX)
     }
 
-    /// A branch is not to go any more; true where it waited here, and so never went.
-    pub fn withdraw(&mut self, hop: EndpointId, transaction: u64, attempt: u32) -> Option<Branch> {
+    /// An attempt is not to go any more; true where it waited here, and so never went.
+    pub fn withdraw(&mut self, hop: EndpointId, transaction: u64, attempt: u32) -> Option<Attempt> {
         let h = self.hops.get_mut(&hop)?;
         let is =
-            |w: &Waiting| (w.member.branch.transaction, w.member.branch.attempt) == (transaction, attempt);
+            |w: &Waiting| (w.member.attempt.transaction, w.member.attempt.number) == (transaction, attempt);
         let at = h.waiting.iter().position(is)?;
-        let gone = h.waiting.remove(at).member.branch;
+        let gone = h.waiting.remove(at).member.attempt;
         if h.waiting.is_empty() {
             self.due.remove(&(h.until, hop));
         }
         Some(gone)
     }
 
-    /// Where a branch waits, looked for among the few next hops for which any does.
+    /// Where an attempt waits, looked for among the few next hops for which any does.
     pub fn find(&self, transaction: u64) -> Option<EndpointId> {
         let mut waiting = self.due.iter().map(|(_, hop)| *hop);
         waiting.find(|hop| {
             let of = self.hops.get(hop);
-            of.is_some_and(|h| h.waiting.iter().any(|w| w.member.branch.transaction == transaction))
+            of.is_some_and(|h| h.waiting.iter().any(|w| w.member.attempt.transaction == transaction))
         })
     }
 
     /// A next hop is to get nothing more: what waited for it, which never went.
-    pub fn recall(&mut self, now: Nanos, hop: EndpointId) -> Vec<Branch> {
-        self.flush(now, hop).map_or(Vec::new(), |call| call.branches)
+    pub fn recall(&mut self, now: Nanos, hop: EndpointId) -> Vec<Attempt> {
+        self.flush(now, hop).map_or(Vec::new(), |call| call.attempts)
     }
 
     /// A call of `n` messages ended, after `took` where it was served. Returns the size of its next calls where that
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,14 +1,14 @@
-//! What a relay owes the others of its fleet: without a word, its share of what all of them ask for (`asking`); where they
+//! What a relay owes the others of its fleet: without a word, its share of what all of them ask for (`poll_schedule`); where they
 //! may talk, its part of what a destination takes, by reservations and leases (`together` and the files that it ties together).
 
 pub mod allocation;
-pub mod asking;
 pub mod destination;
 pub mod learner;
 pub mod outage;
 pub mod parts;
 pub mod pledges;
+pub mod poll_schedule;
 pub mod record;
 pub mod together;
 
-pub use asking::{Asking, Heard, Terms};
+pub use poll_schedule::{PollOutcome, PollSchedule, Terms};
--- a/src/fleet/asking.rs
+++ b/src/fleet/poll_schedule.rs
@@ -46,7 +46,7 @@
 
 /// What came of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
+pub enum PollOutcome {
     List,
     /// It was turned away, by an answer that came whole.
     Refusal,
@@ -56,21 +56,21 @@
 
 /// When to ask discovery, for one relay of many.
 #[derive(Debug)]
-pub struct Asking {
+pub struct PollSchedule {
     gap: Duration,
     chance: ChaCha8Rng,
     failures: i32,
     refusals: i32,
 }
 
-impl Asking {
+impl PollSchedule {
     /// For one of so many relays; 0 counts as 1. Relays differ by `seed` alone. Where news come to the relay's own
     /// machine by themselves (`terms` has no time), a watch costs nothing.
-    pub fn new(senders: u32, terms: Terms, seed: u64) -> Asking {
+    pub fn new(senders: u32, terms: Terms, seed: u64) -> PollSchedule {
         let gap = terms.within.map_or(Duration::ZERO, |within| {
             EACH.saturating_mul(senders.max(1)).min(within.mul_f64(GAP_MOST))
         });
-        Asking { gap, chance: ChaCha8Rng::seed_from_u64(seed), failures: 0, refusals: 0 }
+        PollSchedule { gap, chance: ChaCha8Rng::seed_from_u64(seed), failures: 0, refusals: 0 }
     }
 
     /// Whether to keep a watch; else the whole list is looked up.
@@ -129,20 +129,20 @@
 
     /// Between a call and the next. A watch goes on only where the next call follows the answer at once. `took`: how
     /// long the call was waited for.
-    pub fn pause(&mut self, heard: Heard, took: Duration) -> Duration {
+    pub fn pause(&mut self, heard: PollOutcome, took: Duration) -> Duration {
         let count = |so_far: i32, one_more: bool| if one_more { (so_far + 1).min(16) } else { 0 };
-        self.failures = count(self.failures, heard != Heard::List);
-        self.refusals = count(self.refusals, heard == Heard::Refusal);
+        self.failures = count(self.failures, heard != PollOutcome::List);
+        self.refusals = count(self.refusals, heard == PollOutcome::Refusal);
         if self.watches() {
             let grown = RETRY.mul_f64(2f64.powi(self.failures - 1));
             return match heard {
-                Heard::List => Duration::ZERO,
+                PollOutcome::List => Duration::ZERO,
                 _ => grown.min(self.gap.max(RETRY)),
             };
         }
         let spread = 1.0 - SPREAD * self.roll();
         let failed = match heard {
-            Heard::List => return self.gap.mul_f64(spread),
+            PollOutcome::List => return self.gap.mul_f64(spread),
             // The call began when discovery may have been back already.
             _ => self.longest_after_failure(took).min(self.gap),
         };
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -4,7 +4,7 @@
 use super::listing::{Feed, Listing};
 use super::wiring::{keep_up, words, PlatformDesk, PlatformPlan, SmppPlan};
 use crate::admission::ledger::Purse;
-use crate::fleet::Asking;
+use crate::fleet::PollSchedule;
 use crate::operator::Operator;
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::platform::{self, Classes, Platform};
@@ -22,7 +22,7 @@
 use tokio::task::spawn_local;
 
 /// Sets the chances taken with discovery apart from those of the module.
-const ASKING: u64 = 0x6469_7363_6f76_6572;
+const POLL_SEED: u64 = 0x6469_7363_6f76_6572;
 
 fn journal(
     state: &Path,
@@ -55,7 +55,7 @@
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let (settings, known) = (config.settings, &config.known);
-    let asking = Asking::new(settings.senders, config.asked, config.seed ^ ASKING);
+    let schedule = PollSchedule::new(settings.senders, config.asked, config.seed ^ POLL_SEED);
     let seq = (known.whole && !known.endpoints.is_empty()).then_some(known.seq);
     let first = First { known, batching, tells_delivery: false };
     let core = Core::new(settings, config.seed, journal, replayed, first, clock.now());
@@ -76,7 +76,7 @@
     let applying = listing.clone();
     keep_up("the list", move || applying.clone().apply());
     let (agent, feed) = (desk.front.agent.subscribe(), Feed(listing.clone()));
-    spawn_local(discovery::follow(records, agent, config.names.clone(), asking, seq, config.list, feed));
+    spawn_local(discovery::follow(records, agent, config.names.clone(), schedule, seq, config.list, feed));
     spawn_local(heed(desk.clone(), listing, config.names, config.discovery, reread));
     let (answering, withdrawing) = (desk.clone(), desk.clone());
     let answer = move |leg, request| platform::answer(answering.clone(), leg, request);
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -1,6 +1,6 @@
 //! Discovery's list and its watch: asks for lists, decodes each while it comes, and hands it to a [`ListReceiver`].
 //!
-//! Calls that fail are made again as [`Asking`] says. A list that came and cannot be used (over the cap, damaged) leaves
+//! Calls that fail are made again as [`PollSchedule`] says. A list that came and cannot be used (over the cap, damaged) leaves
 //! the one before in force, is told once in the log, and is asked for again with growing pauses of up to a minute; so is
 //! one that was cut off or came too slowly, but within the time after which a change counts as told.
 #![warn(missing_docs)]
@@ -23,7 +23,7 @@
 pub use limits::ListLimits;
 pub use receiver::ListReceiver;
 
-use crate::fleet::{Asking, Heard};
+use crate::fleet::{PollOutcome, PollSchedule};
 use crate::transport::network::Net;
 use crate::transport::Line;
 use backoff::Backoff;
@@ -40,13 +40,13 @@
     net: Net,
     mut agent: watch::Receiver<Option<SocketAddr>>,
     names: Names,
-    mut asking: Asking,
+    mut schedule: PollSchedule,
     mut seq: Option<u64>,
     limits: ListLimits,
     receiver: impl ListReceiver,
 ) {
     let follower = Follower { net, names, limits, receiver };
-    let mut first = asking.first();
+    let mut first = schedule.first();
     loop {
         let at = *agent.borrow_and_update();
         let known = seq.take();
@@ -54,7 +54,7 @@
             match at {
                 Some(at) => {
                     pass(first).await;
-                    follower.follow(at, &mut asking, known).await
+                    follower.follow(at, &mut schedule, known).await
                 }
                 None => std::future::pending().await,
             }
@@ -63,7 +63,7 @@
             () = following => {}
             moved = agent.changed() => if moved.is_err() { return },
         }
-        first = asking.moved();
+        first = schedule.moved();
     }
 }
 
@@ -84,20 +84,20 @@
 impl<R: ListReceiver> Follower<R> {
     /// Follows the list at one address: the whole of it first, unless it is known, then its changes,
     /// or where that is too much for discovery the whole of it again and again.
-    async fn follow(&self, agent: SocketAddr, asking: &mut Asking, mut seq: Option<u64>) {
+    async fn follow(&self, agent: SocketAddr, schedule: &mut PollSchedule, mut seq: Option<u64>) {
         let mut line = None;
         let mut trouble = Trouble::default();
-        let mut backoff = Backoff::new(asking.chances_apart());
+        let mut backoff = Backoff::new(schedule.chances_apart());
         loop {
             let from = Instant::now();
             // An idle connection may have been closed under the question: that is no sign of silence.
             let kept = line.is_some();
-            let pause = match self.update(agent, &mut line, asking, seq).await {
-                Ok(told) => {
+            let pause = match self.update(agent, &mut line, schedule, seq).await {
+                Ok(version) => {
                     trouble.over();
                     backoff.reset();
-                    seq = Some(told);
-                    asking.pause(Heard::List, from.elapsed())
+                    seq = Some(version);
+                    schedule.pause(PollOutcome::List, from.elapsed())
                 }
                 Err(unheard) => {
                     line = None;
@@ -105,7 +105,7 @@
                         continue;
                     }
                     trouble.tell(unheard, self.limits.bytes);
-                    pause_after(unheard, from.elapsed(), asking, &mut backoff)
+                    pause_after(unheard, from.elapsed(), schedule, &mut backoff)
                 }
             };
             pass(pause).await;
@@ -117,20 +117,20 @@
         &self,
         agent: SocketAddr,
         line: &mut Option<Line>,
-        asking: &Asking,
+        schedule: &PollSchedule,
         seq: Option<u64>,
     ) -> Result<u64, Unheard> {
-        let mut answer = ask(&self.net, agent, line, seq, asking).await?;
+        let mut answer = ask(&self.net, agent, line, seq, schedule).await?;
         let asked = Instant::now();
         let mut draft = self.receiver.begin().await;
         answer.patience.excuse(asked.elapsed());
         let entry = |endpoint| self.receiver.entry(&mut draft, endpoint);
-        let told = answer.read(Decoder::new(&self.names), self.limits.bytes, entry).await?;
-        if seq != Some(told.seq) || (told.whole && asking.watches()) {
-            told.skipped.tell();
-            self.receiver.commit(draft, told.seq, told.whole).await;
+        let heading = answer.read(Decoder::new(&self.names), self.limits.bytes, entry).await?;
+        if seq != Some(heading.seq) || (heading.whole && schedule.watches()) {
+            heading.skipped.tell();
+            self.receiver.commit(draft, heading.seq, heading.whole).await;
         }
-        Ok(told.seq)
+        Ok(heading.seq)
     }
 }
 
@@ -144,15 +144,20 @@
 }
 
 /// Before the next question, after one that was waited for so long.
-fn pause_after(unheard: Unheard, took: Duration, asking: &mut Asking, backoff: &mut Backoff) -> Duration {
+fn pause_after(
+    unheard: Unheard,
+    took: Duration,
+    schedule: &mut PollSchedule,
+    backoff: &mut Backoff,
+) -> Duration {
     match unheard {
-        Unheard::Refused => asking.pause(Heard::Refusal, took),
-        Unheard::Silent => asking.pause(Heard::Nothing, took),
+        Unheard::Refused => schedule.pause(PollOutcome::Refusal, took),
+        Unheard::Silent => schedule.pause(PollOutcome::Nothing, took),
         Unheard::Unusable { fault: ListFault::Cut { .. } | ListFault::Slow { .. }, .. } => {
-            let backed_off = backoff.pause().min(asking.longest_after_failure(took));
-            asking.pause(Heard::Nothing, took).max(backed_off)
+            let backed_off = backoff.pause().min(schedule.longest_after_failure(took));
+            schedule.pause(PollOutcome::Nothing, took).max(backed_off)
         }
         // It has answered.
-        Unheard::Unusable { .. } => asking.pause(Heard::List, took).max(backoff.pause()),
+        Unheard::Unusable { .. } => schedule.pause(PollOutcome::List, took).max(backoff.pause()),
     }
 }
--- a/src/protocol/discovery/request.rs
+++ b/src/protocol/discovery/request.rs
@@ -4,7 +4,7 @@
 use super::fault::ListFault;
 use super::patience::Patience;
 use crate::catalog::Endpoint;
-use crate::fleet::Asking;
+use crate::fleet::PollSchedule;
 use crate::transport::connection::read_body;
 use crate::transport::network::Net;
 use crate::transport::Line;
@@ -53,12 +53,12 @@
     agent: SocketAddr,
     line: &mut Option<Line>,
     seq: Option<u64>,
-    asking: &Asking,
+    schedule: &PollSchedule,
 ) -> Result<Answer, Unheard> {
-    let (path, hold) = match seq.filter(|_| asking.watches()) {
+    let (path, hold) = match seq.filter(|_| schedule.watches()) {
         None => ("/v1/endpoints".to_string(), Duration::ZERO),
         Some(seq) => {
-            let hold = asking.hold();
+            let hold = schedule.hold();
             (format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis()), hold)
         }
     };
@@ -70,7 +70,7 @@
     let line = line.as_mut().ok_or(Unheard::Silent)?;
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
     let request = request.map_err(|_| Unheard::Silent)?;
-    let patience = Patience::new(hold, asking.patience());
+    let patience = Patience::new(hold, schedule.patience());
     let answered = timeout_at(patience.head(), async {
         let response = line.send(request, 0).await.map_err(|_| Unheard::Silent)?;
         if response.status() == StatusCode::OK {
--- a/src/protocol/discovery/trouble.rs
+++ b/src/protocol/discovery/trouble.rs
@@ -1,4 +1,4 @@
-//! What keeps lists from being taken in, told once in the log for each kind of trouble until a list is taken in again.
+//! What keeps lists from being taken in, reported once in the log for each kind of trouble until a list is taken in again.
 
 use super::fault::ListFault;
 use super::request::Unheard;
@@ -13,23 +13,23 @@
     Slow,
 }
 
-/// The kinds of trouble that were told since the last list.
+/// The kinds of trouble that were reported since the last list.
 #[derive(Debug, Default)]
 pub struct Trouble {
-    told: Vec<Kind>,
+    reported: Vec<Kind>,
 }
 
 impl Trouble {
     /// Whether there is any.
     pub fn any(&self) -> bool {
-        !self.told.is_empty()
+        !self.reported.is_empty()
     }
 
-    /// Tells of it, unless the same was told since the last list. `cap`: most bytes of a list.
+    /// Tells of it, unless the same was reported since the last list. `cap`: most bytes of a list.
     pub fn tell(&mut self, unheard: Unheard, cap: usize) {
         let kind = kind(unheard);
-        if !self.told.contains(&kind) {
-            self.told.push(kind);
+        if !self.reported.contains(&kind) {
+            self.reported.push(kind);
             tell(unheard, cap);
         }
     }
@@ -37,7 +37,7 @@
     /// A list was taken in.
     pub fn over(&mut self) {
         if self.any() {
-            self.told.clear();
+            self.reported.clear();
             tracing::info!(target: "platform", event = "discovery-back", "discovery answers again");
         }
     }
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -1,9 +1,9 @@
-//! Calls to next hops: `/hook` for one branch, `/hook/batch` for several.
+//! Calls to next hops: `/hook` for one attempt, `/hook/batch` for several.
 
 use super::fields::{self, seconds, span_text};
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::Letter;
-use crate::routing::{Branch, Limit, Reply};
+use crate::routing::{Attempt, Limit, Reply};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::CONNECTION;
@@ -64,7 +64,7 @@
     out.freeze()
 }
 
-/// What an answer says of a call with one branch, or of all of a batch when all fared the same.
+/// What an answer says of a call with one attempt, or of all of a batch when all fared the same.
 pub fn reply(status: StatusCode, headers: &HeaderMap) -> Reply {
     let wait = wait(headers);
     match status.as_u16() {
@@ -100,8 +100,8 @@
     status == StatusCode::SERVICE_UNAVAILABLE && closes && wait(headers) == 0
 }
 
-/// What the answer to a batch says of each branch; one that it does not name may have run.
-pub fn replies(headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Vec<(Branch, Reply)> {
+/// What the answer to a batch says of each attempt; one that it does not name may have run.
+pub fn replies(headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Vec<(Attempt, Reply)> {
     let wait = wait(headers);
     let text = String::from_utf8_lossy(body);
     let ends: Vec<(&str, &str)> = text.lines().filter_map(|l| l.trim().split_once(' ')).collect();
@@ -119,5 +119,5 @@
         Some("fault") => Reply::Ended(Outcome::Error),
         _ => Reply::Ended(Outcome::Spoilt),
     };
-    letters.iter().map(|l| (l.branch, reply(l))).collect()
+    letters.iter().map(|l| (l.attempt, reply(l))).collect()
 }
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -79,7 +79,7 @@
     const NAME: &'static str = "platform";
 
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
-        let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
+        let longest = passage.call.attempts.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
         let hop = passage.hop;
         if let Some(piping) = passage.desk.see(|core| core.piping(passage.call)) {
@@ -216,7 +216,7 @@
 
 /// What an answer says of a call that came whole.
 fn meant(status: StatusCode, headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Carried {
-    let each = |reply| letters.iter().map(|l| (l.branch, reply)).collect();
+    let each = |reply| letters.iter().map(|l| (l.attempt, reply)).collect();
     let several = letters.len() > 1;
     let unread = matches!(status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
     Carried {
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -111,7 +111,7 @@
             return passage.all(Outcome::NotSent);
         };
         self.used.borrow_mut().insert(passage.hop.id, binds.clone());
-        let longest = passage.call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
+        let longest = passage.call.attempts.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
         let seat = tokio::select! {
             seat = binds.seat() => seat,
@@ -122,12 +122,13 @@
         // One submit a call: each message is a call of its own here.
         let Some(letter) = passage.begin().into_iter().next() else { return Carried::default() };
         let Some(mut submit) = submit_of(&letter.body) else {
-            return vec![(letter.branch, Reply::Ended(Outcome::NotSent))].into();
+            return vec![(letter.attempt, Reply::Ended(Outcome::NotSent))].into();
         };
         // The receipt is ours to give, and a span would be counted anew from the SMSC's own clock.
         submit.registered_delivery = RegisteredDelivery::default();
         if !submit.validity_period.is_empty() {
-            let deadline = passage.desk.see(|c| c.transaction(letter.branch.transaction).map(|t| t.deadline));
+            let deadline =
+                passage.desk.see(|c| c.transaction(letter.attempt.transaction).map(|t| t.deadline));
             submit.validity_period = deadline.map(receipt::absolute).unwrap_or_default();
         }
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
@@ -135,7 +136,7 @@
             reply = seat.submit(submit.into(), Duration::from_nanos(left)) => reply,
             () = passage.cancelled() => Reply::Ended(Outcome::Cancelled),
         };
-        vec![(letter.branch, reply)].into()
+        vec![(letter.attempt, reply)].into()
     }
 
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -8,11 +8,11 @@
 use crate::routing::facade::Told;
 use crate::routing::journal::Record;
 use crate::routing::transactions::Ending;
-use crate::routing::values::{Branch, Call, Reply};
+use crate::routing::values::{Attempt, Call, Reply};
 use std::cmp::Reverse;
 
 impl Core {
-    /// Called when a call can be written, before its first byte: the branches that may still go, journaled
+    /// Called when a call can be written, before its first byte: the attempts that may still go, journaled
     /// as out. What is not among them was never sent.
     pub fn begin(&mut self, now: Nanos, call: &Call) -> Vec<Letter> {
         let Some(hop) = self.catalog.get(call.endpoint) else { return Vec::new() };
@@ -22,8 +22,8 @@
         }
         let (dest, zone) = (hop.dest, hop.zone);
         let mut letters = Vec::new();
-        for branch in &call.branches {
-            let no = branch.transaction;
+        for attempt in &call.attempts {
+            let no = attempt.transaction;
             let in_time = self.facade.may_begin(no, call.endpoint, now);
             let Some(t) = self.transactions.get_mut(no) else { continue };
             if t.ending.is_some() || t.dest != dest {
@@ -44,11 +44,11 @@
             }
             (t.attempts, t.out) = (t.attempts + 1, Some((now, zone)));
             let (id, idempotency, body) = (t.id.clone(), t.idempotency.clone(), t.body.clone());
-            letters.push((t.deadline, Letter { branch: *branch, id, idempotency, body }));
+            letters.push((t.deadline, Letter { attempt: *attempt, id, idempotency, body }));
         }
         // A partner may hold a batch to the time of its first message: an answer after that would count for none of
         // them, though it accepts all. So that is a message whose time is not over while the call is waited for.
-        let until = now + call.branches.iter().map(|b| b.timeout).max().unwrap_or(0);
+        let until = now + call.attempts.iter().map(|b| b.timeout).max().unwrap_or(0);
         if letters.first().is_some_and(|(deadline, _)| *deadline < until) {
             letters.sort_by_key(|(deadline, _)| Reverse(*deadline));
         }
@@ -57,17 +57,17 @@
 
     /// Whether what was begun may still be written, on another connection than it was begun for.
     pub fn may_go_on(&self, now: Nanos, call: &Call, letters: &[Letter]) -> bool {
-        let in_time = |l: &Letter| self.facade.may_begin(l.branch.transaction, call.endpoint, now);
+        let in_time = |l: &Letter| self.facade.may_begin(l.attempt.transaction, call.endpoint, now);
         self.facade.still_open(call.endpoint, now) && letters.iter().all(in_time)
     }
 
-    /// The outcomes of a call's branches, all in one report, with the limit that the answer told.
+    /// The outcomes of a call's attempts, all in one report, with the limit that the answer told.
     pub fn report(&mut self, now: Nanos, hop: EndpointId, carried: &Carried, took: Nanos) {
         let Carried { replies, limit, idle, echo, wait, refused } = carried;
         let mut late = Vec::new();
         // One that has the whole refused is found by halves; the others go on in theirs.
         let group = if *refused { replies.len().div_ceil(2) } else { usize::MAX };
-        let of_split = |(b, _): &(Branch, Reply)| {
+        let of_split = |(b, _): &(Attempt, Reply)| {
             Some((b.transaction, bytes_of(self.transactions.get(b.transaction)?), group))
         };
         let splits: Vec<_> = replies.iter().filter(|_| group < replies.len()).filter_map(of_split).collect();
@@ -84,8 +84,8 @@
         let (waiting, out) = self.facade.load_of(hop);
         let pressure = Pressure { affordable, waiting, out };
         let size = self.former.ended(now, hop, replies.len(), served.then_some(took), pressure);
-        for (branch, reply) in replies {
-            let no = branch.transaction;
+        for (attempt, reply) in replies {
+            let no = attempt.transaction;
             let Some(t) = self.transactions.get_mut(no) else { continue };
             let ran = !reply.outcome().never_ran();
             if let Some(out) = t.out.take() {
@@ -141,23 +141,24 @@
         }
     }
 
-    /// What its former has to know of a branch.
-    pub(super) fn member(&self, branch: Branch, unsafe_shares: bool) -> Member {
-        let t = self.transactions.get(branch.transaction);
+    /// What its former has to know of an attempt.
+    pub(super) fn member(&self, attempt: Attempt, unsafe_shares: bool) -> Member {
+        let t = self.transactions.get(attempt.transaction);
         let class = t.and_then(|t| self.of_classes.get(t.class));
         let (aim, deadline, repeat) = class.copied().unwrap_or((0, 0, Repeat::Unsafe));
         let alone = !unsafe_shares && !may_share(Wire::Batch, repeat);
         // A message may have been handed in with less than its class's time, so its aim is told from its end.
         let aim_at = t.map_or(0, |t| t.deadline.saturating_sub(deadline.saturating_sub(aim)));
-        Member { branch, bytes: t.map_or(0, bytes_of), aim_at, alone }
+        Member { attempt, bytes: t.map_or(0, bytes_of), aim_at, alone }
     }
 
     /// How this call goes where its next hop takes calls behind one another.
     pub fn piping(&self, call: &Call) -> Option<Piping> {
         let depth = self.former.terms(call.endpoint).depth;
-        let class = |b: &Branch| self.of_classes.get(self.transactions.get(b.transaction)?.class);
-        let repeatable = |b: &Branch| class(b).is_some_and(|(.., repeat)| may_share(Wire::Pipeline, *repeat));
-        let repeatable = call.branches.iter().all(repeatable);
+        let class = |b: &Attempt| self.of_classes.get(self.transactions.get(b.transaction)?.class);
+        let repeatable =
+            |b: &Attempt| class(b).is_some_and(|(.., repeat)| may_share(Wire::Pipeline, *repeat));
+        let repeatable = call.attempts.iter().all(repeatable);
         (depth > 1).then(|| Piping { depth, lines: self.slots.div_ceil(depth), repeatable })
     }
 }
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 
 impl Core {
-    /// A branch without an outcome may have run. What has its end only needs to tell it again.
+    /// An attempt without an outcome may have run. What has its end only needs to tell it again.
     pub(super) fn restore(&mut self, classes: usize, now: Nanos) {
         let mut asks = Vec::new();
         let mut strange = Vec::new();
--- a/src/routing/core/listing.rs
+++ b/src/routing/core/listing.rs
@@ -83,8 +83,8 @@
 
     /// What waits for endpoints that are to get nothing more goes back to the module, as never sent.
     fn recall(&mut self, now: Nanos, resting: &[EndpointId]) {
-        let branches = resting.iter().flat_map(|id| self.former.recall(now, *id));
-        let unsent: Vec<_> = branches.map(|b| (b, Reply::Ended(Outcome::NotSent))).collect();
+        let attempts = resting.iter().flat_map(|id| self.former.recall(now, *id));
+        let unsent: Vec<_> = attempts.map(|b| (b, Reply::Ended(Outcome::NotSent))).collect();
         if !unsent.is_empty() {
             let picked = self.facade.report(now, &unsent, Told::default(), 0, &[]);
             self.absorb(now, picked);
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -12,7 +12,7 @@
 use super::journal::{Journal, Record, Replayed};
 use super::shares::Shares;
 use super::transactions::{Ending, Transaction, Transactions};
-use super::values::{Branch, Reply, TransactionNo};
+use super::values::{Attempt, Reply, TransactionNo};
 use crate::batching::{Former, Table, Terms};
 use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
 use crate::interface::{Nanos, Outcome, Repeat, Settings};
@@ -186,11 +186,11 @@
         }
     }
 
-    /// Returns the branches that are given up and had not gone yet.
-    fn absorb_one(&mut self, now: Nanos, picked: Picked) -> Vec<(Branch, Reply)> {
+    /// Returns the attempts that are given up and had not gone yet.
+    fn absorb_one(&mut self, now: Nanos, picked: Picked) -> Vec<(Attempt, Reply)> {
         for call in picked.calls {
             let shares = self.prepare(call.endpoint);
-            let members = call.branches.iter().map(|b| self.member(*b, shares)).collect();
+            let members = call.attempts.iter().map(|b| self.member(*b, shares)).collect();
             let calls = self.former.release(now, call.endpoint, members);
             self.go(calls);
         }
@@ -198,7 +198,7 @@
         for (no, attempt) in picked.dropped {
             let waits = self.former.find(no).and_then(|hop| self.former.withdraw(hop, no, attempt));
             match waits {
-                Some(branch) => unsent.push((branch, Reply::Ended(Outcome::NotSent))),
+                Some(attempt) => unsent.push((attempt, Reply::Ended(Outcome::NotSent))),
                 None => self.work.dropped.push((no, attempt)),
             }
         }
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -2,7 +2,7 @@
 
 use crate::catalog::{Endpoint, EndpointId};
 use crate::interface::Nanos;
-use crate::routing::values::{Branch, Call, Limit, Reply, TransactionNo};
+use crate::routing::values::{Attempt, Call, Limit, Reply, TransactionNo};
 use bytes::Bytes;
 
 /// A transaction as a caller hands it in.
@@ -64,8 +64,8 @@
 /// What came of a call.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Carried {
-    /// Branches that were never begun may be left out.
-    pub replies: Vec<(Branch, Reply)>,
+    /// Attempts that were never begun may be left out.
+    pub replies: Vec<(Attempt, Reply)>,
     /// The limit that the next hop told.
     pub limit: Option<Limit>,
     /// For how long the connection had waited for this call, 0 if it was new; none where nothing was sent.
@@ -81,20 +81,20 @@
 impl Carried {
     /// The same came of each of these.
     pub fn each(letters: &[Letter], reply: Reply) -> Carried {
-        Carried::from(letters.iter().map(|l| (l.branch, reply)).collect::<Vec<_>>())
+        Carried::from(letters.iter().map(|l| (l.attempt, reply)).collect::<Vec<_>>())
     }
 }
 
-impl From<Vec<(Branch, Reply)>> for Carried {
-    fn from(replies: Vec<(Branch, Reply)>) -> Self {
+impl From<Vec<(Attempt, Reply)>> for Carried {
+    fn from(replies: Vec<(Attempt, Reply)>) -> Self {
         Carried { replies, ..Carried::default() }
     }
 }
 
-/// What is about to be written for a branch.
+/// What is about to be written for an attempt.
 #[derive(Clone, Debug)]
 pub struct Letter {
-    pub branch: Branch,
+    pub attempt: Attempt,
     pub id: String,
     pub idempotency: Option<String>,
     pub body: Bytes,
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -33,7 +33,7 @@
     core: RefCell<Core>,
     /// A sooner due time than the timer waits for.
     sooner: Notify,
-    /// The calls that are out, by each of their branches.
+    /// The calls that are out, by each of their attempts.
     out: RefCell<HashMap<(TransactionNo, u32), Rc<Notify>>>,
 }
 
@@ -57,15 +57,15 @@
 }
 
 impl<F: Front> Passage<'_, F> {
-    /// Right before the first byte: the branches that may still go, journaled as out.
+    /// Right before the first byte: the attempts that may still go, journaled as out.
     pub fn begin(&self) -> Vec<Letter> {
         self.desk.act(|core, now| core.begin(now, self.call))
     }
 
-    /// All its branches ended alike, before any was begun.
+    /// All its attempts ended alike, before any was begun.
     pub fn all(&self, outcome: Outcome) -> Carried {
-        let branches = self.call.branches.iter();
-        Carried::from(branches.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
+        let attempts = self.call.attempts.iter();
+        Carried::from(attempts.map(|b| (*b, Reply::Ended(outcome))).collect::<Vec<_>>())
     }
 
     /// Whether what was begun may still be written, on another connection.
@@ -117,15 +117,15 @@
             self.front.trust(idle);
         }
         work.distrusted.into_iter().for_each(|hop| self.front.distrust(hop));
-        for branch in work.dropped {
-            if let Some(cancel) = self.out.borrow().get(&branch) {
+        for attempt in work.dropped {
+            if let Some(cancel) = self.out.borrow().get(&attempt) {
                 cancel.notify_one();
             }
         }
         for (call, hop) in work.calls {
             let cancel = Rc::new(Notify::new());
             let mut out = self.out.borrow_mut();
-            out.extend(call.branches.iter().map(|b| ((b.transaction, b.attempt), cancel.clone())));
+            out.extend(call.attempts.iter().map(|b| ((b.transaction, b.number), cancel.clone())));
             spawn_local(self.clone().carry(call, hop, cancel));
         }
         if !work.ended.is_empty() {
@@ -137,11 +137,11 @@
         let from = self.clock.now();
         let passage = Passage { desk: &self, call: &call, hop: &hop, cancel: &cancel };
         let mut carried = self.front.carry(passage).await;
-        for branch in &call.branches {
-            if !carried.replies.iter().any(|(b, _)| b == branch) {
-                carried.replies.push((*branch, Reply::Ended(Outcome::NotSent)));
+        for attempt in &call.attempts {
+            if !carried.replies.iter().any(|(b, _)| b == attempt) {
+                carried.replies.push((*attempt, Reply::Ended(Outcome::NotSent)));
             }
-            self.out.borrow_mut().remove(&(branch.transaction, branch.attempt));
+            self.out.borrow_mut().remove(&(attempt.transaction, attempt.number));
         }
         let took = self.clock.now().saturating_sub(from);
         self.act(|core, now| core.report(now, call.endpoint, &carried, took));
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -2,7 +2,7 @@
 //!
 //! Whoever calls them gets back what is to be done now; the module's events and actions stay in this file.
 
-use super::values::{Branch, Call, End, Limit, Reply, TransactionNo};
+use super::values::{Attempt, Call, End, Limit, Reply, TransactionNo};
 use crate::catalog::{EndpointId, EndpointState, EndpointView};
 use crate::decision::views::HostView;
 use crate::decision::Relay;
@@ -14,7 +14,7 @@
 pub struct Picked {
     pub calls: Vec<Call>,
     pub ends: Vec<(TransactionNo, End)>,
-    /// Branches to give up.
+    /// Attempts to give up.
     pub dropped: Vec<(TransactionNo, u32)>,
     /// Next hops whose idle connections are to be closed.
     pub distrusted: Vec<EndpointId>,
@@ -25,7 +25,7 @@
     pub ailing: Vec<(EndpointId, bool)>,
 }
 
-/// What came with the answer to a call, beside the ends of its branches.
+/// What came with the answer to a call, beside the ends of its attempts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
     /// The next hop's own limit.
@@ -46,7 +46,7 @@
     pub dest: u64,
     pub key: Option<String>,
     pub time_left: Nanos,
-    /// Branches of an earlier life, and how long ago and in which zone the first that may have run went out.
+    /// Attempts of an earlier life, and how long ago and in which zone the first that may have run went out.
     pub past: Option<(u32, Option<(Nanos, usize)>)>,
     /// Bytes that it takes of a call's body.
     pub bytes: usize,
@@ -75,7 +75,7 @@
     relay: Relay,
     max_held: usize,
     in_order: Vec<bool>,
-    /// Number of the next branch of each transaction that the module holds.
+    /// Number of the next attempt of each transaction that the module holds.
     attempts: HashMap<TransactionNo, u32>,
     /// Wake-ups that the module asked for; it counts on each of them.
     dues: BTreeSet<Nanos>,
@@ -107,7 +107,7 @@
         self.dues.first().copied().unwrap_or(Nanos::MAX)
     }
 
-    /// Whether a branch picked for this next hop may still be written.
+    /// Whether an attempt picked for this next hop may still be written.
     pub fn still_open(&self, endpoint: EndpointId, now: Nanos) -> bool {
         self.relay.still_open(endpoint, now)
     }
@@ -140,12 +140,12 @@
         self.step(now, &events)
     }
 
-    /// Tells how branches ended: those of one call in one report.
+    /// Tells how attempts ended: those of one call in one report.
     /// `splits` names those that may travel on only in smaller groups, with their bytes.
     pub fn report(
         &mut self,
         now: Nanos,
-        ended: &[(Branch, Reply)],
+        ended: &[(Attempt, Reply)],
         told: Told,
         took: Nanos,
         splits: &[(TransactionNo, usize, usize)],
@@ -161,8 +161,8 @@
         let limits =
             limit.into_iter().map(|(host, Limit { rate, left })| Event::Reported { host, limit: rate, left });
         events.extend(limits);
-        for (branch, reply) in ended {
-            let (id, attempt, over) = (branch.transaction, branch.attempt, reply.settles());
+        for (attempt, reply) in ended {
+            let (id, attempt, over) = (attempt.transaction, attempt.number, reply.settles());
             events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
             events.extend(idle.map(|idle| Event::Idled { id, attempt, idle }));
             events.extend(echo.then_some(Event::Echo { id, attempt }));
@@ -276,14 +276,14 @@
     /// Sends of one step to one next hop share calls as far as its kind allows.
     fn send(&mut self, picked: &mut Picked, id: TransactionNo, host: HostId, timeout: Nanos) {
         let count = self.attempts.entry(id).or_insert(0);
-        let branch = Branch { transaction: id, attempt: *count, timeout };
+        let attempt = Attempt { transaction: id, number: *count, timeout };
         *count += 1;
         let most = self.relay.most_in_a_call(host);
         let open = picked.calls.iter_mut().rev().find(|c| c.endpoint == host);
-        let together = |c: &Call| c.branches.iter().map(|b| b.transaction).collect::<Vec<_>>();
-        match open.filter(|c| c.branches.len() < most && self.relay.joins(host, &together(c), id, most)) {
-            Some(call) => call.branches.push(branch),
-            None => picked.calls.push(Call { endpoint: host, branches: vec![branch] }),
+        let together = |c: &Call| c.attempts.iter().map(|b| b.transaction).collect::<Vec<_>>();
+        match open.filter(|c| c.attempts.len() < most && self.relay.joins(host, &together(c), id, most)) {
+            Some(call) => call.attempts.push(attempt),
+            None => picked.calls.push(Call { endpoint: host, attempts: vec![attempt] }),
         }
     }
 }
--- a/src/routing/journal.rs
+++ b/src/routing/journal.rs
@@ -15,7 +15,7 @@
 
 const NAME: &str = "relay.journal";
 const COPY: &str = "relay.journal.new";
-/// Most bytes that one transaction's branches, outcomes and end take after its intake.
+/// Most bytes that one transaction's attempts, outcomes and end take after its intake.
 const ROOM_EACH: u64 = 1_024;
 /// For what is written of next hops.
 const ROOM_AILING: u64 = 4_096;
@@ -29,12 +29,12 @@
 #[derive(Debug)]
 pub enum Record<'a> {
     Taken(&'a Transaction),
-    /// A branch is about to be written.
+    /// An attempt is about to be written.
     Out {
         at: Nanos,
         zone: usize,
     },
-    /// The branch that was out has ended.
+    /// The attempt that was out has ended.
     Back {
         may_have_run: bool,
     },
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -20,11 +20,11 @@
     pub body: Bytes,
     /// Whoever is owed the end, in the front's own words; empty where the front needs none.
     pub owner: String,
-    /// Branches begun.
+    /// Attempts begun.
     pub attempts: u32,
-    /// Wall time and zone of the first branch that may have run.
+    /// Wall time and zone of the first attempt that may have run.
     pub may_have_run: Option<(Nanos, usize)>,
-    /// The branch that is out, not known to have ended: when it began and in which zone.
+    /// The attempt that is out, not known to have ended: when it began and in which zone.
     pub out: Option<(Nanos, usize)>,
     /// The end that is owed and not yet acknowledged; `None` while it may still be delivered.
     pub ending: Option<Ending>,
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -1,4 +1,4 @@
-//! What the parts of routing tell one another: branches, calls, ends.
+//! What the parts of routing tell one another: attempts, calls, ends.
 
 use crate::catalog::EndpointId;
 use crate::interface::{Nanos, Outcome};
@@ -8,26 +8,27 @@
 
 /// One attempt of one transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Branch {
+pub struct Attempt {
     pub transaction: TransactionNo,
-    pub attempt: u32,
+    /// How many were made before it.
+    pub number: u32,
     pub timeout: Nanos,
 }
 
-/// Branches that travel to one next hop together.
+/// Attempts that travel to one next hop together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
     pub endpoint: EndpointId,
-    pub branches: Vec<Branch>,
+    pub attempts: Vec<Attempt>,
 }
 
-/// How a branch ended.
+/// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
     Ended(Outcome),
     /// It was not let through, and nothing more is owed.
     Over,
-    /// It was not let through, since its transaction has had all its branches.
+    /// It was not let through, since its transaction has had all its attempts.
     Spent,
     /// The next hop will never take it, for a reason in the front's own terms.
     Rejected {
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -1,7 +1,7 @@
 //! Fleets that ask discovery for the list, each relay by its own clock, in virtual time: nobody is left without news, and
 //! discovery is not kept from answering by those who ask.
 
-use basaltloom::fleet::{Asking, Heard, Terms};
+use basaltloom::fleet::{PollOutcome, PollSchedule, Terms};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -9,8 +9,8 @@
 /// A relay counts as told so long after discovery could be reached, whatever failed before.
 const TOLD: f64 = 6.0;
 
-fn fleet(relays: u32) -> Vec<Asking> {
-    (0..relays).map(|i| Asking::new(relays, ASKED, u64::from(i) * 77 + 1)).collect()
+fn fleet(relays: u32) -> Vec<PollSchedule> {
+    (0..relays).map(|i| PollSchedule::new(relays, ASKED, u64::from(i) * 77 + 1)).collect()
 }
 
 /// A discovery that answers one call after another.
@@ -32,7 +32,7 @@
     answers: Vec<Vec<f64>>,
 }
 
-fn play(mut asking: Vec<Asking>, discovery: Discovery, seconds: usize) -> Played {
+fn play(mut asking: Vec<PollSchedule>, discovery: Discovery, seconds: usize) -> Played {
     let mut due: BTreeMap<(u64, usize), ()> = BTreeMap::new();
     let at = |t: f64| (t * 1e9) as u64;
     for (i, a) in asking.iter_mut().enumerate() {
@@ -48,18 +48,18 @@
         played.calls[now as usize] += 1;
         let patience = asking[i].patience().as_secs_f64();
         let (heard, took) = if (discovery.down.0..discovery.down.1).contains(&now) {
-            (Heard::Nothing, patience)
+            (PollOutcome::Nothing, patience)
         } else {
             free = free.max(now);
             let sheds = discovery.sheds.is_some_and(|most| free - now > most * discovery.takes);
             free += if sheds { discovery.takes / 10.0 } else { discovery.takes };
             match free - now {
-                took if sheds => (Heard::Refusal, took.min(patience)),
-                took if took <= patience => (Heard::List, took),
-                _ => (Heard::Nothing, patience),
+                took if sheds => (PollOutcome::Refusal, took.min(patience)),
+                took if took <= patience => (PollOutcome::List, took),
+                _ => (PollOutcome::Nothing, patience),
             }
         };
-        if heard == Heard::List {
+        if heard == PollOutcome::List {
             played.answers[i].push(now + took);
         }
         let pause = asking[i].pause(heard, Duration::from_secs_f64(took));
@@ -122,7 +122,7 @@
     for mut a in fleet(500) {
         assert!(!a.watches() && a.first() <= Duration::from_secs(8));
         let took = Duration::from_secs(1);
-        assert!((0..50).all(|_| a.pause(Heard::List, took) + a.patience() <= Duration::from_secs(10)));
+        assert!((0..50).all(|_| a.pause(PollOutcome::List, took) + a.patience() <= Duration::from_secs(10)));
     }
 }
 
@@ -139,10 +139,10 @@
 fn one_of_two_watches_and_asks_every_100_ms_while_it_fails() {
     let pushed = Terms::default();
     for (senders, terms) in [(0, ASKED), (1, ASKED), (2, ASKED), (2, pushed), (100, pushed)] {
-        let mut a = Asking::new(senders, terms, 7);
+        let mut a = PollSchedule::new(senders, terms, 7);
         assert!(a.watches() && a.first() == Duration::ZERO && a.moved() == Duration::ZERO);
         let took = Duration::from_millis(500);
-        assert!((0..20).all(|_| a.pause(Heard::Nothing, took) <= Duration::from_millis(150)));
-        assert_eq!(a.pause(Heard::List, took), Duration::ZERO);
+        assert!((0..20).all(|_| a.pause(PollOutcome::Nothing, took) <= Duration::from_millis(150)));
+        assert_eq!(a.pause(PollOutcome::List, took), Duration::ZERO);
     }
 }
--- a/tests/batching.rs
+++ b/tests/batching.rs
@@ -4,7 +4,7 @@
 
 use basaltloom::batching::pace::{self, Arrivals, Cost};
 use basaltloom::batching::{Former, Member, Pressure, Size, Terms};
-use basaltloom::routing::{Branch, Call};
+use basaltloom::routing::{Attempt, Call};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -70,8 +70,8 @@
 };
 
 impl World {
-    fn leave(&mut self, branch: &Branch) -> Fate {
-        let fate = self.members.get_mut(&branch.transaction).expect("only what was released leaves");
+    fn leave(&mut self, attempt: &Attempt) -> Fate {
+        let fate = self.members.get_mut(&attempt.transaction).expect("only what was released leaves");
         assert!(!fate.left, "it leaves once");
         fate.left = true;
         fate.clone()
@@ -79,7 +79,7 @@
 
     fn go(&mut self, calls: Vec<Call>) {
         for call in calls {
-            let fates: Vec<Fate> = call.branches.iter().map(|b| self.leave(b)).collect();
+            let fates: Vec<Fate> = call.attempts.iter().map(|b| self.leave(b)).collect();
             assert!(!fates.is_empty(), "no empty call goes");
             assert!(fates.iter().all(|f| f.hop == call.endpoint), "to the hop that the module chose");
             assert!(fates.len() <= 5, "no call over its messages");
@@ -88,7 +88,7 @@
             let bytes: usize = fates.iter().map(|f| f.member.bytes).sum();
             assert!(together || bytes <= 1_000, "no call over its bytes: {bytes}");
             assert!(fates.len() == 1 || fates.iter().all(|f| !f.member.alone), "what goes alone goes alone");
-            for (branch, fate) in call.branches.iter().zip(&fates) {
+            for (attempt, fate) in call.attempts.iter().zip(&fates) {
                 let waited = self.now - fate.at;
                 assert!(waited <= 40 * MS, "nothing lingers longer than it may");
                 assert!(
@@ -96,7 +96,7 @@
                     "nor beyond its aim"
                 );
                 assert!(
-                    branch.timeout + waited == fate.member.branch.timeout,
+                    attempt.timeout + waited == fate.member.attempt.timeout,
                     "its patience is so much shorter"
                 );
             }
@@ -110,7 +110,7 @@
                 let count = if alone { 1 } else { count };
                 let members: Vec<Member> = (0..count as u64)
                     .map(|i| Member {
-                        branch: Branch { transaction: first + i, attempt: 0, timeout: 500 * MS },
+                        attempt: Attempt { transaction: first + i, number: 0, timeout: 500 * MS },
                         bytes,
                         aim_at: self.now + aim * MS,
                         alone,
@@ -118,7 +118,7 @@
                     .collect();
                 for m in &members {
                     let fate = Fate { member: *m, hop, at: self.now, left: false };
-                    self.members.insert(m.branch.transaction, fate);
+                    self.members.insert(m.attempt.transaction, fate);
                 }
                 let calls = self.former.release(self.now, hop, members);
                 self.go(calls);
@@ -141,12 +141,12 @@
                     self.members.iter().filter(|(_, f)| !f.left).map(|(no, _)| *no).collect();
                 let Some(no) = waiting.get(n % waiting.len().max(1)) else { return };
                 let hop = self.former.find(*no).expect("what has not left waits");
-                let branch = self.former.withdraw(hop, *no, 0).expect("it is there");
-                self.leave(&branch);
+                let attempt = self.former.withdraw(hop, *no, 0).expect("it is there");
+                self.leave(&attempt);
             }
             Step::Recall(hop) => {
-                for branch in self.former.recall(self.now, hop) {
-                    self.leave(&branch);
+                for attempt in self.former.recall(self.now, hop) {
+                    self.leave(&attempt);
                 }
                 assert!(
                     self.members.values().all(|f| f.left || f.hop != hop),
@@ -172,7 +172,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: seed::seed(), ..ProptestConfig::default() })]
 
-    /// Guards what a former owes whatever comes: each branch leaves it once, in a call or back; no call is over its
+    /// Guards what a former owes whatever comes: each attempt leaves it once, in a call or back; no call is over its
     /// bounds; what goes alone goes alone and at once; nothing lingers beyond its time, its aim or the end.
     #[test]
     fn whatever_comes_each_branch_leaves_once_and_within_bounds(
--- a/tests/discovery/rig.rs
+++ b/tests/discovery/rig.rs
@@ -1,7 +1,7 @@
 //! A discovery that answers as it is told, over a network in memory, and whoever takes the lists in.
 
 use basaltloom::catalog::Endpoint;
-use basaltloom::fleet::{Asking, Terms};
+use basaltloom::fleet::{PollSchedule, Terms};
 use basaltloom::protocol::discovery::{follow, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::{Listen, Network, Soon, Spare, Stream};
 use std::cell::{Cell, RefCell};
@@ -279,7 +279,7 @@
         let received = Rc::new(Received::default());
         let began = Instant::now();
         let (_agent, agent) = watch::channel(Some(SocketAddr::from(([10, 0, 0, 2], 8500))));
-        let asking = Asking::new(how.relays, how.terms, how.seed);
+        let asking = PollSchedule::new(how.relays, how.terms, how.seed);
         let limits = ListLimits { bytes: how.cap };
         let net = Rc::new(Leads(discovery.clone()));
         let following = follow(net, agent, names(), asking, None, limits, Receiver(received.clone()));
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -87,8 +87,8 @@
     assert_eq!((replayed.get(1), replayed.len(), next), (Some(&kept), 1, 2_000));
 }
 
-/// Guards the window of a repeat over two kills: a branch that was out at the first may have run, whatever came of those
-/// that a second life began. A herd day had seen a message go again 15 s after its first branch, right after the second
+/// Guards the window of a repeat over two kills: an attempt that was out at the first may have run, whatever came of those
+/// that a second life began. A herd day had seen a message go again 15 s after its first attempt, right after the second
 /// restart: what the second life wrote had taken the place of what the first had.
 #[test]
 fn a_branch_out_at_a_kill_is_remembered_over_the_next_one() {
@@ -131,7 +131,7 @@
 }
 
 /// Guards the limit on the folder, the copy counted: intake stops in time, and what is live can still have
-/// all its branches and its end written.
+/// all its attempts and its end written.
 #[test]
 fn the_budget_is_kept_and_leaves_room_for_outcomes() {
     const BUDGET: u64 = 200_000;
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -53,7 +53,7 @@
     );
 }
 
-/// Guards what was taken on against the end of the process: a branch whose outcome nobody heard may have
+/// Guards what was taken on against the end of the process: an attempt whose outcome nobody heard may have
 /// run, so an unsafe message gets `failed`, a safe one goes again, and one that was never out goes for the
 /// first time, all in the order taken and under the ids of the first life.
 #[test]
--- a/tests/scale/hollow_list.rs
+++ b/tests/scale/hollow_list.rs
@@ -2,7 +2,7 @@
 
 use super::hollow::Progress;
 use basaltloom::catalog::{Endpoint, EndpointState};
-use basaltloom::fleet::{Asking, Terms};
+use basaltloom::fleet::{PollSchedule, Terms};
 use basaltloom::protocol::discovery::{self, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::Tcp;
 use std::cell::RefCell;
@@ -81,7 +81,7 @@
     let (_kept, agent) = watch::channel(Some(discovery));
     let zones = ["a", "b", "c"].map(str::to_string).to_vec();
     let names = Names { kinds: vec!["m1".to_string()], zones };
-    let asking = Asking::new(senders as u32, Terms::default(), seed);
+    let schedule = PollSchedule::new(senders as u32, Terms::default(), seed);
     let receiver = Receiver { list, progress };
-    discovery::follow(Rc::new(Tcp), agent, names, asking, known, ListLimits::default(), receiver).await;
+    discovery::follow(Rc::new(Tcp), agent, names, schedule, known, ListLimits::default(), receiver).await;
 }
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -5,7 +5,7 @@
 
 use basaltloom::routing::core::{Batching, Carried, First, Letter};
 use basaltloom::routing::{
-    Branch, Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
+    Attempt, Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
 };
 use basaltloom::*;
 use bytes::Bytes;
@@ -17,7 +17,7 @@
 
 const MS: u64 = 1_000_000;
 const SEC: u64 = 1_000 * MS;
-/// What a branch takes at most between its first byte and its last, with the rule's own slack.
+/// What an attempt takes at most between its first byte and its last, with the rule's own slack.
 const TRANSIT: u64 = 30 * MS;
 
 fn folder(name: &str) -> PathBuf {
@@ -27,7 +27,7 @@
     path
 }
 
-/// What a partner saw of a message: when its branches began, in which zone, and whether each may have run.
+/// What a partner saw of a message: when its attempts began, in which zone, and whether each may have run.
 #[derive(Clone, Debug, Default)]
 struct Seen {
     class: usize,
@@ -59,7 +59,7 @@
             .ok_or_else(|| format!("{id} ({repeat:?}) again {after} ms after {at} in {zone}"))
     }
 
-    /// An outcome proves that the last branch never ran.
+    /// An outcome proves that the last attempt never ran.
     fn never_ran(&mut self, id: &str) {
         self.0.get_mut(id).unwrap().begun.last_mut().unwrap().2 = false;
     }
@@ -126,9 +126,9 @@
         }
     }
 
-    fn report(&mut self, call: &Call, replies: Vec<(Branch, Reply)>, took: u64) {
+    fn report(&mut self, call: &Call, replies: Vec<(Attempt, Reply)>, took: u64) {
         let mut carried = Carried::from(replies);
-        for b in &call.branches {
+        for b in &call.attempts {
             if !carried.replies.iter().any(|(of, _)| of == b) {
                 carried.replies.push((*b, Reply::Ended(Outcome::NotSent)));
             }
@@ -170,7 +170,7 @@
                 assert!(matches!(taken, Taken::On(_) | Taken::Refused { .. }), "{taken:?}");
             }
             Due::Begin(call, zone) => {
-                let gone = call.branches.iter().any(|b| self.gone.contains(&(b.transaction, b.attempt)));
+                let gone = call.attempts.iter().any(|b| self.gone.contains(&(b.transaction, b.number)));
                 let letters = if gone { Vec::new() } else { self.core.begin(self.now, &call) };
                 self.begun += letters.len();
                 for l in &letters {
@@ -184,7 +184,7 @@
                         0..=2 => (Outcome::Served, 40 * MS),
                         3..=7 => (Outcome::Broken, 30 * MS),
                         8..=10 => (Outcome::Error, 30 * MS),
-                        11..=13 => (Outcome::TimedOut, call.branches[0].timeout),
+                        11..=13 => (Outcome::TimedOut, call.attempts[0].timeout),
                         14..=16 => (Outcome::Full { wait }, 10 * MS),
                         _ => (Outcome::NoConnection, MS),
                     };
@@ -195,7 +195,7 @@
                 if outcome.never_ran() {
                     letters.iter().for_each(|l| self.oracle.never_ran(&l.id));
                 }
-                let replies = letters.iter().map(|l| (l.branch, Reply::Ended(outcome))).collect();
+                let replies = letters.iter().map(|l| (l.attempt, Reply::Ended(outcome))).collect();
                 self.report(&call, replies, self.now - from);
             }
             Due::Told(no) => self.core.acknowledged(self.now, no),
@@ -229,7 +229,7 @@
     ends
 }
 
-/// Lives on from what a folder holds; while `kills` are left, it is killed again after some steps. Returns the branches
+/// Lives on from what a folder holds; while `kills` are left, it is killed again after some steps. Returns the attempts
 /// begun.
 fn live_again(dir: &Path, now: u64, seed: u64, oracle: Oracle, kills: u64) -> Result<usize, String> {
     let mut life = Life::new(dir, now, seed, oracle);
@@ -247,7 +247,7 @@
 }
 
 /// Lives once, and on from every record of it, killed up to two times more; returns how many lives that were and
-/// branches they began.
+/// attempts they began.
 fn kill_at_every_record(seed: u64) -> Result<(usize, usize), String> {
     let (dir, side) = (folder(&format!("main-{seed}")), folder(&format!("side-{seed}")));
     let file = dir.join("relay.journal");
@@ -297,5 +297,5 @@
             Err(why) => panic!("{why}"),
         }
     }
-    assert!(lives > 3_000 && begun > 10_000, "{lives} lives, {begun} branches");
+    assert!(lives > 3_000 && begun > 10_000, "{lives} lives, {begun} attempts");
 }
