Split the platform's front and the pipelines by concern: intake, ends, answers

Change: protocol/platform/ is the front, intake.rs its answers to clients, ends.rs its notices; transport/answer.rs cuts answers out of what came. Moves, no change of behaviour.

--- /dev/null
+++ b/src/protocol/platform/intake.rs
@@ -0,0 +1,131 @@
+//! Requests of clients: what their heads say, and the answer to each.
+
+use super::super::fields;
+use super::{Defaults, Platform};
+use crate::interface::Nanos;
+use crate::routing::{Desk, Offer, Taken};
+use crate::transport::connection::read_body;
+use crate::transport::listener::Leg;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Most bytes of a message's body.
+pub(super) const BODY_MOST: usize = 64 * 1024;
+/// Clients give up after 400 ms: a body that is not there by then will not be asked for.
+const BODY_WITHIN: Duration = Duration::from_millis(500);
+
+/// Answers one request of a caller.
+pub async fn answer(
+    desk: Rc<Desk<Platform>>,
+    leg: Rc<Leg>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    // What is small has come with the head, as a rule, and the leg can go on.
+    let refused = |response| match request.body().size_hint().upper() {
+        Some(len) if len <= BODY_MOST as u64 => response,
+        _ => closing(response),
+    };
+    let path = request.uri().path();
+    if path == "/ready" {
+        return refused(match *request.method() {
+            Method::GET | Method::HEAD => plain(StatusCode::OK),
+            _ => not_allowed("GET, HEAD"),
+        });
+    }
+    let classes = &desk.front.classes;
+    let name = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or("");
+    let Some(class) = classes.names.iter().position(|c| c == name).or(classes.rest) else {
+        return refused(plain(StatusCode::NOT_FOUND));
+    };
+    if request.method() != Method::POST {
+        return refused(not_allowed("POST"));
+    }
+    // hyper drops a Content-Length that comes with it: whatever has both may hide a request in its body.
+    if request.headers().contains_key(TRANSFER_ENCODING) {
+        return closing(plain(StatusCode::LENGTH_REQUIRED));
+    }
+    let Some(mut offer) = offer(class, classes.defaults[class], request.uri().query(), request.headers())
+    else {
+        return refused(plain(StatusCode::BAD_REQUEST));
+    };
+    if classes.longest > 0 && offer.time_left > classes.longest {
+        return refused(plain(StatusCode::BAD_REQUEST));
+    }
+    let body = request.into_body();
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return closing(plain(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    offer.body = match timeout(BODY_WITHIN, read_body(body, BODY_MOST)).await {
+        Ok(Some(body)) => body,
+        Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
+        Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
+    };
+    match desk.act(|core, now| core.take(now, offer)) {
+        Taken::On(no) => {
+            leg.promises(no);
+            plain(StatusCode::ACCEPTED)
+        }
+        Taken::Already => plain(StatusCode::ACCEPTED),
+        Taken::Other => plain(StatusCode::CONFLICT),
+        Taken::Failed => plain(StatusCode::GATEWAY_TIMEOUT),
+        Taken::Refused { after, .. } => refusal(after),
+    }
+}
+
+/// What the head of a request says; `None` if anything is missing, said twice or can't be passed on.
+fn offer(class: usize, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
+    let said = ["x-request-id", "idempotency-key", "x-consignee", "x-timeout"];
+    if said.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+        return None;
+    }
+    let get = |name: &str| headers.get(name).map(|v| v.to_str().unwrap_or("\n"));
+    let id = get("x-request-id").filter(|id| fields::token(id))?;
+    let idempotency = get("idempotency-key");
+    if idempotency.is_some_and(|k| !fields::token(k)) {
+        return None;
+    }
+    Some(Offer {
+        id: id.to_string(),
+        class,
+        dest: get("x-consignee").map_or(or.dest, |v| fields::value(v, "dest"))?,
+        key: fields::query(query, "thread"),
+        idempotency: idempotency.map(str::to_string),
+        time_left: get("x-timeout").map_or(or.time_left, fields::span)?,
+        body: Bytes::new(),
+        owner: String::new(),
+    })
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer before the request was read whole: the leg cannot go on.
+fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    response
+}
+
+fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::METHOD_NOT_ALLOWED);
+    response.headers_mut().insert("allow", HeaderValue::from_static(allow));
+    response
+}
+
+fn refusal(after: Nanos) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    if let Some(value) =
+        (after > 0).then(|| HeaderValue::from_str(&fields::seconds_text(after)).ok()).flatten()
+    {
+        response.headers_mut().insert("retry-after", value);
+    }
+    response
+}
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform/mod.rs
@@ -1,13 +1,20 @@
 //! The platform's front: callers hand messages in, next hops take them, ends go out as notices.
 
-use super::{fields, hook, notices};
+mod ends;
+mod intake;
+
+pub use ends::tell_ends;
+pub use intake::answer;
+
+use intake::BODY_MOST;
+
+use super::hook;
 use crate::batching::fate::{fate, Break, Fate};
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter, Piping};
 use crate::routing::desk::Passage;
-use crate::routing::{Desk, EndpointId, Front, Offer, Reply, Taken, TransactionNo};
+use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
 use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN};
-use crate::transport::listener::Leg;
 use crate::transport::network::Net;
 use crate::transport::pipeline::{Broken, Pipelines};
 use crate::transport::pool::{Lease, NoLease};
@@ -15,8 +22,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -26,11 +32,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-const BODY_MOST: usize = 64 * 1024;
-/// Clients give up after 400 ms: a body that is not there by then will not be asked for.
-const BODY_WITHIN: Duration = Duration::from_millis(500);
-const NOTICE_RETRY: Duration = Duration::from_millis(50);
-
 /// What holds for requests of a class that do not say it themselves.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Defaults {
@@ -272,203 +273,3 @@
         lease.give_back();
     }
 }
-
-/// Tells the platform of ends, wherever it moves, until each is acknowledged. Where there is no platform, the
-/// log is told.
-pub async fn tell_ends(desk: Rc<Desk<Platform>>) {
-    let mut agent = desk.front.agent.subscribe();
-    loop {
-        let at = *agent.borrow_and_update();
-        let telling = async {
-            match at {
-                Some(at) => tell_agent(&desk, at).await,
-                None => log_ends(&desk).await,
-            }
-        };
-        tokio::select! {
-            () = telling => {}
-            _ = agent.changed() => {}
-        }
-    }
-}
-
-/// Tells ends at one address, those that come meanwhile together. What is owed stays in line until it is
-/// acknowledged: the address may change at any moment.
-async fn tell_agent(desk: &Rc<Desk<Platform>>, agent: SocketAddr) {
-    let front = &desk.front;
-    let (mut line, mut most, mut failing) = (None, notices::MOST, false);
-    loop {
-        let batch: Vec<TransactionNo> = front.owed.borrow().iter().take(most).copied().collect();
-        if batch.is_empty() {
-            front.more_owed.notified().await;
-            continue;
-        }
-        let mut text = String::new();
-        for no in &batch {
-            let owed = desk.see(|core| core.transaction(*no).and_then(|t| Some((t.id.clone(), t.ending?))));
-            if let Some((id, ending)) = owed {
-                notices::line(&id, ending, &mut text);
-            }
-        }
-        let told = match text.is_empty() {
-            true => Ok(()),
-            false => notices::post(&front.net, agent, &mut line, text).await,
-        };
-        match told {
-            Ok(()) => {
-                (most, failing) = (notices::MOST, false);
-                front.owed.borrow_mut().drain(..batch.len());
-                desk.act(|core, now| batch.into_iter().for_each(|no| core.acknowledged(now, no)));
-            }
-            Err(status) => {
-                // What cannot be read must not hold up the rest: one by one until one is taken.
-                if status == Some(StatusCode::BAD_REQUEST) {
-                    most = 1;
-                }
-                if most == 1 {
-                    front.owed.borrow_mut().rotate_left(1);
-                }
-                match status {
-                    Some(status) => {
-                        let status = status.as_u16();
-                        tracing::warn!(target: "platform", event = "notices-refused", status, "notices: not taken, told again");
-                    }
-                    None if failing => {}
-                    // One connection that has fallen silent or was closed: the next try is on a new one.
-                    None => {
-                        tracing::warn!(target: "platform", event = "notices-unanswered", "notices: no answer, told again");
-                        failing = true;
-                        continue;
-                    }
-                }
-                sleep(NOTICE_RETRY).await;
-            }
-        }
-    }
-}
-
-async fn log_ends(desk: &Rc<Desk<Platform>>) {
-    loop {
-        let owed = std::mem::take(&mut *desk.front.owed.borrow_mut());
-        for no in owed {
-            let mut text = String::new();
-            let told = desk.see(|core| core.transaction(no).and_then(|t| Some((t.id.clone(), t.ending?))));
-            if let Some((id, ending)) = told {
-                notices::line(&id, ending, &mut text);
-                tracing::info!(target: "platform", event = "message-end", "{}", text.trim_end());
-            }
-            desk.act(|core, now| core.acknowledged(now, no));
-        }
-        desk.front.more_owed.notified().await;
-    }
-}
-
-/// Answers one request of a caller.
-pub async fn answer(
-    desk: Rc<Desk<Platform>>,
-    leg: Rc<Leg>,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    // What is small has come with the head, as a rule, and the leg can go on.
-    let refused = |response| match request.body().size_hint().upper() {
-        Some(len) if len <= BODY_MOST as u64 => response,
-        _ => closing(response),
-    };
-    let path = request.uri().path();
-    if path == "/ready" {
-        return refused(match *request.method() {
-            Method::GET | Method::HEAD => plain(StatusCode::OK),
-            _ => not_allowed("GET, HEAD"),
-        });
-    }
-    let classes = &desk.front.classes;
-    let name = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or("");
-    let Some(class) = classes.names.iter().position(|c| c == name).or(classes.rest) else {
-        return refused(plain(StatusCode::NOT_FOUND));
-    };
-    if request.method() != Method::POST {
-        return refused(not_allowed("POST"));
-    }
-    // hyper drops a Content-Length that comes with it: whatever has both may hide a request in its body.
-    if request.headers().contains_key(TRANSFER_ENCODING) {
-        return closing(plain(StatusCode::LENGTH_REQUIRED));
-    }
-    let Some(mut offer) = offer(class, classes.defaults[class], request.uri().query(), request.headers())
-    else {
-        return refused(plain(StatusCode::BAD_REQUEST));
-    };
-    if classes.longest > 0 && offer.time_left > classes.longest {
-        return refused(plain(StatusCode::BAD_REQUEST));
-    }
-    let body = request.into_body();
-    if body.size_hint().lower() > BODY_MOST as u64 {
-        return closing(plain(StatusCode::PAYLOAD_TOO_LARGE));
-    }
-    offer.body = match timeout(BODY_WITHIN, read_body(body, BODY_MOST)).await {
-        Ok(Some(body)) => body,
-        Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
-        Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
-    };
-    match desk.act(|core, now| core.take(now, offer)) {
-        Taken::On(no) => {
-            leg.promises(no);
-            plain(StatusCode::ACCEPTED)
-        }
-        Taken::Already => plain(StatusCode::ACCEPTED),
-        Taken::Other => plain(StatusCode::CONFLICT),
-        Taken::Failed => plain(StatusCode::GATEWAY_TIMEOUT),
-        Taken::Refused { after, .. } => refusal(after),
-    }
-}
-
-/// What the head of a request says; `None` if anything is missing, said twice or can't be passed on.
-fn offer(class: usize, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
-    let said = ["x-request-id", "idempotency-key", "x-consignee", "x-timeout"];
-    if said.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
-        return None;
-    }
-    let get = |name: &str| headers.get(name).map(|v| v.to_str().unwrap_or("\n"));
-    let id = get("x-request-id").filter(|id| fields::token(id))?;
-    let idempotency = get("idempotency-key");
-    if idempotency.is_some_and(|k| !fields::token(k)) {
-        return None;
-    }
-    Some(Offer {
-        id: id.to_string(),
-        class,
-        dest: get("x-consignee").map_or(or.dest, |v| fields::value(v, "dest"))?,
-        key: fields::query(query, "thread"),
-        idempotency: idempotency.map(str::to_string),
-        time_left: get("x-timeout").map_or(or.time_left, fields::span)?,
-        body: Bytes::new(),
-        owner: String::new(),
-    })
-}
-
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::new()));
-    *response.status_mut() = status;
-    response
-}
-
-/// An answer before the request was read whole: the leg cannot go on.
-fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
-    response.headers_mut().insert("connection", HeaderValue::from_static("close"));
-    response
-}
-
-fn not_allowed(allow: &'static str) -> Response<Full<Bytes>> {
-    let mut response = plain(StatusCode::METHOD_NOT_ALLOWED);
-    response.headers_mut().insert("allow", HeaderValue::from_static(allow));
-    response
-}
-
-fn refusal(after: Nanos) -> Response<Full<Bytes>> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-    if let Some(value) =
-        (after > 0).then(|| HeaderValue::from_str(&fields::seconds_text(after)).ok()).flatten()
-    {
-        response.headers_mut().insert("retry-after", value);
-    }
-    response
-}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: listeners with their caller legs, connections, pools of connections to next hops.
 
+pub mod answer;
 pub mod connection;
 pub mod datagrams;
 pub mod door;
