Give staged entries back while a list is applied, and stage a destination in few bytes

Change: departures are kept apart, chunks go as soon as all of theirs is in force, the index by name goes when the list is whole.

--- a/src/catalog/update.rs
+++ b/src/catalog/update.rs
@@ -35,20 +35,21 @@
 struct Group {
     first: u32,
     last: u32,
-    entries: usize,
-    departures: Vec<EndpointId>,
+    entries: u32,
 }
 
 impl Default for Group {
     fn default() -> Self {
-        Group { first: NONE, last: NONE, entries: 0, departures: Vec::new() }
+        Group { first: NONE, last: NONE, entries: 0 }
     }
 }
 
-impl Group {
-    fn len(&self) -> usize {
-        self.entries + self.departures.len()
-    }
+/// Staged entries, given back to the system once all of them have been applied.
+#[derive(Debug)]
+struct Chunk {
+    staged: Vec<Staged>,
+    /// Places of which the destination has not come into force yet.
+    pending: usize,
 }
 
 /// The entries of one list until it has come whole.
@@ -57,10 +58,12 @@
     version: u64,
     /// Numbers that the list names, by page.
     seen: BTreeMap<u32, u64>,
-    staged: Vec<Vec<Staged>>,
+    chunks: Vec<Chunk>,
     /// Places of staged entries by name.
     names: NameIndex,
     groups: BTreeMap<u64, Group>,
+    /// Endpoints that have left, by destination; each of these has a group.
+    departures: BTreeMap<u64, Vec<EndpointId>>,
     /// Destinations at which something goes or drains: their groups come first.
     urgent: BTreeSet<u64>,
     /// Destinations between which an endpoint moves.
@@ -72,9 +75,10 @@
         Draft {
             version,
             seen: BTreeMap::new(),
-            staged: Vec::new(),
+            chunks: Vec::new(),
             names: NameIndex::default(),
             groups: BTreeMap::new(),
+            departures: BTreeMap::new(),
             urgent: BTreeSet::new(),
             moves: BTreeMap::new(),
         }
@@ -117,11 +121,11 @@
     }
 
     fn staged(&self, place: u32) -> &Staged {
-        &self.staged[place as usize / CHUNK][place as usize % CHUNK]
+        &self.chunks[place as usize / CHUNK].staged[place as usize % CHUNK]
     }
 
     fn staged_mut(&mut self, place: u32) -> &mut Staged {
-        &mut self.staged[place as usize / CHUNK][place as usize % CHUNK]
+        &mut self.chunks[place as usize / CHUNK].staged[place as usize % CHUNK]
     }
 
     fn find_staged(&self, hash: u64, name: &str) -> Option<u32> {
@@ -151,19 +155,20 @@
         } else {
             self.staged_mut(last).next = place;
         }
-        let staged = &self.staged;
-        let hash_of = |place: u32| staged[place as usize / CHUNK][place as usize % CHUNK].hash;
+        let chunks = &self.chunks;
+        let hash_of = |place: u32| chunks[place as usize / CHUNK].staged[place as usize % CHUNK].hash;
         self.names.insert(hash, place, hash_of);
     }
 
     fn push(&mut self, staged: Staged) -> u32 {
-        if self.staged.last().is_none_or(|chunk| chunk.len() == CHUNK) {
-            self.staged.push(Vec::with_capacity(CHUNK));
+        if self.chunks.last().is_none_or(|chunk| chunk.staged.len() == CHUNK) {
+            self.chunks.push(Chunk { staged: Vec::with_capacity(CHUNK), pending: 0 });
         }
-        let full = (self.staged.len() - 1) * CHUNK;
-        self.staged.last_mut().map_or(NONE, |chunk| {
-            chunk.push(staged);
-            (full + chunk.len() - 1) as u32
+        let full = (self.chunks.len() - 1) * CHUNK;
+        self.chunks.last_mut().map_or(NONE, |chunk| {
+            chunk.staged.push(staged);
+            chunk.pending += 1;
+            (full + chunk.staged.len() - 1) as u32
         })
     }
 
@@ -171,7 +176,7 @@
         let Some(dest) = self.staged_mut(place).entry.take().map(|entry| entry.dest) else { return };
         let Some(group) = self.groups.get_mut(&dest) else { return };
         group.entries -= 1;
-        if group.len() == 0 {
+        if group.entries == 0 {
             self.groups.remove(&dest);
         }
     }
@@ -181,8 +186,32 @@
         self.moves.entry(to).or_default().push(from);
     }
 
+    /// Entries and departures of a destination.
+    fn len_of(&self, dest: u64) -> usize {
+        let departures = self.departures.get(&dest).map_or(0, Vec::len);
+        self.groups.get(&dest).map_or(0, |group| group.entries as usize) + departures
+    }
+
+    /// Places of the entries of a group, those that no longer stand included.
+    fn places_of(&self, group: &Group) -> Vec<u32> {
+        let first = Some(group.first).filter(|place| *place != NONE);
+        let next = |place: &u32| Some(self.staged(*place).next).filter(|place| *place != NONE);
+        std::iter::successors(first, next).collect()
+    }
+
+    /// Nothing stands at this place any more. A chunk of which that holds everywhere gives its memory back.
+    fn release(&mut self, place: u32) {
+        let chunk = &mut self.chunks[place as usize / CHUNK];
+        chunk.pending -= 1;
+        if chunk.pending == 0 && chunk.staged.len() == CHUNK {
+            chunk.staged = Vec::new();
+        }
+    }
+
     /// The list has come whole; `whole`: it replaces all that was known.
-    pub fn complete(self, whole: bool) -> PendingUpdate {
+    pub fn complete(mut self, whole: bool) -> PendingUpdate {
+        // Nothing is staged under a name any more.
+        self.names = NameIndex::default();
         PendingUpdate { draft: self, look_from: whole.then_some(0) }
     }
 }
@@ -257,7 +286,8 @@
             let seen = self.draft.seen.get(&page).copied().unwrap_or(0);
             let is_seen = |id: EndpointId| seen & (1 << (id % PAGE)) != 0;
             for (id, entry) in entries.filter(|(id, e)| !is_seen(*id) && e.state != EndpointState::Left) {
-                self.draft.groups.entry(entry.dest).or_default().departures.push(id);
+                self.draft.groups.entry(entry.dest).or_default();
+                self.draft.departures.entry(entry.dest).or_default().push(id);
                 self.draft.urgent.insert(entry.dest);
             }
         }
@@ -269,31 +299,31 @@
         let urgent = |draft: &Draft| draft.urgent.first().or(draft.groups.keys().next()).copied();
         while let Some(dest) = urgent(&self.draft) {
             let dests = self.moved_together(dest);
-            let groups = dests.iter().filter_map(|dest| self.draft.groups.get(dest));
-            let (taken, more) = (places.len() + departures.len(), groups.map(Group::len).sum::<usize>());
+            let more: usize = dests.iter().map(|dest| self.draft.len_of(*dest)).sum();
+            let taken = places.len() + departures.len();
             if taken > 0 && taken + more > MOST_IN_A_PIECE {
                 break;
             }
             for dest in dests {
                 self.draft.urgent.remove(&dest);
                 self.draft.moves.remove(&dest);
+                departures.extend(self.draft.departures.remove(&dest).unwrap_or_default());
                 if let Some(group) = self.draft.groups.remove(&dest) {
-                    self.collect(&group, &mut places);
-                    departures.extend(group.departures);
+                    places.extend(self.draft.places_of(&group));
                 }
             }
         }
         // In the order listed.
         places.sort_unstable();
-        let entries = places.into_iter().filter_map(|place| self.draft.staged_mut(place).entry.take());
-        let entries = entries.collect();
+        let entries = places.iter().filter_map(|place| self.draft.staged_mut(*place).entry.take()).collect();
+        places.iter().for_each(|place| self.draft.release(*place));
         Piece { departures, entries, is_last: self.draft.groups.is_empty() }
     }
 
     /// This destination and those that an endpoint moves from or to, as far as they have anything to apply. A chain of
     /// them that is too long is cut: no message waits for half of the list.
     fn moved_together(&self, dest: u64) -> BTreeSet<u64> {
-        let len = |dest: &u64| self.draft.groups.get(dest).map_or(0, Group::len);
+        let len = |dest: &u64| self.draft.len_of(*dest);
         let (mut dests, mut open, mut entries) = (BTreeSet::from([dest]), vec![dest], len(&dest));
         while let Some(dest) = open.pop() {
             for other in self.draft.moves.get(&dest).into_iter().flatten() {
@@ -307,13 +337,4 @@
         }
         dests
     }
-
-    fn collect(&self, group: &Group, places: &mut Vec<u32>) {
-        let mut next = group.first;
-        while next != NONE {
-            let staged = self.draft.staged(next);
-            places.extend(staged.entry.as_ref().map(|_| next));
-            next = staged.next;
-        }
-    }
 }
