Plan a restarted relay's first trials by what it holds, not before it knows it

Cause, by a trace of each send on a scratch copy: Core::new told the module of the sick endpoints before it restored the messages. Ruled out: make_room and the wind-up gave up none of them, all ran out of time. Change: what was restored and who was sick go to the module in one step, the messages first. tests/returns.rs does as the core does now.

--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -1,6 +1,7 @@
 //! Taking requests on: from callers, and from what an earlier life left.
 
 use super::{bytes_of, Core, Note, Offer, Taken, DOOR_ADVICE};
+use crate::catalog::EndpointId;
 use crate::interface::Nanos;
 use crate::routing::facade::Ask;
 use crate::routing::journal::Record;
@@ -9,8 +10,9 @@
 use bytes::Bytes;
 
 impl Core {
-    /// An attempt without an outcome may have run. What has its end only needs to tell it again.
-    pub(super) fn restore(&mut self, classes: usize, now: Nanos) {
+    /// An attempt without an outcome may have run. What has its end only needs to tell it again. `ailing`: endpoints that
+    /// were in an outage when the earlier life ended.
+    pub(super) fn restore(&mut self, classes: usize, now: Nanos, ailing: Vec<EndpointId>) {
         let mut asks = Vec::new();
         let mut strange = Vec::new();
         let nos: Vec<TransactionNo> = self.transactions.iter().map(|(no, _)| no).collect();
@@ -41,7 +43,7 @@
             let text = format!("{all} transactions restored, {held} still to deliver");
             self.work.notes.push(Note::new("journal-restored", text));
         }
-        let picked = self.facade.pick(now, asks);
+        let picked = self.facade.restore(now, asks, ailing);
         self.absorb(now, picked);
         strange.into_iter().for_each(|no| self.end(no, Ending::Undelivered(End::Failed)));
     }
@@ -93,7 +95,7 @@
         self.next_no += 1;
         self.transactions.insert(no, t);
         let ask = Ask { transaction: no, class, dest, key, time_left, past: None, bytes, ended: false };
-        let mut picked = self.facade.pick(now, vec![ask]);
+        let mut picked = self.facade.pick(now, ask);
         let at_once = picked.ends.iter().position(|(of, _)| *of == no).map(|i| picked.ends.remove(i).1);
         self.absorb(now, picked);
         match at_once {
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -115,9 +115,7 @@
                 None => drop(core.journal.note_ailing(name, false)),
             }
         }
-        let picked = core.facade.ailing(now, sick);
-        core.absorb(now, picked);
-        core.restore(classes, now);
+        core.restore(classes, now, sick);
         core
     }
 
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -118,8 +118,21 @@
         self.relay.may_begin(no, endpoint, now)
     }
 
-    /// Puts transactions before the module, in the order in which they were taken.
-    pub fn pick(&mut self, now: Nanos, asks: Vec<Ask>) -> Picked {
+    /// Puts a transaction before the module.
+    pub fn pick(&mut self, now: Nanos, ask: Ask) -> Picked {
+        let events = self.asked(vec![ask]);
+        self.step(now, &events)
+    }
+
+    /// Puts what an earlier life left before the module, in the order taken, and the endpoints that were in an outage
+    /// when it ended. Those come last: how soon one is tried rests on what is held for it.
+    pub fn restore(&mut self, now: Nanos, asks: Vec<Ask>, ailing: Vec<EndpointId>) -> Picked {
+        let mut events = self.asked(asks);
+        events.extend(ailing.into_iter().map(|host| Event::Ailing { host }));
+        self.step(now, &events)
+    }
+
+    fn asked(&mut self, asks: Vec<Ask>) -> Vec<Event> {
         let mut events = Vec::new();
         for a in asks {
             let Ask { transaction: id, class, dest, key, time_left, past, bytes, ended } = a;
@@ -137,7 +150,7 @@
             });
             events.push(Event::Travels { id, bytes, group: usize::MAX });
         }
-        self.step(now, &events)
+        events
     }
 
     /// Tells how attempts ended: those of one call in one report.
@@ -215,12 +228,6 @@
         self.step(now, &[Event::Settled { id }])
     }
 
-    /// These next hops were in an outage when an earlier life of the relay ended.
-    pub fn ailing(&mut self, now: Nanos, endpoints: Vec<EndpointId>) -> Picked {
-        let events: Vec<Event> = endpoints.into_iter().map(|host| Event::Ailing { host }).collect();
-        self.step(now, &events)
-    }
-
     /// Nobody waits for this transaction any more.
     pub fn withdraw(&mut self, now: Nanos, id: TransactionNo) -> Picked {
         self.attempts.remove(&id);
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -218,9 +218,6 @@
     fn start(&mut self, now: u64, i: usize) {
         self.nodes[i].relay = self.relay(now);
         self.nodes[i].alive = true;
-        if self.nodes[i].ailing {
-            self.step(now, i, &[Event::Ailing { host: 0 }]);
-        }
         let restored = |(id, open): (&u64, &Open)| Event::Restored {
             id: *id,
             class: 0,
@@ -230,7 +227,8 @@
             attempts: open.attempts,
             may_have_run: None,
         };
-        let events: Vec<Event> = self.nodes[i].open.iter().map(restored).collect();
+        let mut events: Vec<Event> = self.nodes[i].open.iter().map(restored).collect();
+        events.extend(self.nodes[i].ailing.then_some(Event::Ailing { host: 0 }));
         self.step(now, i, &events);
     }
 
