--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -10,6 +10,7 @@
 use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
+use crate::routing::journal::{OpenError, Replayed};
 use crate::routing::{Clock, Core, Desk, Journal};
 use crate::transport::network::{Counted, Net};
 use crate::transport::pipeline::Pipelines;
@@ -24,12 +25,9 @@
 /// Sets the chances taken with discovery apart from those of the module.
 const POLL_SEED: u64 = 0x6469_7363_6f76_6572;
 
-fn journal(
-    state: &Path,
-    bytes: u64,
-    classes: Vec<String>,
-) -> Result<(Journal, crate::routing::journal::Replayed), String> {
+fn journal(state: &Path, bytes: u64, classes: Vec<String>) -> Result<(Journal, Replayed), String> {
     std::fs::create_dir_all(state)
+        .map_err(OpenError::Io)
         .and_then(|()| Journal::open(state, bytes, classes))
         .map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))
 }
--- /dev/null
+++ b/src/routing/journal/mod.rs
@@ -0,0 +1,198 @@
+//! The relay journal: what the relay has taken on, written ahead so that it outlasts the process.
+//!
+//! One file of records, each with its length and checksum, written by one process at a time ([`WriterLock`]). It is not
+//! synced: what was written outlasts the process, which is all that is asked. When much of it is dead it is copied, live
+//! transactions only, and the copy takes its place; the budget leaves room for that copy and for the outcomes of all that
+//! is live.
+
+mod lock;
+mod record;
+mod replay;
+
+pub use lock::{OpenError, WriterLock};
+pub use record::Record;
+pub use replay::{LastOut, Replayed};
+
+use super::transactions::{Transaction, Transactions};
+use super::values::TransactionNo;
+use bytes::Bytes;
+use record::{encode, set_ailing};
+use replay::replay;
+use std::collections::{BTreeSet, HashMap};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+const NAME: &str = "relay.journal";
+const COPY: &str = "relay.journal.new";
+/// Most bytes that one transaction's attempts, outcomes and end take after its intake.
+const ROOM_EACH: u64 = 1_024;
+/// For what is written of endpoints.
+const ROOM_AILING: u64 = 4_096;
+/// Below this size no copy is made for tidiness alone.
+const TIDY: u64 = 512 * 1024;
+/// Kept free of the budget: sizes are counted in blocks, and other files lie beside the journal.
+const MARGIN: u64 = 16 * 1024;
+
+/// The journal of one folder, open for writing.
+#[derive(Debug)]
+pub struct Journal {
+    dir: PathBuf,
+    file: File,
+    /// None once the journal is another process's.
+    lock: Option<WriterLock>,
+    classes: Vec<String>,
+    budget: u64,
+    /// Bytes of whole records in the file.
+    size: u64,
+    /// A write failed and could not be undone: nothing more is written.
+    broken: bool,
+    /// Bytes that the copy of each live transaction takes.
+    live: HashMap<TransactionNo, u64>,
+    live_bytes: u64,
+    /// As last written: a copy begins with it.
+    ailing: BTreeSet<String>,
+}
+
+impl Journal {
+    /// Opens the journal in `dir`, which may hold `budget` bytes in all, and reads what it holds. Where another process
+    /// has it, nothing is changed.
+    pub fn open(dir: &Path, budget: u64, classes: Vec<String>) -> Result<(Journal, Replayed), OpenError> {
+        let lock = WriterLock::take(dir)?;
+        let path = dir.join(NAME);
+        remove_if_there(&dir.join(COPY))?;
+        let bytes = match fs::read(&path) {
+            Ok(b) => Bytes::from(b),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
+            Err(e) => return Err(e.into()),
+        };
+        let mut replayed = Replayed { next_no: 1, ..Replayed::default() };
+        let good = replay(&bytes, &classes, &mut replayed);
+        replayed.torn = bytes.len() as u64 - good;
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        file.set_len(good)?;
+        let mut journal = Journal {
+            dir: dir.to_path_buf(),
+            file,
+            lock: Some(lock),
+            classes,
+            budget: budget.saturating_sub(MARGIN + ROOM_AILING),
+            size: good,
+            broken: false,
+            live: HashMap::new(),
+            live_bytes: 0,
+            ailing: replayed.ailing.clone(),
+        };
+        for (no, t) in replayed.transactions.iter() {
+            journal.count_live(no, t);
+        }
+        Ok((journal, replayed))
+    }
+
+    pub fn bytes(&self) -> u64 {
+        self.size
+    }
+
+    /// Whether one more transaction fits with its copy and its outcomes; makes room first where it can.
+    pub fn has_room(&mut self, t: &Transaction, all: &Transactions) -> bool {
+        let more = 2 * self.copy_len(t) + ROOM_EACH;
+        if !self.fits(more) && self.size > self.live_bytes + TIDY / 8 {
+            self.copy(all).ok();
+        }
+        !self.broken && self.fits(more)
+    }
+
+    fn fits(&self, more: u64) -> bool {
+        let owed = self.live.len() as u64 * ROOM_EACH;
+        self.size + self.live_bytes + owed + more <= self.budget
+    }
+
+    /// Writes one record. On an error nothing of it stays.
+    pub fn write(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
+        if self.broken || self.lock.is_none() {
+            return Err(io::Error::other("the journal is broken"));
+        }
+        let bytes = encode(no, record, &self.classes);
+        if self.size + self.live_bytes + bytes.len() as u64 > self.budget {
+            return Err(io::Error::other("the journal's budget is spent"));
+        }
+        if let Err(e) = self.file.write_all(&bytes) {
+            self.broken = self.file.set_len(self.size).is_err();
+            return Err(e);
+        }
+        self.size += bytes.len() as u64;
+        self.account(no, record);
+        Ok(())
+    }
+
+    fn account(&mut self, no: TransactionNo, record: &Record) {
+        match record {
+            Record::Taken(t) => self.count_live(no, t),
+            Record::Over => self.live_bytes -= self.live.remove(&no).unwrap_or(0),
+            Record::Ailing(name, ailing) => set_ailing(&mut self.ailing, name, *ailing),
+            _ => {}
+        }
+    }
+
+    /// Keeps whether an endpoint is in an outage, where that is news.
+    pub fn note_ailing(&mut self, name: &str, ailing: bool) -> io::Result<()> {
+        if self.ailing.contains(name) == ailing {
+            return Ok(());
+        }
+        self.write(0, &Record::Ailing(name, ailing))
+    }
+
+    /// Copies what is live into a new file when most of the present one is dead.
+    pub fn tidy(&mut self, all: &Transactions) {
+        if self.size > TIDY && self.size > 4 * self.live_bytes {
+            self.copy(all).ok();
+        }
+    }
+
+    /// Replaces the file by one of what is live. Where that fails, the present one goes on.
+    fn copy(&mut self, all: &Transactions) -> io::Result<()> {
+        let mut bytes = encode(0, &Record::AllAiling(&self.ailing), &self.classes);
+        for (no, t) in all.iter().filter(|(no, _)| self.live.contains_key(no)) {
+            bytes.extend(encode(no, &Record::Taken(t), &self.classes));
+        }
+        if self.broken || self.lock.is_none() || self.size + bytes.len() as u64 > self.budget + MARGIN / 2 {
+            return Err(io::Error::other("there is no room for a copy"));
+        }
+        let (path, copy) = (self.dir.join(NAME), self.dir.join(COPY));
+        let written = write_new(&copy, &bytes).and_then(|file| fs::rename(&copy, &path).map(|()| file));
+        let file = written.inspect_err(|_| drop(fs::remove_file(&copy)))?;
+        self.file = file;
+        self.size = bytes.len() as u64;
+        Ok(())
+    }
+
+    fn copy_len(&self, t: &Transaction) -> u64 {
+        let class = self.classes.get(t.class).map_or(0, String::len);
+        let texts = [class, t.id.len(), t.owner.len(), t.body.len()].iter().sum::<usize>();
+        let optional =
+            [&t.key, &t.idempotency].iter().map(|o| o.as_ref().map_or(0, |s| s.len())).sum::<usize>();
+        // Lengths and fixed fields, all at their largest.
+        (texts + optional + 128) as u64
+    }
+
+    fn count_live(&mut self, no: TransactionNo, t: &Transaction) {
+        let len = self.copy_len(t);
+        self.live_bytes += len;
+        self.live_bytes -= self.live.insert(no, len).unwrap_or(0);
+    }
+}
+
+/// Writes a file that is not there yet, open for more.
+fn write_new(path: &Path, bytes: &[u8]) -> io::Result<File> {
+    remove_if_there(path)?;
+    let mut file = OpenOptions::new().create_new(true).append(true).open(path)?;
+    file.write_all(bytes)?;
+    Ok(file)
+}
+
+fn remove_if_there(path: &Path) -> io::Result<()> {
+    match fs::remove_file(path) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/src/routing/journal/record.rs
@@ -0,0 +1,115 @@
+//! Records of the journal as bytes: length, checksum, the number of the transaction, what happened to it.
+
+use super::super::transactions::{Ending, Transaction};
+use super::super::values::{End, TransactionNo};
+use crate::interface::Nanos;
+use std::collections::BTreeSet;
+
+/// Bytes of a record before its body: length and checksum.
+pub(super) const HEAD: usize = 8;
+
+/// What happens to a transaction, as the journal keeps it.
+#[derive(Debug)]
+pub enum Record<'a> {
+    Taken(&'a Transaction),
+    /// An attempt is about to be written.
+    Out {
+        at: Nanos,
+        zone: usize,
+    },
+    /// The attempt that was out has ended.
+    Back {
+        may_have_run: bool,
+    },
+    /// The end is decided and owed.
+    Ending(Ending, u32),
+    /// Nothing more is owed.
+    Over,
+    /// A next hop, by name, is in an outage from now on, or is not any more: of no transaction, under the number 0.
+    Ailing(&'a str, bool),
+    /// All next hops in an outage.
+    AllAiling(&'a BTreeSet<String>),
+}
+
+fn put(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend((bytes.len() as u32).to_le_bytes());
+    out.extend(bytes);
+}
+
+fn put_option(out: &mut Vec<u8>, text: &Option<String>) {
+    out.push(u8::from(text.is_some()));
+    put(out, text.as_deref().unwrap_or("").as_bytes());
+}
+
+fn put_moment(out: &mut Vec<u8>, moment: Option<(Nanos, usize)>) {
+    let (at, zone) = moment.unwrap_or((0, 0));
+    out.push(u8::from(moment.is_some()));
+    out.extend(at.to_le_bytes());
+    out.extend((zone as u32).to_le_bytes());
+}
+
+fn put_ending(out: &mut Vec<u8>, ending: Option<Ending>, reason: u32) {
+    let (code, after) = match ending {
+        None => (0, 0),
+        Some(Ending::Delivered) => (1, 0),
+        Some(Ending::Undelivered(End::Failed)) => (2, 0),
+        Some(Ending::Undelivered(End::Returned { after })) => (3, after),
+    };
+    out.push(code);
+    out.extend(after.to_le_bytes());
+    out.extend(reason.to_le_bytes());
+}
+
+pub(super) fn set_ailing(all: &mut BTreeSet<String>, name: &str, ailing: bool) {
+    if ailing {
+        all.insert(name.to_string());
+    } else {
+        all.remove(name);
+    }
+}
+
+pub(super) fn encode(no: TransactionNo, record: &Record, classes: &[String]) -> Vec<u8> {
+    let mut out = vec![0; HEAD];
+    out.extend(no.to_le_bytes());
+    match record {
+        Record::Taken(t) => {
+            out.push(1);
+            out.extend(t.dest.to_le_bytes());
+            out.extend(t.taken_at.to_le_bytes());
+            out.extend(t.deadline.to_le_bytes());
+            out.extend(t.attempts.to_le_bytes());
+            put_moment(&mut out, t.may_have_run);
+            put_moment(&mut out, t.out);
+            put_ending(&mut out, t.ending, t.reason);
+            put(&mut out, classes.get(t.class).map_or("", |c| c).as_bytes());
+            put(&mut out, t.id.as_bytes());
+            put(&mut out, t.owner.as_bytes());
+            put_option(&mut out, &t.key);
+            put_option(&mut out, &t.idempotency);
+            put(&mut out, &t.body);
+        }
+        Record::Out { at, zone } => {
+            out.push(2);
+            put_moment(&mut out, Some((*at, *zone)));
+        }
+        Record::Back { may_have_run } => out.extend([3, u8::from(*may_have_run)]),
+        Record::Ending(e, reason) => {
+            out.push(4);
+            put_ending(&mut out, Some(*e), *reason);
+        }
+        Record::Over => out.push(5),
+        Record::Ailing(name, ailing) => {
+            out.extend([7, u8::from(*ailing)]);
+            put(&mut out, name.as_bytes());
+        }
+        Record::AllAiling(names) => {
+            out.push(6);
+            names.iter().for_each(|n| put(&mut out, n.as_bytes()));
+        }
+    }
+    let len = (out.len() - HEAD) as u32;
+    let sum = crc32fast::hash(&out[HEAD..]);
+    out[..4].copy_from_slice(&len.to_le_bytes());
+    out[4..HEAD].copy_from_slice(&sum.to_le_bytes());
+    out
+}
--- /dev/null
+++ b/src/routing/journal/replay.rs
@@ -0,0 +1,151 @@
+//! What the records of an earlier life say, read back.
+
+use super::super::transactions::{Ending, Transaction, Transactions};
+use super::super::values::{End, TransactionNo};
+use super::record::{set_ailing, HEAD};
+use crate::interface::Nanos;
+use bytes::Bytes;
+use std::collections::{BTreeSet, HashMap};
+
+/// When each destination was last called, as far as the journal still tells.
+pub type LastOut = HashMap<u64, Nanos>;
+
+/// What an earlier life left behind.
+#[derive(Debug, Default)]
+pub struct Replayed {
+    pub transactions: Transactions,
+    pub next_no: TransactionNo,
+    pub ailing: BTreeSet<String>,
+    pub last_out: LastOut,
+    /// Bytes at the end that were no whole record.
+    pub torn: u64,
+}
+
+/// Reads fields off the front of a record.
+struct Reader(Bytes);
+
+impl Reader {
+    fn bytes(&mut self, n: usize) -> Option<Bytes> {
+        (self.0.len() >= n).then(|| self.0.split_to(n))
+    }
+
+    fn u8(&mut self) -> Option<u8> {
+        Some(self.bytes(1)?[0])
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        Some(u32::from_le_bytes(self.bytes(4)?.as_ref().try_into().ok()?))
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        Some(u64::from_le_bytes(self.bytes(8)?.as_ref().try_into().ok()?))
+    }
+
+    fn field(&mut self) -> Option<Bytes> {
+        let n = self.u32()?;
+        self.bytes(n as usize)
+    }
+
+    fn text(&mut self) -> Option<String> {
+        String::from_utf8(self.field()?.to_vec()).ok()
+    }
+
+    fn option(&mut self) -> Option<Option<String>> {
+        let some = self.u8()? == 1;
+        let text = self.text()?;
+        Some(some.then_some(text))
+    }
+
+    fn moment(&mut self) -> Option<Option<(Nanos, usize)>> {
+        let some = self.u8()? == 1;
+        let moment = (self.u64()?, self.u32()? as usize);
+        Some(some.then_some(moment))
+    }
+
+    fn ending(&mut self) -> Option<(Option<Ending>, u32)> {
+        let (code, after, reason) = (self.u8()?, self.u64()?, self.u32()?);
+        let ending = match code {
+            1 => Some(Ending::Delivered),
+            2 => Some(Ending::Undelivered(End::Failed)),
+            3 => Some(Ending::Undelivered(End::Returned { after })),
+            _ => None,
+        };
+        Some((ending, reason))
+    }
+}
+
+/// Takes in all whole records; returns how many bytes they are.
+pub(super) fn replay(bytes: &Bytes, classes: &[String], into: &mut Replayed) -> u64 {
+    let (mut rest, mut good) = (Reader(bytes.clone()), 0);
+    while let (Some(len), Some(sum)) = (rest.u32(), rest.u32()) {
+        let Some(body) = rest.bytes(len as usize).filter(|b| crc32fast::hash(b) == sum) else { break };
+        if apply(Reader(body), classes, into).is_none() {
+            break;
+        }
+        good += HEAD as u64 + u64::from(len);
+    }
+    good
+}
+
+fn apply(mut r: Reader, classes: &[String], into: &mut Replayed) -> Option<()> {
+    let (no, code) = (r.u64()?, r.u8()?);
+    into.next_no = into.next_no.max(no + 1);
+    if code == 6 {
+        into.ailing = std::iter::from_fn(|| r.text()).collect();
+        return Some(());
+    }
+    if code == 7 {
+        let (ailing, name) = (r.u8()? == 1, r.text()?);
+        set_ailing(&mut into.ailing, &name, ailing);
+        return Some(());
+    }
+    if code == 1 {
+        let t = taken(r, classes)?;
+        into.transactions.insert(no, t);
+        return Some(());
+    }
+    // A record of a transaction that is over already says nothing.
+    let Some(t) = into.transactions.get_mut(no) else { return Some(()) };
+    match code {
+        2 => {
+            // One that never came back was out when an earlier life ended: it may have run, and it was the first.
+            t.may_have_run = t.may_have_run.or(t.out.take());
+            (t.attempts, t.out) = (t.attempts + 1, r.moment()?);
+            if let Some((at, _)) = t.out {
+                into.last_out.insert(t.dest, at);
+            }
+        }
+        3 => {
+            let ran = r.u8()? == 1;
+            t.may_have_run = t.may_have_run.or(t.out.filter(|_| ran));
+            t.out = None;
+        }
+        4 => (t.ending, t.reason) = r.ending()?,
+        5 => drop(into.transactions.remove(no)),
+        _ => return None,
+    }
+    Some(())
+}
+
+fn taken(mut r: Reader, classes: &[String]) -> Option<Transaction> {
+    let (dest, taken_at, deadline, attempts) = (r.u64()?, r.u64()?, r.u64()?, r.u32()?);
+    let (may_have_run, out, (ending, reason)) = (r.moment()?, r.moment()?, r.ending()?);
+    let class = r.text()?;
+    Some(Transaction {
+        class: classes.iter().position(|c| *c == class).unwrap_or(usize::MAX),
+        id: r.text()?,
+        owner: r.text()?,
+        key: r.option()?,
+        idempotency: r.option()?,
+        // A slice would keep the whole file in memory as long as the last of its transactions.
+        body: Bytes::copy_from_slice(&r.field()?),
+        dest,
+        taken_at,
+        deadline,
+        attempts,
+        may_have_run,
+        out,
+        ending,
+        reason,
+    })
+}
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -2,9 +2,12 @@
 //! is forced: a stand-in holds its bytes until it has seen what they are to cross.
 
 mod rig;
+#[path = "../stand_ins/mod.rs"]
+mod stand_ins;
 
-use rig::{
-    entry, folder, full_listener, hop, hop_on, post, status, Discovery, Relay, Served, Told, ANSWERED, SILENT,
+use rig::Relay;
+use stand_ins::{
+    entry, folder, full_listener, hop, hop_on, post, status, Discovery, Served, Told, ANSWERED, SILENT,
 };
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -1,6 +1,6 @@
 //! The relay journal by its file: each failure that it has to live with.
 
-use basaltloom::routing::journal::{Journal, Record};
+use basaltloom::routing::journal::{Journal, OpenError, Record};
 use basaltloom::routing::transactions::{Ending, Transaction, Transactions};
 use basaltloom::routing::End;
 use bytes::Bytes;
@@ -73,6 +73,7 @@
     kept.attempts = 2;
     (kept.may_have_run, kept.out) = (Some((100, 3)), Some((200, 4)));
     (kept.ending, kept.reason) = (Some(ending), 11);
+    drop(journal);
     let (mut journal, replayed, next, torn) = folder.open(3_000_000);
     assert_eq!((replayed.get(1), replayed.len(), next, torn), (Some(&kept), 1, 3, 0));
     // Enough dead bytes for a copy: the live one is in it.
@@ -83,6 +84,7 @@
         journal.tidy(&all);
     }
     assert!(folder.bytes() < 600_000, "{} bytes", folder.bytes());
+    drop(journal);
     let (_, replayed, next, _) = folder.open(3_000_000);
     assert_eq!((replayed.get(1), replayed.len(), next), (Some(&kept), 1, 2_000));
 }
@@ -98,10 +100,12 @@
     let (mut journal, replayed, _, _) = folder.open(3_000_000);
     assert_eq!(replayed.get(1).unwrap().out, Some((100, 3)));
     journal.write(1, &Record::Out { at: 200, zone: 4 }).unwrap();
+    drop(journal);
     let (mut journal, replayed, _, _) = folder.open(3_000_000);
     let t = replayed.get(1).unwrap();
     assert_eq!((t.may_have_run, t.out, t.attempts), (Some((100, 3)), Some((200, 4)), 2));
     journal.write(1, &Record::Back { may_have_run: false }).unwrap();
+    drop(journal);
     let t = folder.open(3_000_000).1.get(1).unwrap().clone();
     assert_eq!((t.may_have_run, t.out), (Some((100, 3)), None));
 }
@@ -116,11 +120,13 @@
     let whole = std::fs::read(folder.file()).unwrap();
     journal.write(2, &Record::Taken(&transaction("m2", 10))).unwrap();
     let both = std::fs::read(folder.file()).unwrap();
+    drop(journal);
     for cut in whole.len()..both.len() {
         std::fs::write(folder.file(), &both[..cut]).unwrap();
         let (mut journal, replayed, _, torn) = folder.open(3_000_000);
         assert_eq!((replayed.len(), torn), (1, (cut - whole.len()) as u64));
         journal.write(5, &Record::Taken(&transaction("m5", 10))).unwrap();
+        drop(journal);
         let (_, replayed, next, torn) = folder.open(3_000_000);
         assert_eq!((replayed.find("m5"), next, torn), (Some(5), 6, 0));
     }
@@ -176,6 +182,7 @@
             break before;
         }
     };
+    drop(journal);
     assert_eq!((folder.bytes(), folder.open(BUDGET).3), (before, 0));
 }
 
@@ -220,3 +227,24 @@
     drop(journal);
     assert_eq!(ailing().1, ["z"]);
 }
+
+/// Guards a journal from a second process that is started on its folder: it removed the copy that the first was writing
+/// and cut off what the first had appended since it looked.
+#[test]
+fn a_journal_in_use_is_left_as_it_is() {
+    let folder = Folder::new("in-use");
+    let (mut journal, _, _, _) = folder.open(3_000_000);
+    journal.write(1, &Record::Taken(&transaction("m1", 10))).unwrap();
+    let copy = folder.0.join("relay.journal.new");
+    std::fs::write(&copy, b"half of a copy").unwrap();
+    let before = std::fs::read(folder.file()).unwrap();
+    let second = Journal::open(&folder.0, 3_000_000, vec!["a".into(), "b".into()]);
+    let Err(OpenError::InUse(holder)) = second else { panic!("{second:?}") };
+    assert!(holder.contains(&std::process::id().to_string()), "{holder}");
+    assert_eq!(std::fs::read(&copy).unwrap(), b"half of a copy");
+    assert_eq!(std::fs::read(folder.file()).unwrap(), before);
+    // With the first gone, however that ended, the next one has it.
+    drop(journal);
+    assert_eq!(folder.open(3_000_000).1.len(), 1);
+    assert!(!copy.exists());
+}
--- /dev/null
+++ b/tests/upgrade/platform.rs
@@ -0,0 +1,234 @@
+//! The platform that runs a relay: it holds the callers' listening socket, starts processes of the program one beside
+//! another, tells them to end, and asks them at their consoles.
+
+use crate::stand_ins::{status, whole, Told};
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// A new process says yes within this time.
+pub const READY_WITHIN: Duration = Duration::from_secs(6);
+/// From SIGTERM on a process may be killed after this time.
+pub const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+
+/// Settings of the relay beside its addresses.
+pub struct Terms {
+    pub descriptors: usize,
+    pub slots: usize,
+    pub services: &'static str,
+    /// Whether processes inherit the listening socket.
+    pub inherit: bool,
+}
+
+/// `notice` may not be repeated, `update` is keyed and in order, `status` may be repeated.
+pub const SERVICES: &str = r#"
+{"name":"notice","aim":2000000000,"deadline":20000000000,"importance":3,"late_worth":0.5,"repeat":"side_effect"},
+{"name":"update","aim":2000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,"repeat":"token",
+ "memory_span":8000000000,"group":"all","in_order":true},
+{"name":"status","aim":2000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,"repeat":"pure"}"#;
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms { descriptors: 256, slots: 32, services: SERVICES, inherit: true }
+    }
+}
+
+pub struct Platform {
+    /// None where processes listen by themselves.
+    listener: Option<TcpListener>,
+    pub address: SocketAddr,
+    pub dir: PathBuf,
+    pub descriptors: usize,
+}
+
+/// A process of the program.
+pub struct Process {
+    child: Child,
+    pub console: SocketAddr,
+    pub log: Told<Vec<String>>,
+}
+
+/// An address of its own that nobody listens at.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// The program: a release build where one is named, as CI does, else the one built with the tests.
+pub fn program() -> PathBuf {
+    let named = std::env::var_os("BASALTLOOM_PROGRAM").map(PathBuf::from);
+    named.unwrap_or_else(|| PathBuf::from(env!("CARGO_BIN_EXE_basaltloom")))
+}
+
+impl Platform {
+    /// A relay that is to be run in `dir`, with what it knows of its endpoints.
+    pub fn new(dir: &Path, terms: &Terms, discovery: SocketAddr, known: &str) -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let listener = terms.inherit.then_some(listener);
+        let (descriptors, slots, services) = (terms.descriptors, terms.slots, terms.services);
+        let config = format!(
+            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"1",
+"limits":{{"sockets":{descriptors},"disk_mb":3}},"known":{},
+"settings":{{"azs":["z"],"kinds":["k"],"fleet_size":1,"domain":{{"calls_out":{slots},"per_call":[1]}},
+"limits":{{"max_open":4000,"most_tries":8,"retry_after":true,"max_retry_after":3000000000,"keepalive":10000000000}},
+"rules":{{"cold_share":1.0,"fall":1500000000,"overload_factor":1000.0,"warm_up":100000000,"key_rest":100000000}},
+"services":[{services}]}}}}"#,
+            whole(&(1, known.to_string()))
+        );
+        std::fs::write(dir.join("c.json"), config).unwrap();
+        Platform { listener, address, dir: dir.to_path_buf(), descriptors }
+    }
+
+    pub fn state(&self) -> PathBuf {
+        self.dir.join("state")
+    }
+
+    /// Starts one more process, as the platform does: the same for all but a console of its own.
+    pub fn start(&self) -> Process {
+        self.start_with(|command| command)
+    }
+
+    pub fn start_with(&self, more: impl FnOnce(&mut Command) -> &mut Command) -> Process {
+        let descriptors = self.descriptors;
+        let inherited = if self.listener.is_some() { "3<&0" } else { "" };
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" serve {inherited} 0</dev/null");
+        let console = free_address();
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(script).arg(program());
+        command.env("LB_CONFIG", self.dir.join("c.json")).env("LB_STATE", self.state());
+        command.env("LB_CONSOLE", console.to_string());
+        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        match &self.listener {
+            Some(listener) => {
+                let inherited = OwnedFd::from(listener.try_clone().unwrap());
+                command.env("LB_FD", "3").stdin(inherited);
+            }
+            None => drop(command.env_remove("LB_FD").stdin(Stdio::null())),
+        }
+        more(&mut command);
+        let mut child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let log: Told<Vec<String>> = Told::default();
+        let all = log.clone();
+        spawn(move || lines.for_each(|line| all.tell(|l| l.push(line))));
+        Process { child, console, log }
+    }
+
+    /// Starts a process that inherits no socket, and waits until it serves or has ended.
+    pub fn start_beside(&self) -> Process {
+        let mut process = self.start();
+        let from = Instant::now();
+        let serves = |p: &Process| p.log.tell(|l| l.iter().any(|line| line.contains("serves on")));
+        while !serves(&process) && process.ended().is_none() && from.elapsed() < READY_WITHIN {
+            sleep(Duration::from_millis(5));
+        }
+        process
+    }
+
+    /// The next process, once it has said yes.
+    pub fn start_ready(&self) -> Process {
+        let process = self.start();
+        let took = process.ready();
+        assert!(took.is_some(), "it never said yes: {:?}", process.log.tell(|l| l.clone()));
+        process
+    }
+
+    /// Has a new process take over from the one that serves, as the platform does. Returns it once the old one is gone.
+    pub fn upgrade(&self, old: Process) -> Process {
+        let new = self.start_ready();
+        old.end();
+        new
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        stream
+    }
+
+    /// The answer to a request on a connection of its own, as its status.
+    pub fn ask(&self, request: &str) -> Option<u16> {
+        let mut stream = self.connect();
+        stream.write_all(request.as_bytes()).ok()?;
+        status(&mut stream)
+    }
+}
+
+impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Asks at the console; the status of the answer.
+    pub fn call(&self, method: &str, path: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.console).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+        let request = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).ok()?;
+        status(&mut stream)
+    }
+
+    pub fn says_yes(&self) -> bool {
+        self.call("GET", "/admin/health") == Some(200)
+    }
+
+    /// After how long it says yes; none if it does not in time or has ended.
+    pub fn ready(&self) -> Option<Duration> {
+        let from = Instant::now();
+        while from.elapsed() < READY_WITHIN {
+            if self.says_yes() {
+                return Some(from.elapsed());
+            }
+            sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).ok();
+    }
+
+    /// Whether it has ended, and how.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    /// Waits for its end; none if it runs on.
+    pub fn ends_within(&mut self, most: Duration) -> Option<ExitStatus> {
+        let from = Instant::now();
+        loop {
+            match self.ended() {
+                Some(status) => return Some(status),
+                None if from.elapsed() > most => return None,
+                None => sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    /// SIGTERM, and SIGKILL at the earliest time at which it may come.
+    pub fn end(mut self) {
+        self.signal(Signal::TERM);
+        self.ends_within(KILLED_AFTER);
+        self.kill();
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
