Keep what has happened while the folder takes no writes, and tell ends once written

Callers would see a message that was handed back delivered as well: where the record of an end could not be written (ENOSPC, EIO) the notice went out all the same, and a kill then brought the message back as open; they would see all refused for good after one write that could not be undone. Ends wait for their record up to the message's deadline. A tail of a failed write is cut before the next one.

--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -88,25 +88,25 @@
             let no = attempt.transaction;
             let Some(t) = self.transactions.get_mut(no) else { continue };
             let ran = !reply.outcome().never_ran();
+            if let Reply::Rejected { reason } = reply {
+                t.reason = *reason;
+            }
+            // Given up meanwhile: with an answer that settles it, it is over, whether its end was told or not.
+            let ending = t.ending;
             if let Some(out) = t.out.take() {
                 t.may_have_run = t.may_have_run.or(Some(out).filter(|_| ran));
-                if !reply.settles() && self.journal.write(no, &Record::Back { may_have_run: ran }).is_err() {
-                    let text = "an outcome could not be written".to_string();
-                    self.work.notes.push(Note::new("journal-outcome-unwritten", text));
+                if !reply.settles() {
+                    self.note(now, no, &Record::Back { may_have_run: ran });
                 }
             }
-            if let Reply::Rejected { reason } = reply {
-                t.reason = *reason;
-            }
             match reply {
-                Reply::Ended(Outcome::Served) if self.tells_delivery => self.end(no, Ending::Delivered),
+                Reply::Ended(Outcome::Served) if self.tells_delivery => self.end(now, no, Ending::Delivered),
                 reply if reply.settles() => {
-                    // Given up meanwhile: it is over with this, whether its end was told or not.
-                    late.extend(t.ending.map(|_| no));
+                    late.extend(ending.map(|_| no));
                     if matches!(reply, Reply::Ended(Outcome::Served)) {
                         self.transactions.note_delivered(no);
                     }
-                    self.over(no);
+                    self.over(now, no);
                 }
                 _ => {}
             }
--- /dev/null
+++ b/src/routing/core/ends.rs
@@ -0,0 +1,91 @@
+//! Ends of transactions: decided, written, told, acknowledged, over.
+
+use super::{Core, Note};
+use crate::interface::Nanos;
+use crate::routing::journal::Record;
+use crate::routing::transactions::Ending;
+use crate::routing::values::TransactionNo;
+
+/// What could not be written is tried again after this time.
+const WRITE_AGAIN: Nanos = 50_000_000;
+
+/// Ends that are not told yet since they are not written: a process that follows would know nothing of them, and could
+/// deliver what was handed back.
+#[derive(Debug, Default)]
+pub(super) struct Withheld {
+    ends: Vec<TransactionNo>,
+    /// When the journal is tried again, where it is behind.
+    write_at: Option<Nanos>,
+}
+
+impl Withheld {
+    pub fn due(&self) -> Nanos {
+        self.write_at.unwrap_or(Nanos::MAX)
+    }
+
+    /// Plans another try where a record could not be written; whether it was.
+    pub fn plan_unless(&mut self, written: std::io::Result<()>, now: Nanos) -> bool {
+        if written.is_err() {
+            self.write_at.get_or_insert(now + WRITE_AGAIN);
+        }
+        written.is_ok()
+    }
+}
+
+impl Core {
+    /// The end of this transaction has reached whoever it was owed to.
+    pub fn acknowledged(&mut self, now: Nanos, no: TransactionNo) {
+        self.over(now, no);
+        let picked = self.facade.settled(now, no);
+        self.absorb(now, picked);
+    }
+
+    /// The end is decided and owed until acknowledged; one that was told already stands.
+    pub(super) fn end(&mut self, now: Nanos, no: TransactionNo, ending: Ending) {
+        let Some(t) = self.transactions.get_mut(no) else { return };
+        if t.ending.is_some() {
+            return;
+        }
+        t.ending = Some(ending);
+        let reason = t.reason;
+        match self.note(now, no, &Record::Ending(ending, reason)) {
+            true => self.work.ended.push(no),
+            false => self.withheld.ends.push(no),
+        }
+    }
+
+    /// Nothing more is owed; whether that is written.
+    pub(super) fn over(&mut self, now: Nanos, no: TransactionNo) -> bool {
+        if self.transactions.remove(no).is_none() {
+            return true;
+        }
+        let written = self.note(now, no, &Record::Over);
+        self.journal.tidy(&self.transactions);
+        written
+    }
+
+    /// Has the journal keep what has happened, if not now, then as soon as it can be written; whether it is.
+    pub(super) fn note(&mut self, now: Nanos, no: TransactionNo, record: &Record) -> bool {
+        let Err(e) = self.journal.note(no, record) else { return true };
+        self.work.notes.push(Note::new("journal-behind", format!("cannot write what has happened: {e}")));
+        self.withheld.plan_unless(Err(e), now)
+    }
+
+    /// Writes what could not be written before, and tells the ends that waited for it; those whose time is up are told
+    /// in any case.
+    pub(super) fn write_behind(&mut self, now: Nanos) {
+        if self.withheld.due() > now {
+            return;
+        }
+        let written = self.journal.flush().is_ok();
+        self.withheld.write_at = (!written).then_some(now + WRITE_AGAIN);
+        let is_up = |no: &TransactionNo| self.transactions.get(*no).is_none_or(|t| t.deadline <= now);
+        let (told, kept) =
+            std::mem::take(&mut self.withheld.ends).into_iter().partition(|no| written || is_up(no));
+        self.withheld.ends = kept;
+        self.work.ended.extend::<Vec<TransactionNo>>(told);
+        if written {
+            self.work.notes.push(Note::new("journal-caught-up", "what has happened is written".to_string()));
+        }
+    }
+}
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -44,7 +44,7 @@
         }
         let picked = self.facade.restore(now, asks, ailing);
         self.absorb(now, picked);
-        strange.into_iter().for_each(|no| self.end(no, Ending::Undelivered(End::Failed)));
+        strange.into_iter().for_each(|no| self.end(now, no, Ending::Undelivered(End::Failed)));
     }
 
     pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
@@ -101,8 +101,12 @@
             None => Taken::On(no),
             // Its answer ends it: nothing is left to be told.
             Some(end) => {
-                self.acknowledged(now, no);
+                let written = self.over(now, no);
+                let picked = self.facade.settled(now, no);
+                self.absorb(now, picked);
                 match end {
+                    // A process that follows would deliver it: no promise can be made.
+                    End::Returned { .. } if !written => Taken::Failed,
                     End::Returned { after } => Taken::Refused { after, full: false },
                     End::Failed => Taken::Failed,
                 }
@@ -113,7 +117,7 @@
     /// Whoever handed it in is gone, or never heard that it was taken on.
     pub fn withdraw(&mut self, now: Nanos, no: TransactionNo) {
         if self.transactions.get(no).is_some_and(|t| t.ending.is_none()) {
-            self.over(no);
+            self.over(now, no);
             let picked = self.facade.withdraw(now, no);
             self.absorb(now, picked);
         }
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -1,6 +1,7 @@
 //! The core: takes transactions on, has the module decide, keeps the journal ahead of what is done.
 
 mod calls;
+mod ends;
 mod fleet;
 mod intake;
 mod listing;
@@ -9,13 +10,14 @@
 pub use values::{Carried, Letter, Note, Offer, Piping, Taken, Work};
 
 use super::facade::{Ailing, Facade, Picked, Told};
-use super::journal::{Journal, LastOut, Record, Replayed};
+use super::journal::{Journal, LastOut, Replayed};
 use super::shares::Shares;
 use super::transactions::{Ending, Transaction, Transactions};
 use super::values::{Attempt, Reply, TransactionNo};
 use crate::batching::{Former, Table, Terms};
 use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
 use crate::interface::{Nanos, Outcome, Repeat, Settings};
+use ends::Withheld;
 
 /// Advice for those turned away before the module was asked.
 const DOOR_ADVICE: Nanos = 1_000_000_000;
@@ -38,6 +40,8 @@
     slots: usize,
     /// Where the relay goes by what its fleet deals out.
     shares: Option<Shares>,
+    /// Ends that are told once they are written.
+    withheld: Withheld,
 }
 
 /// The operator's terms for calls, with the names of the kinds that they speak of.
@@ -101,6 +105,7 @@
             of_classes,
             slots,
             shares: None,
+            withheld: Withheld::default(),
         };
         if torn > 0 {
             core.work
@@ -139,6 +144,7 @@
         let lingered = self.former.due() <= now;
         let calls = self.former.tick(now);
         self.go(calls);
+        self.write_behind(now);
         let forgot = self.catalog.due() <= now && self.forget_departed(now);
         if !(lingered || forgot) || self.facade.due() <= now {
             let picked = self.facade.tick(now);
@@ -148,14 +154,7 @@
 
     /// When `tick` is wanted next.
     pub fn due(&self) -> Nanos {
-        self.facade.due().min(self.former.due()).min(self.catalog.due())
-    }
-
-    /// The end of this transaction has reached whoever it was owed to.
-    pub fn acknowledged(&mut self, now: Nanos, no: TransactionNo) {
-        self.over(no);
-        let picked = self.facade.settled(now, no);
-        self.absorb(now, picked);
+        self.facade.due().min(self.former.due()).min(self.catalog.due()).min(self.withheld.due())
     }
 
     pub fn transaction(&self, no: TransactionNo) -> Option<&Transaction> {
@@ -215,11 +214,12 @@
         for (id, ailing) in picked.ailing {
             if let Some(hop) = self.catalog.get(id) {
                 // Known to the next life only as far as it can be written.
-                self.journal.note_ailing(hop.name, ailing).ok();
+                let written = self.journal.note_ailing(hop.name, ailing);
+                self.withheld.plan_unless(written, now);
             }
         }
         for (no, end) in picked.ends {
-            self.end(no, Ending::Undelivered(end));
+            self.end(now, no, Ending::Undelivered(end));
         }
         unsent
     }
@@ -245,29 +245,4 @@
             None => plain(),
         }
     }
-
-    /// The end is decided and owed until acknowledged; one that was told already stands.
-    fn end(&mut self, no: TransactionNo, ending: Ending) {
-        let Some(t) = self.transactions.get_mut(no) else { return };
-        if t.ending.is_some() {
-            return;
-        }
-        t.ending = Some(ending);
-        if let Err(e) = self.journal.write(no, &Record::Ending(ending, t.reason)) {
-            let text = format!("an end could not be written: {e}");
-            self.work.notes.push(Note::new("journal-end-unwritten", text));
-        }
-        self.work.ended.push(no);
-    }
-
-    fn over(&mut self, no: TransactionNo) {
-        if self.transactions.remove(no).is_none() {
-            return;
-        }
-        if let Err(e) = self.journal.write(no, &Record::Over) {
-            let text = format!("it could not be written that a transaction is over: {e}");
-            self.work.notes.push(Note::new("journal-over-unwritten", text));
-        }
-        self.journal.tidy(&self.transactions);
-    }
 }
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -4,6 +4,9 @@
 //! synced: what was written outlasts the process, which is all that is asked. When much of it is dead it is copied, live
 //! transactions only, and the copy takes its place; the budget leaves room for that copy and for the outcomes of all that
 //! is live.
+//!
+//! Writes may fail for a while. What has to be on disk before something is done ([`Journal::write`]) is then refused; what
+//! has happened already ([`Journal::note`]) is kept back and written first as soon as that is possible.
 
 mod lock;
 mod record;
@@ -45,8 +48,10 @@
     budget: u64,
     /// Bytes of whole records in the file.
     size: u64,
-    /// A write failed and could not be undone: nothing more is written.
-    broken: bool,
+    /// Records of what has happened that could not be written yet.
+    unwritten: Vec<u8>,
+    /// The file may hold part of a record behind its whole ones.
+    has_torn_tail: bool,
     /// Bytes that the copy of each live transaction takes.
     live: HashMap<TransactionNo, u64>,
     live_bytes: u64,
@@ -70,7 +75,6 @@
         let good = replay(&bytes, &classes, &mut replayed);
         replayed.torn = bytes.len() as u64 - good;
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
-        file.set_len(good)?;
         let mut journal = Journal {
             dir: dir.to_path_buf(),
             file,
@@ -78,7 +82,8 @@
             classes,
             budget: budget.saturating_sub(MARGIN + ROOM_AILING),
             size: good,
-            broken: false,
+            unwritten: Vec::new(),
+            has_torn_tail: replayed.torn > 0,
             live: HashMap::new(),
             live_bytes: 0,
             ailing: replayed.ailing.clone(),
@@ -86,6 +91,8 @@
         for (no, t) in replayed.transactions.iter() {
             journal.count_live(no, t);
         }
+        // Where that fails now, it is done before the next record.
+        journal.repair().ok();
         Ok((journal, replayed))
     }
 
@@ -99,7 +106,7 @@
         if !self.fits(more) && self.size > self.live_bytes + TIDY / 8 {
             self.copy(all).ok();
         }
-        !self.broken && self.fits(more)
+        self.fits(more)
     }
 
     fn fits(&self, more: u64) -> bool {
@@ -107,21 +114,62 @@
         self.size + self.live_bytes + owed + more <= self.budget
     }
 
-    /// Writes one record. On an error nothing of it stays.
+    /// Writes a record of what is done only once it is written. On an error nothing of it stays.
     pub fn write(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
-        if self.broken || self.lock.is_none() {
-            return Err(io::Error::other("the journal is broken"));
+        self.flush()?;
+        self.append(&encode(no, record, &self.classes))?;
+        self.account(no, record);
+        Ok(())
+    }
+
+    /// Writes a record of what has happened already. An error is told, and the record kept until it can be written.
+    pub fn note(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
+        self.unwritten.extend(encode(no, record, &self.classes));
+        self.account(no, record);
+        self.flush()
+    }
+
+    /// Writes what could not be written before.
+    pub fn flush(&mut self) -> io::Result<()> {
+        if self.unwritten.is_empty() {
+            return Ok(());
+        }
+        let bytes = std::mem::take(&mut self.unwritten);
+        let written = self.append(&bytes);
+        if written.is_err() {
+            self.unwritten = bytes;
+        }
+        written
+    }
+
+    /// Whether something that has happened is not written yet.
+    pub fn is_behind(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.lock.is_none() {
+            return Err(io::Error::other("the journal is another process's"));
         }
-        let bytes = encode(no, record, &self.classes);
         if self.size + self.live_bytes + bytes.len() as u64 > self.budget {
             return Err(io::Error::other("the journal's budget is spent"));
         }
-        if let Err(e) = self.file.write_all(&bytes) {
-            self.broken = self.file.set_len(self.size).is_err();
+        self.repair()?;
+        if let Err(e) = self.file.write_all(bytes) {
+            self.has_torn_tail = true;
+            self.repair().ok();
             return Err(e);
         }
         self.size += bytes.len() as u64;
-        self.account(no, record);
+        Ok(())
+    }
+
+    /// Cuts off what a failed write left behind the last whole record.
+    fn repair(&mut self) -> io::Result<()> {
+        if self.has_torn_tail {
+            self.file.set_len(self.size)?;
+            self.has_torn_tail = false;
+        }
         Ok(())
     }
 
@@ -139,7 +187,7 @@
         if self.ailing.contains(name) == ailing {
             return Ok(());
         }
-        self.write(0, &Record::Ailing(name, ailing))
+        self.note(0, &Record::Ailing(name, ailing))
     }
 
     /// Copies what is live into a new file when most of the present one is dead.
@@ -155,7 +203,7 @@
         for (no, t) in all.iter().filter(|(no, _)| self.live.contains_key(no)) {
             bytes.extend(encode(no, &Record::Taken(t), &self.classes));
         }
-        if self.broken || self.lock.is_none() || self.size + bytes.len() as u64 > self.budget + MARGIN / 2 {
+        if self.lock.is_none() || self.size + bytes.len() as u64 > self.budget + MARGIN / 2 {
             return Err(io::Error::other("there is no room for a copy"));
         }
         let (path, copy) = (self.dir.join(NAME), self.dir.join(COPY));
@@ -163,6 +211,9 @@
         let file = written.inspect_err(|_| drop(fs::remove_file(&copy)))?;
         self.file = file;
         self.size = bytes.len() as u64;
+        self.has_torn_tail = false;
+        // The copy is made of what is known, so it has these too.
+        self.unwritten.clear();
         Ok(())
     }
 
