--- a/benches/batching.rs
+++ b/benches/batching.rs
@@ -120,7 +120,7 @@
             config.state = state.clone();
             let (_moved, reread) = tokio::sync::mpsc::unbounded_channel();
             let platform = Some(PlatformPlan { config, reread });
-            let plan = Plan { platform, smpp: None, operator, changes: None, descriptors: 512 };
+            let plan = Plan { platform, operator, descriptors: 512, ..Plan::default() };
             wiring::run(plan, Rc::new(Tcp), Clock::system(), async { drop(ended.await) })
                 .await
                 .expect("it runs");
--- a/src/catalog/endpoint.rs
+++ b/src/catalog/endpoint.rs
@@ -1,13 +1,14 @@
 //! Endpoints as a list names them.
 
 use crate::interface::{HostId, Terms};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// An endpoint, as numbered by the catalog. A number is never given again.
 pub type EndpointId = HostId;
 
 /// What the list says of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
     /// It takes new calls.
     Active,
@@ -18,7 +19,7 @@
 }
 
 /// An address to which messages of one destination may be sent.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Given by the catalog; decoders leave it at 0.
     pub id: EndpointId,
--- a/src/crowding/mod.rs
+++ b/src/crowding/mod.rs
@@ -4,6 +4,7 @@
 //! alone: to take the hop for down, or to keep a connection for a call that comes in a minute. No I/O, no clock.
 
 use crate::interface::Nanos;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
 const MS: Nanos = 1_000_000;
@@ -25,7 +26,7 @@
 const REMEMBERED: Nanos = 300_000 * MS;
 
 /// What one relay saw of a hop's room for connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crowd {
     turned_away: u32,
     until: Nanos,
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -1,5 +1,8 @@
 //! What a relay tells the decision module and what the module asks of it. Times are integer nanoseconds.
 
+use super::records::Knowledge;
+use serde::{Deserialize, Serialize};
+
 pub(crate) const MS: Nanos = 1_000_000;
 pub(crate) const SEC: Nanos = 1_000 * MS;
 
@@ -139,7 +142,7 @@
 }
 
 /// An operator's terms for a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Terms {
     /// Calls out to it at most.
     pub most_out: usize,
@@ -151,7 +154,7 @@
 }
 
 /// What may share a call to a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallTerms {
     /// Messages at most, within what its kind allows.
     pub messages: usize,
@@ -176,7 +179,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     Served,
     /// Answered with an error; it may have run.
@@ -238,6 +241,13 @@
     Unsettled { id: MsgId, key: String },
     /// This host was sick in an earlier life of this relay, which sent it a call so long ago, if any that is known of.
     Ailing { host: HostId, last_call: Option<Nanos> },
+    /// What another process of this relay has learned, behind the messages that are restored.
+    Known { knowledge: Box<Knowledge> },
+    /// A call that another process of this relay sent to this host so long ago, and that is still out: for these messages,
+    /// restored in the same step.
+    Adopted { host: HostId, ids: Vec<MsgId>, ago: Nanos },
+    /// Messages of this key but this one wait: an attempt of an earlier life may still be running.
+    KeyRests { key: String, rest: Nanos, id: MsgId },
     /// The destination tells its limit, in calls a second from all relays together.
     /// `left`: the share of it that was left, 0 to 1; none where nothing is said of that.
     Reported { host: HostId, limit: f64, left: Option<f64> },
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -1,6 +1,7 @@
 //! Decisions that only a relay on real sockets needs: about restarts, and between a decision and its first byte.
 
 use super::interface::*;
+use super::records::Knowledge;
 use super::Relay;
 
 impl Relay {
@@ -20,6 +21,13 @@
                 let gap = self.gap_after_call(*host, 1.0);
                 self.down(*host, last_call.map_or(0, |ago| self.now.saturating_sub(ago).saturating_add(gap)));
             }
+            Event::Known { knowledge } => self.know((**knowledge).clone()),
+            Event::Adopted { host, ids, ago } if self.book.hosts.contains_key(host) => {
+                self.book.adopt(*host, ids, self.now.saturating_sub(*ago));
+            }
+            Event::KeyRests { key, rest, id } => {
+                self.book.key_rests(key, self.now.saturating_add(*rest), *id);
+            }
             Event::Reported { host, limit, left } if self.book.hosts.contains_key(host) => {
                 self.reported(*host, *limit, *left);
                 self.book.turns.touch(self.book.hosts[host].dest);
@@ -45,6 +53,25 @@
         h.state == Listing::Ready && self.book.route(host).is_none_or(|r| r.wait <= now)
     }
 
+    /// What calls have shown, for a process that takes over.
+    pub fn knowledge(&self) -> Knowledge {
+        self.book.knowledge(self.slowness, self.mean_cost)
+    }
+
+    fn know(&mut self, knowledge: Knowledge) {
+        (self.slowness, self.mean_cost) = (knowledge.slowness, knowledge.mean_cost);
+        self.book.know(knowledge);
+        let v = self.book.virtual_time;
+        self.book.flows.values_mut().for_each(|f| f.retag(self.mean_cost.min(f.cost), v));
+        let dests: Vec<DestId> = self.book.flows.keys().copied().collect();
+        dests.into_iter().for_each(|dest| self.book.turn(dest));
+    }
+
+    /// Keys that rest, until when, and the message that does not wait for it.
+    pub fn resting_keys(&self) -> impl Iterator<Item = (&str, Nanos, MsgId)> {
+        self.book.resting_keys(self.now)
+    }
+
     /// A call that would be out when the relay is killed may have run, and nobody would know.
     pub(super) fn too_late(&self, host: HostId) -> bool {
         self.book.closing.is_some_and(|at| self.now.saturating_add(self.overdue_after(host)) > at)
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -16,6 +16,8 @@
 pub mod views;
 mod worth;
 
+pub use records::Knowledge;
+
 use interface::*;
 use records::*;
 use release::INTERVAL;
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -175,7 +175,7 @@
     }
 
     pub fn open_attempt(&mut self, id: MsgId, host: HostId, call: u64, sent: Nanos) {
-        let idle = self.hosts.get(&host).map_or(0, |h| sent - h.last_used);
+        let idle = self.hosts.get(&host).map_or(0, |h| sent.saturating_sub(h.last_used));
         let Some(m) = self.messages.get_mut(&id) else { return };
         self.attempts.insert(
             (id, m.attempts),
--- a/src/decision/records/host.rs
+++ b/src/decision/records/host.rs
@@ -3,6 +3,7 @@
 use super::{RouteId, Terms};
 use crate::crowding::Crowd;
 use crate::decision::interface::{DestId, Entry, HostId, Kind, Listing, Nanos};
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::ops::{Deref, DerefMut};
@@ -13,7 +14,7 @@
 /// Profiles kept at least before those that no host has any more are looked for.
 const FEW_PROFILES: usize = 64;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Health {
     Well,
     /// It failed or refused a call: an outage may be on, or this was all.
@@ -50,7 +51,7 @@
 }
 
 /// What calls have shown of a host.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Condition {
     /// Calls out.
     pub out: usize,
@@ -144,6 +145,11 @@
 }
 
 impl Host {
+    /// Its condition, if it has one.
+    pub fn condition(&self) -> Option<&Condition> {
+        self.condition.as_deref()
+    }
+
     pub fn kind(&self) -> &Kind {
         &self.profile.kind
     }
--- a/src/decision/records/hosts.rs
+++ b/src/decision/records/hosts.rs
@@ -79,6 +79,11 @@
         self.of.contains_key(&dest)
     }
 
+    /// Those that have a condition, with it.
+    pub fn conditions(&self) -> impl Iterator<Item = (HostId, &Condition)> {
+        self.used.iter().filter_map(|id| Some((*id, self.table.get(*id)?.condition()?)))
+    }
+
     /// All conditions, by the numbers of their hosts.
     pub fn for_each_used(&mut self, mut change: impl FnMut(&mut Condition)) {
         for id in &self.used {
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -1,15 +1,19 @@
 //! What the decision module remembers. Plain records and their bookkeeping: nothing is decided here.
 
 mod book;
+mod continued;
 mod flow;
 mod host;
 mod hosts;
+mod knowledge;
 
 pub(crate) use book::Book;
 pub(crate) use flow::Flow;
 pub(crate) use host::{Health, Host};
+pub use knowledge::Knowledge;
 
 use super::interface::{DestId, HostId, MsgId, Nanos, Terms};
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// A message that still awaits its final answer.
@@ -59,7 +63,7 @@
 }
 
 /// What shares one limit: a host where routes are apart, else a destination.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Route {
     /// End of a wait that was told.
     pub wait: Nanos,
@@ -89,7 +93,7 @@
     pub dealt: Option<f64>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum RouteId {
     Dest(DestId),
     Host(HostId),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod crowding;
 pub mod decision;
 pub mod fleet;
+pub mod maintenance;
 pub mod membership;
 pub mod operator;
 pub mod program;
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use super::inherited::Inherited;
 use super::signals::Signals;
 use super::wiring::{Plan, PlatformPlan, SmppPlan};
 use super::{config, fleet, import, log, wiring};
@@ -146,6 +147,8 @@
 }
 
 fn serve(args: Serve) -> Result<(), String> {
+    // Before any other descriptor is opened.
+    let inherited = Inherited::take()?;
     let environment = |name: &str| std::env::var(name).ok();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start the event loop: {e}"))?;
@@ -158,6 +161,10 @@
     if let Some(config) = &mut platform {
         config.heed_environment(environment)?;
     }
+    if let Some((inherited, config)) = inherited.as_ref().zip(platform.as_ref()) {
+        inherited.check(config.listen)?;
+    }
+    let console = platform.as_ref().and_then(|c| c.console);
     let peers = platform.as_ref().and_then(|c| c.peers);
     let operator = args.operator.as_ref().map(|path| operator_file(path, peers)).transpose();
     let operator = operator?.unwrap_or_default();
@@ -205,7 +212,9 @@
             }
         };
         let descriptors = descriptors();
-        let plan = Plan { platform, smpp, operator, changes: Some(reread), descriptors };
+        let (changes, continues_clock) = (Some(reread), true);
+        let plan =
+            Plan { platform, smpp, operator, changes, descriptors, inherited, console, continues_clock };
         wiring::run(plan, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
     })
 }
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -18,6 +18,8 @@
     /// Discovery and notices; without it the known list stands and ends are only logged.
     pub discovery: Option<SocketAddr>,
     pub state: PathBuf,
+    /// Where operators call; none: nowhere.
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     /// Whether relays may talk to one another, where the settings say.
@@ -58,6 +60,7 @@
         name: text(v, "name").unwrap_or("relay").to_string(),
         listen: address(need(text(v, "listen"), "listen")?, "listen")?,
         discovery: text(v, "discovery").map(|d| address(d, "discovery")).transpose()?,
+        console: text(v, "console").map(|c| address(c, "console")).transpose()?,
         state: PathBuf::from(text(v, "state").unwrap_or(".")),
         seed: seed(text(v, "seed").unwrap_or("")),
         peers: flag(v, "settings.limits.peers"),
@@ -196,6 +199,9 @@
         if let Some(discovery) = get("LB_DISCOVERY") {
             self.discovery = Some(address(&discovery, "LB_DISCOVERY")?);
         }
+        if let Some(console) = get("LB_CONSOLE").filter(|said| !said.is_empty()) {
+            self.console = Some(address(&console, "LB_CONSOLE")?);
+        }
         if let Some(state) = get("LB_STATE") {
             self.state = PathBuf::from(state);
         }
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -6,7 +6,7 @@
 use crate::catalog::{Draft, Endpoint, EndpointUpdate, PendingUpdate};
 use crate::protocol::discovery::ListReceiver;
 use crate::routing::{Desk, Front};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
@@ -23,6 +23,8 @@
     queued: Notify,
     /// Tells those who wait that there is none any more.
     idle: Notify,
+    /// The version of discovery's list that is wholly in force.
+    in_force: Cell<Option<u64>>,
 }
 
 /// Something else was put in force since the draft was begun.
@@ -30,9 +32,21 @@
 struct Stale;
 
 impl<F: Front> Listing<F> {
-    /// For this desk; `apply` has to run for anything to come into force.
-    pub fn new(desk: Rc<Desk<F>>) -> Rc<Self> {
-        Rc::new(Listing { desk, pending: RefCell::default(), queued: Notify::new(), idle: Notify::new() })
+    /// For this desk, with the version of discovery's list that is known; `apply` has to run for anything to come into
+    /// force.
+    pub fn new(desk: Rc<Desk<F>>, seq: Option<u64>) -> Rc<Self> {
+        let (pending, in_force) = (RefCell::default(), Cell::new(seq));
+        Rc::new(Listing { desk, pending, queued: Notify::new(), idle: Notify::new(), in_force })
+    }
+
+    /// The version of discovery's list that is wholly in force.
+    pub fn in_force(&self) -> Option<u64> {
+        self.in_force.get()
+    }
+
+    /// Drops what is pending: another process decides from now on.
+    pub fn retire(&self) {
+        self.pending.take();
     }
 
     /// Applies what is committed, for good.
@@ -114,12 +128,13 @@
         self.0.compare(draft, endpoint);
     }
 
-    async fn commit(&self, draft: Draft, _seq: u64, whole: bool) {
+    async fn commit(&self, draft: Draft, seq: u64, whole: bool) {
         // A list at hand has taken discovery's place meanwhile.
         if self.0.put(draft, whole) == Err(Stale) {
             tracing::info!(target: "platform", event = "list-superseded", "a list of discovery came after another had taken its place");
             return;
         }
         self.0.settled().await;
+        self.0.in_force.set(Some(seq));
     }
 }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,13 +1,19 @@
 //! The program: its command line, configuration, log, signals, and what is wired to what.
 
+mod beside;
+mod boot_clock;
 mod cli;
 pub mod config;
+mod descriptors;
 pub mod fleet;
 mod fronts;
 pub mod import;
+mod inherited;
 pub mod listing;
 pub mod log;
+mod ownership;
 mod signals;
+mod takeover;
 pub mod wiring;
 
 pub use cli::main;
--- /dev/null
+++ b/src/program/ownership.rs
@@ -0,0 +1,179 @@
+//! How a process comes to own the relay's lasting folder: at once where nobody has it, after a takeover where the process
+//! before it still serves, never where the two have nothing to do with each other.
+
+use super::boot_clock;
+use crate::routing::handover::{Handover, Hello, ToPredecessor, ToSuccessor};
+use crate::routing::journal::{OpenError, Preread, Replayed};
+use crate::routing::{Clock, Journal};
+use crate::transport::local_channel::{self, Reader, Writer};
+use rustix::fs::{flock, FlockOperation};
+use rustix::io::Errno;
+use std::fmt;
+use std::fs::File;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{sleep, timeout, Instant};
+
+/// Between two looks at a lock that another process has.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// A process that was killed a moment ago may not be gone yet: so long is waited for its lock.
+const RELEASED_WITHIN: Duration = Duration::from_millis(500);
+/// The owner answers at once, or it is not there any more.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+
+/// Held while a process starts: of several, one at a time comes to own the folder.
+#[derive(Debug)]
+pub struct StartTurn {
+    _folder: File,
+}
+
+impl StartTurn {
+    /// Waits for its turn, at most so long.
+    async fn wait(dir: &Path, most: Duration) -> Result<StartTurn, String> {
+        let folder = File::open(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        let from = Instant::now();
+        loop {
+            match flock(&folder, FlockOperation::NonBlockingLockExclusive) {
+                Ok(()) => return Ok(StartTurn { _folder: folder }),
+                Err(Errno::WOULDBLOCK) if from.elapsed() >= most => {
+                    return Err(format!("{}: another process is starting there", dir.display()));
+                }
+                Err(Errno::WOULDBLOCK | Errno::INTR) => sleep(LOOK_AGAIN).await,
+                Err(e) => return Err(format!("cannot lock {}: {e}", dir.display())),
+            }
+        }
+    }
+}
+
+/// What a process wants to own.
+pub struct Claim<'a> {
+    /// The lasting folder.
+    pub dir: &'a Path,
+    /// Bytes that it may hold.
+    pub budget: u64,
+    /// Names of the classes, by their places.
+    pub classes: &'a [String],
+    /// Who it is to a process that still serves; none where it cannot take over.
+    pub hello: Option<Hello>,
+    /// The clock to go by where no earlier process of this boot has left one.
+    pub clock: Clock,
+    /// Whether it goes on with the clock of earlier processes.
+    pub continues_clock: bool,
+}
+
+/// The process that this one took over from.
+pub struct Predecessor {
+    /// What it says.
+    pub reader: Reader<ToSuccessor>,
+    /// The way to it.
+    pub writer: Writer<ToPredecessor>,
+    /// Descriptors that it held when it stopped deciding.
+    pub descriptors: usize,
+}
+
+/// The folder, owned.
+pub struct Owned {
+    /// The journal, open for writing.
+    pub journal: Journal,
+    /// What it holds.
+    pub replayed: Replayed,
+    /// What it does not tell, where a process handed it over.
+    pub handover: Option<Handover>,
+    /// That process.
+    pub predecessor: Option<Predecessor>,
+    /// The relay's clock.
+    pub clock: Clock,
+    /// Given up once this process serves.
+    pub turn: StartTurn,
+}
+
+/// Comes to own the folder, however long the process that has it takes to hand it over.
+pub async fn own(claim: Claim<'_>) -> Result<Owned, String> {
+    let dir = claim.dir;
+    std::fs::create_dir_all(dir).map_err(|e| cannot_open(dir, &e))?;
+    // A process that cannot take over does not wait for those that can.
+    let patience = if claim.hello.is_some() { Duration::MAX } else { RELEASED_WITHIN };
+    let turn = StartTurn::wait(dir, patience).await?;
+    let from = Instant::now();
+    loop {
+        match Journal::open(dir, claim.budget, claim.classes.to_vec()) {
+            Ok((journal, replayed)) => {
+                let clock =
+                    if claim.continues_clock { boot_clock::go_on(dir, claim.clock) } else { claim.clock };
+                return Ok(Owned { journal, replayed, handover: None, predecessor: None, clock, turn });
+            }
+            Err(OpenError::InUse(holder)) => match &claim.hello {
+                Some(hello) => match take_over(&claim, hello).await {
+                    Ok(taken) => return Ok(taken.owned(turn)),
+                    Err(Failed::Refused(why)) => return Err(cannot_open(dir, &why)),
+                    Err(Failed::Gone) => sleep(LOOK_AGAIN).await,
+                },
+                None if from.elapsed() < RELEASED_WITHIN => sleep(LOOK_AGAIN).await,
+                None => return Err(cannot_open(dir, &OpenError::InUse(holder))),
+            },
+            Err(e) => return Err(cannot_open(dir, &e)),
+        }
+    }
+}
+
+fn cannot_open(dir: &Path, why: &dyn fmt::Display) -> String {
+    format!("cannot open the journal in {}: {why}", dir.display())
+}
+
+/// Why a takeover came to nothing.
+enum Failed {
+    /// The process that serves has nothing to do with this one.
+    Refused(String),
+    /// It cannot be reached, or was gone before it handed over.
+    Gone,
+}
+
+/// What a process that still runs has handed over.
+struct TakenOver {
+    journal: Journal,
+    replayed: Replayed,
+    handover: Handover,
+    predecessor: Predecessor,
+    clock: Clock,
+}
+
+impl TakenOver {
+    fn owned(self, turn: StartTurn) -> Owned {
+        let TakenOver { journal, replayed, handover, predecessor, clock } = self;
+        let (handover, predecessor) = (Some(handover), Some(predecessor));
+        Owned { journal, replayed, handover, predecessor, clock, turn }
+    }
+}
+
+/// Has the process that owns the folder hand it over.
+async fn take_over(claim: &Claim<'_>, hello: &Hello) -> Result<TakenOver, Failed> {
+    let stream = local_channel::connect(claim.dir).await.map_err(|_| Failed::Gone)?;
+    let (mut reader, mut writer) = local_channel::framed(stream);
+    say(&mut writer, ToPredecessor::Hello(hello.clone())).await?;
+    let anchor = match hear(&mut reader).await? {
+        ToSuccessor::Welcome(anchor) => anchor,
+        ToSuccessor::Refused(why) => return Err(Failed::Refused(why)),
+        _ => return Err(Failed::Gone),
+    };
+    // It goes on serving while most of its journal is read.
+    let preread = Preread::of(claim.dir, claim.classes).unwrap_or_else(|_| Preread::none());
+    say(&mut writer, ToPredecessor::Ready).await?;
+    let ToSuccessor::Released(mut handover, descriptors) = hear(&mut reader).await? else {
+        return Err(Failed::Gone);
+    };
+    let opened = Journal::open_after(preread, claim.dir, claim.budget, claim.classes.to_vec());
+    let (mut journal, mut replayed) = opened.map_err(|_| Failed::Gone)?;
+    journal.append_unwritten(std::mem::take(&mut handover.unwritten), &mut replayed);
+    let predecessor = Predecessor { reader, writer, descriptors };
+    let (handover, clock) = (*handover, Clock::continued(anchor));
+    Ok(TakenOver { journal, replayed, handover, predecessor, clock })
+}
+
+async fn say(writer: &mut Writer<ToPredecessor>, message: ToPredecessor) -> Result<(), Failed> {
+    writer.send(&message).await.map_err(|_| Failed::Gone)
+}
+
+async fn hear(reader: &mut Reader<ToSuccessor>) -> Result<ToSuccessor, Failed> {
+    let heard = timeout(ANSWERED_WITHIN, reader.next()).await;
+    heard.ok().and_then(Result::ok).ok_or(Failed::Gone)
+}
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -1,26 +1,36 @@
 //! Starts the parts and ties them together.
 
+use super::beside::{Beside, BesidePlan, FleetPlan};
 use super::config::Config;
-use super::fleet;
-use super::fronts::{start_platform, start_smpp};
-use super::log;
-use crate::admission::ledger::{self, Ledger};
-use crate::admission::Settings;
+use super::descriptors::Share;
+use super::fronts::{start_platform, PlatformFront, PlatformStart};
+use super::inherited::Inherited;
+use super::ownership::{own, Claim, Owned};
+use super::takeover::{self, Takeover};
+use super::{fleet, log};
+use crate::admission::ledger;
 use crate::operator::admission::Refusal;
+use crate::operator::fleet::Fleet;
 use crate::operator::Operator;
+use crate::protocol::console::{self, Asked};
 use crate::protocol::platform::Platform;
+use crate::protocol::smpp;
 use crate::protocol::smpp::config::SmppConfig;
-use crate::protocol::smpp::{self, Smpp};
+use crate::routing::handover::{Hello, Operated, VERSION};
 use crate::routing::{Clock, Core, Desk, Front};
 use crate::transport::network::Net;
 use crate::transport::{Door, Legs};
 use bytes::Bytes;
+use hyper::StatusCode;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
@@ -29,11 +39,9 @@
 /// Callers may still come for a while after the signal; to be gone by then would turn them away unheard.
 const STAYS: Duration = Duration::from_millis(1_500);
 /// Descriptors for the listener, the log, the journal, discovery and the notices, and some to move with.
-const SPARE: usize = 32;
+pub(super) const SPARE: usize = 32;
 /// Of them, those that discovery, notices and the journal draw as they need them.
-const RECORDS: usize = SPARE - ledger::ALWAYS;
-/// More descriptors than this are not planned with, whatever the system allows.
-const MOST: usize = 1 << 20;
+pub(super) const RECORDS: usize = SPARE - ledger::ALWAYS;
 
 /// What is to run: one front or both, each on a core and a journal of its own.
 #[derive(Default)]
@@ -45,6 +53,12 @@
     pub changes: Option<UnboundedReceiver<Operator>>,
     /// Descriptors that the process may have.
     pub descriptors: usize,
+    /// The callers' listening socket, where the platform hands one over: then processes may take over from one another.
+    pub inherited: Option<Inherited>,
+    /// Where operators call.
+    pub console: Option<SocketAddr>,
+    /// Whether the relay's clock goes on over its processes.
+    pub continues_clock: bool,
 }
 
 pub struct PlatformPlan {
@@ -53,6 +67,7 @@
     pub reread: UnboundedReceiver<Config>,
 }
 
+#[derive(Clone)]
 pub struct SmppPlan {
     pub config: SmppConfig,
     pub state: PathBuf,
@@ -60,6 +75,14 @@
     pub seed: u64,
 }
 
+/// What runs, as its end has to know it.
+struct Started {
+    platform: Option<PlatformDesk>,
+    beside: Rc<Beside>,
+    ending: Rc<Cell<bool>>,
+    superseded: Rc<Notify>,
+}
+
 /// Runs the relay until `told_to_end`, and winds it up.
 pub async fn run(
     plan: Plan,
@@ -74,83 +97,156 @@
         started = start(plan, net, clock) => started?,
         () = told_to_end.as_mut() => return Ok(()),
     };
-    let (platform, smpp, member) = started;
+    tokio::select! {
+        () = told_to_end => {}
+        // Another process decides for good.
+        () = started.superseded.notified() => {}
+    }
+    started.ending.set(true);
+    wind_up(&started).await;
+    Ok(())
+}
 
-    told_to_end.await;
+async fn wind_up(started: &Started) {
     let told = Instant::now();
     tracing::info!(target: "relay", event = "told-to-end", "callers are asked to leave, what is out is seen to its end");
-    if let Some(member) = &member {
+    let Started { platform, beside, .. } = started;
+    if let Some(member) = beside.member() {
         member.leave();
     }
-    if let Some((desk, legs)) = &platform {
-        legs.close_when_idle();
-        close(desk);
+    let mut stays = STAYS;
+    if let Some((desk, legs)) = platform {
+        if desk.roles.serves() {
+            legs.close_when_idle();
+            close(desk);
+        } else {
+            // Callers find the process that took over.
+            stays = Duration::ZERO;
+        }
     }
-    if let Some(desk) = &smpp {
-        close(desk);
-        let desk = desk.clone();
+    let smpp = beside.smpp();
+    if let Some(desk) = smpp.clone() {
+        close(&desk);
         spawn_local(async move { smpp::part(&desk, KILLED_AFTER - Duration::from_millis(300)).await });
     }
     let busy = || {
         let callers = platform.as_ref().is_some_and(|(_, legs)| legs.open() > 0);
-        let out = platform.as_ref().map_or(0, |(d, _)| d.calls_out() + d.see(Core::open));
+        let out = platform.as_ref().map_or(0, |(desk, _)| match desk.roles.serves() {
+            true => desk.calls_out() + desk.see(Core::open),
+            false => desk.calls_here(),
+        });
         let smpp = smpp.as_ref().is_some_and(|d| d.calls_out() > 0 || d.front.legs_open() > 0);
         callers || out > 0 || smpp
     };
-    while told.elapsed() < KILLED_AFTER && (told.elapsed() < STAYS || busy()) {
+    while told.elapsed() < KILLED_AFTER && (told.elapsed() < stays || busy()) {
         sleep(Duration::from_millis(20)).await;
     }
-    let platform = platform.map_or(0, |(d, _)| d.see(Core::open));
-    let smpp = smpp.map_or(0, |d| d.see(Core::open));
-    let left = platform + smpp;
+    let of_platform = platform.as_ref().filter(|(desk, _)| desk.roles.serves());
+    let left = of_platform.map_or(0, |(d, _)| d.see(Core::open)) + smpp.map_or(0, |d| d.see(Core::open));
     tracing::info!(target: "relay", event = "ends", left, "ends with {left} transactions in the journal");
-    Ok(())
 }
 
 pub(super) type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
-type Started = (Option<PlatformDesk>, Option<Rc<Desk<Smpp>>>, Option<Rc<fleet::Running>>);
 
 async fn start(mut plan: Plan, net: Net, clock: Clock) -> Result<Started, String> {
-    let door = open_door(&plan, &net);
+    let operator = plan.operator.clone();
+    let share =
+        Share::new(descriptors(&plan), plan.inherited.is_some(), operator.admission.clone(), net.clone());
+    let door = share.door().clone();
     spawn_local(door.clone().give_way());
     spawn_local(watch(door.clone()));
-    let (changes, operator) = (plan.changes.take(), plan.operator.clone());
-    let plain = plain(&plan);
-    let member = match &operator.fleet {
-        Some(said) => Some(join_fleet(said, &mut plan, clock).await?),
-        None => None,
-    };
-    let said_fleet = operator.fleet.clone();
-    let shared = plan.platform.as_ref().filter(|_| said_fleet.as_ref().is_some_and(|f| f.deals)).map(|p| {
-        let s = &p.config.settings;
-        crate::fleet::together::Terms { senders: s.senders, cold_share: s.cold_share, warm_up: s.warm_up }
-    });
-    let platform = match plan.platform {
-        Some(plan) => Some(start_platform(plan, net.clone(), door.clone(), &operator, clock).await?),
-        None => None,
+    let desk = Rc::new(RefCell::new(None));
+    if let Some(console) = plan.console {
+        let listener = net.listen(console).await;
+        let listener = listener.map_err(|e| format!("console: cannot listen on {console}: {e}"))?;
+        let desk = desk.clone();
+        spawn_local(console::serve(listener, move |asked| answer(desk.clone(), asked)));
+    }
+    let (ending, superseded) = (Rc::new(Cell::new(false)), Rc::new(Notify::new()));
+    let beside = Rc::new(Beside::default());
+    let fleet = fleet_plan(&operator, &mut plan)?;
+    let smpp = plan.smpp.take();
+    let changes = plan.changes.take();
+    let Some(platform) = plan.platform.take() else {
+        let beside_plan = BesidePlan { fleet, smpp, net, door, clock };
+        beside.start(&beside_plan, None, false).await?;
+        follow_changes(changes, operator.fleet, share, None, beside.clone());
+        return Ok(Started { platform: None, beside, ending, superseded });
     };
-    if let (Some(member), Some((desk, _)), Some(terms)) = (&member, &platform, shared) {
-        spawn_local(member.clone().share(desk.clone(), terms));
+    let hello = plan.inherited.as_ref().map(|_| hello(&platform.config));
+    let owned = claim(&platform.config, hello.clone(), clock, plan.continues_clock).await?;
+    let Owned { journal, replayed, handover, predecessor, clock, turn } = owned;
+    if let Some(predecessor) = &predecessor {
+        share.other_holds(predecessor.descriptors);
+    }
+    let beside_plan = BesidePlan { fleet, smpp, net: net.clone(), door: door.clone(), clock };
+    let after_takeover = handover.is_some();
+    let dir = platform.config.state.clone();
+    let PlatformPlan { config, reread } = platform;
+    let inherited = plan.inherited.as_ref();
+    let start = PlatformStart { config, reread, journal, replayed, handover, inherited, clock };
+    let front = start_platform(start, net, door, &operator).await?;
+    let PlatformFront { desk: serving, legs, .. } = &front;
+    let platform = (serving.clone(), legs.clone());
+    desk.replace(Some(serving.clone()));
+    drop(turn);
+    if let Some(predecessor) = predecessor {
+        spawn_local(takeover::follow(predecessor, serving.clone(), share.clone()));
     }
-    let smpp = match plan.smpp {
-        Some(plan) => Some(start_smpp(plan, net, door.clone(), clock).await?),
-        None => None,
+    beside.start(&beside_plan, Some(&platform), after_takeover).await?;
+    if let Some(hello) = hello {
+        let (beside, ending, superseded) = (beside.clone(), ending.clone(), superseded.clone());
+        let takeover = Takeover { front, hello, dir, beside, beside_plan, ending, superseded };
+        spawn_local(takeover.offer());
+    }
+    follow_changes(changes, operator.fleet, share, Some(platform.clone()), beside.clone());
+    Ok(Started { platform: Some(platform), beside, ending, superseded })
+}
+
+fn hello(config: &Config) -> Hello {
+    let (kinds, zones) = (config.names.kinds.clone(), config.names.zones.clone());
+    Hello { version: VERSION, name: config.name.clone(), listen: config.listen, kinds, zones }
+}
+
+async fn claim(
+    config: &Config,
+    hello: Option<Hello>,
+    clock: Clock,
+    continues_clock: bool,
+) -> Result<Owned, String> {
+    let (dir, budget, classes) = (&config.state, config.disk_bytes, &config.classes);
+    own(Claim { dir, budget, classes, hello, clock, continues_clock }).await
+}
+
+/// What the console answers: whether this process takes clients, and whether an operation is in force.
+async fn answer(desk: Rc<RefCell<Option<Rc<Desk<Platform>>>>>, asked: Asked) -> StatusCode {
+    let desk = desk.borrow().clone();
+    let yes = match (asked, desk) {
+        (_, None) => false,
+        (Asked::Health, Some(desk)) => desk.roles.serves(),
+        (Asked::Operate(operation), Some(desk)) => match desk.operate(&operation).await {
+            Some(Operated::Unknown) => return StatusCode::NOT_FOUND,
+            Some(Operated::Done) => true,
+            None => false,
+        },
     };
-    if let Some(changes) = changes {
-        spawn_local(follow_operator(changes, plain, said_fleet, door, platform.clone(), smpp.clone()));
+    if yes {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
     }
-    Ok((platform, smpp, member))
 }
 
 /// Sets apart the seed of membership from that of the module.
 const MEMBERSHIP: u64 = 0x6d65_6d62_6572_7368;
 
 /// Membership lives beside the journal, and within its room.
-async fn join_fleet(
-    said: &crate::operator::fleet::Fleet,
-    plan: &mut Plan,
-    clock: Clock,
-) -> Result<Rc<fleet::Running>, String> {
+fn fleet_plan(operator: &Operator, plan: &mut Plan) -> Result<Option<FleetPlan>, String> {
+    let Some(section) = operator.fleet.clone() else { return Ok(None) };
+    let shares = plan.platform.as_ref().filter(|_| section.deals).map(|p| {
+        let s = &p.config.settings;
+        crate::fleet::together::Terms { senders: s.senders, cold_share: s.cold_share, warm_up: s.warm_up }
+    });
     let (name, dir, seed) = match (&mut plan.platform, &plan.smpp) {
         (Some(PlatformPlan { config, .. }), _) => {
             if config.disk_bytes < 2 * fleet::DISK {
@@ -165,33 +261,44 @@
         (None, Some(smpp)) => ("relay".to_string(), smpp.state.clone(), smpp.seed),
         (None, None) => return Err("fleet: nothing is served".to_string()),
     };
-    std::fs::create_dir_all(&dir).map_err(|e| format!("fleet: {}: {e}", dir.display()))?;
-    fleet::start(said, &name, &dir, seed ^ MEMBERSHIP, clock).await
+    Ok(Some(FleetPlan { section, name, dir, seed: seed ^ MEMBERSHIP, shares }))
+}
+
+fn follow_changes(
+    changes: Option<UnboundedReceiver<Operator>>,
+    fleet: Option<Fleet>,
+    share: Rc<Share>,
+    platform: Option<PlatformDesk>,
+    beside: Rc<Beside>,
+) {
+    if let Some(changes) = changes {
+        spawn_local(follow_operator(changes, fleet, share, platform, beside));
+    }
 }
 
 /// Takes in the operator's file as it was read again: the log, admission, and of SMPP its next hops.
 async fn follow_operator(
     mut changes: UnboundedReceiver<Operator>,
-    plain: Settings,
-    fleet: Option<crate::operator::fleet::Fleet>,
-    door: Rc<Door>,
+    fleet: Option<Fleet>,
+    share: Rc<Share>,
     platform: Option<PlatformDesk>,
-    smpp: Option<Rc<Desk<Smpp>>>,
+    beside: Rc<Beside>,
 ) {
     while let Some(said) = changes.recv().await {
         log::heed(said.log.clone());
-        let closed = door.reload(said.admission.settings(plain.clone()));
+        let closed = share.admit_by(said.admission.clone());
         if let Some((desk, legs)) = &platform {
             legs.say(words(said.admission.refusal));
-            desk.act(|core, now| core.set_batching(now, said.batching.clone()));
+            if desk.roles.serves() {
+                desk.act(|core, now| core.set_batching(now, said.batching.clone()));
+            }
         }
-        let same =
-            |a: &crate::operator::fleet::Fleet| crate::operator::fleet::Fleet { place: None, ..a.clone() };
+        let same = |a: &Fleet| Fleet { place: None, ..a.clone() };
         if fleet.as_ref().map(same) != said.fleet.as_ref().map(same) {
             tracing::warn!(target: "operator", event = "reread-needs-restart", "section `fleet` holds from the next start on");
         }
-        match (&smpp, &said.smpp) {
-            (Some(desk), Some(config)) => smpp::learn(desk, config),
+        match (beside.smpp(), &said.smpp) {
+            (Some(desk), Some(config)) => smpp::learn(&desk, config),
             (None, None) => {}
             _ => {
                 tracing::warn!(target: "operator", event = "reread-needs-restart", "the SMPP front comes or goes with a restart alone")
@@ -240,30 +347,9 @@
     }
 }
 
-/// The door for all listeners, and the descriptors that go through it: as many as the platform allows, or the
-/// process has, whichever is lower.
-fn open_door(plan: &Plan, net: &Net) -> Rc<Door> {
-    let total = descriptors(plan);
-    let room = room(total);
-    let admission = plan.operator.admission.settings(plain(plan));
-    let kept = [RECORDS, room / 3, admission.reserve, 0];
-    let ledger = Ledger::new(total.saturating_sub(ledger::ALWAYS).max(room), kept);
-    Door::new(admission, ledger, net.clone())
-}
-
+/// As many descriptors as the platform allows, or the process has, whichever is lower.
 fn descriptors(plan: &Plan) -> usize {
-    plan.platform.as_ref().map_or(MOST, |p| p.config.sockets).min(plan.descriptors).min(MOST)
-}
-
-/// Descriptors for callers and calls.
-fn room(total: usize) -> usize {
-    total.saturating_sub(SPARE).max(16)
-}
-
-/// What holds of admission where the operator says nothing.
-fn plain(plan: &Plan) -> Settings {
-    let total = descriptors(plan);
-    Settings::plain(room(total) * 2 / 3, total / 4)
+    plan.platform.as_ref().map_or(usize::MAX, |p| p.config.sockets).min(plan.descriptors)
 }
 
 /// Starts a task without which the relay would stand still, and starts it again if it panics.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: what is said on the wire, to callers, next hops and the platform.
 
+pub mod console;
 pub mod discovery;
 pub mod fields;
 pub mod hook;
--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -34,6 +34,9 @@
     let path = request.uri().path();
     if path == "/ready" {
         return refused(match *request.method() {
+            Method::GET | Method::HEAD if *desk.front.draining.borrow() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE)
+            }
             Method::GET | Method::HEAD => plain(StatusCode::OK),
             _ => not_allowed("GET, HEAD"),
         });
@@ -66,7 +69,7 @@
         Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
         Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
     };
-    match desk.act(|core, now| core.take(now, offer)) {
+    match desk.take(offer).await {
         Taken::On(no) => {
             leg.promises(no);
             plain(StatusCode::ACCEPTED)
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -51,13 +51,16 @@
 }
 
 pub struct Platform {
-    net: Net,
+    /// For discovery and notices.
+    pub net: Net,
     pub pool: Rc<Pool>,
     /// For next hops that take calls behind one another.
     pub pipelines: Pipelines,
     pub classes: Classes,
     /// Where discovery and notices are, which may change.
     pub agent: watch::Sender<Option<SocketAddr>>,
+    /// Whether callers are sent away.
+    pub draining: watch::Sender<bool>,
     owed: RefCell<VecDeque<TransactionNo>>,
     more_owed: Notify,
 }
@@ -71,8 +74,8 @@
         agent: Option<SocketAddr>,
     ) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
-        let agent = watch::Sender::new(agent);
-        Platform { net, pool, pipelines, classes, agent, owed, more_owed }
+        let (agent, draining) = (watch::Sender::new(agent), watch::Sender::new(false));
+        Platform { net, pool, pipelines, classes, agent, draining, owed, more_owed }
     }
 }
 
@@ -160,6 +163,15 @@
         self.more_owed.notify_one();
     }
 
+    fn drain(&self, draining: bool) {
+        self.draining.send_replace(draining);
+    }
+
+    fn retire(&self) {
+        self.owed.borrow_mut().clear();
+        self.pool.close_all_idle();
+    }
+
     fn distrust(&self, endpoint: EndpointId) {
         self.pool.close_idle(endpoint);
         self.pipelines.rest(endpoint);
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -52,7 +52,9 @@
         if letters.first().is_some_and(|(deadline, _)| *deadline < until) {
             letters.sort_by_key(|(deadline, _)| Reverse(*deadline));
         }
-        letters.into_iter().map(|(_, letter)| letter).collect()
+        let letters: Vec<Letter> = letters.into_iter().map(|(_, letter)| letter).collect();
+        self.begins(letters.iter().map(|l| &l.attempt), call.endpoint, now);
+        letters
     }
 
     /// Whether what was begun may still be written, on another connection than it was begun for.
@@ -86,6 +88,7 @@
         let size = self.former.ended(now, hop, replies.len(), served.then_some(took), pressure);
         for (attempt, reply) in replies {
             let no = attempt.transaction;
+            self.begun.remove(&(no, attempt.number));
             let Some(t) = self.transactions.get_mut(no) else { continue };
             let ran = !reply.outcome().never_ran();
             if let Reply::Rejected { reason } = reply {
--- /dev/null
+++ b/src/routing/core/handover.rs
@@ -0,0 +1,158 @@
+//! The core handed to another process of the relay, and taken over from one.
+
+use super::Core;
+use crate::catalog::{EndpointId, EndpointView};
+use crate::decision::Knowledge;
+use crate::interface::Nanos;
+use crate::routing::facade::{Ailing, Left};
+use crate::routing::handover::{Endpoints, Handover, OpenCall, RestingKey};
+use crate::routing::journal::LastOut;
+use crate::routing::values::{Attempt, TransactionNo};
+use std::collections::{BTreeMap, HashMap};
+
+/// Calls whose first byte went and that have no outcome yet, by attempt.
+pub(super) type Begun = HashMap<(TransactionNo, u32), (EndpointId, Nanos)>;
+
+/// What a process stops deciding on.
+#[derive(Debug, Default)]
+pub struct Released {
+    /// For the process that takes over.
+    pub handover: Handover,
+    /// Attempts that nobody waits for any more.
+    pub given_up: Vec<(TransactionNo, u32)>,
+}
+
+impl Core {
+    /// Stops deciding, and gives the journal away. `seq`: the version of discovery's list that is wholly in force.
+    pub fn release(&mut self, now: Nanos, seq: Option<u64>) -> Released {
+        let (calls, given_up) = self.open_calls();
+        let endpoints = self.catalog.iter().map(EndpointView::to_endpoint).collect();
+        let mut keys: Vec<RestingKey> = self
+            .facade
+            .resting_keys()
+            .map(|(key, until, transaction)| RestingKey { key: key.to_string(), until, transaction })
+            .collect();
+        keys.extend(given_up.iter().filter_map(|(no, _)| self.resting_key(now, *no)));
+        let knowledge = self.facade.knowledge();
+        let named = |id: EndpointId| Some((id, self.catalog.get(id)?.name.to_string()));
+        let names = knowledge.hosts().filter_map(named).collect();
+        let handover = Handover {
+            knowledge,
+            names,
+            keys,
+            calls,
+            delivered: self.transactions.delivered().cloned().collect(),
+            list: Endpoints { seq, endpoints },
+            journal_bytes: self.journal.bytes(),
+            unwritten: self.journal.release(),
+        };
+        Released { handover, given_up }
+    }
+
+    /// Calls that go on at this process, and the attempts that do not: of messages that have their ends.
+    fn open_calls(&self) -> (Vec<OpenCall>, Vec<(TransactionNo, u32)>) {
+        let mut by_call: BTreeMap<(EndpointId, Nanos), Vec<(TransactionNo, u32)>> = BTreeMap::new();
+        for (attempt, call) in &self.begun {
+            by_call.entry(*call).or_default().push(*attempt);
+        }
+        let (mut open, mut given_up) = (Vec::new(), Vec::new());
+        for ((endpoint, begun), mut attempts) in by_call {
+            attempts.sort_unstable();
+            let is_owed = |no: &TransactionNo| self.transactions.get(*no).is_some_and(|t| t.ending.is_none());
+            let transactions: Vec<TransactionNo> =
+                attempts.iter().map(|(no, _)| *no).filter(is_owed).collect();
+            match self.catalog.get(endpoint).filter(|_| !transactions.is_empty()) {
+                Some(endpoint) => {
+                    let endpoint = endpoint.name.to_string();
+                    open.push(OpenCall { endpoint, begun, transactions });
+                }
+                None => given_up.extend(attempts),
+            }
+        }
+        (open, given_up)
+    }
+
+    /// The key of a message of which an attempt is given up.
+    fn resting_key(&self, now: Nanos, no: TransactionNo) -> Option<RestingKey> {
+        let key = self.transactions.get(no)?.key.clone()?;
+        Some(RestingKey { key, until: now + self.key_rest, transaction: no })
+    }
+
+    /// What another process has learned, by the numbers that endpoints have here.
+    fn renumbered(&self, knowledge: Knowledge, names: &[(EndpointId, String)]) -> Knowledge {
+        let number = |(there, name): &(EndpointId, String)| Some((*there, self.catalog.find(name)?));
+        knowledge.renumbered(&names.iter().filter_map(number).collect())
+    }
+
+    /// Takes in what another process handed over; its endpoints are known already.
+    pub(super) fn take_over(
+        &mut self,
+        classes: usize,
+        now: Nanos,
+        handover: Option<Handover>,
+        last_out: &LastOut,
+    ) {
+        let continues = handover.is_some();
+        let handover = handover.unwrap_or_default();
+        self.transactions.remember_delivered(&handover.delivered);
+        let mut calls = Vec::new();
+        for call in &handover.calls {
+            let Some(endpoint) = self.catalog.find(&call.endpoint) else { continue };
+            let is_out = |no: &TransactionNo| self.transactions.get(*no).is_some_and(|t| t.out.is_some());
+            let ids: Vec<TransactionNo> = call.transactions.iter().copied().filter(is_out).collect();
+            if !ids.is_empty() {
+                calls.push((endpoint, call.begun, ids));
+            }
+        }
+        let adopted = calls.iter().flat_map(|(.., ids)| ids.iter().copied()).collect();
+        let (asks, strange) = self.restored(classes, now, &adopted);
+        let ailing = if continues { Vec::new() } else { self.ailing(now, last_out) };
+        let knowledge = continues.then(|| self.renumbered(handover.knowledge, &handover.names));
+        let keys = handover.keys.iter();
+        let keys = keys.map(|k| (k.key.clone(), k.until.saturating_sub(now), k.transaction));
+        let left = Left {
+            asks,
+            ailing,
+            knowledge,
+            keys: keys.collect(),
+            calls: calls
+                .iter()
+                .map(|(id, begun, ids)| (*id, now.saturating_sub(*begun), ids.clone()))
+                .collect(),
+        };
+        let (picked, adopted) = self.facade.restore(now, left);
+        for (call, (endpoint, begun, _)) in adopted.iter().zip(&calls) {
+            self.begins(call.attempts.iter(), *endpoint, *begun);
+        }
+        self.work.adopted.extend(adopted);
+        self.absorb(now, picked);
+        self.fail_all(now, strange);
+    }
+
+    /// Endpoints that were in an outage when the earlier process ended, and how long ago each was called. What the list
+    /// does not name is forgotten.
+    fn ailing(&mut self, now: Nanos, last_out: &LastOut) -> Vec<Ailing> {
+        let names: Vec<String> = self.journal.ailing().map(str::to_string).collect();
+        let mut ailing = Vec::new();
+        for name in names {
+            let Some(endpoint) = self.catalog.find(&name) else {
+                let written = self.journal.note_ailing(&name, false);
+                self.withheld.plan_unless(written, now);
+                continue;
+            };
+            let called = self.catalog.get(endpoint).and_then(|e| last_out.get(&e.dest));
+            ailing.push(Ailing { endpoint, last_call: called.map(|at| now.saturating_sub(*at)) });
+        }
+        ailing
+    }
+
+    /// The first byte of these attempts went.
+    pub(super) fn begins<'a>(
+        &mut self,
+        attempts: impl Iterator<Item = &'a Attempt>,
+        endpoint: EndpointId,
+        at: Nanos,
+    ) {
+        self.begun.extend(attempts.map(|a| ((a.transaction, a.number), (endpoint, at))));
+    }
+}
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -2,22 +2,30 @@
 
 use super::{bytes_of, Core, Note, Offer, Taken, DOOR_ADVICE};
 use crate::interface::Nanos;
-use crate::routing::facade::{Ailing, Ask};
+use crate::routing::facade::Ask;
 use crate::routing::journal::Record;
 use crate::routing::transactions::{Ending, Transaction};
 use crate::routing::values::{End, TransactionNo};
 use bytes::Bytes;
+use std::collections::HashSet;
 
 impl Core {
-    /// An attempt without an outcome may have run. What has its end only needs to tell it again. `ailing`: endpoints that
-    /// were in an outage when the earlier life ended.
-    pub(super) fn restore(&mut self, classes: usize, now: Nanos, ailing: Vec<Ailing>) {
-        let mut asks = Vec::new();
-        let mut strange = Vec::new();
+    /// What an earlier life left, for the module, and messages of classes that are not known any more. An attempt without
+    /// an outcome may have run, but for those that are out at another process. What has its end only needs to tell it.
+    pub(super) fn restored(
+        &mut self,
+        classes: usize,
+        now: Nanos,
+        out_elsewhere: &HashSet<TransactionNo>,
+    ) -> (Vec<Ask>, Vec<TransactionNo>) {
+        let (mut asks, mut strange) = (Vec::new(), Vec::new());
         let nos: Vec<TransactionNo> = self.transactions.iter().map(|(no, _)| no).collect();
         for no in nos {
             let Some(t) = self.transactions.get_mut(no) else { continue };
-            t.may_have_run = t.may_have_run.or(t.out.take());
+            let is_out = out_elsewhere.contains(&no);
+            if !is_out {
+                t.may_have_run = t.may_have_run.or(t.out.take());
+            }
             let ended = t.ending.is_some();
             if ended {
                 self.work.ended.push(no);
@@ -32,7 +40,7 @@
                 dest: t.dest,
                 key: t.key.clone(),
                 time_left: t.deadline.saturating_sub(now),
-                past: Some((t.attempts, ran)),
+                past: Some((t.attempts.saturating_sub(u32::from(is_out)), ran)),
                 bytes: bytes_of(t),
                 ended,
             });
@@ -42,9 +50,11 @@
             let text = format!("{all} transactions restored, {held} still to deliver");
             self.work.notes.push(Note::new("journal-restored", text));
         }
-        let picked = self.facade.restore(now, asks, ailing);
-        self.absorb(now, picked);
-        strange.into_iter().for_each(|no| self.end(now, no, Ending::Undelivered(End::Failed)));
+        (asks, strange)
+    }
+
+    pub(super) fn fail_all(&mut self, now: Nanos, nos: Vec<TransactionNo>) {
+        nos.into_iter().for_each(|no| self.end(now, no, Ending::Undelivered(End::Failed)));
     }
 
     pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
--- a/src/routing/core/listing.rs
+++ b/src/routing/core/listing.rs
@@ -3,8 +3,8 @@
 use super::{Batching, Core};
 use crate::batching::{Counts, Table, Terms};
 use crate::catalog::{
-    Draft, EndpointCatalog, EndpointId, EndpointState, EndpointUpdate, EndpointView, Forgotten,
-    PendingUpdate, Piece, Progress,
+    Draft, EndpointCatalog, EndpointId, EndpointUpdate, EndpointView, Forgotten, PendingUpdate, Piece,
+    Progress,
 };
 use crate::interface::{CallTerms, Nanos, Outcome};
 use crate::routing::facade::Told;
@@ -47,21 +47,7 @@
     fn apply(&mut self, now: Nanos, piece: Piece) {
         let applied = self.catalog.apply(now, piece);
         self.let_go(&applied.forgotten);
-        let mut changed = Vec::with_capacity(applied.changed.len());
-        for endpoint in applied.changed.iter().filter_map(|id| self.catalog.get(*id)) {
-            let (terms, allowed) = self.batching_terms(&endpoint);
-            if self.former.knows(endpoint.id) {
-                self.former.set(endpoint.id, terms, allowed);
-            }
-            changed.push((endpoint, self.call_terms(&endpoint)));
-        }
-        let resting = changed.iter().filter(|(e, _)| e.state != EndpointState::Active);
-        let resting: Vec<EndpointId> = resting.map(|(endpoint, _)| endpoint.id).collect();
-        let picked = self.facade.learn(now, changed.into_iter());
-        self.absorb(now, picked);
-        self.recall(now, &resting);
-        // No call will use the connections to those that are not active any more.
-        self.work.distrusted.extend(resting);
+        self.learn_of(now, &applied.changed);
         self.forget_departed(now);
     }
 
@@ -82,7 +68,7 @@
     }
 
     /// What waits for endpoints that are to get nothing more goes back to the module, as never sent.
-    fn recall(&mut self, now: Nanos, resting: &[EndpointId]) {
+    pub(super) fn recall(&mut self, now: Nanos, resting: &[EndpointId]) {
         let attempts = resting.iter().flat_map(|id| self.former.recall(now, *id));
         let unsent: Vec<_> = attempts.map(|b| (b, Reply::Ended(Outcome::NotSent))).collect();
         if !unsent.is_empty() {
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -3,21 +3,27 @@
 mod calls;
 mod ends;
 mod fleet;
+mod handover;
 mod intake;
 mod listing;
+mod maintenance;
 mod values;
 
+pub use handover::Released;
 pub use values::{Carried, Letter, Note, Offer, Piping, Taken, Work};
 
-use super::facade::{Ailing, Facade, Picked, Told};
-use super::journal::{Journal, LastOut, Replayed};
+use super::facade::{Facade, Picked, Told};
+use super::handover::Handover;
+use super::journal::{Journal, Replayed};
 use super::shares::Shares;
 use super::transactions::{Ending, Transaction, Transactions};
 use super::values::{Attempt, Reply, TransactionNo};
 use crate::batching::{Former, Table, Terms};
 use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
 use crate::interface::{Nanos, Outcome, Repeat, Settings};
+use crate::maintenance::Maintenance;
 use ends::Withheld;
+use handover::Begun;
 
 /// Advice for those turned away before the module was asked.
 const DOOR_ADVICE: Nanos = 1_000_000_000;
@@ -42,6 +48,12 @@
     shares: Option<Shares>,
     /// Ends that are told once they are written.
     withheld: Withheld,
+    /// What operators have taken out of service.
+    maintenance: Maintenance,
+    /// Calls that are out.
+    begun: Begun,
+    /// How long a key rests after an attempt that may still be running.
+    key_rest: Nanos,
 }
 
 /// The operator's terms for calls, with the names of the kinds that they speak of.
@@ -73,7 +85,7 @@
 }
 
 impl Core {
-    /// Starts from what an earlier life left, with the route set as last known.
+    /// Starts from what an earlier life left, with the endpoints as last known.
     pub fn new(
         settings: Settings,
         seed: u64,
@@ -81,14 +93,27 @@
         replayed: Replayed,
         first: First<'_>,
         now: Nanos,
+    ) -> Core {
+        Core::taking_over(settings, seed, journal, replayed, first, None, now)
+    }
+
+    /// The same where a process that runs on hands over what its journal does not tell.
+    pub fn taking_over(
+        settings: Settings,
+        seed: u64,
+        journal: Journal,
+        replayed: Replayed,
+        first: First<'_>,
+        handover: Option<Handover>,
+        now: Nanos,
     ) -> Core {
         let First { known, batching, tells_delivery } = first;
         let classes = settings.classes.len();
-        let slots = settings.slots;
+        let (slots, key_rest) = (settings.slots, settings.key_rest);
         let former = Former::new(slots * 3 / 4);
         let allowed = settings.kinds.iter().map(|k| k.per_call.max(1)).collect();
         let of_classes = settings.classes.iter().map(|c| (c.aim, c.deadline, c.repeat)).collect();
-        let Replayed { transactions, next_no, ailing, last_out, torn } = replayed;
+        let Replayed { transactions, next_no, last_out, torn, maintenance, .. } = replayed;
         let facade = Facade::new(settings, seed, !tells_delivery);
         let (catalog, work) = (EndpointCatalog::default(), Work::default());
         let mut core = Core {
@@ -106,32 +131,21 @@
             slots,
             shares: None,
             withheld: Withheld::default(),
+            maintenance,
+            begun: Begun::default(),
+            key_rest,
         };
         if torn > 0 {
             core.work
                 .notes
                 .push(Note::new("journal-torn", format!("{torn} bytes at the end were no whole record")));
         }
+        core.work.draining = Some(core.maintenance.is_draining()).filter(|draining| *draining);
         core.learn(now, known);
-        let mut sick = Vec::new();
-        for name in &ailing {
-            match core.catalog.find(name) {
-                Some(endpoint) => {
-                    sick.push(Ailing { endpoint, last_call: core.last_call(&last_out, endpoint, now) })
-                }
-                None => drop(core.journal.note_ailing(name, false)),
-            }
-        }
-        core.restore(classes, now, sick);
+        core.take_over(classes, now, handover, &last_out);
         core
     }
 
-    /// How long ago the destination of an endpoint was called, by the last calls of an earlier life.
-    fn last_call(&self, last_out: &LastOut, endpoint: EndpointId, now: Nanos) -> Option<Nanos> {
-        let dest = self.catalog.get(endpoint)?.dest;
-        last_out.get(&dest).map(|at| now.saturating_sub(*at))
-    }
-
     /// The relay may be killed from `at` on, and comes back later.
     pub fn closing(&mut self, now: Nanos, at: Nanos) {
         let calls = self.former.wind_up(now);
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -4,9 +4,10 @@
 use crate::interface::Nanos;
 use crate::routing::values::{Attempt, Call, Limit, Reply, TransactionNo};
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 /// A transaction as a caller hands it in.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
     pub id: String,
     pub class: usize,
@@ -19,7 +20,7 @@
 }
 
 /// The answer to an offer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Taken {
     /// Taken on and journaled.
     On(TransactionNo),
@@ -52,6 +53,10 @@
 #[derive(Debug, Default)]
 pub struct Work {
     pub calls: Vec<(Call, Endpoint)>,
+    /// Calls that are out at the process that handed over.
+    pub adopted: Vec<Call>,
+    /// Callers are sent away from now on, or may come again.
+    pub draining: Option<bool>,
     /// Transactions whose end is now owed to whoever handed them in.
     pub ended: Vec<TransactionNo>,
     pub dropped: Vec<(TransactionNo, u32)>,
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,11 +1,12 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
-use super::core::{Carried, Core, Letter, Note, Work};
+use super::core::{Carried, Core, Letter, Note, Offer, Released, Taken, Work};
+use super::handover::{CallOutcome, Operated, Operation, Roles, Successor, ToPredecessor, ToSuccessor};
 use super::values::{Call, Reply, TransactionNo};
 use super::Clock;
 use crate::catalog::{Endpoint, EndpointId};
 use crate::interface::{Nanos, Outcome};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
@@ -21,6 +22,10 @@
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
     /// Idle connections to this next hop are not to be used any more.
     fn distrust(&self, endpoint: EndpointId);
+    /// Callers are sent away from now on, or may come again.
+    fn drain(&self, _draining: bool) {}
+    /// Another process decides from now on, and tells what ends are owed.
+    fn retire(&self) {}
     /// Nor are, from now on, those that have waited for so long.
     fn trust(&self, _idle: Nanos) {}
     /// What the log calls it.
@@ -35,6 +40,12 @@
     sooner: Notify,
     /// The calls that are out, by each of their attempts.
     out: RefCell<HashMap<(TransactionNo, u32), Rc<Notify>>>,
+    /// Calls that are out at the process before this one.
+    adopted: RefCell<Vec<Call>>,
+    /// Whether this process decides, and its ways to the others of its relay.
+    pub roles: Roles,
+    /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
+    life: Cell<u32>,
 }
 
 /// A note in the log.
@@ -48,17 +59,25 @@
     }
 }
 
+fn is_of(call: &Call, (no, number): (TransactionNo, u32)) -> bool {
+    call.attempts.iter().any(|a| a.transaction == no && a.number == number)
+}
+
 /// A call on its way.
 pub struct Passage<'a, F> {
     pub desk: &'a Rc<Desk<F>>,
     pub call: &'a Call,
     pub hop: &'a Endpoint,
     cancel: &'a Notify,
+    life: u32,
 }
 
 impl<F: Front> Passage<'_, F> {
     /// Right before the first byte: the attempts that may still go, journaled as out.
     pub fn begin(&self) -> Vec<Letter> {
+        if !self.desk.decides(self.life) {
+            return Vec::new();
+        }
         self.desk.act(|core, now| core.begin(now, self.call))
     }
 
@@ -71,7 +90,7 @@
     /// Whether what was begun may still be written, on another connection.
     pub fn may_go_on(&self, letters: &[Letter]) -> bool {
         let now = self.desk.clock.now();
-        self.desk.see(|core| core.may_go_on(now, self.call, letters))
+        self.desk.decides(self.life) && self.desk.see(|core| core.may_go_on(now, self.call, letters))
     }
 
     /// Completes when the core gives the call up.
@@ -82,8 +101,149 @@
 
 impl<F: Front> Desk<F> {
     pub fn new(core: Core, clock: Clock, front: F) -> Rc<Self> {
-        let (core, out) = (RefCell::new(core), RefCell::default());
-        Rc::new(Desk { clock, front, core, sooner: Notify::new(), out })
+        Rc::new(Desk {
+            clock,
+            front,
+            core: RefCell::new(core),
+            sooner: Notify::new(),
+            out: RefCell::default(),
+            adopted: RefCell::default(),
+            roles: Roles::default(),
+            life: Cell::new(0),
+        })
+    }
+
+    /// Whether this process decides, by the same core as then.
+    fn decides(&self, life: u32) -> bool {
+        self.roles.serves() && self.life.get() == life
+    }
+
+    /// Takes a message on, or has the process do it that took over.
+    pub async fn take(self: &Rc<Self>, offer: Offer) -> Taken {
+        let deadline = self.clock.now().saturating_add(offer.time_left);
+        loop {
+            let time_left = deadline.saturating_sub(self.clock.now());
+            let offer = Offer { time_left, ..offer.clone() };
+            if self.roles.serves() {
+                return self.act(|core, now| core.take(now, offer));
+            }
+            if let Some(successor) = self.roles.successor() {
+                if let Some(taken) = successor.take(offer).await {
+                    return taken;
+                }
+            }
+            // What the other took on before it was gone is in the journal, so that it may not be called refused.
+            if !self.roles.decided().await {
+                return Taken::Failed;
+            }
+        }
+    }
+
+    /// Puts an operator's call in force, here or at the process that took over; none where nobody decides any more.
+    pub async fn operate(self: &Rc<Self>, operation: &Operation) -> Option<Operated> {
+        loop {
+            if self.roles.serves() {
+                return Some(self.act(|core, now| core.operate(now, operation)));
+            }
+            if let Some(successor) = self.roles.successor() {
+                if let Some(operated) = successor.operate(operation.clone()).await {
+                    return Some(operated);
+                }
+            }
+            if !self.roles.decided().await {
+                return None;
+            }
+        }
+    }
+
+    /// Whoever handed it in never heard that it was taken on.
+    pub fn withdraw(self: &Rc<Self>, no: TransactionNo) {
+        match self.roles.successor() {
+            None if self.roles.serves() => self.act(|core, now| core.withdraw(now, no)),
+            None => {}
+            Some(successor) => successor.tell(ToSuccessor::Withdraw(no)),
+        }
+    }
+
+    /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
+    pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>) -> Released {
+        let released = self.core.borrow_mut().release(self.clock.now(), seq);
+        self.roles.retire(successor);
+        self.front.retire();
+        let begun = |attempt: &(TransactionNo, u32)| {
+            let mut calls = released.handover.calls.iter();
+            calls.any(|call| call.transactions.contains(&attempt.0))
+        };
+        // What was not begun yet never will be here; what nobody waits for is given up.
+        let out = self.out.borrow();
+        out.iter().filter(|(attempt, _)| !begun(attempt)).for_each(|(_, cancel)| cancel.notify_one());
+        released
+    }
+
+    /// Gives the journal to another process without more: what is out here ends with this process.
+    pub fn give_journal_away(&self) {
+        drop(self.core.borrow_mut().release(self.clock.now(), None));
+    }
+
+    /// Decides again, by a core that was made of the journal: the process that had taken over is gone.
+    pub fn resume(self: &Rc<Self>, core: Core) {
+        self.life.set(self.life.get() + 1);
+        self.cancel_adopted();
+        // Their outcomes are lost with the process that had to hear them.
+        std::mem::take(&mut *self.out.borrow_mut()).values().for_each(|cancel| cancel.notify_one());
+        self.core.replace(core);
+        self.roles.resume();
+        self.act(|_, _| ());
+        self.sooner.notify_one();
+    }
+
+    /// Calls that this process made and that are still out.
+    pub fn calls_here(&self) -> usize {
+        self.calls_out() - self.adopted.borrow().iter().map(|call| call.attempts.len()).sum::<usize>()
+    }
+
+    /// A call has ended that the process before this one had made.
+    pub fn adopted_ended(self: &Rc<Self>, outcome: CallOutcome) {
+        let CallOutcome { replies, limit, idle, echo, wait, refused, took } = outcome;
+        let is_of =
+            |call: &Call| call.attempts.iter().any(|a| replies.iter().any(|(no, _)| *no == a.transaction));
+        let place = self.adopted.borrow().iter().position(is_of);
+        let Some(call) = place.map(|place| self.adopted.borrow_mut().swap_remove(place)) else { return };
+        let attempt_of = |no: TransactionNo| call.attempts.iter().find(|a| a.transaction == no);
+        let replies = replies.iter().filter_map(|(no, reply)| Some((*attempt_of(*no)?, *reply))).collect();
+        self.ended(&call, Carried { replies, limit, idle, echo, wait, refused }, took, self.life.get());
+    }
+
+    /// The process before this one is gone: its calls that had no outcome may have run.
+    pub fn predecessor_gone(self: &Rc<Self>) {
+        self.roles.follow(None);
+        for call in std::mem::take(&mut *self.adopted.borrow_mut()) {
+            let replies =
+                call.attempts.iter().map(|a| (*a, Reply::Ended(Outcome::Broken))).collect::<Vec<_>>();
+            self.ended(&call, Carried::from(replies), 0, self.life.get());
+        }
+    }
+
+    fn cancel_adopted(&self) {
+        let calls = std::mem::take(&mut *self.adopted.borrow_mut());
+        let nos: Vec<TransactionNo> = calls.iter().flat_map(|c| &c.attempts).map(|a| a.transaction).collect();
+        if !nos.is_empty() {
+            self.roles.tell_predecessor(ToPredecessor::Cancel(nos));
+        }
+    }
+
+    /// Gives up calls that were handed over open, as the process that took over wants.
+    pub fn cancel(&self, nos: &[TransactionNo]) {
+        let out = self.out.borrow();
+        let given_up = out.iter().filter(|((no, _), _)| nos.contains(no));
+        given_up.for_each(|(_, cancel)| cancel.notify_one());
+        // Of them, those that the process before this one made.
+        let adopted = self.adopted.borrow();
+        let before = adopted.iter().flat_map(|c| &c.attempts).map(|a| a.transaction);
+        let before: Vec<TransactionNo> = before.filter(|no| nos.contains(no)).collect();
+        if !before.is_empty() {
+            self.roles.tell_predecessor(ToPredecessor::Cancel(before));
+        }
     }
 
     /// Does something to the core and sets going what comes of it.
@@ -121,6 +281,18 @@
             if let Some(cancel) = self.out.borrow().get(&attempt) {
                 cancel.notify_one();
             }
+            if self.adopted.borrow().iter().any(|call| is_of(call, attempt)) {
+                self.roles.tell_predecessor(ToPredecessor::Cancel(vec![attempt.0]));
+            }
+        }
+        if let Some(draining) = work.draining {
+            self.front.drain(draining);
+        }
+        for call in work.adopted {
+            let cancel = Rc::new(Notify::new());
+            let attempts = call.attempts.iter().map(|a| ((a.transaction, a.number), cancel.clone()));
+            self.out.borrow_mut().extend(attempts);
+            self.adopted.borrow_mut().push(call);
         }
         for (call, hop) in work.calls {
             let cancel = Rc::new(Notify::new());
@@ -135,16 +307,33 @@
 
     async fn carry(self: Rc<Self>, call: Call, hop: Endpoint, cancel: Rc<Notify>) {
         let from = self.clock.now();
-        let passage = Passage { desk: &self, call: &call, hop: &hop, cancel: &cancel };
+        let life = self.life.get();
+        let passage = Passage { desk: &self, call: &call, hop: &hop, cancel: &cancel, life };
         let mut carried = self.front.carry(passage).await;
         for attempt in &call.attempts {
             if !carried.replies.iter().any(|(b, _)| b == attempt) {
                 carried.replies.push((*attempt, Reply::Ended(Outcome::NotSent)));
             }
-            self.out.borrow_mut().remove(&(attempt.transaction, attempt.number));
         }
         let took = self.clock.now().saturating_sub(from);
-        self.act(|core, now| core.report(now, call.endpoint, &carried, took));
+        self.ended(&call, carried, took, life);
+    }
+
+    /// Has the outcome of a call decided on, here or where that is done now.
+    fn ended(self: &Rc<Self>, call: &Call, carried: Carried, took: Nanos, life: u32) {
+        if self.life.get() != life {
+            return;
+        }
+        for attempt in &call.attempts {
+            self.out.borrow_mut().remove(&(attempt.transaction, attempt.number));
+        }
+        match self.roles.successor() {
+            None if self.roles.serves() => {
+                self.act(|core, now| core.report(now, call.endpoint, &carried, took));
+            }
+            None => {}
+            Some(successor) => successor.report(call, carried, took),
+        }
     }
 
     /// Wakes the core when it wants to be.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -5,7 +5,7 @@
 use super::values::{Attempt, Call, End, Limit, Reply, TransactionNo};
 use crate::catalog::{EndpointId, EndpointState, EndpointView};
 use crate::decision::views::HostView;
-use crate::decision::Relay;
+use crate::decision::{Knowledge, Relay};
 use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
 use std::collections::{BTreeSet, HashMap};
 
@@ -62,6 +62,19 @@
     pub last_call: Option<Nanos>,
 }
 
+/// What an earlier life left, with times as spans from now.
+#[derive(Clone, Debug, Default)]
+pub struct Left {
+    pub asks: Vec<Ask>,
+    pub ailing: Vec<Ailing>,
+    /// What another process has learned.
+    pub knowledge: Option<Knowledge>,
+    /// Keys that rest, and the message that does not wait for it.
+    pub keys: Vec<(String, Nanos, TransactionNo)>,
+    /// Calls that are out at another process, how long ago they were begun, and their messages.
+    pub calls: Vec<(EndpointId, Nanos, Vec<TransactionNo>)>,
+}
+
 /// An endpoint as the module is told of it.
 fn entry(endpoint: &EndpointView<'_>) -> Entry {
     Entry {
@@ -132,12 +145,29 @@
         self.step(now, &events)
     }
 
-    /// Puts what an earlier life left before the module, in the order taken, and the endpoints that were in an outage
-    /// when it ended. Those come last: how soon one is tried rests on what is held for it.
-    pub fn restore(&mut self, now: Nanos, asks: Vec<Ask>, ailing: Vec<Ailing>) -> Picked {
-        let mut events = self.asked(asks);
-        events.extend(ailing.into_iter().map(|a| Event::Ailing { host: a.endpoint, last_call: a.last_call }));
-        self.step(now, &events)
+    /// Puts what an earlier life left before the module: its messages in the order taken, then the endpoints that were in
+    /// an outage when it ended, since how soon one is tried rests on what is held for it. Returns the calls that are out
+    /// at another process, with the numbers of their attempts.
+    pub fn restore(&mut self, now: Nanos, left: Left) -> (Picked, Vec<Call>) {
+        let mut events = self.asked(left.asks);
+        events.extend(left.ailing.iter().map(|a| Event::Ailing { host: a.endpoint, last_call: a.last_call }));
+        events.extend(left.knowledge.map(|knowledge| Event::Known { knowledge: Box::new(knowledge) }));
+        let rests = left.keys.into_iter();
+        events.extend(rests.map(|(key, rest, id)| Event::KeyRests { key, rest, id }));
+        let mut calls = Vec::new();
+        for (endpoint, ago, ids) in left.calls {
+            let attempts = ids.iter().map(|id| self.next_attempt(*id, 0)).collect();
+            events.push(Event::Adopted { host: endpoint, ids, ago });
+            calls.push(Call { endpoint, attempts });
+        }
+        (self.step(now, &events), calls)
+    }
+
+    fn next_attempt(&mut self, id: TransactionNo, timeout: Nanos) -> Attempt {
+        let count = self.attempts.entry(id).or_insert(0);
+        let attempt = Attempt { transaction: id, number: *count, timeout };
+        *count += 1;
+        attempt
     }
 
     fn asked(&mut self, asks: Vec<Ask>) -> Vec<Event> {
@@ -216,6 +246,16 @@
         self.relay.standing(endpoint)
     }
 
+    /// What calls have shown, for a process that takes over.
+    pub fn knowledge(&self) -> Knowledge {
+        self.relay.knowledge()
+    }
+
+    /// Keys that rest, until when, and the message that does not wait for it.
+    pub fn resting_keys(&self) -> impl Iterator<Item = (&str, Nanos, TransactionNo)> {
+        self.relay.resting_keys()
+    }
+
     /// Messages that wait for the destination of this next hop, and calls that are out to it.
     pub fn load_of(&self, endpoint: EndpointId) -> (usize, usize) {
         self.relay.load_of(endpoint)
@@ -290,9 +330,7 @@
 
     /// Sends of one step to one next hop share calls as far as its kind allows.
     fn send(&mut self, picked: &mut Picked, id: TransactionNo, host: HostId, timeout: Nanos) {
-        let count = self.attempts.entry(id).or_insert(0);
-        let attempt = Attempt { transaction: id, number: *count, timeout };
-        *count += 1;
+        let attempt = self.next_attempt(id, timeout);
         let most = self.relay.most_in_a_call(host);
         let open = picked.calls.iter_mut().rev().find(|c| c.endpoint == host);
         let together = |c: &Call| c.attempts.iter().map(|b| b.transaction).collect::<Vec<_>>();
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -9,15 +9,18 @@
 //! has happened already ([`Journal::note`]) is kept back and written first as soon as that is possible.
 
 mod lock;
+mod preread;
 mod record;
 mod replay;
 
 pub use lock::{OpenError, WriterLock};
+pub use preread::Preread;
 pub use record::Record;
 pub use replay::{LastOut, Replayed};
 
 use super::transactions::{Transaction, Transactions};
 use super::values::TransactionNo;
+use crate::maintenance::Maintenance;
 use bytes::Bytes;
 use record::{encode, set_ailing};
 use replay::replay;
@@ -55,25 +58,29 @@
     /// Bytes that the copy of each live transaction takes.
     live: HashMap<TransactionNo, u64>,
     live_bytes: u64,
-    /// As last written: a copy begins with it.
+    /// As last written: a copy begins with these.
     ailing: BTreeSet<String>,
+    maintenance: Maintenance,
 }
 
 impl Journal {
     /// Opens the journal in `dir`, which may hold `budget` bytes in all, and reads what it holds. Where another process
     /// has it, nothing is changed.
     pub fn open(dir: &Path, budget: u64, classes: Vec<String>) -> Result<(Journal, Replayed), OpenError> {
+        Journal::open_after(Preread::none(), dir, budget, classes)
+    }
+
+    /// The same where most of it was read before, while another process still had it.
+    pub fn open_after(
+        preread: Preread,
+        dir: &Path,
+        budget: u64,
+        classes: Vec<String>,
+    ) -> Result<(Journal, Replayed), OpenError> {
         let lock = WriterLock::take(dir)?;
         let path = dir.join(NAME);
         remove_if_there(&dir.join(COPY))?;
-        let bytes = match fs::read(&path) {
-            Ok(b) => Bytes::from(b),
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
-            Err(e) => return Err(e.into()),
-        };
-        let mut replayed = Replayed { next_no: 1, ..Replayed::default() };
-        let good = replay(&bytes, &classes, &mut replayed);
-        replayed.torn = bytes.len() as u64 - good;
+        let Preread { replayed, good, .. } = preread.go_on(&path, &classes)?;
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let mut journal = Journal {
             dir: dir.to_path_buf(),
@@ -87,6 +94,7 @@
             live: HashMap::new(),
             live_bytes: 0,
             ailing: replayed.ailing.clone(),
+            maintenance: replayed.maintenance.clone(),
         };
         for (no, t) in replayed.transactions.iter() {
             journal.count_live(no, t);
@@ -142,6 +150,26 @@
         written
     }
 
+    /// Gives the journal to another process: nothing is written here any more. Returns the records that could not be.
+    pub fn release(&mut self) -> Vec<u8> {
+        self.lock = None;
+        std::mem::take(&mut self.unwritten)
+    }
+
+    /// Takes in records that the process before could not write.
+    pub fn append_unwritten(&mut self, unwritten: Vec<u8>, replayed: &mut Replayed) {
+        replay(&Bytes::from(unwritten.clone()), &self.classes, replayed);
+        self.unwritten.extend(unwritten);
+        self.ailing = replayed.ailing.clone();
+        self.maintenance = replayed.maintenance.clone();
+        self.live.clear();
+        self.live_bytes = 0;
+        for (no, t) in replayed.transactions.iter() {
+            self.count_live(no, t);
+        }
+        self.flush().ok();
+    }
+
     /// Whether something that has happened is not written yet.
     pub fn is_behind(&self) -> bool {
         !self.unwritten.is_empty()
@@ -178,10 +206,16 @@
             Record::Taken(t) => self.count_live(no, t),
             Record::Over => self.live_bytes -= self.live.remove(&no).unwrap_or(0),
             Record::Ailing(name, ailing) => set_ailing(&mut self.ailing, name, *ailing),
+            Record::Maintenance(maintenance) => self.maintenance = (*maintenance).clone(),
             _ => {}
         }
     }
 
+    /// Endpoints in an outage, by name.
+    pub fn ailing(&self) -> impl Iterator<Item = &str> {
+        self.ailing.iter().map(String::as_str)
+    }
+
     /// Keeps whether an endpoint is in an outage, where that is news.
     pub fn note_ailing(&mut self, name: &str, ailing: bool) -> io::Result<()> {
         if self.ailing.contains(name) == ailing {
@@ -200,6 +234,9 @@
     /// Replaces the file by one of what is live. Where that fails, the present one goes on.
     fn copy(&mut self, all: &Transactions) -> io::Result<()> {
         let mut bytes = encode(0, &Record::AllAiling(&self.ailing), &self.classes);
+        if self.maintenance != Maintenance::default() {
+            bytes.extend(encode(0, &Record::Maintenance(&self.maintenance), &self.classes));
+        }
         for (no, t) in all.iter().filter(|(no, _)| self.live.contains_key(no)) {
             bytes.extend(encode(no, &Record::Taken(t), &self.classes));
         }
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -3,6 +3,7 @@
 use super::super::transactions::{Ending, Transaction};
 use super::super::values::{End, TransactionNo};
 use crate::interface::Nanos;
+use crate::maintenance::Maintenance;
 use std::collections::BTreeSet;
 
 /// Bytes of a record before its body: length and checksum.
@@ -29,6 +30,8 @@
     Ailing(&'a str, bool),
     /// All next hops in an outage.
     AllAiling(&'a BTreeSet<String>),
+    /// All that operators have taken out of service.
+    Maintenance(&'a Maintenance),
 }
 
 fn put(out: &mut Vec<u8>, bytes: &[u8]) {
@@ -102,6 +105,10 @@
             out.extend([7, u8::from(*ailing)]);
             put(&mut out, name.as_bytes());
         }
+        Record::Maintenance(maintenance) => {
+            out.extend([8, u8::from(maintenance.is_draining())]);
+            maintenance.cordoned().for_each(|name| put(&mut out, name.as_bytes()));
+        }
         Record::AllAiling(names) => {
             out.push(6);
             names.iter().for_each(|n| put(&mut out, n.as_bytes()));
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -4,6 +4,7 @@
 use super::super::values::{End, TransactionNo};
 use super::record::{set_ailing, HEAD};
 use crate::interface::Nanos;
+use crate::maintenance::Maintenance;
 use bytes::Bytes;
 use std::collections::{BTreeSet, HashMap};
 
@@ -17,6 +18,7 @@
     pub next_no: TransactionNo,
     pub ailing: BTreeSet<String>,
     pub last_out: LastOut,
+    pub maintenance: Maintenance,
     /// Bytes at the end that were no whole record.
     pub torn: u64,
 }
@@ -94,6 +96,11 @@
         into.ailing = std::iter::from_fn(|| r.text()).collect();
         return Some(());
     }
+    if code == 8 {
+        let draining = r.u8()? == 1;
+        into.maintenance = Maintenance::new(std::iter::from_fn(|| r.text()).collect(), draining);
+        return Some(());
+    }
     if code == 7 {
         let (ailing, name) = (r.u8()? == 1, r.text()?);
         set_ailing(&mut into.ailing, &name, ailing);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod core;
 pub mod desk;
 pub mod facade;
+pub mod handover;
 pub mod journal;
 mod shares;
 pub mod transactions;
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -66,7 +66,12 @@
 
     /// Remembers the id of a transaction that is delivered.
     pub fn note_delivered(&mut self, no: TransactionNo) {
-        let Some(id) = self.by_no.get(&no).map(|t| t.id.clone()) else { return };
+        if let Some(id) = self.by_no.get(&no).map(|t| t.id.clone()) {
+            self.note_delivered_id(id);
+        }
+    }
+
+    fn note_delivered_id(&mut self, id: String) {
         let (ids, order) = &mut self.delivered;
         if order.len() >= DELIVERED {
             order.pop_front().map(|oldest| ids.remove(&oldest));
@@ -76,6 +81,16 @@
         }
     }
 
+    /// Ids of transactions delivered of late, the oldest first.
+    pub fn delivered(&self) -> impl Iterator<Item = &String> {
+        self.delivered.1.iter()
+    }
+
+    /// Takes in those that another process delivered.
+    pub fn remember_delivered(&mut self, all: &[String]) {
+        all.iter().for_each(|id| self.note_delivered_id(id.clone()));
+    }
+
     pub fn was_delivered(&self, id: &str) -> bool {
         self.delivered.0.contains(id)
     }
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::EndpointId;
 use crate::interface::{Nanos, Outcome};
+use serde::{Deserialize, Serialize};
 
 /// A transaction's place in the order taken, across restarts.
 pub type TransactionNo = u64;
@@ -23,7 +24,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     Ended(Outcome),
     /// It was not let through, and nothing more is owed.
@@ -51,7 +52,7 @@
 }
 
 /// A next hop's own limit, as an answer told it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
     /// Calls a second from all relays together; 0 where it has none.
     pub rate: f64,
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::CONNECTION;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -19,7 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// A head that has begun, or the first one of a leg, takes no longer.
 const HEAD_WITHIN: Duration = Duration::from_secs(2);
@@ -32,6 +32,9 @@
 /// which the system answers what crosses a close, would take that away.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_MOST: usize = 256 * 1024;
+/// Legs whose callers are sent away are closed once they have rested so long: their callers have been told with an answer
+/// by then, or do not use them.
+const SENT_AWAY_AFTER: Duration = Duration::from_millis(400);
 /// The same where others wait for its descriptor.
 const LINGER_EVICTED: Duration = Duration::from_millis(30);
 
@@ -98,6 +101,12 @@
         }
     }
 
+    /// For how long it has waited for a request of which nothing has come.
+    fn rested(&self) -> Duration {
+        let since = self.idle_since.get().filter(|_| self.tap.heard_at().is_none());
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Completes when it has waited too long.
     async fn overstays(&self) {
         loop {
@@ -130,12 +139,14 @@
     words: RefCell<Bytes>,
     open: RefCell<Vec<Weak<Leg>>>,
     closing: Cell<bool>,
+    /// Each answer is the last one of its leg.
+    sends_away: Cell<bool>,
 }
 
 impl Legs {
     pub fn new(door: Rc<Door>, words: Bytes) -> Rc<Self> {
         let (open, words) = (RefCell::default(), RefCell::new(words));
-        Rc::new(Legs { door, words, open, closing: Cell::new(false) })
+        Rc::new(Legs { door, words, open, closing: Cell::new(false), sends_away: Cell::new(false) })
     }
 
     pub fn open(&self) -> usize {
@@ -153,6 +164,17 @@
         self.open.borrow().iter().filter_map(Weak::upgrade).for_each(|leg| leg.close.notify_one());
     }
 
+    /// Sends callers away, or has them stay again: each answer says that it is the last one of its leg, and those that
+    /// rest are closed a little later, when few requests can cross that.
+    pub async fn send_away(&self, away: bool) {
+        self.sends_away.set(away);
+        while self.sends_away.get() && self.open() > 0 {
+            sleep(SENT_AWAY_AFTER / 4).await;
+            let legs: Vec<Rc<Leg>> = self.open.borrow().iter().filter_map(Weak::upgrade).collect();
+            legs.iter().filter(|leg| leg.rested() >= SENT_AWAY_AFTER).for_each(|leg| leg.close.notify_one());
+        }
+    }
+
     /// Accepts callers; `answer` answers a request, `gone` is told of a leg that has ended.
     pub async fn accept<A, F, G>(self: Rc<Self>, listener: Box<dyn Listen>, answer: A, gone: G)
     where
@@ -170,7 +192,7 @@
                     () = entrant.evicted() => None,
                 };
                 if let Some(stream) = stream {
-                    legs.serve(stream, entrant, answer, gone).await;
+                    legs.clone().serve(stream, entrant, answer, gone).await;
                 }
             });
         }
@@ -185,7 +207,7 @@
         open.push(Rc::downgrade(leg));
     }
 
-    async fn serve<A, F, G>(&self, stream: Stream, entrant: Rc<Entrant>, answer: A, gone: G)
+    async fn serve<A, F, G>(self: Rc<Self>, stream: Stream, entrant: Rc<Entrant>, answer: A, gone: G)
     where
         A: Fn(Rc<Leg>, Request<Incoming>) -> F + 'static,
         F: Future<Output = Response<Full<Bytes>>> + 'static,
@@ -206,10 +228,13 @@
         let service = service_fn(|request| {
             leg.begins();
             let answered = answer(leg.clone(), request);
-            let leg = leg.clone();
+            let (leg, legs) = (leg.clone(), self.clone());
             Box::pin(async move {
-                let response = answered.await;
+                let mut response = answered.await;
                 leg.cut.set(response.headers().contains_key(CONNECTION));
+                if legs.sends_away.get() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
                 leg.rests(deed(response.status()));
                 Ok::<_, std::convert::Infallible>(response)
             })
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -184,6 +184,12 @@
         self.trusted.set(idle);
     }
 
+    /// Closes all that waits.
+    pub fn close_all_idle(&self) {
+        let endpoints: Vec<EndpointId> = self.idle.borrow().keys().copied().collect();
+        endpoints.into_iter().for_each(|endpoint| self.close_idle(endpoint));
+    }
+
     /// Closes what waits for this next hop.
     pub fn close_idle(&self, endpoint: EndpointId) {
         let lines = self.idle.borrow_mut().remove(&endpoint).unwrap_or_default();
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -74,7 +74,7 @@
         let clock = Clock::set(1_800_000_000_000_000_000);
         let core = Core::new(settings, 7, journal, replayed, first, clock.now());
         let desk = Desk::new(core, clock, StandIn::default());
-        let listing = Listing::new(desk.clone());
+        let listing = Listing::new(desk.clone(), None);
         spawn_local(desk.clone().keep_time());
         spawn_local(listing.clone().apply());
         World { desk, listing, folder }
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -324,7 +324,7 @@
         let config = operator.smpp.clone().unwrap();
         let plan = SmppPlan { config, state, disk_bytes: 3_000_000, seed: 7 };
         let changes = Some(receiver);
-        let plan = Plan { platform: None, smpp: Some(plan), operator, changes, descriptors: 1024 };
+        let plan = Plan { smpp: Some(plan), operator, changes, descriptors: 1024, ..Plan::default() };
         self.run(plan, unbounded_channel().0, reread).await;
     }
 
@@ -477,7 +477,7 @@
         let (moved, reread) = unbounded_channel();
         let (again, changes) = unbounded_channel();
         let (platform, operator) = (Some(PlatformPlan { config, reread }), self.operator(false));
-        let plan = Plan { platform, smpp: None, operator, changes: Some(changes), descriptors: 1024 };
+        let plan = Plan { platform, operator, changes: Some(changes), descriptors: 1024, ..Plan::default() };
         self.run(plan, moved, again).await;
     }
 
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for what the program talks to, on loopback sockets and threads: endpoints, discovery, a caller's words.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -58,6 +58,14 @@
 pub fn serve(
     listener: TcpListener,
     answer: impl Fn(&[String]) -> Option<String> + Send + Sync + 'static,
+) -> SocketAddr {
+    serve_bodies(listener, move |head, _| answer(head))
+}
+
+/// The same where the answer depends on the body.
+pub fn serve_bodies(
+    listener: TcpListener,
+    answer: impl Fn(&[String], &[u8]) -> Option<String> + Send + Sync + 'static,
 ) -> SocketAddr {
     let address = listener.local_addr().unwrap();
     let answer = Arc::new(answer);
@@ -67,9 +75,9 @@
             spawn(move || {
                 let mut output = stream.try_clone().unwrap();
                 let mut input = BufReader::new(stream);
-                while let Some((head, _)) = request(&mut input) {
+                while let Some((head, body)) = request(&mut input) {
                     // Silence: the connection stays open, and nothing more is said on it.
-                    let Some(text) = answer(&head) else {
+                    let Some(text) = answer(&head, &body) else {
                         loop {
                             std::thread::park()
                         }
@@ -133,6 +141,8 @@
     pub down: Arc<AtomicBool>,
     list: Arc<Mutex<(u64, String)>>,
     pub told: Told<Vec<u64>>,
+    /// Ids of messages whose ends were told by notices.
+    pub ended: Told<BTreeSet<String>>,
 }
 
 pub fn entry(name: &str, dial: SocketAddr, health: &str) -> String {
@@ -150,8 +160,15 @@
         let (down, list) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new((1, hosts))));
         let told: Told<Vec<u64>> = Told::default();
         let (d, l, t) = (down.clone(), list.clone(), told.clone());
-        let address = serve(TcpListener::bind("127.0.0.1:0").unwrap(), move |head| {
+        let ended: Told<BTreeSet<String>> = Told::default();
+        let notices = ended.clone();
+        let address = serve_bodies(TcpListener::bind("127.0.0.1:0").unwrap(), move |head, body| {
             if head[0].starts_with("POST") {
+                let ids = body.split(|b| *b == b'\n').filter(|line| !line.is_empty()).map(|line| {
+                    let notice: serde_json::Value = serde_json::from_slice(line).unwrap();
+                    notice["id"].as_str().unwrap().to_string()
+                });
+                notices.tell(|t| t.extend(ids));
                 return Some("HTTP/1.1 204 No Content\r\n\r\n".to_string());
             }
             // A watch ends after its second at the latest, with the whole list.
@@ -168,7 +185,7 @@
             t.tell(|t| t.push(list.0));
             Some(ok(&whole(&list)))
         });
-        Discovery { address, down, list, told }
+        Discovery { address, down, list, told, ended }
     }
 
     /// From now on the one hop has left and the other is there.
--- a/tests/upgrade/callers.rs
+++ b/tests/upgrade/callers.rs
@@ -48,7 +48,7 @@
                     if stop.load(Ordering::SeqCst) {
                         return;
                     }
-                    hand_in(&mut connection, address, class, &format!("c{batch}-{i}-{n}"), &outcomes);
+                    hand_in(&mut connection, address, class, &format!("{class}{batch}-{i}-{n}"), &outcomes);
                     sleep(PAUSE);
                 }
             })
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -94,9 +94,14 @@
     }
 
     pub fn start_with(&self, more: impl FnOnce(&mut Command) -> &mut Command) -> Process {
-        let descriptors = self.descriptors;
         let inherited = if self.listener.is_some() { "3<&0" } else { "" };
-        let script = format!("ulimit -n {descriptors}; exec \"$0\" serve {inherited} 0</dev/null");
+        self.start_by(&format!("exec \"$0\" serve {inherited} 0</dev/null"), more)
+    }
+
+    /// Starts one by a line of the shell, to which the listening socket comes as standard input.
+    pub fn start_by(&self, line: &str, more: impl FnOnce(&mut Command) -> &mut Command) -> Process {
+        let descriptors = self.descriptors;
+        let script = format!("ulimit -n {descriptors}; {line}");
         let console = free_address();
         let mut command = Command::new("sh");
         command.arg("-c").arg(script).arg(program());
@@ -163,10 +168,6 @@
 }
 
 impl Process {
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Asks at the console; the status of the answer.
     pub fn call(&self, method: &str, path: &str) -> Option<u16> {
         let mut stream = TcpStream::connect(self.console).ok()?;
