Wait in the upgrade tests for the log of a process that has ended

Once in seven runs a_descriptor_that_is_no_such_socket looked at the log before the thread that reads it had come to its last line: the process had ended, the line was in the pipe. The words are now waited for, as strictly.

--- a/tests/upgrade/crossings.rs
+++ b/tests/upgrade/crossings.rs
@@ -129,8 +129,8 @@
     let mut other = scene.platform.start_with(|command| command.env("LB_NAME", "n2"));
     let ended = other.ends_within(Duration::from_secs(3));
     assert!(ended.is_some_and(|status| !status.success()), "{ended:?}");
-    let told = other.log.tell(|l| l.join(" "));
-    assert!(told.contains("the folder is in use by n1") && told.contains("not by n2"), "{told}");
+    other.says("the folder is in use by n1");
+    other.says("not by n2");
     callers.until_taken(40);
     assert!(first.says_yes());
     let outcomes = callers.stop();
@@ -159,8 +159,7 @@
         let mut process = start_with_descriptor(&scene, script);
         let ended = process.ends_within(Duration::from_secs(3));
         assert!(ended.is_some_and(|status| !status.success()), "{script}: {ended:?}");
-        let log = process.log.tell(|l| l.join(" "));
-        assert!(log.contains(told), "{script}: {log}");
+        process.says(told);
         assert!(!scene.platform.state().join("relay.journal").exists(), "{script}");
     }
     // A socket that was never told to listen.
@@ -168,5 +167,5 @@
         rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None).unwrap();
     let mut process = scene.platform.start_with(|command| command.stdin(silent));
     assert!(process.ends_within(Duration::from_secs(3)).is_some_and(|status| !status.success()));
-    assert!(process.log.tell(|l| l.join(" ")).contains("does not listen"));
+    process.says("does not listen");
 }
--- a/tests/upgrade/kills.rs
+++ b/tests/upgrade/kills.rs
@@ -1,7 +1,7 @@
 //! Kills at each moment of an upgrade: the one process serves on, or the next start loses nothing.
 
 use crate::callers::Callers;
-use crate::platform::{Process, Terms, KILLED_AFTER, READY_WITHIN};
+use crate::platform::{Terms, KILLED_AFTER};
 use crate::scene::Scene;
 use rustix::process::Signal;
 use std::collections::BTreeSet;
@@ -49,11 +49,6 @@
     }
 }
 
-fn wait_for(process: &Process, event: &str) {
-    let seen = process.log.until(READY_WITHIN, |l| l.iter().any(|line| line.contains(event)));
-    assert!(seen.is_some(), "no {event}: {:?}", process.log.tell(|l| l.clone()));
-}
-
 /// Guards the process that serves from one that is killed before it can take over, at any moment of its start.
 #[test]
 fn a_new_process_killed_before_its_yes_takes_nothing_along() {
@@ -85,7 +80,7 @@
         let mut new = watched.scene.platform.start_ready();
         watched.goes_on();
         new.kill();
-        wait_for(&serving, "taken-back");
+        serving.says("taken-back");
         watched.goes_on();
         assert!(serving.says_yes(), "it takes clients again");
     }
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -39,7 +39,7 @@
         let mut second = platform.start_beside();
         let status = second.ends_within(Duration::from_secs(5));
         assert!(status.is_some_and(|s| !s.success()), "a second process that is no upgrade serves as well");
-        told.extend(second.log.tell(|l| l.last().cloned()));
+        told.push(second);
     }
     let taken = callers.stop().taken;
     assert!(taken.len() > 100, "{} taken", taken.len());
@@ -50,7 +50,7 @@
     let all = served.until(ANSWERED * 2, |s| taken.iter().all(|id| s.contains_key(id)));
     let lost = served.tell(|s| taken.iter().filter(|id| !s.contains_key(*id)).count());
     assert!(all.is_some(), "{lost} of {} were lost", taken.len());
-    assert!(told.iter().all(|line| line.contains("in use by another process")), "{told:?}");
+    told.iter().for_each(|second| second.says("in use by another process"));
     std::fs::remove_dir_all(dir).ok();
 }
 
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -193,6 +193,12 @@
         None
     }
 
+    /// Its log has these words, or will in a moment: it is read while the process may have ended.
+    pub fn says(&self, words: &str) {
+        let said = self.log.until(READY_WITHIN, |l| l.iter().any(|line| line.contains(words)));
+        assert!(said.is_some(), "no {words:?}: {:?}", self.log.tell(|l| l.clone()));
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).ok();
     }
