Keep over a restart at what rate a sick endpoint had served, so that its ramp is the same

Cause, by a trace of each send: the ramp of a cold endpoint goes by the highest rate at which it had served this relay; a restart forgot that, and went by the few messages that it had restored of the last 5 s.

--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -239,8 +239,9 @@
     Settled { id: MsgId },
     /// A message of an earlier life whose end has not reached its client yet.
     Unsettled { id: MsgId, key: String },
-    /// This host was sick in an earlier life of this relay, which sent it a call so long ago, if any that is known of.
-    Ailing { host: HostId, last_call: Option<Nanos> },
+    /// This host was sick in an earlier life of this relay, which sent it a call so long ago, if any that is known of, and
+    /// was served by it at most so many calls a second; 0: not known.
+    Ailing { host: HostId, last_call: Option<Nanos>, rate: f64 },
     /// What another process of this relay has learned, behind the messages that are restored.
     Known { knowledge: Box<Knowledge> },
     /// A call that another process of this relay sent to this host so long ago, and that is still out: for these messages,
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -17,7 +17,10 @@
                 self.actions.push(Action::Fail { id: *id });
                 self.part_with(*id);
             }
-            Event::Ailing { host, last_call } if self.book.hosts.contains_key(host) => {
+            Event::Ailing { host, last_call, rate } if self.book.hosts.contains_key(host) => {
+                if let Some(h) = self.book.hosts.get_mut(host) {
+                    h.best_rate = h.best_rate.max(*rate);
+                }
                 let gap = self.gap_after_call(*host, 1.0);
                 self.down(*host, last_call.map_or(0, |ago| self.now.saturating_sub(ago).saturating_add(gap)));
             }
@@ -58,6 +61,11 @@
         self.book.knowledge(self.slowness, self.mean_cost)
     }
 
+    /// The highest rate at which a host has served calls of this relay, a second; 0: not known.
+    pub fn best_rate(&self, host: HostId) -> f64 {
+        self.book.hosts.get(&host).map_or(0.0, |h| h.best_rate)
+    }
+
     fn know(&mut self, knowledge: Knowledge) {
         (self.slowness, self.mean_cost) = (knowledge.slowness, knowledge.mean_cost);
         self.book.know(knowledge);
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -136,12 +136,13 @@
         let mut ailing = Vec::new();
         for name in names {
             let Some(endpoint) = self.catalog.find(&name) else {
-                let written = self.journal.note_ailing(&name, false);
+                let written = self.journal.note_ailing(&name, false, 0.0);
                 self.withheld.plan_unless(written, now);
                 continue;
             };
+            let rate = self.journal.served_rate(&name);
             let called = self.catalog.get(endpoint).and_then(|e| last_out.get(&e.dest));
-            ailing.push(Ailing { endpoint, last_call: called.map(|at| now.saturating_sub(*at)) });
+            ailing.push(Ailing { endpoint, last_call: called.map(|at| now.saturating_sub(*at)), rate });
         }
         ailing
     }
--- a/src/routing/core/maintenance.rs
+++ b/src/routing/core/maintenance.rs
@@ -63,7 +63,7 @@
     /// Operators restart an endpoint while it is out of service: it comes back as one that was down.
     fn returns_cold(&mut self, now: Nanos, name: &str) {
         let Some(endpoint) = self.catalog.find(name) else { return };
-        let ailing = vec![Ailing { endpoint, last_call: None }];
+        let ailing = vec![Ailing { endpoint, last_call: None, rate: 0.0 }];
         let (picked, _) = self.facade.restore(now, Left { ailing, ..Left::default() });
         self.absorb(now, picked);
     }
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -228,7 +228,7 @@
         for (id, ailing) in picked.ailing {
             if let Some(hop) = self.catalog.get(id) {
                 // Known to the next life only as far as it can be written.
-                let written = self.journal.note_ailing(hop.name, ailing);
+                let written = self.journal.note_ailing(hop.name, ailing, self.facade.best_rate(id));
                 self.withheld.plan_unless(written, now);
             }
         }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -55,11 +55,13 @@
 }
 
 /// An endpoint that was in an outage when an earlier life ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ailing {
     pub endpoint: EndpointId,
     /// How long ago its destination was last called, where that is known.
     pub last_call: Option<Nanos>,
+    /// The highest rate at which it has served calls of this relay, a second; 0: not known.
+    pub rate: f64,
 }
 
 /// What an earlier life left, with times as spans from now.
@@ -150,7 +152,11 @@
     /// at another process, with the numbers of their attempts.
     pub fn restore(&mut self, now: Nanos, left: Left) -> (Picked, Vec<Call>) {
         let mut events = self.asked(left.asks);
-        events.extend(left.ailing.iter().map(|a| Event::Ailing { host: a.endpoint, last_call: a.last_call }));
+        events.extend(left.ailing.iter().map(|a| Event::Ailing {
+            host: a.endpoint,
+            last_call: a.last_call,
+            rate: a.rate,
+        }));
         events.extend(left.knowledge.map(|knowledge| Event::Known { knowledge: Box::new(knowledge) }));
         let rests = left.keys.into_iter();
         events.extend(rests.map(|(key, rest, id)| Event::KeyRests { key, rest, id }));
@@ -246,6 +252,11 @@
         self.relay.standing(endpoint)
     }
 
+    /// The highest rate at which an endpoint has served calls of this relay, a second; 0: not known.
+    pub fn best_rate(&self, endpoint: EndpointId) -> f64 {
+        self.relay.best_rate(endpoint)
+    }
+
     /// What calls have shown, for a process that takes over.
     pub fn knowledge(&self) -> Knowledge {
         self.relay.knowledge()
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -22,9 +22,9 @@
 use super::values::TransactionNo;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
-use record::{encode, set_ailing};
+use record::{encode, set_ailing, Ailing};
 use replay::replay;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -59,7 +59,7 @@
     live: HashMap<TransactionNo, u64>,
     live_bytes: u64,
     /// As last written: a copy begins with these.
-    ailing: BTreeSet<String>,
+    ailing: Ailing,
     maintenance: Maintenance,
 }
 
@@ -213,15 +213,20 @@
 
     /// Endpoints in an outage, by name.
     pub fn ailing(&self) -> impl Iterator<Item = &str> {
-        self.ailing.iter().map(String::as_str)
+        self.ailing.keys().map(String::as_str)
     }
 
-    /// Keeps whether an endpoint is in an outage, where that is news.
-    pub fn note_ailing(&mut self, name: &str, ailing: bool) -> io::Result<()> {
-        if self.ailing.contains(name) == ailing {
+    /// The rate at which an endpoint in an outage had served calls before; 0: not known.
+    pub fn served_rate(&self, name: &str) -> f64 {
+        self.ailing.get(name).copied().unwrap_or(0.0)
+    }
+
+    /// Keeps whether an endpoint is in an outage, and the rate at which it had served calls, where that is news.
+    pub fn note_ailing(&mut self, name: &str, ailing: bool, rate: f64) -> io::Result<()> {
+        if self.ailing.contains_key(name) == ailing {
             return Ok(());
         }
-        self.note(0, &Record::Ailing(name, ailing))
+        self.note(0, &Record::Ailing(name, ailing.then_some(rate)))
     }
 
     /// Copies what is live into a new file when most of the present one is dead.
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -4,7 +4,7 @@
 use super::super::values::{End, TransactionNo};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 /// Bytes of a record before its body: length and checksum.
 pub(super) const HEAD: usize = 8;
@@ -26,10 +26,11 @@
     Ending(Ending, u32),
     /// Nothing more is owed.
     Over,
-    /// A next hop, by name, is in an outage from now on, or is not any more: of no transaction, under the number 0.
-    Ailing(&'a str, bool),
+    /// An endpoint, by name, is in an outage from now on, having served so many calls a second before, or is not any more:
+    /// of no transaction, under the number 0.
+    Ailing(&'a str, Option<f64>),
     /// All next hops in an outage.
-    AllAiling(&'a BTreeSet<String>),
+    AllAiling(&'a Ailing),
     /// All that operators have taken out of service.
     Maintenance(&'a Maintenance),
 }
@@ -63,11 +64,13 @@
     out.extend(reason.to_le_bytes());
 }
 
-pub(super) fn set_ailing(all: &mut BTreeSet<String>, name: &str, ailing: bool) {
-    if ailing {
-        all.insert(name.to_string());
-    } else {
-        all.remove(name);
+/// Endpoints in an outage by name, and the rates at which they had served calls before; 0: not known.
+pub type Ailing = BTreeMap<String, f64>;
+
+pub(super) fn set_ailing(all: &mut Ailing, name: &str, ailing: Option<f64>) {
+    match ailing {
+        Some(rate) => drop(all.insert(name.to_string(), rate)),
+        None => drop(all.remove(name)),
     }
 }
 
@@ -102,16 +105,20 @@
         }
         Record::Over => out.push(5),
         Record::Ailing(name, ailing) => {
-            out.extend([7, u8::from(*ailing)]);
+            out.extend([9, u8::from(ailing.is_some())]);
+            out.extend(ailing.unwrap_or(0.0).to_le_bytes());
             put(&mut out, name.as_bytes());
         }
         Record::Maintenance(maintenance) => {
             out.extend([8, u8::from(maintenance.is_draining())]);
             maintenance.cordoned().for_each(|name| put(&mut out, name.as_bytes()));
         }
-        Record::AllAiling(names) => {
-            out.push(6);
-            names.iter().for_each(|n| put(&mut out, n.as_bytes()));
+        Record::AllAiling(all) => {
+            out.push(10);
+            for (name, rate) in all.iter() {
+                out.extend(rate.to_le_bytes());
+                put(&mut out, name.as_bytes());
+            }
         }
     }
     let len = (out.len() - HEAD) as u32;
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -2,11 +2,11 @@
 
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
-use super::record::{set_ailing, HEAD};
+use super::record::{set_ailing, Ailing, HEAD};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 
 /// When each destination was last called, as far as the journal still tells.
 pub type LastOut = HashMap<u64, Nanos>;
@@ -16,7 +16,7 @@
 pub struct Replayed {
     pub transactions: Transactions,
     pub next_no: TransactionNo,
-    pub ailing: BTreeSet<String>,
+    pub ailing: Ailing,
     pub last_out: LastOut,
     pub maintenance: Maintenance,
     /// Bytes at the end that were no whole record.
@@ -93,7 +93,21 @@
     let (no, code) = (r.u64()?, r.u8()?);
     into.next_no = into.next_no.max(no + 1);
     if code == 6 {
-        into.ailing = std::iter::from_fn(|| r.text()).collect();
+        // As it was written before rates were kept.
+        into.ailing = std::iter::from_fn(|| Some((r.text()?, 0.0))).collect();
+        return Some(());
+    }
+    if code == 9 {
+        let (ailing, rate, name) = (r.u8()? == 1, f64::from_bits(r.u64()?), r.text()?);
+        set_ailing(&mut into.ailing, &name, ailing.then_some(rate));
+        return Some(());
+    }
+    if code == 10 {
+        into.ailing = std::iter::from_fn(|| {
+            let rate = f64::from_bits(r.u64()?);
+            Some((r.text()?, rate))
+        })
+        .collect();
         return Some(());
     }
     if code == 8 {
@@ -103,7 +117,7 @@
     }
     if code == 7 {
         let (ailing, name) = (r.u8()? == 1, r.text()?);
-        set_ailing(&mut into.ailing, &name, ailing);
+        set_ailing(&mut into.ailing, &name, ailing.then_some(0.0));
         return Some(());
     }
     if code == 1 {
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -201,15 +201,15 @@
     let folder = Folder::new("outages");
     let ailing = || {
         let (journal, replayed) = Journal::open(&folder.0, 16 << 20, vec!["a".into(), "b".into()]).unwrap();
-        (journal, replayed.ailing.into_iter().collect::<Vec<_>>())
+        (journal, replayed.ailing.into_keys().collect::<Vec<_>>())
     };
     let (mut journal, none) = ailing();
     assert!(none.is_empty());
     for (name, sick) in [("x", true), ("y", true), ("x", false), ("z", true), ("z", true)] {
-        journal.note_ailing(name, sick).unwrap();
+        journal.note_ailing(name, sick, 2.5).unwrap();
     }
     let before = journal.bytes();
-    journal.note_ailing("x", false).unwrap();
+    journal.note_ailing("x", false, 0.0).unwrap();
     assert_eq!(journal.bytes(), before);
     drop(journal);
     let (mut journal, known) = ailing();
@@ -223,7 +223,8 @@
         journal.tidy(&transactions);
     }
     assert!(journal.bytes() < 400 * 8_000, "it was copied");
-    journal.note_ailing("y", false).unwrap();
+    journal.note_ailing("y", false, 0.0).unwrap();
+    assert_eq!((journal.served_rate("z"), journal.served_rate("x")), (2.5, 0.0));
     drop(journal);
     assert_eq!(ailing().1, ["z"]);
 }
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -71,6 +71,8 @@
     open: BTreeMap<u64, Open>,
     ailing: bool,
     last_call: Option<u64>,
+    /// The rate at which the partner had served it when the outage began.
+    rate: f64,
 }
 
 enum Comes {
@@ -138,6 +140,7 @@
                 open,
                 ailing: false,
                 last_call: None,
+                rate: 0.0,
             });
         }
         play
@@ -237,14 +240,17 @@
             may_have_run: None,
         };
         let mut events: Vec<Event> = self.nodes[i].open.iter().map(restored).collect();
-        let last_call = self.nodes[i].last_call.map(|at| now - at);
-        events.extend(self.nodes[i].ailing.then_some(Event::Ailing { host: 0, last_call }));
+        let (last_call, rate) = (self.nodes[i].last_call.map(|at| now - at), self.nodes[i].rate);
+        events.extend(self.nodes[i].ailing.then_some(Event::Ailing { host: 0, last_call, rate }));
         self.step(now, i, &events);
     }
 
     fn step(&mut self, now: u64, i: usize, events: &[Event]) {
         let actions = self.nodes[i].relay.step(now, events);
         for (_, ailing) in self.nodes[i].relay.ailing() {
+            if ailing && !self.nodes[i].ailing {
+                self.nodes[i].rate = self.nodes[i].relay.best_rate(0);
+            }
             self.nodes[i].ailing = ailing;
         }
         for action in actions {
