Log each connection's opening and close, and each call's outcome, at level debug

At level debug each connection now has a number in connection-opened and connection-closed, and call-ended names next hop, request ids, connection, place on it and outcome. At the default level nothing changes.

--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -10,6 +10,7 @@
 
 use super::hook;
 use crate::batching::fate::{fate, Break, Fate};
+use crate::catalog::Endpoint;
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter, Piping};
 use crate::routing::desk::Passage;
@@ -18,7 +19,7 @@
 use crate::transport::network::Net;
 use crate::transport::pipeline::{Broken, Pipelines};
 use crate::transport::pool::{Lease, NoLease};
-use crate::transport::Pool;
+use crate::transport::{Line, Pool};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -129,6 +130,7 @@
             () = sleep(Duration::from_nanos(left)) => Err(Outcome::TimedOut),
             () = passage.cancelled() => Err(Outcome::Cancelled),
         };
+        log_call(hop, &letters, lease.line(), &sent);
         let idle = Some(lease.waited().as_nanos() as Nanos);
         if let Ok((carried, _)) = &mut sent {
             carried.idle = idle;
@@ -227,6 +229,26 @@
     }
 }
 
+/// Tells in the log, at level debug, how a call ended, on which connection and as its how manyth request.
+fn log_call(
+    endpoint: &Endpoint,
+    letters: &[Letter],
+    line: Option<&mut Line>,
+    sent: &Result<(Carried, Option<Incoming>), Outcome>,
+) {
+    if !tracing::enabled!(target: "routing", tracing::Level::DEBUG) {
+        return;
+    }
+    let hop = endpoint.name.as_str();
+    let ids: Vec<&str> = letters.iter().map(|l| l.id.as_str()).collect();
+    let (connection, request) = line.map_or((0, 0), |line| (line.number(), line.requests()));
+    let outcome = match sent {
+        Ok((carried, _)) => format!("{:?}", carried.replies.iter().map(|(_, r)| r).collect::<Vec<_>>()),
+        Err(outcome) => format!("{outcome:?}"),
+    };
+    tracing::debug!(target: "routing", event = "call-ended", hop, ?ids, connection, request, outcome);
+}
+
 /// What an answer says of a call that came whole.
 fn meant(status: StatusCode, headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Carried {
     let each = |reply| letters.iter().map(|l| (l.attempt, reply)).collect();
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -176,8 +177,13 @@
     Perhaps,
 }
 
+/// The number that the next connection of this process gets in the log.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// A connection that carries one request at a time. Dropped, it closes at once, whatever is out on it.
 pub struct Line {
+    number: u64,
+    requests: u64,
     sender: SendRequest<Full<Bytes>>,
     tap: Rc<Tapped>,
     task: AbortHandle,
@@ -187,6 +193,8 @@
 
 impl Drop for Line {
     fn drop(&mut self) {
+        let by_peer = self.sender.is_closed();
+        tracing::debug!(target: "routing", event = "connection-closed", connection = self.number, requests = self.requests, by_peer);
         self.task.abort();
     }
 }
@@ -201,11 +209,23 @@
             let shaken = builder.handshake(TokioIo::new(stream)).await;
             let (sender, connection) = shaken.map_err(io::Error::other)?;
             let task = spawn_local(async move { drop(connection.await) }).abort_handle();
-            Ok(Line { sender, tap, task, idle_since: Instant::now() })
+            let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+            tracing::debug!(target: "routing", event = "connection-opened", connection = number, %dial);
+            Ok(Line { number, requests: 0, sender, tap, task, idle_since: Instant::now() })
         };
         timeout(within, connect).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Its number in the log.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Requests that it has carried, one that is out included.
+    pub fn requests(&self) -> u64 {
+        self.requests
+    }
+
     /// Whether the other side has left it open as far as is known, with no request out.
     pub fn usable(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
@@ -238,6 +258,7 @@
             return Err(Unsent::Never);
         }
         self.tap.listen_anew();
+        self.requests += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(e) if e.message().is_some() => Err(Unsent::Never),
