--- /dev/null
+++ b/tests/attribution/endpoint.rs
@@ -0,0 +1,255 @@
+//! An endpoint on loopback that sends some of its answers twice, and a record of what truly ran there.
+
+use crate::stand_ins::{request, Told};
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// When the second copy of an answer is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Copies {
+    Never,
+    /// In one write with the answer.
+    WithTheAnswer,
+    /// So many milliseconds behind the answer, drawn from this span.
+    Behind(u64, u64),
+    /// So many milliseconds after the next request has come, drawn from this span.
+    AtTheNextRequest(u64, u64),
+    /// The first bytes of it at once, the rest with the next request.
+    InTwoParts,
+}
+
+/// What the endpoint is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Nature {
+    pub copies: Copies,
+    /// Each answer that says 200 has a body of its own.
+    pub receipts: bool,
+    pub seed: u64,
+}
+
+/// One message's calls.
+#[derive(Default)]
+struct Calls {
+    /// Calls that ran, or that still run.
+    ran: u32,
+    delivered: bool,
+    out: Vec<TcpStream>,
+}
+
+/// What went against the rules, by message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Violations {
+    pub run_again: BTreeSet<String>,
+    pub out_twice: BTreeSet<String>,
+    pub out_of_turn: BTreeSet<String>,
+}
+
+/// All that came to the endpoint.
+#[derive(Default)]
+pub struct Record {
+    calls: BTreeMap<String, Calls>,
+    pub violations: Violations,
+    pub copies_sent: u32,
+}
+
+impl Record {
+    pub fn is_delivered(&self, id: &str) -> bool {
+        self.calls.get(id).is_some_and(|calls| calls.delivered)
+    }
+
+    /// A call begins: what may not be repeated has not run, no earlier attempt is out on an open connection, and all
+    /// messages of the key that were called before it are over.
+    fn begin(&mut self, id: &str, stream: &TcpStream, ended: &BTreeSet<String>) {
+        if let Some((_, key)) = id.split_once('@') {
+            let open = |(other, calls): (&String, &Calls)| {
+                other.ends_with(&format!("@{key}"))
+                    && other != id
+                    && !calls.delivered
+                    && !ended.contains(other)
+            };
+            if self.calls.iter().any(open) {
+                self.violations.out_of_turn.insert(id.to_string());
+            }
+        }
+        let calls = self.calls.entry(id.to_string()).or_default();
+        if calls.ran > 0 && id.starts_with("notice") {
+            self.violations.run_again.insert(id.to_string());
+        }
+        if calls.out.iter().any(is_open) {
+            self.violations.out_twice.insert(id.to_string());
+        }
+        calls.out.push(stream.try_clone().unwrap());
+    }
+
+    fn end(&mut self, id: &str, stream: &TcpStream, delivered: bool) {
+        let calls = self.calls.get_mut(id).unwrap();
+        calls.delivered |= delivered;
+        let peer = stream.peer_addr().ok();
+        calls.out.retain(|out| out.peer_addr().ok() != peer);
+    }
+}
+
+/// Whether the other side has neither closed nor ended its sending.
+fn is_open(stream: &TcpStream) -> bool {
+    use rustix::net::{recv, RecvFlags};
+    let peeked = recv(stream, &mut [0; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    match peeked {
+        Ok((_, read)) => read > 0,
+        Err(e) => e == rustix::io::Errno::AGAIN,
+    }
+}
+
+/// A draw from a span of milliseconds, both ends included.
+fn millis(rng: &mut ChaCha8Rng, from: u64, to: u64) -> Duration {
+    Duration::from_millis(from + u64::from(rng.next_u32()) % (to - from + 1))
+}
+
+fn chance(rng: &mut ChaCha8Rng, percent: u32) -> bool {
+    rng.next_u32() % 100 < percent
+}
+
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub record: Told<Record>,
+    pub connections: Arc<AtomicUsize>,
+}
+
+/// Bytes of a copy that are sent ahead of the rest where it comes in two parts: its first line.
+const FIRST_PART: usize = 17;
+/// Plain service lasts so long; from then on some calls are refused.
+const PLAIN_FOR: Duration = Duration::from_secs(1);
+
+impl Endpoint {
+    /// Answers calls after 20 to 90 ms and refuses 5 % of them; `ended` are the messages whose ends were told.
+    pub fn start(nature: Nature, ended: Told<BTreeSet<String>>) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (record, connections) = (Told::<Record>::default(), Arc::new(AtomicUsize::new(0)));
+        let (told, opened) = (record.clone(), connections.clone());
+        let from = Instant::now();
+        let receipt = Arc::new(AtomicU64::new(0));
+        spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                opened.fetch_add(1, Ordering::SeqCst);
+                let connection = Connection {
+                    nature,
+                    rng: ChaCha8Rng::seed_from_u64(nature.seed.wrapping_mul(1_000_003) + number as u64),
+                    from,
+                    record: told.clone(),
+                    ended: ended.clone(),
+                    receipt: receipt.clone(),
+                    output: Arc::new(Mutex::new(stream.try_clone().unwrap())),
+                };
+                spawn(move || connection.serve(stream));
+            }
+        });
+        Endpoint { address, record, connections }
+    }
+}
+
+struct Connection {
+    nature: Nature,
+    rng: ChaCha8Rng,
+    from: Instant,
+    record: Told<Record>,
+    ended: Told<BTreeSet<String>>,
+    receipt: Arc<AtomicU64>,
+    output: Arc<Mutex<TcpStream>>,
+}
+
+impl Connection {
+    fn serve(mut self, stream: TcpStream) {
+        stream.set_nodelay(true).ok();
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        let mut pending: Option<Vec<u8>> = None;
+        while let Some((head, _)) = request(&mut input) {
+            if let Some(copy) = pending.take() {
+                self.write_at_request(copy);
+            }
+            let id = head.iter().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap().to_string();
+            let ended = self.ended.tell(|ended| ended.clone());
+            let refuses = self.from.elapsed() > PLAIN_FOR && chance(&mut self.rng, 5);
+            self.record.tell(|record| {
+                record.begin(&id, &stream, &ended);
+                record.calls.get_mut(&id).unwrap().ran += u32::from(!refuses);
+            });
+            sleep(if refuses { millis(&mut self.rng, 1, 4) } else { millis(&mut self.rng, 20, 90) });
+            let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
+            let answer = self.answer(refuses, closes);
+            // Counted before it is written: what follows from it comes at once.
+            self.record.tell(|record| record.end(&id, &stream, !refuses));
+            if self.write(&answer).is_err() {
+                return;
+            }
+            if closes {
+                return;
+            }
+            let copied = self.nature.copies != Copies::Never && chance(&mut self.rng, 20);
+            if copied {
+                self.record.tell(|record| record.copies_sent += 1);
+                pending = self.copy(answer);
+            }
+        }
+    }
+
+    fn answer(&self, refuses: bool, closes: bool) -> Vec<u8> {
+        let close = if closes { "Connection: close\r\n" } else { "" };
+        if refuses {
+            let line = "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.02\r\n";
+            return format!("{line}{close}Content-Length: 0\r\n\r\n").into_bytes();
+        }
+        let body = match self.nature.receipts {
+            true => format!("{:016x}", self.receipt.fetch_add(1, Ordering::SeqCst)),
+            false => String::new(),
+        };
+        format!("HTTP/1.1 200 OK\r\n{close}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    }
+
+    fn write(&self, bytes: &[u8]) -> std::io::Result<()> {
+        self.output.lock().unwrap().write_all(bytes)
+    }
+
+    fn write_later(&self, after: Duration, bytes: Vec<u8>) {
+        let output = self.output.clone();
+        spawn(move || {
+            sleep(after);
+            output.lock().unwrap().write_all(&bytes).ok();
+        });
+    }
+
+    /// Sends the copy of an answer, or returns what of it comes with the next request.
+    fn copy(&mut self, answer: Vec<u8>) -> Option<Vec<u8>> {
+        match self.nature.copies {
+            Copies::Never => None,
+            Copies::WithTheAnswer => {
+                self.write(&answer).ok();
+                None
+            }
+            Copies::Behind(from, to) => {
+                let after = millis(&mut self.rng, from, to);
+                self.write_later(after, answer);
+                None
+            }
+            Copies::AtTheNextRequest(..) => Some(answer),
+            Copies::InTwoParts => {
+                self.write(&answer[..FIRST_PART]).ok();
+                Some(answer[FIRST_PART..].to_vec())
+            }
+        }
+    }
+
+    fn write_at_request(&mut self, bytes: Vec<u8>) {
+        let after = match self.nature.copies {
+            Copies::AtTheNextRequest(from, to) => millis(&mut self.rng, from, to),
+            _ => Duration::ZERO,
+        };
+        self.write_later(after, bytes);
+    }
+}
--- /dev/null
+++ b/tests/attribution/main.rs
@@ -0,0 +1,127 @@
+//! Second copies of answers, on calls to a real process of the program: no message may be lost, run again, called twice at
+//! once or go out of its turn because the answer to another was taken for its own.
+
+#[path = "../upgrade/callers.rs"]
+mod callers;
+mod endpoint;
+#[path = "../upgrade/platform.rs"]
+#[allow(dead_code)]
+mod platform;
+#[path = "../stand_ins/mod.rs"]
+mod stand_ins;
+
+use callers::{Callers, Traffic};
+use endpoint::{Copies, Endpoint, Nature, Violations};
+use platform::{Platform, Terms};
+use stand_ins::{entry, folder, Discovery};
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// The time of each message, and by when its end has been told.
+const TIME_MS: u64 = 4_000;
+const SETTLED_WITHIN: Duration = Duration::from_millis(TIME_MS + 300);
+/// For how long callers hand messages in.
+const SERVED_FOR: Duration = Duration::from_secs(8);
+
+/// Between two messages of one caller.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// One process starts at a time: the address of its console was free a moment before.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// What came of a run.
+#[derive(Debug)]
+#[allow(dead_code)]
+struct Seen {
+    taken: usize,
+    copies: u32,
+    connections: usize,
+    lost: BTreeSet<String>,
+    violations: Violations,
+}
+
+/// Eight callers of one class, or three of each, before one relay with one endpoint.
+fn run(classes: &[&'static str], nature: Nature) -> Seen {
+    let discovery = Discovery::start(String::new());
+    let endpoint = Endpoint::start(nature, discovery.ended.clone());
+    let known = entry("h", endpoint.address, "active");
+    discovery.list(&known);
+    let platform = Platform::new(&folder(), &Terms::default(), discovery.address, &known);
+    let starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    let _process = platform.start_ready();
+    drop(starting);
+    let count = if classes.len() == 1 { 8 } else { 3 };
+    let start = |class: &&'static str| {
+        let traffic = Traffic { class, time_ms: TIME_MS, in_order: *class == "update", pause: PAUSE };
+        Callers::start_with(count, platform.address, traffic)
+    };
+    let callers: Vec<Callers> = classes.iter().map(start).collect();
+    sleep(SERVED_FOR);
+    let taken: BTreeSet<String> = callers.into_iter().flat_map(|callers| callers.stop().taken).collect();
+    sleep(SETTLED_WITHIN);
+    let ended = discovery.ended.tell(|ended| ended.clone());
+    let seen = endpoint.record.tell(|record| Seen {
+        taken: taken.len(),
+        copies: record.copies_sent,
+        connections: endpoint.connections.load(std::sync::atomic::Ordering::SeqCst),
+        lost: taken.iter().filter(|id| !record.is_delivered(id) && !ended.contains(*id)).cloned().collect(),
+        violations: record.violations.clone(),
+    });
+    println!("{classes:?} {nature:?}: {seen:?}");
+    std::fs::remove_dir_all(&platform.dir).ok();
+    seen
+}
+
+/// The rules hold with copies that come like this, whether endpoints' answers read alike or each has a receipt.
+fn holds(copies: Copies) {
+    let classes: [&[&'static str]; 4] =
+        [&["notice"], &["status"], &["update"], &["notice", "status", "update"]];
+    let runs: Vec<_> = classes
+        .into_iter()
+        .flat_map(|classes| [false, true].map(|receipts| (classes, Nature { copies, receipts, seed: 1 })))
+        .map(|(classes, nature)| std::thread::spawn(move || run(classes, nature)))
+        .collect();
+    for seen in runs.into_iter().map(|run| run.join().unwrap()) {
+        assert!(seen.taken > 300, "{seen:?}");
+        assert!(copies == Copies::Never || seen.copies > 10, "{seen:?}");
+        assert_eq!((&seen.lost, &seen.violations), (&BTreeSet::new(), &Violations::default()), "{seen:?}");
+    }
+}
+
+/// Guards the oracle: without copies it has nothing to say.
+#[test]
+fn no_rule_is_broken_without_copies() {
+    holds(Copies::Never);
+}
+
+/// Guards calls from a second copy that comes just behind their request, which nothing read before it can tell.
+#[test]
+fn a_copy_behind_the_next_request_is_not_its_answer() {
+    holds(Copies::AtTheNextRequest(0, 12));
+}
+
+/// Guards calls from a second copy that lies unread when they are written.
+#[test]
+fn a_copy_before_the_next_request_is_not_its_answer() {
+    holds(Copies::Behind(1, 30));
+}
+
+/// Guards calls from a second copy that comes long after, whatever was carried meanwhile.
+#[test]
+fn a_late_copy_is_not_the_answer_of_a_later_call() {
+    holds(Copies::Behind(30, 400));
+}
+
+/// Guards calls from a second copy in one write with the answer.
+#[test]
+fn a_copy_with_the_answer_is_not_the_answer_of_the_next_call() {
+    holds(Copies::WithTheAnswer);
+}
+
+/// Guards calls from a second copy of which a part comes early.
+#[test]
+fn a_copy_in_two_parts_is_not_the_answer_of_the_next_call() {
+    holds(Copies::InTwoParts);
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -13,9 +13,15 @@
 pub const ANSWERED: Duration = Duration::from_secs(8);
 
 /// What a test waits for, and what it is told.
-#[derive(Clone, Default)]
+#[derive(Default)]
 pub struct Told<T>(Arc<(Mutex<T>, Condvar)>);
 
+impl<T> Clone for Told<T> {
+    fn clone(&self) -> Told<T> {
+        Told(self.0.clone())
+    }
+}
+
 impl<T> Told<T> {
     pub fn tell<R>(&self, f: impl FnOnce(&mut T) -> R) -> R {
         let told = f(&mut self.0 .0.lock().unwrap());
@@ -188,6 +194,11 @@
         Discovery { address, down, list, told, ended }
     }
 
+    /// The list from now on.
+    pub fn list(&self, hosts: &str) {
+        self.list.lock().unwrap().1 = hosts.to_string();
+    }
+
     /// From now on the one hop has left and the other is there.
     pub fn replace(&self, old: SocketAddr, new: SocketAddr) {
         let hosts = format!("{},{}", entry("old", old, "left"), entry("new", new, "active"));
@@ -232,9 +243,14 @@
 
 /// A message of a class, for destination 1, by its id; where it has a part like `@key`, that is its key.
 pub fn message(class: &str, id: &str) -> String {
+    message_within(class, id, 20_000)
+}
+
+/// The same, to be delivered within so many milliseconds.
+pub fn message_within(class: &str, id: &str, millis: u64) -> String {
     let key = id.split_once('@').map_or(String::new(), |(_, key)| format!("?thread={key}"));
     format!(
-        "POST /{class}{key} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Timeout: 20000m\r\nX-Consignee: dest=1\r\n\
+        "POST /{class}{key} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Timeout: {millis}m\r\nX-Consignee: dest=1\r\n\
          Idempotency-Key: {id}\r\nContent-Length: 2\r\n\r\nhi"
     )
 }
--- a/tests/upgrade/callers.rs
+++ b/tests/upgrade/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that hand messages in all the time, on connections that they keep open.
 
-use crate::stand_ins::{message, status, Told};
+use crate::stand_ins::{message_within, status, Told};
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -11,7 +11,7 @@
 
 /// A caller waits so long for its answer.
 const PATIENCE: Duration = Duration::from_millis(400);
-/// Between two messages of one caller.
+/// Between two messages of one caller, where a test says nothing of it.
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// What became of the messages that were handed in, by their ids.
@@ -32,11 +32,37 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+/// Callers' messages have this time where a test says nothing of it.
+const TIME_MS: u64 = 20_000;
+
 static BATCHES: AtomicU32 = AtomicU32::new(0);
 
+/// What callers hand in.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    pub class: &'static str,
+    /// The time of each message.
+    pub time_ms: u64,
+    /// Each caller's messages have a key of their own.
+    pub in_order: bool,
+    /// Between two messages of one caller.
+    pub pause: Duration,
+}
+
 impl Callers {
     /// So many callers, of messages of one class.
+    #[allow(dead_code)]
     pub fn start(count: usize, address: SocketAddr, class: &'static str) -> Callers {
+        Callers::start_with(
+            count,
+            address,
+            Traffic { class, time_ms: TIME_MS, in_order: false, pause: PAUSE },
+        )
+    }
+
+    /// So many callers, of such messages.
+    pub fn start_with(count: usize, address: SocketAddr, traffic: Traffic) -> Callers {
+        let Traffic { class, time_ms, in_order, pause } = traffic;
         let stop = Arc::new(AtomicBool::new(false));
         let outcomes: Told<Outcomes> = Told::default();
         let batch = BATCHES.fetch_add(1, Ordering::Relaxed);
@@ -48,8 +74,11 @@
                     if stop.load(Ordering::SeqCst) {
                         return;
                     }
-                    hand_in(&mut connection, address, class, &format!("{class}{batch}-{i}-{n}"), &outcomes);
-                    sleep(PAUSE);
+                    let key = if in_order { format!("@key{batch}-{i}") } else { String::new() };
+                    let id = format!("{class}{batch}-{i}-{n}{key}");
+                    let request = message_within(class, &id, time_ms);
+                    hand_in(&mut connection, address, &request, &id, &outcomes);
+                    sleep(pause);
                 }
             })
         };
@@ -62,6 +91,7 @@
     }
 
     /// Waits until so many messages were taken on.
+    #[allow(dead_code)]
     pub fn until_taken(&self, count: usize) {
         let taken = self.outcomes.until(Duration::from_secs(10), |o| o.taken.len() >= count);
         assert!(taken.is_some(), "{:?} taken of {count}", self.seen().taken.len());
@@ -85,7 +115,7 @@
 fn hand_in(
     kept: &mut Option<TcpStream>,
     address: SocketAddr,
-    class: &str,
+    request: &str,
     id: &str,
     outcomes: &Told<Outcomes>,
 ) {
@@ -93,7 +123,7 @@
     for is_new in [false, true] {
         let stream = if is_new { open(address) } else { kept.take() };
         let Some(mut stream) = stream else { continue };
-        let written = stream.write_all(message(class, id).as_bytes()).is_ok();
+        let written = stream.write_all(request.as_bytes()).is_ok();
         let answer = if written { status(&mut stream) } else { None };
         let took = from.elapsed();
         let over = outcomes.tell(|o| {
