Let only answers that are known to be a call's own end it, or show that it never ran

Cause: src/protocol/platform/mod.rs credited an answer to whichever call was out on its connection, by position alone, and gave a connection back with a call still out on it; pipelines did the same.

Now src/attribution, without I/O, decides: an answer is known to be a call's if its connection carried no other call, or if it reads like no earlier answer there, each of which was known; a second copy reads like the answer it repeats. On any other answer nothing rests: the message may have run, the told wait binds, the connection closes, which gives the call up. What may not be repeated goes on a used connection only where the endpoint's successes differ and none was a refusal; where they read alike a connection carries two repeatable calls, the second of which asks to close it, and that answer says so; an endpoint that sent an answer twice gets a connection a call for a minute. A run-time check holds each outcome against a second count and logs attribution-violation; doubtful answers are counted by reason.

--- /dev/null
+++ b/src/attribution/mod.rs
@@ -0,0 +1,131 @@
+//! Whether an answer on a connection is known to be the answer to the call that is out on it. No I/O, no clock.
+//!
+//! HTTP/1.1 matches answers to requests by their order alone, so an answer that comes twice would pass as the answer to
+//! the next call. What is sent twice reads like the answer of which it is a copy. So an answer that reads like no
+//! earlier one on its connection is no copy, and where every call before it had its own answer, it is the answer to the
+//! call that is out. Any other answer is doubtful: nothing may rest on it, and its connection carries no further call.
+//!
+//! [`Exchanges`] decides this for one connection, [`Sources`] which calls may share a connection with earlier ones at
+//! an endpoint, and [`Audit`] counts answers and checks each decision against a second account.
+#![warn(missing_docs)]
+
+mod audit;
+mod fingerprint;
+mod sources;
+
+pub use audit::{Audit, Counts};
+pub use fingerprint::Fingerprint;
+pub use sources::{Reuse, Sources};
+
+use std::collections::HashSet;
+
+/// Answers that a connection carries at most: each is remembered as long as it is open.
+const ANSWERS_MOST: usize = 512;
+
+/// Why an answer is known to be the one to the call that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// Its connection carried no other call.
+    First,
+    /// It reads like none of the answers before it, each of which was known to be its call's.
+    Unlike,
+}
+
+/// Why an answer may belong to another call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Doubt {
+    /// It reads like an earlier answer on its connection.
+    Repeats,
+    /// It has not come whole, and what has come reads like the beginning of an earlier one.
+    Cut,
+    /// An earlier call on its connection has no answer that is known to be its own.
+    OutOfStep,
+}
+
+/// What is decided of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is the answer to the call that is out.
+    Known(Proof),
+    /// It may be the answer to another.
+    Doubtful(Doubt),
+}
+
+impl Verdict {
+    /// Whether it is the answer to the call that is out.
+    pub fn is_known(self) -> bool {
+        matches!(self, Verdict::Known(_))
+    }
+}
+
+/// The calls and answers of one connection.
+#[derive(Debug, Default)]
+pub struct Exchanges {
+    requests: usize,
+    answers: usize,
+    statuses: HashSet<u16>,
+    heads: HashSet<u64>,
+    wholes: HashSet<u64>,
+}
+
+impl Exchanges {
+    /// Another request is written.
+    pub fn requested(&mut self) {
+        self.requests += 1;
+    }
+
+    /// Requests written so far.
+    pub fn requests(&self) -> usize {
+        self.requests
+    }
+
+    /// Whether no answer had this status so far.
+    pub fn is_new_status(&self, status: u16) -> bool {
+        !self.statuses.contains(&status)
+    }
+
+    /// What an answer is of which only the status is known for certain.
+    pub fn judge_status(&self, status: u16) -> Verdict {
+        self.judge(self.is_new_status(status), Doubt::Cut)
+    }
+
+    /// What an answer is whose head has come.
+    pub fn judge_head(&self, answer: &Fingerprint) -> Verdict {
+        self.judge(!self.heads.contains(&answer.head()), Doubt::Cut)
+    }
+
+    /// What an answer is that has come whole.
+    pub fn judge_whole(&self, answer: &Fingerprint) -> Verdict {
+        self.judge(!self.wholes.contains(&answer.whole()), Doubt::Repeats)
+    }
+
+    /// With calls behind one another the answer is that to the oldest that is out, so those behind it do not count.
+    fn judge(&self, unlike: bool, otherwise: Doubt) -> Verdict {
+        if self.answers >= self.requests {
+            return Verdict::Doubtful(Doubt::OutOfStep);
+        }
+        match (self.answers, unlike) {
+            (0, _) => Verdict::Known(Proof::First),
+            (_, true) => Verdict::Known(Proof::Unlike),
+            (_, false) => Verdict::Doubtful(otherwise),
+        }
+    }
+
+    /// An answer that is known to be its call's has come whole.
+    pub fn answered(&mut self, answer: &Fingerprint) {
+        self.answers += 1;
+        self.statuses.insert(answer.status());
+        self.heads.insert(answer.head());
+        self.wholes.insert(answer.whole());
+    }
+
+    /// Whether every request has had an answer that was known to be its own, so that another may be written.
+    pub fn in_step(&self) -> bool {
+        self.answers == self.requests && self.answers < ANSWERS_MOST
+    }
+
+    /// Whether every answer so far was a success: a refusal would be the first one and so known for certain.
+    fn only_successes(&self) -> bool {
+        self.statuses.iter().all(|status| *status == fingerprint::SUCCESS)
+    }
+}
--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -46,7 +46,8 @@
 
     pub(super) fn ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool) {
         let Some(a) = self.book.attempts.remove(&(id, attempt)) else { return };
-        let uncertain = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled);
+        let uncertain =
+            matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled | Outcome::Doubtful);
         let rest = if uncertain { self.now + self.set.key_rest } else { 0 };
         self.book.key_back(&a.key, id, rest);
         let first = self.book.close_call(a.call, self.now);
@@ -100,7 +101,7 @@
                 }
             }
             Outcome::Crowded => self.book.crowded(host, self.now, self.dice.roll()),
-            Outcome::NotSent => {}
+            Outcome::NotSent | Outcome::Doubtful => {}
             failed => self.failed(host, matches!(failed, Outcome::Cancelled | Outcome::NoConnection)),
         }
     }
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -198,6 +198,8 @@
     Cancelled,
     /// It was never sent.
     NotSent,
+    /// An answer came that may be another call's: the host runs, and so may the message have.
+    Doubtful,
 }
 
 impl Outcome {
--- a/src/decision/records/flow.rs
+++ b/src/decision/records/flow.rs
@@ -76,7 +76,11 @@
             self.done += 1.0;
             self.cost += COST_GAIN * (latency as f64 - self.cost);
         }
-        if !matches!(outcome, Outcome::Full { .. } | Outcome::Crowded | Outcome::NotSent | Outcome::Spoilt) {
+        let tells_nothing = matches!(
+            outcome,
+            Outcome::Full { .. } | Outcome::Crowded | Outcome::NotSent | Outcome::Spoilt | Outcome::Doubtful
+        );
+        if !tells_nothing {
             self.calls += 1.0;
             self.served += f64::from(u8::from(served));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admission;
+pub mod attribution;
 pub mod batching;
 pub mod catalog;
 pub mod crowding;
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -1,37 +1,33 @@
 //! The platform's front: callers hand messages in, next hops take them, ends go out as notices.
 
+mod call;
 mod ends;
 mod intake;
 
 pub use ends::tell_ends;
 pub use intake::answer;
 
-use intake::BODY_MOST;
+use call::{conclude, doubtful, exchange, meant, unanswered};
 
 use super::hook;
 use crate::batching::fate::{fate, Break, Fate};
-use crate::catalog::Endpoint;
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::{Carried, Letter, Piping};
+use crate::routing::core::{Carried, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
-use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN};
+use crate::transport::connection::Unsent;
 use crate::transport::network::Net;
 use crate::transport::pipeline::{Broken, Pipelines};
-use crate::transport::pool::{Lease, NoLease};
-use crate::transport::{Line, Pool};
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body, Incoming};
-use hyper::{HeaderMap, Request, StatusCode};
+use crate::transport::pool::NoLease;
+use crate::transport::Pool;
+use hyper::StatusCode;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{watch, Notify};
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// What holds for requests of a class that do not say it themselves.
 #[derive(Clone, Copy, Debug, Default)]
@@ -87,11 +83,13 @@
         let longest = passage.call.attempts.iter().map(|b| b.timeout).max().unwrap_or(0);
         let from = passage.desk.clock.now();
         let hop = passage.hop;
-        if let Some(piping) = passage.desk.see(|core| core.piping(passage.call)) {
+        let piping = passage.desk.see(|core| core.piping(passage.call));
+        if let Some(piping) = piping.filter(|_| self.pool.may_pipeline(hop.id)) {
             return self.pipe(passage, piping, longest).await;
         }
+        let repeatable = passage.desk.see(|core| core.is_repeatable(passage.call));
         let leased = tokio::select! {
-            leased = self.pool.lease(hop.id, hop.address, hop.kind) => leased,
+            leased = self.pool.lease(hop.id, hop.address, hop.kind, repeatable) => leased,
             () = passage.cancelled() => return passage.all(Outcome::NoConnection),
             () = sleep(Duration::from_nanos(longest)) => return passage.all(Outcome::NoConnection),
         };
@@ -122,7 +120,7 @@
             }
             sent
         };
-        let mut sent = tokio::select! {
+        let sent = tokio::select! {
             sent = exchange => sent.map_err(|unsent| match unsent {
                 Unsent::Never => Outcome::NoConnection,
                 Unsent::Perhaps => Outcome::Broken,
@@ -130,34 +128,8 @@
             () = sleep(Duration::from_nanos(left)) => Err(Outcome::TimedOut),
             () = passage.cancelled() => Err(Outcome::Cancelled),
         };
-        log_call(hop, &letters, lease.line(), &sent);
-        let idle = Some(lease.waited().as_nanos() as Nanos);
-        if let Ok((carried, _)) = &mut sent {
-            carried.idle = idle;
-        }
-        match sent {
-            Ok((carried, Some(body))) if !body.is_end_stream() => {
-                spawn_local(drain(lease, body));
-                carried
-            }
-            Ok((carried, _)) => {
-                if carried.replies.iter().any(|(_, reply)| *reply == Reply::Ended(Outcome::Crowded)) {
-                    self.pool.turned_away(hop.kind);
-                }
-                lease.give_back();
-                carried
-            }
-            // The first line of an answer says enough where it says 200, whatever is wrong with the rest. Any
-            // other answer that cannot be read leaves open what it meant: the message may have run.
-            Err(outcome) => {
-                let outcome = match lease.line() {
-                    Some(line) if letters.len() == 1 && line.status() == Some(200) => Outcome::Served,
-                    Some(line) if outcome != Outcome::NoConnection && line.heard() => Outcome::Spoilt,
-                    _ => outcome,
-                };
-                Carried { idle, ..Carried::each(&letters, Reply::Ended(outcome)) }
-            }
-        }
+        let exchanged = sent.unwrap_or_else(|outcome| unanswered(outcome, &mut lease, &letters));
+        conclude(exchanged, lease, hop, &letters, &self.pool)
     }
 
     fn ended(&self, _: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
@@ -214,7 +186,17 @@
             () = passage.cancelled() => return Carried::each(&letters, Reply::Ended(Outcome::Cancelled)),
         };
         match answer {
-            Ok(answer) => meant(answer.status, &answer.headers, &answer.body, &letters),
+            Ok((answer, verdict)) => {
+                let carried = meant(answer.status, &answer.headers, &answer.body, &letters);
+                self.pool.audit.borrow_mut().judged(verdict);
+                if verdict.is_known() {
+                    return carried;
+                }
+                if answer.status == StatusCode::OK {
+                    self.pool.doubtful_success(hop.id, false);
+                }
+                doubtful(&carried, &letters)
+            }
             Err(Broken { how, echo }) => {
                 let outcome = match (fate(how), how) {
                     // Of a line that broke only the first says that its host may be down.
@@ -228,82 +210,3 @@
         }
     }
 }
-
-/// Tells in the log, at level debug, how a call ended, on which connection and as its how manyth request.
-fn log_call(
-    endpoint: &Endpoint,
-    letters: &[Letter],
-    line: Option<&mut Line>,
-    sent: &Result<(Carried, Option<Incoming>), Outcome>,
-) {
-    if !tracing::enabled!(target: "routing", tracing::Level::DEBUG) {
-        return;
-    }
-    let hop = endpoint.name.as_str();
-    let ids: Vec<&str> = letters.iter().map(|l| l.id.as_str()).collect();
-    let (connection, request) = line.map_or((0, 0), |line| (line.number(), line.requests()));
-    let outcome = match sent {
-        Ok((carried, _)) => format!("{:?}", carried.replies.iter().map(|(_, r)| r).collect::<Vec<_>>()),
-        Err(outcome) => format!("{outcome:?}"),
-    };
-    tracing::debug!(target: "routing", event = "call-ended", hop, ?ids, connection, request, outcome);
-}
-
-/// What an answer says of a call that came whole.
-fn meant(status: StatusCode, headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Carried {
-    let each = |reply| letters.iter().map(|l| (l.attempt, reply)).collect();
-    let several = letters.len() > 1;
-    let unread = matches!(status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
-    Carried {
-        replies: match status {
-            StatusCode::OK if several => hook::replies(headers, body, letters),
-            status => each(hook::reply(status, headers)),
-        },
-        limit: hook::limit(headers),
-        wait: if status == StatusCode::OK && several { hook::wait(headers) } else { 0 },
-        refused: unread && several,
-        ..Carried::default()
-    }
-}
-
-/// One request and its answer: what that means, and the rest of it where the rest means nothing.
-async fn exchange(
-    lease: &mut Lease,
-    request: Request<Full<Bytes>>,
-    len: usize,
-    letters: &[Letter],
-) -> Result<(Carried, Option<Incoming>), Unsent> {
-    let new = lease.waited().is_zero();
-    let Some(line) = lease.line() else { return Err(Unsent::Never) };
-    // What the line said before is no beginning of this answer: a call longer than ANSWER_WITHIN was cut by it.
-    let tap = line.tap();
-    tap.listen_anew();
-    let read = async {
-        let response = line.send(request, len).await?;
-        let (head, body) = response.into_parts();
-        if letters.len() == 1 && head.status == StatusCode::OK {
-            return Ok((meant(head.status, &head.headers, &Bytes::new(), letters), Some(body)));
-        }
-        // Only an answer that came whole can say that nothing has run.
-        let body = read_body(body, BODY_MOST).await.ok_or(Unsent::Perhaps)?;
-        if new && hook::no_room(head.status, &head.headers) {
-            return Ok((Carried::each(letters, Reply::Ended(Outcome::Crowded)), None));
-        }
-        Ok((meant(head.status, &head.headers, &body, letters), None))
-    };
-    let stuck = async {
-        tap.begins().await;
-        sleep(ANSWER_WITHIN).await;
-    };
-    tokio::select! {
-        sent = read => sent,
-        () = stuck => Err(Unsent::Perhaps),
-    }
-}
-
-/// Reads the rest of an answer that means nothing, so that the line can be used again.
-async fn drain(lease: Lease, body: Incoming) {
-    if let Ok(Some(_)) = timeout(Duration::from_secs(1), read_body(body, BODY_MOST)).await {
-        lease.give_back();
-    }
-}
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -155,13 +155,18 @@
         Member { attempt, bytes: t.map_or(0, bytes_of), aim_at, alone }
     }
 
-    /// How this call goes where its next hop takes calls behind one another.
-    pub fn piping(&self, call: &Call) -> Option<Piping> {
-        let depth = self.former.terms(call.endpoint).depth;
+    /// Whether all its messages may be sent again if it stays open whether they ran.
+    pub fn is_repeatable(&self, call: &Call) -> bool {
         let class = |b: &Attempt| self.of_classes.get(self.transactions.get(b.transaction)?.class);
         let repeatable =
             |b: &Attempt| class(b).is_some_and(|(.., repeat)| may_share(Wire::Pipeline, *repeat));
-        let repeatable = call.attempts.iter().all(repeatable);
+        call.attempts.iter().all(repeatable)
+    }
+
+    /// How this call goes where its next hop takes calls behind one another.
+    pub fn piping(&self, call: &Call) -> Option<Piping> {
+        let depth = self.former.terms(call.endpoint).depth;
+        let repeatable = self.is_repeatable(call);
         (depth > 1).then(|| Piping { depth, lines: self.slots.div_ceil(depth), repeatable })
     }
 }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection of ours to a next hop or to the platform.
 
 use super::network::{Net, Stream};
+use crate::attribution::Exchanges;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -31,6 +32,9 @@
     heard: RefCell<Vec<u8>>,
     heard_at: Cell<Option<Instant>>,
     first: Notify,
+    /// Whether nothing is to come, and whether something came all the same.
+    resting: Cell<bool>,
+    surplus: Cell<bool>,
 }
 
 /// A stream with its tap.
@@ -59,6 +63,18 @@
         self.heard.borrow_mut().clear();
         self.heard_at.set(None);
         self.left.set(self.most);
+        self.resting.set(false);
+    }
+
+    /// Nothing is to come before the next `listen_anew`.
+    pub fn rest(&self) {
+        self.listen_anew();
+        self.resting.set(true);
+    }
+
+    /// Whether something came while nothing was to come.
+    pub fn surplus(&self) -> bool {
+        self.surplus.get()
     }
 
     /// When the first byte of it came.
@@ -82,6 +98,7 @@
         if bytes.is_empty() {
             return true;
         }
+        self.surplus.set(self.surplus.get() || self.resting.get());
         if self.heard_at.get().is_none() {
             self.heard_at.set(Some(Instant::now()));
             self.first.notify_one();
@@ -183,7 +200,8 @@
 /// A connection that carries one request at a time. Dropped, it closes at once, whatever is out on it.
 pub struct Line {
     number: u64,
-    requests: u64,
+    /// The requests that it has carried, one that is out included, and their answers.
+    pub exchanges: Exchanges,
     sender: SendRequest<Full<Bytes>>,
     tap: Rc<Tapped>,
     task: AbortHandle,
@@ -193,8 +211,6 @@
 
 impl Drop for Line {
     fn drop(&mut self) {
-        let by_peer = self.sender.is_closed();
-        tracing::debug!(target: "routing", event = "connection-closed", connection = self.number, requests = self.requests, by_peer);
         self.task.abort();
     }
 }
@@ -210,8 +226,8 @@
             let (sender, connection) = shaken.map_err(io::Error::other)?;
             let task = spawn_local(async move { drop(connection.await) }).abort_handle();
             let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
-            tracing::debug!(target: "routing", event = "connection-opened", connection = number, %dial);
-            Ok(Line { number, requests: 0, sender, tap, task, idle_since: Instant::now() })
+            let exchanges = Exchanges::default();
+            Ok(Line { number, exchanges, sender, tap, task, idle_since: Instant::now() })
         };
         timeout(within, connect).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
@@ -221,9 +237,16 @@
         self.number
     }
 
-    /// Requests that it has carried, one that is out included.
-    pub fn requests(&self) -> u64 {
-        self.requests
+    /// It waits for its next request from now on.
+    pub fn rest(&mut self) {
+        self.tap.rest();
+        self.idle_since = Instant::now();
+    }
+
+    /// Whether an answer came, or began to, while it waited, which reads as if it had been sent twice.
+    pub fn had_surplus(&self) -> bool {
+        let repeats = |status| !self.exchanges.is_new_status(status);
+        self.tap.surplus() && self.tap.status().is_some_and(repeats)
     }
 
     /// Whether the other side has left it open as far as is known, with no request out.
@@ -258,7 +281,7 @@
             return Err(Unsent::Never);
         }
         self.tap.listen_anew();
-        self.requests += 1;
+        self.exchanges.requested();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(e) if e.message().is_some() => Err(Unsent::Never),
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -5,6 +5,7 @@
 use super::connection::ANSWER_WITHIN;
 use super::network::{out_of_room, Net, Stream};
 use super::pool::NoLease;
+use crate::attribution::{Exchanges, Fingerprint, Verdict};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
 use crate::routing::EndpointId;
@@ -26,11 +27,15 @@
     pub echo: bool,
 }
 
-type Told = oneshot::Sender<Result<Answer, Broken>>;
+/// An answer, and whether it is known to be that of the call that hears it.
+pub type Answered = (Answer, Verdict);
+
+type Told = oneshot::Sender<Result<Answered, Broken>>;
 
 /// A line and the calls on it.
 struct Shared {
     pipe: RefCell<Pipe<u64>>,
+    exchanges: RefCell<Exchanges>,
     /// Calls of which not a byte has been written.
     queue: RefCell<VecDeque<(u64, Bytes)>>,
     more: Notify,
@@ -68,6 +73,17 @@
         }
     }
 
+    /// Whether an answer is known to be that of the oldest call that is out.
+    fn judge(&self, answer: &Answer) -> Verdict {
+        let print = Fingerprint::of_head(answer.status, &answer.headers).with_body(&answer.body);
+        let mut exchanges = self.exchanges.borrow_mut();
+        let verdict = exchanges.judge_whole(&print);
+        if verdict.is_known() {
+            exchanges.answered(&print);
+        }
+        verdict
+    }
+
     async fn write(self: Rc<Self>, mut output: WriteHalf<Stream>) {
         loop {
             let next = self.queue.borrow_mut().pop_front();
@@ -101,8 +117,12 @@
                     let answered = self.pipe.borrow_mut().answered(closes);
                     let Some((ticket, waited)) = answered else { return self.end(Break::Unreadable) };
                     self.idle_since.set(Instant::now());
+                    let verdict = self.judge(&answer);
                     if let Some(told) = self.waiting.borrow_mut().remove(&ticket).filter(|_| waited) {
-                        told.send(Ok(answer)).ok();
+                        told.send(Ok((answer, verdict))).ok();
+                    }
+                    if !verdict.is_known() {
+                        return self.end(Break::Cancelled);
                     }
                     if self.pipe.borrow().is_spent() {
                         return self.end(Break::CloseAnnounced);
@@ -133,13 +153,13 @@
 pub struct Seat {
     line: Rc<Shared>,
     ticket: u64,
-    answer: oneshot::Receiver<Result<Answer, Broken>>,
+    answer: oneshot::Receiver<Result<Answered, Broken>>,
     done: bool,
 }
 
 impl Seat {
     /// The answer, once it has come whole, or what is known where none comes.
-    pub async fn answer(&mut self) -> Result<Answer, Broken> {
+    pub async fn answer(&mut self) -> Result<Answered, Broken> {
         let answer = (&mut self.answer).await;
         self.done = true;
         answer.unwrap_or(Err(Broken { how: Break::Written, echo: false }))
@@ -235,6 +255,7 @@
         let (input, output) = split(stream);
         let line = Rc::new(Shared {
             pipe: RefCell::new(Pipe::new(depth)),
+            exchanges: RefCell::default(),
             queue: RefCell::default(),
             more: Notify::new(),
             waiting: RefCell::default(),
@@ -259,6 +280,7 @@
         let line = fits.min_by_key(|(_, l)| l.pipe.borrow().out()).map(|(_, l)| l.clone())?;
         let ticket = line.next.get();
         line.next.set(ticket + 1);
+        line.exchanges.borrow_mut().requested();
         line.pipe.borrow_mut().push(ticket, request.len() as u64, repeatable);
         let (told, answer) = oneshot::channel();
         line.waiting.borrow_mut().insert(ticket, told);
@@ -298,6 +320,7 @@
     fn line(pipe: Pipe<u64>, queued: &[(u64, &'static [u8])]) -> Shared {
         Shared {
             pipe: RefCell::new(pipe),
+            exchanges: RefCell::default(),
             queue: RefCell::new(queued.iter().map(|(t, b)| (*t, Bytes::from_static(b))).collect()),
             more: Notify::new(),
             waiting: RefCell::default(),
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Line;
 use super::network::{out_of_room, Net};
+use crate::attribution::{Audit, Counts, Fingerprint, Reuse, Sources};
 use crate::crowding::Holding;
 use crate::interface::Nanos;
 use crate::routing::EndpointId;
@@ -32,6 +33,11 @@
     /// What has waited longer is not to be used.
     trusted: Cell<Duration>,
     connect_timeout: Duration,
+    sources: RefCell<Sources>,
+    /// Counts answers, and checks what rests on them.
+    pub audit: Rc<RefCell<Audit>>,
+    /// What of it the log was told.
+    told: RefCell<Counts>,
 }
 
 /// A line that waits, and the kind of its next hop.
@@ -51,6 +57,37 @@
     OutOfRoom,
 }
 
+/// Why a line is closed by us, as the log tells it.
+#[derive(Clone, Copy, Debug)]
+enum Closed {
+    /// The other side had closed it, or something came on it without a call.
+    ByPeer,
+    /// It had waited as long as a line to such a next hop may.
+    Waited,
+    /// The list names another address.
+    Moved,
+    /// Its call had no answer that is known to be its own, or it was its last.
+    Spent,
+    /// Another one needs its place.
+    Replaced,
+    /// Nothing goes to its next hop any more.
+    Distrusted,
+}
+
+/// Why a line that waited is closed.
+fn why_closed(line: &Line) -> Closed {
+    if line.usable() {
+        Closed::Waited
+    } else {
+        Closed::ByPeer
+    }
+}
+
+fn log_closed(line: &Line, why: Closed) {
+    let (connection, requests) = (line.number(), line.exchanges.requests());
+    tracing::debug!(target: "routing", event = "connection-closed", connection, requests, ?why);
+}
+
 /// A line taken out of the pool; dropped, it closes.
 pub struct Lease {
     pool: Rc<Pool>,
@@ -62,10 +99,15 @@
     lives: Nanos,
     /// How long the line had waited in the pool; nothing for a new one.
     waited: Duration,
+    /// This call is to be the line's last.
+    is_last: bool,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
+        if let Some(line) = &self.line {
+            log_closed(line, Closed::Spent);
+        }
         self.pool.open.set(self.pool.open.get() - 1);
     }
 }
@@ -80,13 +122,35 @@
         self.waited
     }
 
+    /// Whether the next hop is to be asked to close the line behind this call.
+    pub fn is_last(&self) -> bool {
+        self.is_last
+    }
+
+    /// The answer to its call has come whole, and is known to be that.
+    pub fn answered(&mut self, answer: &Fingerprint) {
+        if let Some(line) = &mut self.line {
+            line.exchanges.answered(answer);
+        }
+        self.pool.sources.borrow_mut().known(self.endpoint, answer);
+    }
+
+    /// A success came that may belong to another call.
+    pub fn doubtful_success(&self) {
+        self.pool.doubtful_success(self.endpoint, self.is_last);
+    }
+
     /// A new line in place of the one it has.
     pub async fn renew(&mut self) -> Result<(), NoLease> {
-        (self.line, self.waited) = (None, Duration::ZERO);
+        (self.line, self.waited, self.is_last) = (None, Duration::ZERO, false);
         let pool = &self.pool;
         self.lives = pool.holding.borrow_mut().opened(pool.now());
         match Line::open(&pool.net, self.dial, pool.connect_timeout, ANSWER_MOST).await {
-            Ok(line) => self.line = Some(line),
+            Ok(line) => {
+                let (connection, endpoint) = (line.number(), self.endpoint);
+                tracing::debug!(target: "routing", event = "connection-opened", connection, endpoint, dial = %self.dial);
+                self.line = Some(line);
+            }
             Err(e) if out_of_room(&e) => {
                 pool.close_oldest();
                 return Err(NoLease::OutOfRoom);
@@ -96,10 +160,13 @@
         Ok(())
     }
 
-    /// Puts the line back for the next call.
+    /// Puts the line back for the next call, if it may carry one.
     pub fn give_back(mut self) {
-        if let Some(mut line) = self.line.take().filter(|_| self.pool.now() < self.lives) {
-            line.idle_since = Instant::now();
+        let now = self.pool.now();
+        let reuse = self.pool.sources.borrow().reuse(self.endpoint, true, now);
+        let keeps = !self.is_last && reuse != Reuse::No && now < self.lives;
+        if let Some(mut line) = self.line.take_if(|line| keeps && line.exchanges.in_step()) {
+            line.rest();
             self.pool.open.set(self.pool.open.get() + 1);
             let idle = Idle { dial: self.dial, kind: self.kind, lives: self.lives, line };
             self.pool.idle.borrow_mut().entry(self.endpoint).or_default().push(idle);
@@ -118,13 +185,37 @@
         let (idle, open, from) = (RefCell::default(), Cell::new(0), Instant::now());
         let holding = RefCell::new(Holding::new(keepalive.as_nanos() as Nanos, senders));
         let (trusted, sooner) = (Cell::new(keepalive), Notify::new());
-        Rc::new(Pool { net, idle, open, most, from, holding, sooner, trusted, connect_timeout })
+        let (sources, audit, told) = (RefCell::default(), Rc::default(), RefCell::default());
+        Rc::new(Pool {
+            net,
+            idle,
+            open,
+            most,
+            from,
+            holding,
+            sooner,
+            trusted,
+            connect_timeout,
+            sources,
+            audit,
+            told,
+        })
     }
 
     fn now(&self) -> Nanos {
         self.from.elapsed().as_nanos() as Nanos
     }
 
+    /// Whether calls to this next hop may go behind one another: their answers can be told apart, as far as is known.
+    pub fn may_pipeline(&self, endpoint: EndpointId) -> bool {
+        self.sources.borrow().reuse(endpoint, true, self.now()) == Reuse::Yes
+    }
+
+    /// A success came from this next hop that may belong to another call.
+    pub fn doubtful_success(&self, endpoint: EndpointId, asked_to_close: bool) {
+        self.sources.borrow_mut().doubtful_success(endpoint, asked_to_close, self.now());
+    }
+
     /// A next hop of this kind had no room for one more connection.
     pub fn turned_away(&self, kind: usize) {
         self.holding.borrow_mut().turned_away(kind, self.now());
@@ -136,36 +227,82 @@
         Duration::from_nanos(self.holding.borrow().of(kind, self.now()))
     }
 
-    /// A line to this next hop: the one used last of those that wait, else a new one.
+    /// A line to this next hop: the one used last of those that wait and may carry the call, else a new one.
     pub async fn lease(
         self: &Rc<Self>,
         endpoint: EndpointId,
         dial: SocketAddr,
         kind: usize,
+        repeatable: bool,
     ) -> Result<Lease, NoLease> {
         let held = self.held(kind).min(self.trusted.get());
-        while let Some(Idle { dial: at, line, lives, .. }) = self.pop(endpoint) {
+        let reuse = self.sources.borrow().reuse(endpoint, repeatable, self.now());
+        while let Some(Idle { dial: at, line, lives, .. }) = self.pop(endpoint, reuse, repeatable) {
             let waited = line.idle_since.elapsed().max(Duration::from_nanos(1));
+            let is_last = reuse == Reuse::AsLast;
             let mut lease =
-                Lease { pool: self.clone(), endpoint, dial, kind, lives, line: Some(line), waited };
+                Lease { pool: self.clone(), endpoint, dial, kind, lives, line: Some(line), waited, is_last };
             let fresh = |l: &Line| l.usable() && l.idle_since.elapsed() < held;
             if at == dial && lease.line.as_ref().is_some_and(fresh) {
                 return Ok(lease);
             }
-            lease.line = None;
+            if let Some(line) = lease.line.take() {
+                self.note_surplus(endpoint, &line);
+                log_closed(&line, if at == dial { why_closed(&line) } else { Closed::Moved });
+            }
+        }
+        if reuse == Reuse::No {
+            self.close_one(endpoint);
         }
         if self.open.get() >= self.most && !self.close_oldest() {
             return Err(NoLease::OutOfRoom);
         }
         self.open.set(self.open.get() + 1);
         let waited = Duration::ZERO;
-        let mut lease = Lease { pool: self.clone(), endpoint, dial, kind, lives: 0, line: None, waited };
+        let (pool, is_last) = (self.clone(), false);
+        let mut lease = Lease { pool, endpoint, dial, kind, lives: 0, line: None, waited, is_last };
         lease.renew().await?;
         Ok(lease)
     }
 
-    fn pop(&self, endpoint: EndpointId) -> Option<Idle> {
-        self.idle.borrow_mut().get_mut(&endpoint)?.pop()
+    fn pop(&self, endpoint: EndpointId, reuse: Reuse, repeatable: bool) -> Option<Idle> {
+        if reuse == Reuse::No {
+            return None;
+        }
+        let (mut idle, sources) = (self.idle.borrow_mut(), self.sources.borrow());
+        let lines = idle.get_mut(&endpoint)?;
+        let at = lines.iter().rposition(|idle| sources.may_carry(&idle.line.exchanges, repeatable))?;
+        Some(lines.remove(at))
+    }
+
+    /// Closes the line to this next hop that waits longest: another is opened in its place.
+    fn close_one(&self, endpoint: EndpointId) {
+        let mut idle = self.idle.borrow_mut();
+        if let Some(lines) = idle.get_mut(&endpoint).filter(|lines| !lines.is_empty()) {
+            log_closed(&lines.remove(0).line, Closed::Replaced);
+            self.open.set(self.open.get() - 1);
+        }
+    }
+
+    /// Whether something came on a line that waited.
+    fn note_surplus(&self, endpoint: EndpointId, line: &Line) {
+        if line.had_surplus() {
+            let connection = line.number();
+            tracing::warn!(target: "routing", event = "answer-surplus", connection, "an answer came without a call");
+            self.audit.borrow_mut().surplus();
+            self.sources.borrow_mut().surplus(endpoint, self.now());
+        }
+    }
+
+    /// Tells the log what of answers was counted, where some were not as they should be.
+    fn tell_counts(&self) {
+        let counts = self.audit.borrow().counts().clone();
+        let told = self.told.replace(counts.clone());
+        let odd = |c: &Counts| (c.doubtful.clone(), c.surplus, c.violations);
+        if odd(&counts) != odd(&told) {
+            let Counts { first, unlike, doubtful, surplus, violations } = counts;
+            tracing::info!(target: "routing", event = "answers", first, unlike, ?doubtful, surplus, violations);
+        }
     }
 
     fn close_oldest(&self) -> bool {
@@ -173,7 +310,7 @@
         let first = |(hop, lines): (&EndpointId, &Vec<Idle>)| Some((lines.first()?.line.idle_since, *hop));
         let Some((_, hop)) = idle.iter().filter_map(first).min() else { return false };
         if let Some(lines) = idle.get_mut(&hop) {
-            lines.remove(0);
+            log_closed(&lines.remove(0).line, Closed::Replaced);
             self.open.set(self.open.get() - 1);
         }
         true
@@ -193,6 +330,7 @@
     /// Closes what waits for this next hop.
     pub fn close_idle(&self, endpoint: EndpointId) {
         let lines = self.idle.borrow_mut().remove(&endpoint).unwrap_or_default();
+        lines.iter().for_each(|idle| log_closed(&idle.line, Closed::Distrusted));
         self.open.set(self.open.get() - lines.len());
     }
 
@@ -204,11 +342,19 @@
                 () = sleep_until(Instant::now() + step) => {}
                 () = self.sooner.notified() => {}
             }
+            self.tell_counts();
             let mut idle = self.idle.borrow_mut();
             let mut closed = 0;
-            for lines in idle.values_mut() {
+            for (endpoint, lines) in idle.iter_mut() {
                 let before = lines.len();
-                lines.retain(|i| i.line.usable() && i.line.idle_since.elapsed() < self.held(i.kind));
+                lines.retain(|i| {
+                    let keeps = i.line.usable() && i.line.idle_since.elapsed() < self.held(i.kind);
+                    if !keeps {
+                        self.note_surplus(*endpoint, &i.line);
+                        log_closed(&i.line, why_closed(&i.line));
+                    }
+                    keeps
+                });
                 closed += before - lines.len();
             }
             idle.retain(|_, lines| !lines.is_empty());
--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -389,7 +389,7 @@
                     }
                 }
                 let body: String = match ids.len() {
-                    1 => String::new(),
+                    1 => format!("{:016x}", ran.borrow().times.values().sum::<u32>()),
                     _ => ids.iter().map(|id| format!("{id} accepted\r\n")).collect(),
                 };
                 let whole = format!("HTTP/1.1 200 X\r\ncontent-length: {}\r\n\r\n{body}", body.len());
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -28,6 +28,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -110,6 +111,12 @@
 /// A call, its connection, and where that goes back for the next call.
 type Call = (Said, Halves, oneshot::Sender<Halves>);
 
+/// No two answers of next hops read alike, unless a script says so.
+fn receipt() -> u32 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 struct Hop {
     address: SocketAddr,
     arrived: UnboundedReceiver<Call>,
@@ -415,7 +422,8 @@
                 }
             }
             ["send", status, headers @ ..] => {
-                let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n");
+                let mut text =
+                    format!("HTTP/1.1 {status} X\r\nx-receipt: {}\r\ncontent-length: 0\r\n", receipt());
                 headers.iter().for_each(|h| text += &format!("{}\r\n", h.replace('=', ": ")));
                 piped.open.as_mut().unwrap().1.write_all(format!("{text}\r\n").as_bytes()).await.unwrap();
             }
@@ -586,7 +594,11 @@
                     hop.open.pop_front().unwrap_or_else(|| panic!("{place}: no call"));
                 let (headers, ends): (Vec<&str>, Vec<&str>) = rest.iter().partition(|w| w.contains('='));
                 let body: String = ends.chunks(2).map(|e| format!("{}\r\n", e.join(" "))).collect();
-                let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+                let mut text = format!(
+                    "HTTP/1.1 {status} X\r\nx-receipt: {}\r\ncontent-length: {}\r\n",
+                    receipt(),
+                    body.len()
+                );
                 headers.iter().for_each(|h| text += &format!("{}\r\n", h.replace('=', ": ")));
                 output.write_all(format!("{text}\r\n{body}").as_bytes()).await.unwrap();
                 back.send((input, output)).ok();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -102,6 +102,12 @@
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// A body that no answer had before, as the platform's endpoints give one to each call that they took.
+pub fn receipt() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Calls that a next hop took, by id.
 pub type Served = Told<BTreeMap<String, u32>>;
 
@@ -118,7 +124,7 @@
         let id =
             head.iter().find_map(|l| l.strip_prefix("x-request-id: ").or(l.strip_prefix("X-Request-ID: ")));
         told.tell(|t| *t.entry(id.unwrap().to_string()).or_default() += 1);
-        Some(ok(""))
+        Some(ok(&receipt()))
     });
     (address, served)
 }
--- a/tests/upgrade/crossings.rs
+++ b/tests/upgrade/crossings.rs
@@ -3,7 +3,7 @@
 use crate::callers::Callers;
 use crate::platform::{Process, Terms};
 use crate::scene::Scene;
-use crate::stand_ins::{message, serve, status, Served, ANSWERED};
+use crate::stand_ins::{message, ok, receipt, serve, status, Served, ANSWERED};
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
@@ -25,7 +25,7 @@
         while !let_go.load(Ordering::SeqCst) {
             sleep(Duration::from_millis(2));
         }
-        Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_string())
+        Some(ok(&receipt()))
     });
     (address, served, open)
 }
@@ -102,7 +102,7 @@
             }
             Some(told) => {
                 assert!(told.elapsed() >= WAIT, "called {:?} after it told to wait", told.elapsed());
-                Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_string())
+                Some(ok(&receipt()))
             }
         }
     });
