Wait for each acknowledgement of notices on a connection of its own

A second copy of a 204 on the kept connection to the platform made the next notice count as heard: its messages were neither delivered nor ended. All acknowledgements read alike, so no byte tells them apart; the agent is on the same machine, so each post now has a connection of its own, which it asks to close.

--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -8,6 +8,7 @@
 use crate::transport::Line;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::CONNECTION;
 use hyper::{Request, StatusCode};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -49,34 +50,26 @@
     })
 }
 
-/// Posts lines; `Ok` once the platform has acknowledged them, else the answer that it gave, if any.
-pub async fn post(
-    net: &Net,
-    agent: SocketAddr,
-    kept: &mut Option<Line>,
-    lines: String,
-) -> Result<(), Option<StatusCode>> {
+/// Posts lines; `Ok` once the platform has acknowledged them, else the answer that it gave, if any. All
+/// acknowledgements read alike, so each is waited for on a connection of its own, where no other can come.
+pub async fn post(net: &Net, agent: SocketAddr, lines: String) -> Result<(), Option<StatusCode>> {
     let told = async {
-        if !kept.as_ref().is_some_and(Line::usable) {
-            *kept = Some(Line::open(net, agent, PATIENCE, ANSWER_MOST).await.ok()?);
-        }
+        let mut line = Line::open(net, agent, PATIENCE, ANSWER_MOST).await.ok()?;
         let body = Bytes::from(lines);
         let len = body.len();
         let request = Request::post("/v1/notices")
             .header("host", agent.to_string())
             .header("content-type", "application/json")
+            .header(CONNECTION, "close")
             .body(Full::new(body))
             .ok()?;
-        let response = kept.as_mut()?.send(request, len).await.ok()?;
+        let response = line.send(request, len).await.ok()?;
         let status = response.status();
         read_body(response.into_body(), ANSWER_MOST).await?;
         Some(status)
     };
     match timeout(PATIENCE, told).await.ok().flatten() {
         Some(StatusCode::NO_CONTENT) => Ok(()),
-        other => {
-            *kept = None;
-            Err(other)
-        }
+        other => Err(other),
     }
 }
--- a/src/protocol/platform/ends.rs
+++ b/src/protocol/platform/ends.rs
@@ -35,7 +35,7 @@
 /// acknowledged: the address may change at any moment.
 async fn tell_agent(desk: &Rc<Desk<Platform>>, agent: SocketAddr) {
     let front = &desk.front;
-    let (mut line, mut most, mut failing) = (None, notices::MOST, false);
+    let (mut most, mut failing) = (notices::MOST, false);
     loop {
         let batch: Vec<TransactionNo> = front.owed.borrow().iter().take(most).copied().collect();
         if batch.is_empty() {
@@ -51,7 +51,7 @@
         }
         let told = match text.is_empty() {
             true => Ok(()),
-            false => notices::post(&front.net, agent, &mut line, text).await,
+            false => notices::post(&front.net, agent, text).await,
         };
         match told {
             Ok(()) => {
