Ask discovery for each list on a connection of its own

A second copy of an older list, or of an answer to an earlier watch, passed as the answer to the next question: endpoints that had left were called again. Each question now goes on a connection of its own; the rule that a kept connection may be closed under a question went with it. The attribution tests also force copies on batches of up to four messages, three ways, with nothing lost, called twice at once or out of turn.

--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -25,7 +25,6 @@
 
 use crate::fleet::{PollOutcome, PollSchedule};
 use crate::transport::network::Net;
-use crate::transport::Line;
 use backoff::Backoff;
 use request::{ask, Unheard};
 use std::net::SocketAddr;
@@ -85,14 +84,11 @@
     /// Follows the list at one address: the whole of it first, unless it is known, then its changes,
     /// or where that is too much for discovery the whole of it again and again.
     async fn follow(&self, agent: SocketAddr, schedule: &mut PollSchedule, mut seq: Option<u64>) {
-        let mut line = None;
         let mut trouble = Trouble::default();
         let mut backoff = Backoff::new(schedule.chances_apart());
         loop {
             let from = Instant::now();
-            // An idle connection may have been closed under the question: that is no sign of silence.
-            let kept = line.is_some();
-            let pause = match self.update(agent, &mut line, schedule, seq).await {
+            let pause = match self.update(agent, schedule, seq).await {
                 Ok(version) => {
                     trouble.over();
                     backoff.reset();
@@ -100,10 +96,6 @@
                     schedule.pause(PollOutcome::List, from.elapsed())
                 }
                 Err(unheard) => {
-                    line = None;
-                    if kept && !trouble.any() && may_be_closed(unheard) {
-                        continue;
-                    }
                     trouble.tell(unheard, self.limits.bytes);
                     pause_after(unheard, from.elapsed(), schedule, &mut backoff)
                 }
@@ -116,11 +108,10 @@
     async fn update(
         &self,
         agent: SocketAddr,
-        line: &mut Option<Line>,
         schedule: &PollSchedule,
         seq: Option<u64>,
     ) -> Result<u64, Unheard> {
-        let mut answer = ask(&self.net, agent, line, seq, schedule).await?;
+        let mut answer = ask(&self.net, agent, seq, schedule).await?;
         let asked = Instant::now();
         let mut draft = self.receiver.begin().await;
         answer.patience.excuse(asked.elapsed());
@@ -134,15 +125,6 @@
     }
 }
 
-/// Whether it is what comes of a question on a connection that the other side was about to close.
-fn may_be_closed(unheard: Unheard) -> bool {
-    match unheard {
-        Unheard::Silent => true,
-        Unheard::Unusable { fault, .. } => matches!(fault, ListFault::Cut { .. } | ListFault::Slow { .. }),
-        Unheard::Refused => false,
-    }
-}
-
 /// Before the next question, after one that was waited for so long.
 fn pause_after(
     unheard: Unheard,
--- a/src/protocol/discovery/request.rs
+++ b/src/protocol/discovery/request.rs
@@ -45,13 +45,15 @@
     body: Incoming,
     /// How long the rest is waited for.
     pub patience: Patience,
+    /// Open until the list has come.
+    _line: Line,
 }
 
-/// Asks for the list, or for its changes since `seq`, over `line` or a new one.
+/// Asks for the list, or for its changes since `seq`, on a connection of its own: an earlier list that came again would
+/// pass as the newer one.
 pub async fn ask(
     net: &Net,
     agent: SocketAddr,
-    line: &mut Option<Line>,
     seq: Option<u64>,
     schedule: &PollSchedule,
 ) -> Result<Answer, Unheard> {
@@ -62,12 +64,9 @@
             (format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis()), hold)
         }
     };
-    if !line.as_ref().is_some_and(Line::usable) {
-        // The body is counted as it is read, so that its size can be told.
-        let opened = Line::open(net, agent, CONNECTED, usize::MAX).await;
-        *line = Some(opened.map_err(|_| Unheard::Silent)?);
-    }
-    let line = line.as_mut().ok_or(Unheard::Silent)?;
+    // The body is counted as it is read, so that its size can be told.
+    let opened = Line::open(net, agent, CONNECTED, usize::MAX).await;
+    let mut line = opened.map_err(|_| Unheard::Silent)?;
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
     let request = request.map_err(|_| Unheard::Silent)?;
     let patience = Patience::new(hold, schedule.patience());
@@ -80,7 +79,7 @@
         Err(refusal.map_or(Unheard::Silent, |_| Unheard::Refused))
     });
     let body = answered.await.unwrap_or(Err(Unheard::Silent))?;
-    Ok(Answer { body, patience })
+    Ok(Answer { body, patience, _line: line })
 }
 
 impl Answer {
--- a/tests/attribution/endpoint.rs
+++ b/tests/attribution/endpoint.rs
@@ -57,6 +57,8 @@
     calls: BTreeMap<String, Calls>,
     pub violations: Violations,
     pub copies_sent: u32,
+    /// Calls with several messages.
+    pub batches: u32,
 }
 
 impl Record {
@@ -106,6 +108,21 @@
     }
 }
 
+/// The messages of a call, by their ids.
+fn ids(head: &[String], body: &[u8]) -> Vec<String> {
+    if let Some(id) = head.iter().find_map(|line| line.strip_prefix("x-request-id: ")) {
+        return vec![id.to_string()];
+    }
+    let (mut ids, mut rest) = (Vec::new(), std::str::from_utf8(body).unwrap());
+    while let Some((line, more)) = rest.split_once("\r\n") {
+        let words: Vec<&str> = line.split(' ').collect();
+        let length: usize = words[2].parse().unwrap();
+        ids.push(words[0].to_string());
+        rest = &more[length + 2..];
+    }
+    ids
+}
+
 /// A draw from a span of milliseconds, both ends included.
 fn millis(rng: &mut ChaCha8Rng, from: u64, to: u64) -> Duration {
     Duration::from_millis(from + u64::from(rng.next_u32()) % (to - from + 1))
@@ -169,22 +186,25 @@
         stream.set_nodelay(true).ok();
         let mut input = BufReader::new(stream.try_clone().unwrap());
         let mut pending: Option<Vec<u8>> = None;
-        while let Some((head, _)) = request(&mut input) {
+        while let Some((head, body)) = request(&mut input) {
             if let Some(copy) = pending.take() {
                 self.write_at_request(copy);
             }
-            let id = head.iter().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap().to_string();
+            let ids = ids(&head, &body);
             let ended = self.ended.tell(|ended| ended.clone());
             let refuses = self.from.elapsed() > PLAIN_FOR && chance(&mut self.rng, 5);
             self.record.tell(|record| {
-                record.begin(&id, &stream, &ended);
-                record.calls.get_mut(&id).unwrap().ran += u32::from(!refuses);
+                for id in &ids {
+                    record.begin(id, &stream, &ended);
+                    record.calls.get_mut(id).unwrap().ran += u32::from(!refuses);
+                }
+                record.batches += u32::from(ids.len() > 1);
             });
             sleep(if refuses { millis(&mut self.rng, 1, 4) } else { millis(&mut self.rng, 20, 90) });
             let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
-            let answer = self.answer(refuses, closes);
+            let answer = self.answer(&ids, refuses, closes);
             // Counted before it is written: what follows from it comes at once.
-            self.record.tell(|record| record.end(&id, &stream, !refuses));
+            self.record.tell(|record| ids.iter().for_each(|id| record.end(id, &stream, !refuses)));
             if self.write(&answer).is_err() {
                 return;
             }
@@ -199,13 +219,14 @@
         }
     }
 
-    fn answer(&self, refuses: bool, closes: bool) -> Vec<u8> {
+    fn answer(&self, ids: &[String], refuses: bool, closes: bool) -> Vec<u8> {
         let close = if closes { "Connection: close\r\n" } else { "" };
         if refuses {
             let line = "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.02\r\n";
             return format!("{line}{close}Content-Length: 0\r\n\r\n").into_bytes();
         }
         let body = match self.nature.receipts {
+            _ if ids.len() > 1 => ids.iter().map(|id| format!("{id} accepted\r\n")).collect(),
             true => format!("{:016x}", self.receipt.fetch_add(1, Ordering::SeqCst)),
             false => String::new(),
         };
--- a/tests/attribution/main.rs
+++ b/tests/attribution/main.rs
@@ -1,6 +1,7 @@
 //! Second copies of answers, on calls to a real process of the program: no message may be lost, run again, called twice at
 //! once or go out of its turn because the answer to another was taken for its own.
 
+mod agent;
 #[path = "../upgrade/callers.rs"]
 mod callers;
 mod endpoint;
@@ -10,10 +11,11 @@
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 
+use agent::Agent;
 use callers::{Callers, Traffic};
 use endpoint::{Copies, Endpoint, Nature, Violations};
-use platform::{Platform, Terms};
-use stand_ins::{entry, folder, Discovery};
+use platform::{free_address, Platform, Process, Terms};
+use stand_ins::{entry, folder, hop, Discovery};
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
@@ -31,33 +33,37 @@
 /// One process starts at a time: the address of its console was free a moment before.
 static STARTING: Mutex<()> = Mutex::new(());
 
+fn start(platform: &Platform) -> Process {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    platform.start_ready()
+}
+
 /// What came of a run.
 #[derive(Debug)]
 #[allow(dead_code)]
 struct Seen {
     taken: usize,
     copies: u32,
+    batches: u32,
     connections: usize,
     lost: BTreeSet<String>,
     violations: Violations,
 }
 
 /// Eight callers of one class, or three of each, before one relay with one endpoint.
-fn run(classes: &[&'static str], nature: Nature) -> Seen {
+fn run(classes: &[&'static str], terms: &Terms, nature: Nature) -> Seen {
     let discovery = Discovery::start(String::new());
     let endpoint = Endpoint::start(nature, discovery.ended.clone());
     let known = entry("h", endpoint.address, "active");
     discovery.list(&known);
-    let platform = Platform::new(&folder(), &Terms::default(), discovery.address, &known);
-    let starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
-    let _process = platform.start_ready();
-    drop(starting);
+    let platform = Platform::new(&folder(), terms, discovery.address, &known);
+    let _process = start(&platform);
     let count = if classes.len() == 1 { 8 } else { 3 };
-    let start = |class: &&'static str| {
+    let call = |class: &&'static str| {
         let traffic = Traffic { class, time_ms: TIME_MS, in_order: *class == "update", pause: PAUSE };
         Callers::start_with(count, platform.address, traffic)
     };
-    let callers: Vec<Callers> = classes.iter().map(start).collect();
+    let callers: Vec<Callers> = classes.iter().map(call).collect();
     sleep(SERVED_FOR);
     let taken: BTreeSet<String> = callers.into_iter().flat_map(|callers| callers.stop().taken).collect();
     sleep(SETTLED_WITHIN);
@@ -65,6 +71,7 @@
     let seen = endpoint.record.tell(|record| Seen {
         taken: taken.len(),
         copies: record.copies_sent,
+        batches: record.batches,
         connections: endpoint.connections.load(std::sync::atomic::Ordering::SeqCst),
         lost: taken.iter().filter(|id| !record.is_delivered(id) && !ended.contains(*id)).cloned().collect(),
         violations: record.violations.clone(),
@@ -81,13 +88,16 @@
     let runs: Vec<_> = classes
         .into_iter()
         .flat_map(|classes| [false, true].map(|receipts| (classes, Nature { copies, receipts, seed: 1 })))
-        .map(|(classes, nature)| std::thread::spawn(move || run(classes, nature)))
+        .map(|(classes, nature)| std::thread::spawn(move || run(classes, &Terms::default(), nature)))
         .collect();
-    for seen in runs.into_iter().map(|run| run.join().unwrap()) {
-        assert!(seen.taken > 300, "{seen:?}");
-        assert!(copies == Copies::Never || seen.copies > 10, "{seen:?}");
-        assert_eq!((&seen.lost, &seen.violations), (&BTreeSet::new(), &Violations::default()), "{seen:?}");
-    }
+    runs.into_iter().for_each(|run| judge(&run.join().unwrap(), copies));
+}
+
+/// Something was seen, copies too where they are sent, and no rule was broken.
+fn judge(seen: &Seen, copies: Copies) {
+    assert!(seen.taken > 300, "{seen:?}");
+    assert!(copies == Copies::Never || seen.copies > 10, "{seen:?}");
+    assert_eq!((&seen.lost, &seen.violations), (&BTreeSet::new(), &Violations::default()), "{seen:?}");
 }
 
 /// Guards the oracle: without copies it has nothing to say.
@@ -125,3 +135,64 @@
 fn a_copy_in_two_parts_is_not_the_answer_of_the_next_call() {
     holds(Copies::InTwoParts);
 }
+
+/// Guards batches: an answer that names none of a call's messages leaves open whether they ran, and its connection goes
+/// with it.
+#[test]
+fn a_copy_on_a_batch_does_not_have_it_called_again_beside_itself() {
+    let terms = Terms { slots: 3, per_call: 4, ..Terms::default() };
+    let spans = [Copies::AtTheNextRequest(0, 12), Copies::Behind(1, 30), Copies::WithTheAnswer];
+    std::thread::scope(|scope| {
+        for copies in spans {
+            let terms = &terms;
+            scope.spawn(move || {
+                let nature = Nature { copies, receipts: true, seed: 2 };
+                let seen = run(&["status", "update"], terms, nature);
+                assert!(seen.batches > 50, "{seen:?}");
+                judge(&seen, copies);
+            });
+        }
+    });
+}
+
+/// Guards ends from a second copy of an acknowledgement: the notice that it seemed to answer was never heard.
+#[test]
+fn a_copy_of_an_acknowledgement_ends_no_other_message() {
+    // Nobody is there: each message is given up in its time.
+    let known = entry("h", free_address(), "active");
+    let agent = Agent::start(&known);
+    let platform = Platform::new(&folder(), &Terms::default(), agent.address, &known);
+    let _process = start(&platform);
+    let traffic = Traffic { class: "notice", time_ms: 500, in_order: false, pause: PAUSE };
+    let callers = Callers::start_with(8, platform.address, traffic);
+    sleep(Duration::from_secs(3));
+    let taken = callers.stop().taken;
+    assert!(taken.len() > 20, "{taken:?}");
+    let all = agent.ended.until(Duration::from_secs(3), |ended| taken.is_subset(ended));
+    let unheard = agent.ended.tell(|ended| taken.difference(ended).count());
+    assert!(all.is_some(), "{unheard} of {} ends were never heard", taken.len());
+    std::fs::remove_dir_all(&platform.dir).ok();
+}
+
+/// Guards drains and removals from a second copy of an older list: an endpoint that has left stays away.
+#[test]
+fn a_copy_of_an_older_list_brings_no_endpoint_back() {
+    let (old, old_served) = hop("127.0.0.1:0");
+    let (new, new_served) = hop("127.0.0.1:0");
+    let known = entry("old", old, "active");
+    let agent = Agent::start(&known);
+    let platform = Platform::new(&folder(), &Terms::default(), agent.address, &known);
+    let _process = start(&platform);
+    let traffic = Traffic { class: "status", time_ms: TIME_MS, in_order: false, pause: PAUSE };
+    let callers = Callers::start_with(4, platform.address, traffic);
+    sleep(Duration::from_secs(1));
+    agent.change(&entry("new", new, "active"));
+    sleep(Duration::from_secs(2));
+    let before = old_served.tell(|served| served.len());
+    sleep(Duration::from_secs(2));
+    callers.stop();
+    let after = old_served.tell(|served| served.len());
+    assert!(before > 0 && new_served.tell(|served| served.len()) > 50);
+    assert_eq!(after, before, "calls went to an endpoint that had left");
+    std::fs::remove_dir_all(&platform.dir).ok();
+}
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -20,6 +20,8 @@
 pub struct Terms {
     pub descriptors: usize,
     pub slots: usize,
+    /// Messages that may share a call.
+    pub per_call: usize,
     pub services: &'static str,
     /// Whether processes inherit the listening socket.
     pub inherit: bool,
@@ -34,7 +36,7 @@
 
 impl Default for Terms {
     fn default() -> Terms {
-        Terms { descriptors: 256, slots: 32, services: SERVICES, inherit: true }
+        Terms { descriptors: 256, slots: 32, per_call: 1, services: SERVICES, inherit: true }
     }
 }
 
@@ -70,11 +72,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let listener = terms.inherit.then_some(listener);
-        let (descriptors, slots, services) = (terms.descriptors, terms.slots, terms.services);
+        let Terms { descriptors, slots, per_call, services, .. } = *terms;
         let config = format!(
             r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"1",
 "limits":{{"sockets":{descriptors},"disk_mb":3}},"known":{},
-"settings":{{"azs":["z"],"kinds":["k"],"fleet_size":1,"domain":{{"calls_out":{slots},"per_call":[1]}},
+"settings":{{"azs":["z"],"kinds":["k"],"fleet_size":1,"domain":{{"calls_out":{slots},"per_call":[{per_call}]}},
 "limits":{{"max_open":4000,"most_tries":8,"retry_after":true,"max_retry_after":3000000000,"keepalive":10000000000}},
 "rules":{{"cold_share":1.0,"fall":1500000000,"overload_factor":1000.0,"warm_up":100000000,"key_rest":100000000}},
 "services":[{services}]}}}}"#,
