Let an outcome speak only of the attempt that it names

It now counts only for an attempt that is out; one that says that a message is over without that is logged as outcome-violation. No way to reach it was found: the module keeps an attempt until its outcome is told.

--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -88,15 +88,20 @@
         let size = self.former.ended(now, hop, replies.len(), served.then_some(took), pressure);
         for (attempt, reply) in replies {
             let no = attempt.transaction;
-            self.begun.remove(&(no, attempt.number));
+            let was_out = self.begun.remove(&(no, attempt.number)).is_some();
             let Some(t) = self.transactions.get_mut(no) else { continue };
+            if !was_out && reply.settles() {
+                let text = format!("an attempt that is not out was said to be over: {}", t.id);
+                self.work.notes.push(Note::new("outcome-violation", text));
+            }
             let ran = !reply.outcome().never_ran();
             if let Reply::Rejected { reason } = reply {
                 t.reason = *reason;
             }
             // Given up meanwhile: with an answer that settles it, it is over, whether its end was told or not.
             let ending = t.ending;
-            if let Some(out) = t.out.take() {
+            // The outcome of another attempt says nothing of the one that is out now.
+            if let Some(out) = t.out.take_if(|_| was_out) {
                 t.may_have_run = t.may_have_run.or(Some(out).filter(|_| ran));
                 if !reply.settles() {
                     self.note(now, no, &Record::Back { may_have_run: ran });
