--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -328,6 +328,25 @@
     );
 }
 
+/// Guards calls behind one another from a second copy of the answer to the first: it ends none of those behind, which
+/// go again on connections of their own.
+#[test]
+fn a_copy_in_mid_line_is_not_the_answer_of_the_next_call() {
+    let answer = "HTTP/1.1 200 OK\\r\\ncontent-length: 0\\r\\n\\r\\n";
+    play(&format!(
+        "operator batching {{ ; next-hop b1 {{ ; depth 8 ; }} ; }}
+         relay start
+         piped b1
+         caller x take /safe id=p1 dest=2 timeout=28000m
+         caller x take /safe id=p2 dest=2 timeout=28000m
+         piped b1 expect p1,p2
+         piped b1 cut {answer}{answer}
+         piped b1 expect p2 in 0..50
+         piped b1 send 200
+         agent expect nothing 10000"
+    ));
+}
+
 /// Guards answers that come out of order or to nobody: nothing on such a line can be trusted, so what is out may
 /// have run.
 #[test]
