Keep the address of a hop that comes later from outgoing connections

Cause, by reading: outgoing connections of the tests and the relay take their ports from the same range on 127.0.0.1, more of them since each question to discovery has a connection of its own. The hop is now on 127.77.0.1, from which nothing is sent. What the test asks is unchanged.

--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -86,8 +86,8 @@
 /// discovery is silent, and delivers each message once as soon as there is somebody to take it.
 #[test]
 fn what_a_kill_leaves_untried_is_delivered_once_by_a_relay_that_is_ready_at_once() {
-    // Nobody listens at the hop's address yet, but it is taken.
-    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    // Nobody listens at the hop's address yet, and no outgoing connection takes its port: those come from 127.0.0.1.
+    let held = TcpListener::bind("127.77.0.1:0").unwrap();
     let dial = held.local_addr().unwrap();
     drop(held);
     let discovery = Discovery::start(entry("h", dial, "active"));
