Have the next process settle what a killed one had taken on, in the tests of upgrades

Cause: the test killed the last process and then asked that what it had taken on be delivered, with no process left to do so. A message whose 202 was written but whose call was not out yet could never settle.

The two halves that stood twice in this file are one function each.

--- a/tests/upgrade/kills.rs
+++ b/tests/upgrade/kills.rs
@@ -1,7 +1,7 @@
 //! Kills at each moment of an upgrade: the one process serves on, or the next start loses nothing.
 
 use crate::callers::Callers;
-use crate::platform::{Terms, KILLED_AFTER};
+use crate::platform::{Process, Terms, KILLED_AFTER};
 use crate::scene::Scene;
 use rustix::process::Signal;
 use std::collections::BTreeSet;
@@ -33,22 +33,43 @@
         }
     }
 
-    /// What was taken on is delivered, each message once. `kills`: calls that were out then may have been lost.
-    fn ends(self, killed: bool) {
+    /// What was taken on is delivered, each message once, and no request was left without its answer.
+    fn delivers_all(self) {
         let mut taken = BTreeSet::new();
         for outcomes in self.callers.into_iter().map(Callers::stop) {
-            if !killed {
-                assert!(outcomes.unanswered.is_empty(), "read and not answered: {:?}", outcomes.unanswered);
-            }
+            assert!(outcomes.unanswered.is_empty(), "read and not answered: {:?}", outcomes.unanswered);
             taken.extend(outcomes.taken);
         }
-        match killed {
-            false => self.scene.all_served_once(&taken),
-            true => self.scene.all_settled(&taken),
-        }
+        self.scene.all_served_once(&taken);
+    }
+
+    /// The process that serves now settles what was taken on, by those killed before it too: calls that were out at a kill
+    /// may have been lost.
+    fn settles_all(self, _serving: Process) {
+        let taken = self.callers.into_iter().flat_map(|callers| callers.stop().taken).collect();
+        self.scene.all_settled(&taken);
+    }
+
+    /// The process that serves now is killed, and the next one settles what was taken on.
+    fn settles_all_after_a_kill(self, mut serving: Process) {
+        serving.kill();
+        let next = self.scene.platform.start_ready();
+        self.goes_on();
+        self.settles_all(next);
     }
 }
 
+/// Callers of a process that serves, and a start beside it that began so many milliseconds ago.
+fn start_beside(ms: u64) -> (Watched, Process, Process) {
+    let scene = Scene::new(&Terms::default());
+    let serving = scene.platform.start_ready();
+    let watched = Watched::start(scene);
+    watched.goes_on();
+    let new = watched.scene.platform.start();
+    sleep(Duration::from_millis(ms));
+    (watched, serving, new)
+}
+
 /// Guards the process that serves from one that is killed before it can take over, at any moment of its start.
 #[test]
 fn a_new_process_killed_before_its_yes_takes_nothing_along() {
@@ -64,8 +85,7 @@
     }
     let next = watched.scene.platform.upgrade(serving);
     watched.goes_on();
-    drop(next);
-    watched.ends(true);
+    watched.settles_all_after_a_kill(next);
 }
 
 /// Guards callers from a new process that is killed right after it has taken over: the old one takes back what it handed
@@ -86,24 +106,18 @@
     }
     let last = watched.scene.platform.upgrade(serving);
     watched.goes_on();
-    drop(last);
-    watched.ends(true);
+    watched.settles_all_after_a_kill(last);
 }
 
 /// Guards a start that waits for a process which is killed meanwhile: it serves what that one left.
 #[test]
 fn an_old_process_killed_while_the_new_one_starts_leaves_all_to_it() {
     for ms in [0, 5, 10, 20, 40] {
-        let scene = Scene::new(&Terms::default());
-        let mut serving = scene.platform.start_ready();
-        let watched = Watched::start(scene);
-        watched.goes_on();
-        let new = watched.scene.platform.start();
-        sleep(Duration::from_millis(ms));
+        let (watched, mut serving, new) = start_beside(ms);
         serving.kill();
         assert!(new.ready().is_some(), "{:?}", new.log.tell(|l| l.clone()));
         watched.goes_on();
-        watched.ends(true);
+        watched.settles_all(new);
     }
 }
 
@@ -111,17 +125,9 @@
 #[test]
 fn a_start_after_both_processes_were_killed_loses_nothing() {
     for ms in [0, 5, 10, 20, 40] {
-        let scene = Scene::new(&Terms::default());
-        let mut old = scene.platform.start_ready();
-        let watched = Watched::start(scene);
-        watched.goes_on();
-        let mut new = watched.scene.platform.start();
-        sleep(Duration::from_millis(ms));
+        let (watched, mut old, new) = start_beside(ms);
         old.kill();
-        new.kill();
-        let _next = watched.scene.platform.start_ready();
-        watched.goes_on();
-        watched.ends(true);
+        watched.settles_all_after_a_kill(new);
     }
 }
 
@@ -129,17 +135,12 @@
 #[test]
 fn a_process_told_to_end_while_another_takes_over_hands_over_all() {
     for ms in [0, 3, 6, 10, 20] {
-        let scene = Scene::new(&Terms::default());
-        let mut serving = scene.platform.start_ready();
-        let watched = Watched::start(scene);
-        watched.goes_on();
-        let new = watched.scene.platform.start();
-        sleep(Duration::from_millis(ms));
+        let (watched, mut serving, new) = start_beside(ms);
         serving.signal(Signal::TERM);
         assert!(new.ready().is_some(), "{:?}", new.log.tell(|l| l.clone()));
         let ended = serving.ends_within(KILLED_AFTER);
         assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
         watched.goes_on();
-        watched.ends(false);
+        watched.delivers_all();
     }
 }
