--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -148,7 +148,7 @@
 
     fn distrust(&self, endpoint: EndpointId) {
         self.pool.close_idle(endpoint);
-        self.pipelines.rest(endpoint);
+        self.pipelines.suspend(endpoint);
     }
 
     fn trust(&self, idle: Nanos) {
@@ -159,9 +159,9 @@
 impl Platform {
     /// Carries a call on a connection that takes several behind one another.
     async fn pipe(&self, passage: Passage<'_, Self>, piping: Piping, longest: Nanos) -> Carried {
-        let (hop, lines) = (passage.hop, &self.pipelines);
+        let (hop, pipelines) = (passage.hop, &self.pipelines);
         let from = passage.desk.clock.now();
-        let ready = lines.ready(hop.id, hop.address, piping.repeatable, piping.depth, piping.lines);
+        let ready = pipelines.ready(hop.id, hop.address, piping.repeatable, piping.depth, piping.connections);
         let ready = tokio::select! {
             ready = ready => ready,
             () = passage.cancelled() => return passage.all(Outcome::NotSent),
@@ -177,11 +177,11 @@
         let Some(request) = hook::wire(hop.address, &letters, left).filter(|_| !letters.is_empty()) else {
             return Carried::default();
         };
-        let Some(mut seat) = lines.seat(hop.id, hop.address, piping.repeatable, request) else {
+        let Some(mut pending) = pipelines.send(hop.id, hop.address, piping.repeatable, request) else {
             return Carried::each(&letters, Reply::Ended(Outcome::NotSent));
         };
         let answer = tokio::select! {
-            answer = seat.answer() => answer,
+            answer = pending.answer() => answer,
             () = sleep(Duration::from_nanos(left)) => return Carried::each(&letters, Reply::Ended(Outcome::TimedOut)),
             () = passage.cancelled() => return Carried::each(&letters, Reply::Ended(Outcome::Cancelled)),
         };
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -172,6 +172,6 @@
     pub fn piping(&self, call: &Call) -> Option<Piping> {
         let depth = self.former.terms(call.endpoint).depth;
         let repeatable = self.is_repeatable(call);
-        (depth > 1).then(|| Piping { depth, lines: self.slots.div_ceil(depth), repeatable })
+        (depth > 1).then(|| Piping { depth, connections: self.slots.div_ceil(depth), repeatable })
     }
 }
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -111,7 +111,7 @@
     /// Calls on a connection.
     pub depth: usize,
     /// Connections, as long as they suffice.
-    pub lines: usize,
+    pub connections: usize,
     /// It may go behind others, and others behind it.
     pub repeatable: bool,
 }
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline/connection.rs
@@ -1,26 +1,22 @@
-//! HTTP/1.1 connections on which calls go out behind one another, to next hops that take several. What may go next
-//! and what is known of each at the end is decided by `batching::pipe`.
+//! One HTTP/1.1 connection on which calls go out behind one another.
 
-use super::answer::{parse, Answer, Unreadable};
-use super::connection::ANSWER_WITHIN;
-use super::network::{out_of_room, Net, Stream};
-use super::pool::NoLease;
 use crate::attribution::{Exchanges, Fingerprint, Verdict};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
-use crate::routing::EndpointId;
+use crate::transport::answer::{parse, Answer, Unreadable};
+use crate::transport::connection::ANSWER_WITHIN;
+use crate::transport::network::Stream;
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{split, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
-/// Why a call has none. `echo`: another call on the same line has told of this break already.
+/// Why a call has no answer. `echo`: another call on the same connection has told of this break already.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Broken {
     pub how: Break,
@@ -30,45 +26,103 @@
 /// An answer, and whether it is known to be that of the call that hears it.
 pub type Answered = (Answer, Verdict);
 
-type Told = oneshot::Sender<Result<Answered, Broken>>;
+type AnswerSender = oneshot::Sender<Result<Answered, Broken>>;
 
-/// A line and the calls on it.
-struct Shared {
+/// A connection and the calls on it.
+pub(super) struct Connection {
     pipe: RefCell<Pipe<u64>>,
     exchanges: RefCell<Exchanges>,
     /// Calls of which not a byte has been written.
     queue: RefCell<VecDeque<(u64, Bytes)>>,
     more: Notify,
-    waiting: RefCell<HashMap<u64, Told>>,
+    waiting: RefCell<HashMap<u64, AnswerSender>>,
     next: Cell<u64>,
     idle_since: Cell<Instant>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
-impl Shared {
-    /// The line ends: each call that is out hears what is known of it.
-    fn end(&self, how: Break) {
+impl Connection {
+    /// One that takes up to `depth` calls, on this stream.
+    pub(super) fn start(stream: Stream, depth: usize) -> Rc<Connection> {
+        let (input, output) = split(stream);
+        let connection = Rc::new(Connection {
+            pipe: RefCell::new(Pipe::new(depth)),
+            exchanges: RefCell::default(),
+            queue: RefCell::default(),
+            more: Notify::new(),
+            waiting: RefCell::default(),
+            next: Cell::new(0),
+            idle_since: Cell::new(Instant::now()),
+            tasks: RefCell::default(),
+        });
+        let tasks = [
+            spawn_local(connection.clone().write(output)).abort_handle(),
+            spawn_local(connection.clone().read(input)).abort_handle(),
+        ];
+        connection.tasks.borrow_mut().extend(tasks);
+        connection
+    }
+
+    /// Calls that are out.
+    pub(super) fn out(&self) -> usize {
+        self.pipe.borrow().out()
+    }
+
+    /// Whether calls may go on it, now or once others have their answers.
+    pub(super) fn is_open(&self) -> bool {
+        self.pipe.borrow().is_open()
+    }
+
+    pub(super) fn has_ended(&self) -> bool {
+        self.pipe.borrow().has_ended()
+    }
+
+    /// Whether a call may go on it now.
+    pub(super) fn may_take(&self, repeatable: bool) -> bool {
+        self.pipe.borrow().may_take(repeatable)
+    }
+
+    /// Since when it has had no answer.
+    pub(super) fn idle_for(&self) -> Duration {
+        self.idle_since.get().elapsed()
+    }
+
+    /// Puts a call behind those that are out.
+    pub(super) fn send(self: Rc<Self>, request: Bytes, repeatable: bool) -> PendingCall {
+        let ticket = self.next.get();
+        self.next.set(ticket + 1);
+        self.exchanges.borrow_mut().requested();
+        self.pipe.borrow_mut().push(ticket, request.len() as u64, repeatable);
+        let (sender, answer) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        self.queue.borrow_mut().push_back((ticket, request));
+        self.more.notify_one();
+        PendingCall { connection: self, ticket, answer, done: false }
+    }
+
+    /// The connection ends: each call that is out hears what is known of it.
+    pub(super) fn end(&self, how: Break) {
         if self.pipe.borrow().has_ended() {
             return;
         }
         let broke = self.pipe.borrow_mut().broke(how);
         self.queue.borrow_mut().clear();
         for (i, (ticket, how)) in broke.into_iter().enumerate() {
-            if let Some(told) = self.waiting.borrow_mut().remove(&ticket) {
-                told.send(Err(Broken { how, echo: i > 0 })).ok();
+            if let Some(sender) = self.waiting.borrow_mut().remove(&ticket) {
+                sender.send(Err(Broken { how, echo: i > 0 })).ok();
             }
         }
         self.tasks.borrow().iter().for_each(AbortHandle::abort);
     }
 
-    /// What has not begun does not go any more. A partner may have answered a call before it was written: that one
-    /// is off the line already.
-    fn withdraw(&self) {
+    /// What has not begun does not go any more. An endpoint may have answered a call before it was written: that one
+    /// is out no more.
+    pub(super) fn withdraw(&self) {
         let queued = std::mem::take(&mut *self.queue.borrow_mut());
         for (ticket, bytes) in queued.into_iter().rev() {
             self.pipe.borrow_mut().take_back(ticket, bytes.len() as u64);
-            if let Some(told) = self.waiting.borrow_mut().remove(&ticket) {
-                told.send(Err(Broken { how: Break::Unwritten, echo: true })).ok();
+            if let Some(sender) = self.waiting.borrow_mut().remove(&ticket) {
+                sender.send(Err(Broken { how: Break::Unwritten, echo: true })).ok();
             }
         }
     }
@@ -118,8 +172,8 @@
                     let Some((ticket, waited)) = answered else { return self.end(Break::Unreadable) };
                     self.idle_since.set(Instant::now());
                     let verdict = self.judge(&answer);
-                    if let Some(told) = self.waiting.borrow_mut().remove(&ticket).filter(|_| waited) {
-                        told.send(Ok((answer, verdict))).ok();
+                    if let Some(sender) = self.waiting.borrow_mut().remove(&ticket).filter(|_| waited) {
+                        sender.send(Ok((answer, verdict))).ok();
                     }
                     if !verdict.is_known() {
                         return self.end(Break::Cancelled);
@@ -149,15 +203,15 @@
     }
 }
 
-/// A call on a line; dropped before its answer, it is given up.
-pub struct Seat {
-    line: Rc<Shared>,
+/// A call on a connection; dropped before its answer, it is given up.
+pub struct PendingCall {
+    connection: Rc<Connection>,
     ticket: u64,
     answer: oneshot::Receiver<Result<Answered, Broken>>,
     done: bool,
 }
 
-impl Seat {
+impl PendingCall {
     /// The answer, once it has come whole, or what is known where none comes.
     pub async fn answer(&mut self) -> Result<Answered, Broken> {
         let answer = (&mut self.answer).await;
@@ -166,137 +220,15 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for PendingCall {
     fn drop(&mut self) {
         if self.done {
             return;
         }
-        self.line.waiting.borrow_mut().remove(&self.ticket);
-        let given_up = self.line.pipe.borrow_mut().give_up(self.ticket);
+        self.connection.waiting.borrow_mut().remove(&self.ticket);
+        let given_up = self.connection.pipe.borrow_mut().give_up(self.ticket);
         if given_up == GivenUp::Now {
-            self.line.end(Break::Cancelled);
-        }
-    }
-}
-
-/// The lines to one next hop, each with the address that it was opened to.
-type Lines = Vec<(SocketAddr, Rc<Shared>)>;
-
-/// All lines to next hops that take calls behind one another.
-pub struct Pipelines {
-    net: Net,
-    lines: RefCell<HashMap<EndpointId, Lines>>,
-    opening: RefCell<HashMap<EndpointId, usize>>,
-    connect_timeout: Duration,
-    keepalive: Duration,
-}
-
-impl Pipelines {
-    pub fn new(net: Net, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
-        let (lines, opening) = (RefCell::default(), RefCell::default());
-        Pipelines { net, lines, opening, connect_timeout, keepalive }
-    }
-
-    /// Makes sure that there is a line on which a call may go, which `seat` takes then without a pause: an idle one,
-    /// else a new one while there are fewer than `most`, else the one with the fewest calls out.
-    pub async fn ready(
-        &self,
-        hop: EndpointId,
-        dial: SocketAddr,
-        repeatable: bool,
-        depth: usize,
-        most: usize,
-    ) -> Result<(), NoLease> {
-        loop {
-            let (best, open) = self.best(hop, dial, repeatable);
-            let opening = self.opening.borrow().get(&hop).copied().unwrap_or(0);
-            match best {
-                Some(out) if out == 0 || open + opening >= most.max(1) => return Ok(()),
-                None if open + opening >= most.max(1) + usize::from(!repeatable) => {
-                    // All lines are full, or hold what this may not follow: it goes when one has room.
-                    tokio::time::sleep(Duration::from_millis(1)).await;
-                }
-                _ => return self.open(hop, dial, depth).await,
-            }
-        }
-    }
-
-    fn best(&self, hop: EndpointId, dial: SocketAddr, repeatable: bool) -> (Option<usize>, usize) {
-        let mut lines = self.lines.borrow_mut();
-        let Some(lines) = lines.get_mut(&hop) else { return (None, 0) };
-        lines.retain(|(at, line)| {
-            let pipe = line.pipe.borrow();
-            let stale = pipe.out() == 0 && (*at != dial || line.idle_since.get().elapsed() >= self.keepalive);
-            let keep = !pipe.has_ended() && !stale && (pipe.is_open() || pipe.out() > 0);
-            drop(pipe);
-            if stale {
-                line.end(Break::Cancelled);
-            }
-            keep
-        });
-        let open = lines.iter().filter(|(_, l)| l.pipe.borrow().is_open()).count();
-        let fits = lines.iter().filter(|(at, l)| *at == dial && l.pipe.borrow().may_take(repeatable));
-        (fits.map(|(_, l)| l.pipe.borrow().out()).min(), open)
-    }
-
-    async fn open(&self, hop: EndpointId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
-        *self.opening.borrow_mut().entry(hop).or_default() += 1;
-        let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
-        let mut opening = self.opening.borrow_mut();
-        if let Some(n) = opening.get_mut(&hop) {
-            *n -= 1;
-        }
-        opening.retain(|_, n| *n > 0);
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) if out_of_room(&e) => return Err(NoLease::OutOfRoom),
-            _ => return Err(NoLease::NotUp),
-        };
-        let (input, output) = split(stream);
-        let line = Rc::new(Shared {
-            pipe: RefCell::new(Pipe::new(depth)),
-            exchanges: RefCell::default(),
-            queue: RefCell::default(),
-            more: Notify::new(),
-            waiting: RefCell::default(),
-            next: Cell::new(0),
-            idle_since: Cell::new(Instant::now()),
-            tasks: RefCell::default(),
-        });
-        let tasks = [
-            spawn_local(line.clone().write(output)).abort_handle(),
-            spawn_local(line.clone().read(input)).abort_handle(),
-        ];
-        line.tasks.borrow_mut().extend(tasks);
-        self.lines.borrow_mut().entry(hop).or_default().push((dial, line));
-        Ok(())
-    }
-
-    /// Puts a call on the line that `ready` found; `None` where it is gone meanwhile.
-    pub fn seat(&self, hop: EndpointId, dial: SocketAddr, repeatable: bool, request: Bytes) -> Option<Seat> {
-        let lines = self.lines.borrow();
-        let fits =
-            lines.get(&hop)?.iter().filter(|(at, l)| *at == dial && l.pipe.borrow().may_take(repeatable));
-        let line = fits.min_by_key(|(_, l)| l.pipe.borrow().out()).map(|(_, l)| l.clone())?;
-        let ticket = line.next.get();
-        line.next.set(ticket + 1);
-        line.exchanges.borrow_mut().requested();
-        line.pipe.borrow_mut().push(ticket, request.len() as u64, repeatable);
-        let (told, answer) = oneshot::channel();
-        line.waiting.borrow_mut().insert(ticket, told);
-        line.queue.borrow_mut().push_back((ticket, request));
-        line.more.notify_one();
-        Some(Seat { line, ticket, answer, done: false })
-    }
-
-    /// Nothing new goes to this next hop, and nothing that has not begun; lines without a call close.
-    pub fn rest(&self, hop: EndpointId) {
-        let lines = self.lines.borrow_mut().remove(&hop).unwrap_or_default();
-        for (_, line) in lines {
-            line.withdraw();
-            if line.pipe.borrow().out() == 0 {
-                line.end(Break::Cancelled);
-            }
+            self.connection.end(Break::Cancelled);
         }
     }
 }
@@ -317,8 +249,8 @@
         Ok(answers)
     }
 
-    fn line(pipe: Pipe<u64>, queued: &[(u64, &'static [u8])]) -> Shared {
-        Shared {
+    fn connection(pipe: Pipe<u64>, queued: &[(u64, &'static [u8])]) -> Connection {
+        Connection {
             pipe: RefCell::new(pipe),
             exchanges: RefCell::default(),
             queue: RefCell::new(queued.iter().map(|(t, b)| (*t, Bytes::from_static(b))).collect()),
@@ -338,10 +270,10 @@
         pipe.push(1, 2, true);
         pipe.push(2, 3, true);
         assert_eq!(pipe.answered(false), Some((1, true)));
-        let line = line(pipe, &[(1, b"ab"), (2, b"cde")]);
-        line.withdraw();
-        assert!(line.queue.borrow().is_empty());
-        assert_eq!(line.pipe.borrow().out(), 0);
+        let connection = connection(pipe, &[(1, b"ab"), (2, b"cde")]);
+        connection.withdraw();
+        assert!(connection.queue.borrow().is_empty());
+        assert_eq!(connection.out(), 0);
     }
 
     /// Guards answers behind one another: each ends where it says, in lengths or chunks, and what leaves its end open
--- /dev/null
+++ b/src/transport/pipeline/mod.rs
@@ -0,0 +1,129 @@
+//! HTTP/1.1 connections on which calls go out behind one another, to endpoints that take several. What may go next
+//! and what is known of each at the end is decided by `batching::pipe`.
+
+mod connection;
+
+pub use connection::{Answered, Broken, PendingCall};
+
+use super::network::{out_of_room, Net};
+use super::pool::NoLease;
+use crate::batching::fate::Break;
+use crate::routing::EndpointId;
+use bytes::Bytes;
+use connection::Connection;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Between two looks for room on connections that are all full.
+const FULL_PAUSE: Duration = Duration::from_millis(1);
+
+/// The connections to one endpoint, each with the address that it was opened to.
+type Connections = Vec<(SocketAddr, Rc<Connection>)>;
+
+/// All connections to endpoints that take calls behind one another.
+pub struct Pipelines {
+    net: Net,
+    connections: RefCell<HashMap<EndpointId, Connections>>,
+    opening: RefCell<HashMap<EndpointId, usize>>,
+    connect_timeout: Duration,
+    keepalive: Duration,
+}
+
+impl Pipelines {
+    pub fn new(net: Net, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
+        let (connections, opening) = (RefCell::default(), RefCell::default());
+        Pipelines { net, connections, opening, connect_timeout, keepalive }
+    }
+
+    /// Makes sure that there is a connection on which a call may go, which `send` takes then without a pause: an idle
+    /// one, else a new one while there are fewer than `most`, else the one with the fewest calls out.
+    pub async fn ready(
+        &self,
+        endpoint: EndpointId,
+        dial: SocketAddr,
+        repeatable: bool,
+        depth: usize,
+        most: usize,
+    ) -> Result<(), NoLease> {
+        loop {
+            let (fewest_out, open) = self.usable(endpoint, dial, repeatable);
+            let opening = self.opening.borrow().get(&endpoint).copied().unwrap_or(0);
+            match fewest_out {
+                Some(out) if out == 0 || open + opening >= most.max(1) => return Ok(()),
+                None if open + opening >= most.max(1) + usize::from(!repeatable) => {
+                    // All are full, or hold what this may not follow: it goes when one has room.
+                    sleep(FULL_PAUSE).await;
+                }
+                _ => return self.open(endpoint, dial, depth).await,
+            }
+        }
+    }
+
+    /// The fewest calls that are out on a connection that may take one more, and how many connections are open.
+    fn usable(&self, endpoint: EndpointId, dial: SocketAddr, repeatable: bool) -> (Option<usize>, usize) {
+        let mut connections = self.connections.borrow_mut();
+        let Some(connections) = connections.get_mut(&endpoint) else { return (None, 0) };
+        connections.retain(|(at, connection)| {
+            let is_stale = connection.out() == 0 && (*at != dial || connection.idle_for() >= self.keepalive);
+            let keep = !connection.has_ended() && !is_stale && (connection.is_open() || connection.out() > 0);
+            if is_stale {
+                connection.end(Break::Cancelled);
+            }
+            keep
+        });
+        let open = connections.iter().filter(|(_, connection)| connection.is_open()).count();
+        let fits =
+            connections.iter().filter(|(at, connection)| *at == dial && connection.may_take(repeatable));
+        (fits.map(|(_, connection)| connection.out()).min(), open)
+    }
+
+    async fn open(&self, endpoint: EndpointId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
+        *self.opening.borrow_mut().entry(endpoint).or_default() += 1;
+        let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
+        let mut opening = self.opening.borrow_mut();
+        if let Some(n) = opening.get_mut(&endpoint) {
+            *n -= 1;
+        }
+        opening.retain(|_, n| *n > 0);
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if out_of_room(&e) => return Err(NoLease::OutOfRoom),
+            _ => return Err(NoLease::NotUp),
+        };
+        let connection = Connection::start(stream, depth);
+        self.connections.borrow_mut().entry(endpoint).or_default().push((dial, connection));
+        Ok(())
+    }
+
+    /// Sends a call on the connection that `ready` found; `None` where that is gone meanwhile.
+    pub fn send(
+        &self,
+        endpoint: EndpointId,
+        dial: SocketAddr,
+        repeatable: bool,
+        request: Bytes,
+    ) -> Option<PendingCall> {
+        let connections = self.connections.borrow();
+        let fits = connections
+            .get(&endpoint)?
+            .iter()
+            .filter(|(at, connection)| *at == dial && connection.may_take(repeatable));
+        let (_, connection) = fits.min_by_key(|(_, connection)| connection.out())?;
+        Some(connection.clone().send(request, repeatable))
+    }
+
+    /// Nothing new goes to this endpoint, and nothing that has not begun; connections without a call close.
+    pub fn suspend(&self, endpoint: EndpointId) {
+        let connections = self.connections.borrow_mut().remove(&endpoint).unwrap_or_default();
+        for (_, connection) in connections {
+            connection.withdraw();
+            if connection.out() == 0 {
+                connection.end(Break::Cancelled);
+            }
+        }
+    }
+}
