Ask the second account about answers on pipelines too, and log them with their connection

Both kinds of call now go through one function, call::admitted, which knows of an answer its verdict and the ordinal of its request on the connection.

--- a/src/attribution/audit.rs
+++ b/src/attribution/audit.rs
@@ -45,11 +45,11 @@
     }
 
     /// Whether an outcome that says that a message is over, or that it never ran, may rest on an answer that was judged
-    /// so, on a connection that carried `requests` requests. Counts a violation where it may not.
-    pub fn admits(&mut self, verdict: Option<Verdict>, requests: usize) -> bool {
+    /// so, where its request was the `request`th of its connection, from 1. Counts a violation where it may not.
+    pub fn admits(&mut self, verdict: Option<Verdict>, request: usize) -> bool {
         let sound = match verdict {
-            Some(Verdict::Known(Proof::First)) => requests == 1,
-            Some(Verdict::Known(Proof::Unlike)) => requests > 1,
+            Some(Verdict::Known(Proof::First)) => request == 1,
+            Some(Verdict::Known(Proof::Unlike)) => request > 1,
             Some(Verdict::Doubtful(_)) | None => false,
         };
         self.counts.violations += u64::from(!sound);
--- a/src/attribution/mod.rs
+++ b/src/attribution/mod.rs
@@ -121,11 +121,16 @@
 
     /// Whether every request has had an answer that was known to be its own, so that another may be written.
     pub fn in_step(&self) -> bool {
-        self.answers == self.requests && self.answers < ANSWERS_MOST
+        self.answers == self.requests && self.has_room()
+    }
+
+    /// Whether the answer to one more request could be remembered.
+    pub fn has_room(&self) -> bool {
+        self.requests < ANSWERS_MOST
     }
 
     /// Whether every answer so far was a success: a refusal would be the first one and so known for certain.
-    fn only_successes(&self) -> bool {
+    pub fn only_successes(&self) -> bool {
         self.statuses.iter().all(|status| *status == fingerprint::SUCCESS)
     }
 }
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -62,7 +62,7 @@
 }
 
 /// What remains of an answer that may be another call's: the wait that it tells binds, and that is all.
-pub(super) fn doubtful(carried: &Carried, letters: &[Letter]) -> Carried {
+fn doubtful(carried: &Carried, letters: &[Letter]) -> Carried {
     let waits = carried.replies.iter().map(|(_, reply)| match reply {
         Reply::Ended(Outcome::Full { wait }) => *wait,
         _ => 0,
@@ -151,25 +151,17 @@
     pool: &Rc<Pool>,
 ) -> Carried {
     let Exchanged { mut carried, verdict, status, rest } = exchanged;
-    let requests = lease.line().map_or(0, |line| line.exchanges.requests());
+    let request = lease.line().map_or(0, |line| line.exchanges.requests());
+    // Where there is no verdict there is no answer, and only what the system says of the connection counts.
     if let Some(verdict) = verdict {
-        pool.audit.borrow_mut().judged(verdict);
-        if !verdict.is_known() {
-            carried = doubtful(&carried, letters);
-            if status == Some(StatusCode::OK) {
-                lease.doubtful_success();
-            }
+        carried = admitted(carried, verdict, request, endpoint, letters, pool);
+        if status == Some(StatusCode::OK) && !verdict.is_known() {
+            lease.doubtful_success();
         }
     }
-    // Where there is no verdict there is no answer, and only what the system says of the connection counts.
-    let rests = verdict.is_some() && carried.replies.iter().any(|(_, reply)| is_proof(reply));
-    if rests && !pool.audit.borrow_mut().admits(verdict, requests) {
-        let hop = endpoint.name.as_str();
-        tracing::error!(target: "routing", event = "attribution-violation", hop, ?verdict, requests);
-        carried = doubtful(&carried, letters);
-    }
     carried.idle = Some(lease.waited().as_nanos() as Nanos);
-    log_call(endpoint, letters, &mut lease, &carried, verdict);
+    let connection = lease.line().map_or(0, |line| line.number());
+    log_call(endpoint, letters, (connection, request), &carried, verdict);
     let says = |outcome| carried.replies.iter().any(|(_, reply)| *reply == Reply::Ended(outcome));
     if says(Outcome::Crowded) {
         pool.turned_away(endpoint.kind);
@@ -188,6 +180,29 @@
     carried
 }
 
+/// What may rest on an answer that was judged so, to the `request`th request of its connection, from 1.
+pub(super) fn admitted(
+    carried: Carried,
+    verdict: Verdict,
+    request: usize,
+    endpoint: &Endpoint,
+    letters: &[Letter],
+    pool: &Pool,
+) -> Carried {
+    let mut audit = pool.audit.borrow_mut();
+    audit.judged(verdict);
+    if !verdict.is_known() {
+        return doubtful(&carried, letters);
+    }
+    let rests = carried.replies.iter().any(|(_, reply)| is_proof(reply));
+    if rests && !audit.admits(Some(verdict), request) {
+        let hop = endpoint.name.as_str();
+        tracing::error!(target: "routing", event = "attribution-violation", hop, ?verdict, request);
+        return doubtful(&carried, letters);
+    }
+    carried
+}
+
 /// Whether a reply says that nothing more is owed, or that the message never ran.
 fn is_proof(reply: &Reply) -> bool {
     reply.settles() || reply.outcome().never_ran()
@@ -207,10 +222,10 @@
 
 /// Tells in the log how a call ended, on which connection and as its how manyth request: at level debug, and where its
 /// answer may be another call's as a warning.
-fn log_call(
+pub(super) fn log_call(
     endpoint: &Endpoint,
     letters: &[Letter],
-    lease: &mut Lease,
+    (connection, request): (u64, usize),
     carried: &Carried,
     verdict: Option<Verdict>,
 ) {
@@ -220,8 +235,6 @@
     }
     let hop = endpoint.name.as_str();
     let ids: Vec<&str> = letters.iter().map(|l| l.id.as_str()).collect();
-    let (connection, request) =
-        lease.line().map_or((0, 0), |line| (line.number(), line.exchanges.requests()));
     let replies: Vec<&Reply> = carried.replies.iter().map(|(_, reply)| reply).collect();
     match verdict {
         Some(Verdict::Doubtful(doubt)) => {
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -7,7 +7,7 @@
 pub use ends::tell_ends;
 pub use intake::answer;
 
-use call::{conclude, doubtful, exchange, meant, unanswered};
+use call::{admitted, conclude, exchange, log_call, meant, unanswered};
 
 use super::hook;
 use crate::batching::fate::{fate, Break, Fate};
@@ -17,7 +17,7 @@
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
 use crate::transport::connection::Unsent;
 use crate::transport::network::Net;
-use crate::transport::pipeline::{Broken, Pipelines};
+use crate::transport::pipeline::{Answered, Broken, Pipelines};
 use crate::transport::pool::NoLease;
 use crate::transport::Pool;
 use hyper::StatusCode;
@@ -84,7 +84,7 @@
         let from = passage.desk.clock.now();
         let hop = passage.hop;
         let piping = passage.desk.see(|core| core.piping(passage.call));
-        if let Some(piping) = piping.filter(|_| self.pool.may_pipeline(hop.id)) {
+        if let Some(piping) = piping.filter(|_| self.pool.may_pipeline(hop.id, true)) {
             return self.pipe(passage, piping, longest).await;
         }
         let repeatable = passage.desk.see(|core| core.is_repeatable(passage.call));
@@ -186,16 +186,14 @@
             () = passage.cancelled() => return Carried::each(&letters, Reply::Ended(Outcome::Cancelled)),
         };
         match answer {
-            Ok((answer, verdict)) => {
+            Ok(Answered { answer, verdict, connection, request }) => {
                 let carried = meant(answer.status, &answer.headers, &answer.body, &letters);
-                self.pool.audit.borrow_mut().judged(verdict);
-                if verdict.is_known() {
-                    return carried;
-                }
-                if answer.status == StatusCode::OK {
+                if answer.status == StatusCode::OK && !verdict.is_known() {
                     self.pool.doubtful_success(hop.id, false);
                 }
-                doubtful(&carried, &letters)
+                let carried = admitted(carried, verdict, request, hop, &letters, &self.pool);
+                log_call(hop, &letters, (connection, request), &carried, Some(verdict));
+                carried
             }
             Err(Broken { how, echo }) => {
                 let outcome = match (fate(how), how) {
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -194,8 +194,11 @@
     Perhaps,
 }
 
-/// The number that the next connection of this process gets in the log.
-static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+/// The number that a new connection of this process gets in the log.
+pub(super) fn next_number() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
 
 /// A connection that carries one request at a time. Dropped, it closes at once, whatever is out on it.
 pub struct Line {
@@ -225,7 +228,7 @@
             let shaken = builder.handshake(TokioIo::new(stream)).await;
             let (sender, connection) = shaken.map_err(io::Error::other)?;
             let task = spawn_local(async move { drop(connection.await) }).abort_handle();
-            let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+            let number = next_number();
             let exchanges = Exchanges::default();
             Ok(Line { number, exchanges, sender, tap, task, idle_since: Instant::now() })
         };
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -4,7 +4,7 @@
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
 use crate::transport::answer::{parse, Answer, Unreadable};
-use crate::transport::connection::ANSWER_WITHIN;
+use crate::transport::connection::{next_number, ANSWER_WITHIN};
 use crate::transport::network::Stream;
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
@@ -23,13 +23,24 @@
     pub echo: bool,
 }
 
-/// An answer, and whether it is known to be that of the call that hears it.
-pub type Answered = (Answer, Verdict);
+/// An answer, as the call hears it whose turn it was.
+#[derive(Debug)]
+pub struct Answered {
+    pub answer: Answer,
+    /// Whether it is known to be that of the call.
+    pub verdict: Verdict,
+    /// The connection's number in the log.
+    pub connection: u64,
+    /// The call's request was so manyth of its connection, from 1.
+    pub request: usize,
+}
 
 type AnswerSender = oneshot::Sender<Result<Answered, Broken>>;
 
 /// A connection and the calls on it.
 pub(super) struct Connection {
+    /// Its number in the log.
+    number: u64,
     pipe: RefCell<Pipe<u64>>,
     exchanges: RefCell<Exchanges>,
     /// Calls of which not a byte has been written.
@@ -46,6 +57,7 @@
     pub(super) fn start(stream: Stream, depth: usize) -> Rc<Connection> {
         let (input, output) = split(stream);
         let connection = Rc::new(Connection {
+            number: next_number(),
             pipe: RefCell::new(Pipe::new(depth)),
             exchanges: RefCell::default(),
             queue: RefCell::default(),
@@ -173,7 +185,9 @@
                     self.idle_since.set(Instant::now());
                     let verdict = self.judge(&answer);
                     if let Some(sender) = self.waiting.borrow_mut().remove(&ticket).filter(|_| waited) {
-                        sender.send(Ok((answer, verdict))).ok();
+                        let request = ticket as usize + 1;
+                        let connection = self.number;
+                        sender.send(Ok(Answered { answer, verdict, connection, request })).ok();
                     }
                     if !verdict.is_known() {
                         return self.end(Break::Cancelled);
@@ -251,6 +265,7 @@
 
     fn connection(pipe: Pipe<u64>, queued: &[(u64, &'static [u8])]) -> Connection {
         Connection {
+            number: 0,
             pipe: RefCell::new(pipe),
             exchanges: RefCell::default(),
             queue: RefCell::new(queued.iter().map(|(t, b)| (*t, Bytes::from_static(b))).collect()),
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -206,9 +206,10 @@
         self.from.elapsed().as_nanos() as Nanos
     }
 
-    /// Whether calls to this next hop may go behind one another: their answers can be told apart, as far as is known.
-    pub fn may_pipeline(&self, endpoint: EndpointId) -> bool {
-        self.sources.borrow().reuse(endpoint, true, self.now()) == Reuse::Yes
+    /// Whether a call to this next hop may go on a connection with many others: their answers can be told apart, as far as
+    /// is known.
+    pub fn may_pipeline(&self, endpoint: EndpointId, repeatable: bool) -> bool {
+        self.sources.borrow().reuse(endpoint, repeatable, self.now()) == Reuse::Yes
     }
 
     /// A success came from this next hop that may belong to another call.
@@ -284,13 +285,17 @@
         }
     }
 
+    /// An answer came without a call.
+    pub fn surplus(&self, endpoint: EndpointId) {
+        tracing::warn!(target: "routing", event = "answer-surplus", endpoint, "an answer came without a call");
+        self.audit.borrow_mut().surplus();
+        self.sources.borrow_mut().surplus(endpoint, self.now());
+    }
+
     /// Whether something came on a line that waited.
     fn note_surplus(&self, endpoint: EndpointId, line: &Line) {
         if line.had_surplus() {
-            let connection = line.number();
-            tracing::warn!(target: "routing", event = "answer-surplus", connection, "an answer came without a call");
-            self.audit.borrow_mut().surplus();
-            self.sources.borrow_mut().surplus(endpoint, self.now());
+            self.surplus(endpoint);
         }
     }
 
--- a/tests/attribution/main.rs
+++ b/tests/attribution/main.rs
@@ -156,6 +156,24 @@
     });
 }
 
+/// Guards calls behind one another on a connection: a copy ends none of those that are out behind the call that it answers.
+#[test]
+fn a_copy_on_a_pipeline_is_not_the_answer_of_a_call_behind() {
+    let operator = "batching {\nnext-hop h {\ndepth 4\n}\n}";
+    let terms = Terms { slots: 64, operator, ..Terms::default() };
+    let spans =
+        [Copies::Never, Copies::AtTheNextRequest(0, 12), Copies::Behind(1, 30), Copies::WithTheAnswer];
+    std::thread::scope(|scope| {
+        for (copies, receipts) in spans.into_iter().flat_map(|copies| [(copies, false), (copies, true)]) {
+            let terms = &terms;
+            scope.spawn(move || {
+                let nature = Nature::new(copies, receipts, 3);
+                judge(&run(&["notice", "status", "update"], terms, nature), copies);
+            });
+        }
+    });
+}
+
 /// Guards ends from a second copy of an acknowledgement: the notice that it seemed to answer was never heard.
 #[test]
 fn a_copy_of_an_acknowledgement_ends_no_other_message() {
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -23,6 +23,8 @@
     /// Messages that may share a call.
     pub per_call: usize,
     pub services: &'static str,
+    /// The operator's own file.
+    pub operator: &'static str,
     /// Whether processes inherit the listening socket.
     pub inherit: bool,
 }
@@ -36,7 +38,7 @@
 
 impl Default for Terms {
     fn default() -> Terms {
-        Terms { descriptors: 256, slots: 32, per_call: 1, services: SERVICES, inherit: true }
+        Terms { descriptors: 256, slots: 32, per_call: 1, services: SERVICES, operator: "", inherit: true }
     }
 }
 
@@ -83,6 +85,7 @@
             whole(&(1, known.to_string()))
         );
         std::fs::write(dir.join("c.json"), config).unwrap();
+        std::fs::write(dir.join("relay.conf"), terms.operator).unwrap();
         Platform { listener, address, dir: dir.to_path_buf(), descriptors }
     }
 
@@ -97,7 +100,9 @@
 
     pub fn start_with(&self, more: impl FnOnce(&mut Command) -> &mut Command) -> Process {
         let inherited = if self.listener.is_some() { "3<&0" } else { "" };
-        self.start_by(&format!("exec \"$0\" serve {inherited} 0</dev/null"), more)
+        let operator = self.dir.join("relay.conf");
+        let operator = operator.display();
+        self.start_by(&format!("exec \"$0\" serve --operator \"{operator}\" {inherited} 0</dev/null"), more)
     }
 
     /// Starts one by a line of the shell, to which the listening socket comes as standard input.
