Let what may not be repeated follow no refusal on a pipeline

What callers saw: where an endpoint takes calls behind one another, a dues charge that it refused could be told as failed, never called again. Cause: a call that may not be repeated went on a connection that had carried a refusal; its own, honest one read like that, so its answer was doubtful, the charge might have run, and it was given up. On connections with one call at a time such calls avoid this; pipelines had no such rule (the same class: proof not known to be this call's).

Such a call now goes only on a connection whose answers were all successes, and on pipelines at all only where successes are known to differ; where all connections are taken up, one without a call is closed to make room.

Test: what_may_not_be_repeated_follows_no_refusal_on_a_pipeline, which failed before ('no other connection'; played on, the relay told the charge as failed). The script of calls_go_behind_one_another takes the next connection for the call behind the charge: the charge goes on one of its own while nothing is known of the endpoint's answers.

--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -84,7 +84,7 @@
         let from = passage.desk.clock.now();
         let hop = passage.hop;
         let piping = passage.desk.see(|core| core.piping(passage.call));
-        if let Some(piping) = piping.filter(|_| self.pool.may_pipeline(hop.id, true)) {
+        if let Some(piping) = piping.filter(|p| self.pool.may_pipeline(hop.id, p.repeatable)) {
             return self.pipe(passage, piping, longest).await;
         }
         let repeatable = passage.desk.see(|core| core.is_repeatable(passage.call));
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -89,9 +89,11 @@
         self.pipe.borrow().has_ended()
     }
 
-    /// Whether a call may go on it now.
+    /// Whether a call may go on it now: its answer has to be known for its own, whatever it says, where it may not be
+    /// repeated.
     pub(super) fn may_take(&self, repeatable: bool) -> bool {
-        self.pipe.borrow().may_take(repeatable)
+        let is_telling = repeatable || self.exchanges.borrow().only_successes();
+        is_telling && self.pipe.borrow().may_take(repeatable)
     }
 
     /// Since when it has had no answer.
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -56,7 +56,9 @@
                 Some(out) if out == 0 || open + opening >= most.max(1) => return Ok(()),
                 None if open + opening >= most.max(1) + usize::from(!repeatable) => {
                     // All are full, or hold what this may not follow: it goes when one has room.
-                    sleep(FULL_PAUSE).await;
+                    if !self.close_idle(endpoint) {
+                        sleep(FULL_PAUSE).await;
+                    }
                 }
                 _ => return self.open(endpoint, dial, depth).await,
             }
@@ -81,6 +83,14 @@
         (fits.map(|(_, connection)| connection.out()).min(), open)
     }
 
+    /// Closes a connection without a call, which makes room for another.
+    fn close_idle(&self, endpoint: EndpointId) -> bool {
+        let connections = self.connections.borrow();
+        let mut connections = connections.get(&endpoint).into_iter().flatten();
+        let idle = connections.find(|(_, connection)| connection.is_open() && connection.out() == 0);
+        idle.inspect(|(_, connection)| connection.end(Break::Cancelled)).is_some()
+    }
+
     async fn open(&self, endpoint: EndpointId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
         *self.opening.borrow_mut().entry(endpoint).or_default() += 1;
         let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -281,6 +281,7 @@
          caller x take /safe id=p4 dest=2 timeout=28000m
          wait 5
          piped b1 send 200
+         piped b1 other in 0..50
          piped b1 expect p4
          piped b1 send 200
          agent expect nothing 10000",
@@ -367,6 +368,31 @@
     );
 }
 
+/// Guards what may not be repeated from a connection that carried a refusal: another refusal would read like it, and leave
+/// open whether the message ran.
+#[test]
+fn what_may_not_be_repeated_follows_no_refusal_on_a_pipeline() {
+    let refusal = "HTTP/1.1 429 X\\r\\nretry-after: 1\\r\\ncontent-length: 0\\r\\n\\r\\n";
+    play(&format!(
+        "operator batching {{ ; next-hop b1 {{ ; depth 8 ; }} ; }}
+         relay start
+         piped b1
+         caller x take /safe id=p1 dest=2 timeout=28000m
+         piped b1 expect p1
+         piped b1 write {refusal}
+         piped b1 expect p1
+         piped b1 send 200
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
+         piped b1 other
+         piped b1 expect u1
+         piped b1 write {refusal}
+         piped b1 other
+         piped b1 expect u1
+         piped b1 send 200
+         agent expect nothing 10000"
+    ));
+}
+
 /// What the partners of a seeded run saw.
 #[derive(Default)]
 struct Ran {
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -427,7 +427,15 @@
                 headers.iter().for_each(|h| text += &format!("{}\r\n", h.replace('=', ": ")));
                 piped.open.as_mut().unwrap().1.write_all(format!("{text}\r\n").as_bytes()).await.unwrap();
             }
-            ["other"] => piped.open = piped.streams.recv().await.map(|a| split(a.stream)),
+            ["other", ..] => {
+                let opened = timeout(Duration::from_secs(60), piped.streams.recv()).await.ok().flatten();
+                let opened = opened.unwrap_or_else(|| panic!("{place}: no other connection"));
+                piped.open = Some(split(opened.stream));
+            }
+            ["write", text @ ..] => {
+                let text = text.join(" ").replace("\\r\\n", "\r\n");
+                piped.open.as_mut().unwrap().1.write_all(text.as_bytes()).await.unwrap();
+            }
             ["cut", text @ ..] => {
                 let (_, mut output) = piped.open.take().unwrap();
                 let text = text.join(" ").replace("\\r\\n", "\r\n");
