Remember an endpoint that answers nobody on a pipeline as one that answers twice

Cause: an answer that came while no call was out on a connection with calls behind one another ended the connection, and was neither counted as surplus nor remembered, as it is on connections with one call at a time. The next calls went behind one another again, to an endpoint of which it was known that its answers come twice; each doubt then ends all calls behind.

It is counted and remembered for both kinds now, so that calls go on connections of their own for a minute. One whose status no answer had before does not count: it may speak of the connection itself, as 408 does.

Test: after_an_answer_to_nobody_each_call_has_its_connection, which failed before (the next call came on the same connection, and on another only 800 ms later, when its attempt had timed out).

--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -142,7 +142,7 @@
     let connect = Duration::from_nanos(config.connect_timeout);
     let most = door.ledger().kept(Purse::Calls);
     let pool = Pool::new(drawing(Purse::Calls), most, keepalive, config.settings.senders, connect);
-    let pipelines = Pipelines::new(drawing(Purse::Calls), keepalive, connect);
+    let pipelines = Pipelines::new(drawing(Purse::Calls), pool.clone(), keepalive, connect);
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
     let classes = Classes {
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -50,11 +50,13 @@
     next: Cell<u64>,
     idle_since: Cell<Instant>,
     tasks: RefCell<Vec<AbortHandle>>,
+    /// Hears of an answer that came twice.
+    on_surplus: Box<dyn Fn()>,
 }
 
 impl Connection {
-    /// One that takes up to `depth` calls, on this stream.
-    pub(super) fn start(stream: Stream, depth: usize) -> Rc<Connection> {
+    /// One that takes up to `depth` calls, on this stream; `on_surplus` is called for an answer that came twice.
+    pub(super) fn start(stream: Stream, depth: usize, on_surplus: Box<dyn Fn()>) -> Rc<Connection> {
         let (input, output) = split(stream);
         let connection = Rc::new(Connection {
             number: next_number(),
@@ -66,6 +68,7 @@
             next: Cell::new(0),
             idle_since: Cell::new(Instant::now()),
             tasks: RefCell::default(),
+            on_surplus,
         });
         let tasks = [
             spawn_local(connection.clone().write(output)).abort_handle(),
@@ -141,6 +144,13 @@
         }
     }
 
+    /// An answer came without a call. One with a status of its own may well speak of the connection, as 408 does.
+    fn note_surplus(&self, answer: &Answer) {
+        if !self.exchanges.borrow().is_new_status(answer.status.as_u16()) {
+            (self.on_surplus)();
+        }
+    }
+
     /// Whether an answer is known to be that of the oldest call that is out.
     fn judge(&self, answer: &Answer) -> Verdict {
         let print = Fingerprint::of_head(answer.status, &answer.headers).with_body(&answer.body);
@@ -183,7 +193,10 @@
                     announced |= closes;
                     whole_by = (!buffer.is_empty()).then(|| Instant::now() + ANSWER_WITHIN);
                     let answered = self.pipe.borrow_mut().answered(closes);
-                    let Some((ticket, waited)) = answered else { return self.end(Break::Unreadable) };
+                    let Some((ticket, waited)) = answered else {
+                        self.note_surplus(&answer);
+                        return self.end(Break::Unreadable);
+                    };
                     self.idle_since.set(Instant::now());
                     let verdict = self.judge(&answer);
                     if let Some(sender) = self.waiting.borrow_mut().remove(&ticket).filter(|_| waited) {
@@ -276,6 +289,7 @@
             next: Cell::new(0),
             idle_since: Cell::new(Instant::now()),
             tasks: RefCell::default(),
+            on_surplus: Box::new(|| {}),
         }
     }
 
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -6,7 +6,7 @@
 pub use connection::{Answered, Broken, PendingCall};
 
 use super::network::{out_of_room, Net};
-use super::pool::NoLease;
+use super::pool::{NoLease, Pool};
 use crate::batching::fate::Break;
 use crate::routing::EndpointId;
 use bytes::Bytes;
@@ -27,6 +27,8 @@
 /// All connections to endpoints that take calls behind one another.
 pub struct Pipelines {
     net: Net,
+    /// Knows what endpoints' answers are like.
+    pool: Rc<Pool>,
     connections: RefCell<HashMap<EndpointId, Connections>>,
     opening: RefCell<HashMap<EndpointId, usize>>,
     connect_timeout: Duration,
@@ -34,9 +36,9 @@
 }
 
 impl Pipelines {
-    pub fn new(net: Net, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
+    pub fn new(net: Net, pool: Rc<Pool>, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
         let (connections, opening) = (RefCell::default(), RefCell::default());
-        Pipelines { net, connections, opening, connect_timeout, keepalive }
+        Pipelines { net, pool, connections, opening, connect_timeout, keepalive }
     }
 
     /// Makes sure that there is a connection on which a call may go, which `send` takes then without a pause: an idle
@@ -104,7 +106,8 @@
             Ok(Err(e)) if out_of_room(&e) => return Err(NoLease::OutOfRoom),
             _ => return Err(NoLease::NotUp),
         };
-        let connection = Connection::start(stream, depth);
+        let pool = self.pool.clone();
+        let connection = Connection::start(stream, depth, Box::new(move || pool.surplus(endpoint)));
         self.connections.borrow_mut().entry(endpoint).or_default().push((dial, connection));
         Ok(())
     }
--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -393,6 +393,31 @@
     ));
 }
 
+/// Guards calls from an endpoint that answered nobody: none goes behind another, as if its answers could be told apart.
+#[test]
+fn after_an_answer_to_nobody_each_call_has_its_connection() {
+    play(
+        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
+         relay start
+         piped b1
+         caller x take /safe id=p1 dest=2 timeout=28000m
+         piped b1 expect p1
+         piped b1 send 200
+         piped b1 send 200
+         wait 5
+         caller x take /safe id=p2 dest=2 timeout=28000m
+         piped b1 other in 0..50
+         piped b1 expect p2
+         piped b1 send 200
+         wait 5
+         caller x take /safe id=p3 dest=2 timeout=28000m
+         piped b1 other in 0..50
+         piped b1 expect p3
+         piped b1 send 200
+         agent expect nothing 10000",
+    );
+}
+
 /// What the partners of a seeded run saw.
 #[derive(Default)]
 struct Ran {
