Bound what a pipeline's connection remembers of its answers

Cause: each answer of a connection is remembered as long as it is open, 512 at most where it carries one call at a time; on a connection with calls behind one another nothing bounded them, so a busy one grew for as long as it lived, by three hashes an answer. It carries 512 calls now, takes none after that, and is closed once its last has its answer.

Test: a_connection_takes_no_more_calls_than_answers_can_be_remembered, which failed before (it took the 513th).

--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -85,18 +85,14 @@
 
     /// Whether calls may go on it, now or once others have their answers.
     pub(super) fn is_open(&self) -> bool {
-        self.pipe.borrow().is_open()
-    }
-
-    pub(super) fn has_ended(&self) -> bool {
-        self.pipe.borrow().has_ended()
+        self.pipe.borrow().is_open() && self.exchanges.borrow().has_room()
     }
 
     /// Whether a call may go on it now: its answer has to be known for its own, whatever it says, where it may not be
     /// repeated.
     pub(super) fn may_take(&self, repeatable: bool) -> bool {
         let is_telling = repeatable || self.exchanges.borrow().only_successes();
-        is_telling && self.pipe.borrow().may_take(repeatable)
+        is_telling && self.is_open() && self.pipe.borrow().may_take(repeatable)
     }
 
     /// Since when it has had no answer.
@@ -307,6 +303,18 @@
         assert_eq!(connection.out(), 0);
     }
 
+    /// Guards memory: each answer of a connection is remembered, so it carries no more than can be.
+    #[test]
+    fn a_connection_takes_no_more_calls_than_answers_can_be_remembered() {
+        let connection = connection(Pipe::new(4), &[]);
+        while connection.exchanges.borrow().has_room() {
+            assert!(connection.may_take(true));
+            connection.exchanges.borrow_mut().requested();
+        }
+        assert!(connection.exchanges.borrow().requests() > 100);
+        assert!(!connection.may_take(true) && !connection.is_open());
+    }
+
     /// Guards answers behind one another: each ends where it says, in lengths or chunks, and what leaves its end open
     /// is no answer at all.
     #[test]
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -72,12 +72,12 @@
         let mut connections = self.connections.borrow_mut();
         let Some(connections) = connections.get_mut(&endpoint) else { return (None, 0) };
         connections.retain(|(at, connection)| {
-            let is_stale = connection.out() == 0 && (*at != dial || connection.idle_for() >= self.keepalive);
-            let keep = !connection.has_ended() && !is_stale && (connection.is_open() || connection.out() > 0);
-            if is_stale {
+            let is_usable = connection.is_open() && *at == dial && connection.idle_for() < self.keepalive;
+            let keeps = is_usable || connection.out() > 0;
+            if !keeps {
                 connection.end(Break::Cancelled);
             }
-            keep
+            keeps
         });
         let open = connections.iter().filter(|(_, connection)| connection.is_open()).count();
         let fits =
