Have calls given up while a pipeline opens leave room for others

What callers saw: where an endpoint takes calls behind one another and its connections did not come up for a while, it was never called again, and each of its messages was given up in its time. Cause: the count of connections being opened was taken back only behind the wait for the connection; a call given up during it (its time over, or cancelled) left its one in the count for good, until the bound on connections was reached and no call opened any. The count goes with a guard now.

Test: attempts_given_up_while_a_pipeline_opens_take_no_room, which failed before (a message sent once the endpoint was back never came).

--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -30,12 +30,39 @@
     /// Knows what endpoints' answers are like.
     pool: Rc<Pool>,
     connections: RefCell<HashMap<EndpointId, Connections>>,
-    opening: RefCell<HashMap<EndpointId, usize>>,
+    opening: OpeningCounts,
     connect_timeout: Duration,
     keepalive: Duration,
 }
 
+/// Connections that are being opened, by endpoint.
+type OpeningCounts = RefCell<HashMap<EndpointId, usize>>;
+
+/// A connection that is being opened, counted until this is dropped: the call that opens it may be given up.
+struct Opening<'a> {
+    counts: &'a OpeningCounts,
+    endpoint: EndpointId,
+}
+
+impl<'a> Opening<'a> {
+    fn begin(counts: &'a OpeningCounts, endpoint: EndpointId) -> Opening<'a> {
+        *counts.borrow_mut().entry(endpoint).or_default() += 1;
+        Opening { counts, endpoint }
+    }
+}
+
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        let mut counts = self.counts.borrow_mut();
+        if let Some(count) = counts.get_mut(&self.endpoint) {
+            *count -= 1;
+        }
+        counts.retain(|_, count| *count > 0);
+    }
+}
+
 impl Pipelines {
+    /// None yet; connections come up within `connect_timeout` and are left open for `keepalive` without a call.
     pub fn new(net: Net, pool: Rc<Pool>, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
         let (connections, opening) = (RefCell::default(), RefCell::default());
         Pipelines { net, pool, connections, opening, connect_timeout, keepalive }
@@ -94,13 +121,9 @@
     }
 
     async fn open(&self, endpoint: EndpointId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
-        *self.opening.borrow_mut().entry(endpoint).or_default() += 1;
+        let opening = Opening::begin(&self.opening, endpoint);
         let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
-        let mut opening = self.opening.borrow_mut();
-        if let Some(n) = opening.get_mut(&endpoint) {
-            *n -= 1;
-        }
-        opening.retain(|_, n| *n > 0);
+        drop(opening);
         let stream = match connected {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if out_of_room(&e) => return Err(NoLease::OutOfRoom),
--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -418,6 +418,23 @@
     );
 }
 
+/// Guards an endpoint whose connections do not come up for a while: attempts that ended meanwhile leave room for others.
+#[test]
+fn attempts_given_up_while_a_pipeline_opens_take_no_room() {
+    play(
+        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
+         relay start
+         hop b1 silent
+         caller x take /safe id=p1 dest=2 timeout=700m
+         agent expect failed p1
+         piped b1
+         caller x take /safe id=p2 dest=2 timeout=28000m
+         piped b1 expect p2 in 0..8000
+         piped b1 send 200
+         agent expect nothing 10000",
+    );
+}
+
 /// What the partners of a seeded run saw.
 #[derive(Default)]
 struct Ran {
