--- a/src/membership/hearing.rs
+++ b/src/membership/hearing.rs
@@ -48,8 +48,7 @@
             }
             Kind::Heard { nonce, life } if known => self.heard_by_another(now, nonce, life),
             Kind::Nack { nonce } if known => {
-                if let Some(Probe { why: Why::Own { nacks, .. }, .. }) = self.probes.get_mut(&nonce) {
-                    *nacks += 1;
+                if self.probes.get(&nonce).is_some_and(|probe| matches!(probe.why, Why::Own { .. })) {
                     self.proven = now;
                 }
             }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -78,8 +78,8 @@
 
 #[derive(Clone, Debug)]
 enum Why {
-    /// A round of probes.
-    Own { asked: usize, nacks: usize },
+    /// A round of probes; so many helpers were asked, none yet where 0.
+    Own { asked: usize },
     /// Another asked for it, under a number of its own.
     For { requester: SocketAddr, nonce: u64 },
     /// Whoever it is, it is to prove that it is there.
--- a/src/membership/probes.rs
+++ b/src/membership/probes.rs
@@ -15,7 +15,7 @@
             self.turn += 1;
             if let Some(m) = self.roll.get(&name).filter(|m| m.state.there()) {
                 let address = m.address;
-                self.ping(now, name, address, Why::Own { asked: 0, nacks: 0 });
+                self.ping(now, name, address, Why::Own { asked: 0 });
                 return;
             }
         }
@@ -62,15 +62,14 @@
             let Some(probe) = self.probes.get(&nonce).cloned() else { continue };
             let over = now >= probe.sent + accuse;
             match probe.why {
-                Why::Own { asked: 0, .. } if !over => self.ask_helpers(now, nonce, &probe),
-                Why::Own { asked, nacks } if over => {
+                Why::Own { asked: 0 } if !over => self.ask_helpers(now, nonce, &probe),
+                Why::Own { asked } if over => {
                     self.probes.remove(&nonce);
                     self.figures.unanswered += 1;
                     // Helpers that say nothing either are a sign that it is this relay that is not well.
                     // Not where another answered meanwhile: then it is they who are gone.
-                    let missing = if asked == 0 { 1 } else { asked.saturating_sub(nacks) };
                     let unwell = self.terms.guards.health && self.proven < probe.sent;
-                    let missing = if unwell { missing as u32 } else { 0 };
+                    let missing = if unwell { asked.max(1) as u32 } else { 0 };
                     self.health = (self.health + missing).min(HEALTH_MOST);
                     self.accuse(now, &probe.name);
                 }
@@ -89,7 +88,7 @@
 
     fn ask_helpers(&mut self, now: Nanos, nonce: u64, probe: &Probe) {
         let helpers = self.some(self.terms.helpers, |name, m| *name != probe.name && m.state == State::Alive);
-        if let Some(Probe { why: Why::Own { asked, .. }, .. }) = self.probes.get_mut(&nonce) {
+        if let Some(Probe { why: Why::Own { asked }, .. }) = self.probes.get_mut(&nonce) {
             *asked = helpers.len().max(1);
         }
         for (address, _) in helpers {
