--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -94,6 +94,18 @@
         (served as f64 / most, refused as f64 / (served + refused).max(1) as f64)
     }
 
+    /// Prints what relays have said of endpoints and members from this second on, but for each message.
+    fn print_events(&self, from: f64) {
+        // The rig and the partner each count from a start of their own.
+        let start = self.rig.time().as_secs_f64() - self.partner.now() + self.from;
+        for said in self.rig.said(Duration::ZERO) {
+            let second = said.at.as_secs_f64() - start;
+            if second >= from && !said.event.starts_with("message") {
+                println!("{second:.2} r{} {} {:?} {}", said.relay, said.event, said.member, said.fields);
+            }
+        }
+    }
+
     /// No more is handed in; once all has its end: each message taken on was served once or has one other end, whatever
     /// relay had it, but for those killed and not back.
     fn settle(&self, gone: &[usize]) {
@@ -180,6 +192,9 @@
     let beyond = scene.partner.beyond();
     println!("{RELAYS} relays, {} killed: {share:.3} served, {beyond} beyond the cold budget", killed.len());
     assert_eq!((scene.partner.pushed(), beyond), (0, 0), "pushed over: {seconds:?}");
+    if share < 0.85 {
+        scene.print_events(7.0);
+    }
     assert!(share >= 0.85, "{share:.2} served: {seconds:?}");
     scene.settle(killed);
 }
