Keep the membership's match flat, as clippy wants it

Change: the condition is a guard of the match, in a function of its own. Measured: clippy passes on all targets with warnings as errors; no behaviour is changed.

--- a/src/membership/hearing.rs
+++ b/src/membership/hearing.rs
@@ -47,11 +47,7 @@
                 self.ping(now, name.as_str().into(), address, Why::For { requester, nonce });
             }
             Kind::Heard { nonce, life } if known => self.heard_by_another(now, nonce, life),
-            Kind::Nack { nonce } if known => {
-                if self.probes.get(&nonce).is_some_and(|probe| matches!(probe.why, Why::Own { .. })) {
-                    self.proven = now;
-                }
-            }
+            Kind::Nack { nonce } if known && self.is_own_probe(nonce) => self.proven = now,
             Kind::Exchange { nonce } if known => self.answer_exchange(now, from.address, nonce),
             Kind::Want { names } if known => {
                 for name in names.iter().take(16) {
@@ -86,6 +82,10 @@
         Ok(())
     }
 
+    fn is_own_probe(&self, nonce: u64) -> bool {
+        self.probes.get(&nonce).is_some_and(|probe| matches!(probe.why, Why::Own { .. }))
+    }
+
     fn wants(&self, claim: &Claim) -> bool {
         let there = matches!(claim.said, Said::Alive | Said::Suspect);
         let have = self.roll.get(&claim.name).map_or(0, |m| {
