Call what was given up on a pipeline again only once that connection has ended

What endpoints saw: a message out twice at once. Cause: a call whose time ran out behind another on its connection was told as over at once, so that its message was called again, while the connection stayed open for the answers of those before it, and the endpoint still had the first request to run. Single calls close their connection as they are given up.

The call now counts as out until its connection has ended, which is when its turn comes or one before it is given up; the connection is closed before anybody hears of its end. Those before it still have their answers.

Test: a_call_given_up_behind_another_is_not_called_again_beside_itself (virtual time), which failed before: called again after 1,775 ms on another connection, while the first was still open for a call with 2,000 ms.

--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -181,9 +181,16 @@
             return Carried::each(&letters, Reply::Ended(Outcome::NotSent));
         };
         let answer = tokio::select! {
-            answer = pending.answer() => answer,
-            () = sleep(Duration::from_nanos(left)) => return Carried::each(&letters, Reply::Ended(Outcome::TimedOut)),
-            () = passage.cancelled() => return Carried::each(&letters, Reply::Ended(Outcome::Cancelled)),
+            answer = pending.answer() => Ok(answer),
+            () = sleep(Duration::from_nanos(left)) => Err(Outcome::TimedOut),
+            () = passage.cancelled() => Err(Outcome::Cancelled),
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(outcome) => {
+                pending.give_up().await;
+                return Carried::each(&letters, Reply::Ended(outcome));
+            }
         };
         match answer {
             Ok(Answered { answer, verdict, connection, request }) => {
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -118,6 +118,8 @@
         if self.pipe.borrow().has_ended() {
             return;
         }
+        // It is closed before anybody hears of it: who does may call again elsewhere.
+        self.tasks.borrow().iter().for_each(AbortHandle::abort);
         let broke = self.pipe.borrow_mut().broke(how);
         self.queue.borrow_mut().clear();
         for (i, (ticket, how)) in broke.into_iter().enumerate() {
@@ -125,7 +127,17 @@
                 sender.send(Err(Broken { how, echo: i > 0 })).ok();
             }
         }
-        self.tasks.borrow().iter().for_each(AbortHandle::abort);
+        // Those that were given up hear that it is over.
+        self.waiting.borrow_mut().clear();
+    }
+
+    /// Nobody waits for this call's answer any more; the connection ends now where it is its turn.
+    fn give_up(&self, ticket: u64) -> GivenUp {
+        let given_up = self.pipe.borrow_mut().give_up(ticket);
+        if given_up == GivenUp::Now {
+            self.end(Break::Cancelled);
+        }
+        given_up
     }
 
     /// What has not begun does not go any more. An endpoint may have answered a call before it was written: that one
@@ -243,6 +255,14 @@
         self.done = true;
         answer.unwrap_or(Err(Broken { how: Break::Written, echo: false }))
     }
+
+    /// Gives the call up, and returns once its connection has ended: until then it may run, and is not to be called again.
+    pub async fn give_up(&mut self) {
+        if self.connection.give_up(self.ticket) == GivenUp::InTurn {
+            (&mut self.answer).await.ok();
+        }
+        self.done = true;
+    }
 }
 
 impl Drop for PendingCall {
@@ -251,10 +271,7 @@
             return;
         }
         self.connection.waiting.borrow_mut().remove(&self.ticket);
-        let given_up = self.connection.pipe.borrow_mut().give_up(self.ticket);
-        if given_up == GivenUp::Now {
-            self.connection.end(Break::Cancelled);
-        }
+        self.connection.give_up(self.ticket);
     }
 }
 
--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -435,6 +435,29 @@
     );
 }
 
+/// Guards a call that waits too long behind another: while it may still run there it is not called again elsewhere.
+#[test]
+fn a_call_given_up_behind_another_is_not_called_again_beside_itself() {
+    play(
+        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
+         relay start
+         piped b1
+         caller x take /safe id=p1 dest=2 timeout=28000m
+         caller x take /safe id=p2 dest=2 timeout=28000m
+         piped b1 expect p1,p2
+         piped b1 send 200
+         wait 5
+         caller x take /safe id=p3 dest=2 timeout=28000m
+         piped b1 expect p3
+         piped b1 aside in 1900..4000
+         piped b1 expect p2
+         piped b1 send 200
+         piped b1 expect p3
+         piped b1 send 200
+         agent expect nothing 10000",
+    );
+}
+
 /// What the partners of a seeded run saw.
 #[derive(Default)]
 struct Ran {
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -150,6 +150,7 @@
 struct Piped {
     streams: UnboundedReceiver<Arrived>,
     open: Option<Halves>,
+    aside: Option<Halves>,
 }
 
 /// Discovery and notices.
@@ -392,12 +393,12 @@
     }
 
     /// A hop that reads calls behind one another before it answers any: `expect IDS`, `send STATUS`, `cut TEXT`, and
-    /// `other`, which turns to the next connection.
+    /// `other`, which turns to the next connection; `aside` does too, and leaves the one before open for `back`.
     async fn piped(&mut self, name: &str, words: &[&str], place: &str) {
         let address = hop_address(HOPS.iter().position(|h| h.0 == name).unwrap());
         if words.is_empty() {
             let streams = self.net.open(address);
-            self.piped.insert(name.to_string(), Piped { streams, open: None });
+            self.piped.insert(name.to_string(), Piped { streams, open: None, aside: None });
             return;
         }
         let piped = self.piped.get_mut(name).unwrap();
@@ -427,7 +428,11 @@
                 headers.iter().for_each(|h| text += &format!("{}\r\n", h.replace('=', ": ")));
                 piped.open.as_mut().unwrap().1.write_all(format!("{text}\r\n").as_bytes()).await.unwrap();
             }
-            ["other", ..] => {
+            ["back"] => std::mem::swap(&mut piped.open, &mut piped.aside),
+            [turn @ ("other" | "aside"), ..] => {
+                if *turn == "aside" {
+                    piped.aside = piped.open.take();
+                }
                 let opened = timeout(Duration::from_secs(60), piped.streams.recv()).await.ok().flatten();
                 let opened = opened.unwrap_or_else(|| panic!("{place}: no other connection"));
                 piped.open = Some(split(opened.stream));
