Play pipelines in the soak, and see in its oracle an end behind unread requests

A third of the soak's seeds has calls behind one another (drawn last: what the other draws say stays as it was).

The check was wrong there: it took a connection for open as long as bytes lay unread, which on a pipeline are the next requests, also where its sender had closed it behind them. It asks the system for that end now (POLLRDHUP), which a connection on which a call is still out has not: as strict where it is open.

--- a/tests/attribution/endpoint.rs
+++ b/tests/attribution/endpoint.rs
@@ -110,14 +110,13 @@
     }
 }
 
-/// Whether the other side has neither closed nor ended its sending.
+/// Whether the other side has neither closed nor ended its sending, whatever lies unread before that.
 fn is_open(stream: &TcpStream) -> bool {
-    use rustix::net::{recv, RecvFlags};
-    let peeked = recv(stream, &mut [0; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-    match peeked {
-        Ok((_, read)) => read > 0,
-        Err(e) => e == rustix::io::Errno::AGAIN,
-    }
+    use rustix::event::{poll, PollFd, PollFlags, Timespec};
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    poll(&mut polled, Some(&Timespec::default())).unwrap();
+    !polled[0].revents().intersects(ended)
 }
 
 /// The messages of a call, by their ids.
--- a/tests/attribution/main.rs
+++ b/tests/attribution/main.rs
@@ -28,6 +28,9 @@
 /// For how long callers hand messages in.
 const SERVED_FOR: Duration = Duration::from_secs(8);
 
+/// Calls go behind one another.
+const PIPELINED: &str = "batching {\ndepth 4\n}";
+
 /// Between two messages of one caller.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -159,8 +162,7 @@
 /// Guards calls behind one another on a connection: a copy ends none of those that are out behind the call that it answers.
 #[test]
 fn a_copy_on_a_pipeline_is_not_the_answer_of_a_call_behind() {
-    let operator = "batching {\nnext-hop h {\ndepth 4\n}\n}";
-    let terms = Terms { slots: 64, operator, ..Terms::default() };
+    let terms = Terms { slots: 64, operator: PIPELINED, ..Terms::default() };
     let spans =
         [Copies::Never, Copies::AtTheNextRequest(0, 12), Copies::Behind(1, 30), Copies::WithTheAnswer];
     std::thread::scope(|scope| {
--- a/tests/attribution/soak.rs
+++ b/tests/attribution/soak.rs
@@ -6,7 +6,7 @@
 use crate::endpoint::{Copies, Endpoint, Nature, Record, Violations};
 use crate::platform::{Platform, Process, Terms, KILLED_AFTER};
 use crate::stand_ins::{entry, folder, Told};
-use crate::{start, PAUSE, TIME_MS};
+use crate::{start, PAUSE, PIPELINED, TIME_MS};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -57,6 +57,7 @@
     slots: usize,
     crowd: usize,
     blows: Vec<(Duration, Blow)>,
+    operator: &'static str,
 }
 
 impl Scenario {
@@ -84,7 +85,9 @@
         };
         let blows = (0..1 + draw.below(3)).map(|_| blow(&mut draw)).collect();
         let (per_call, slots) = (draw.one(&[1, 1, 4]), draw.one(&[4, 32]));
-        Scenario { seed, natures, per_call, slots, crowd: draw.one(&[0, 0, 60]), blows }
+        let crowd = draw.one(&[0, 0, 60]);
+        let operator = draw.one(&["", "", PIPELINED]);
+        Scenario { seed, natures, per_call, slots, crowd, blows, operator }
     }
 }
 
@@ -133,7 +136,8 @@
     let hosts = ["a", "b"].iter().zip(&endpoints).map(|(name, e)| entry(name, e.address, "active"));
     let known = hosts.collect::<Vec<_>>().join(",");
     agent.change(&known);
-    let terms = Terms { per_call: scenario.per_call, slots: scenario.slots, ..Terms::default() };
+    let Scenario { per_call, slots, operator, .. } = scenario;
+    let terms = Terms { per_call, slots, operator, ..Terms::default() };
     let platform = Platform::new(&folder(), &terms, agent.address, &known);
     let serving = start(&platform);
     let logs = vec![serving.log.clone()];
