Remember over a kill which messages were delivered, and call none of them again

What endpoints saw: a charge called twice, by the process killed and by the next one. A caller whose connection ended with the killed process, before its 202, sends the request once more; the next process took it for a new message. The record says 'delivered' now, in a byte that older versions do not read.

Played in virtual time, what_a_killed_process_delivered_is_not_called_again failed before (u1 called again) and passes now.

Discovery's dead code in trouble.rs is private now.

--- a/src/protocol/discovery/trouble.rs
+++ b/src/protocol/discovery/trouble.rs
@@ -21,7 +21,7 @@
 
 impl Trouble {
     /// Whether there is any.
-    pub fn any(&self) -> bool {
+    fn any(&self) -> bool {
         !self.reported.is_empty()
     }
 
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -111,10 +111,10 @@
                 Reply::Ended(Outcome::Served) if self.tells_delivery => self.end(now, no, Ending::Delivered),
                 reply if reply.settles() => {
                     late.extend(ending.map(|_| no));
-                    if matches!(reply, Reply::Ended(Outcome::Served)) {
-                        self.transactions.note_delivered(no);
-                    }
-                    self.over(now, no);
+                    match reply {
+                        Reply::Ended(Outcome::Served) => self.delivered(now, no),
+                        _ => self.over(now, no),
+                    };
                 }
                 _ => {}
             }
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -56,10 +56,20 @@
 
     /// Nothing more is owed; whether that is written.
     pub(super) fn over(&mut self, now: Nanos, no: TransactionNo) -> bool {
+        self.close(now, no, &Record::Over)
+    }
+
+    /// The same, of one that was delivered: what comes under its id again is no new message.
+    pub(super) fn delivered(&mut self, now: Nanos, no: TransactionNo) -> bool {
+        self.transactions.note_delivered(no);
+        self.close(now, no, &Record::Delivered)
+    }
+
+    fn close(&mut self, now: Nanos, no: TransactionNo, record: &Record) -> bool {
         if self.transactions.remove(no).is_none() {
             return true;
         }
-        let written = self.note(now, no, &Record::Over);
+        let written = self.note(now, no, record);
         self.journal.tidy(&self.transactions);
         written
     }
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -9,6 +9,10 @@
 /// Bytes of a record before its body: length and checksum.
 pub(super) const HEAD: usize = 8;
 
+/// The code of a transaction that is over, and what follows it where that was delivered.
+pub(super) const OVER: u8 = 5;
+pub(super) const DELIVERED: u8 = 1;
+
 /// What happens to a transaction, as the journal keeps it.
 #[derive(Debug)]
 pub enum Record<'a> {
@@ -26,6 +30,8 @@
     Ending(Ending, u32),
     /// Nothing more is owed.
     Over,
+    /// It was delivered, and nothing more is owed.
+    Delivered,
     /// An endpoint, by name, is in an outage from now on, having served so many calls a second before, or is not any more:
     /// of no transaction, under the number 0.
     Ailing(&'a str, Option<f64>),
@@ -103,7 +109,9 @@
             out.push(4);
             put_ending(&mut out, Some(*e), *reason);
         }
-        Record::Over => out.push(5),
+        Record::Over => out.push(OVER),
+        // Versions that know of no deliveries read the first byte alone.
+        Record::Delivered => out.extend([OVER, DELIVERED]),
         Record::Ailing(name, ailing) => {
             out.extend([9, u8::from(ailing.is_some())]);
             out.extend(ailing.unwrap_or(0.0).to_le_bytes());
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -2,7 +2,7 @@
 
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
-use super::record::{set_ailing, Ailing, HEAD};
+use super::record::{set_ailing, Ailing, DELIVERED, HEAD, OVER};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
@@ -142,7 +142,12 @@
             t.out = None;
         }
         4 => (t.ending, t.reason) = r.ending()?,
-        5 => drop(into.transactions.remove(no)),
+        OVER => {
+            if r.u8() == Some(DELIVERED) {
+                into.transactions.note_delivered(no);
+            }
+            into.transactions.remove(no);
+        }
         _ => return None,
     }
     Some(())
--- a/tests/relay/platform.rs
+++ b/tests/relay/platform.rs
@@ -53,6 +53,25 @@
     );
 }
 
+/// Guards what was delivered from a caller that never heard that it was taken on, since the process was killed: handed in
+/// again, it is not called again.
+#[test]
+fn what_a_killed_process_delivered_is_not_called_again() {
+    play(
+        "relay start
+         caller x take /unsafe id=u1 dest=2 timeout=24000m
+         hop b1 expect u1
+         hop b1 send 200
+         wait 5
+         relay kill
+         wait 600
+         relay start
+         caller y take /unsafe id=u1 dest=2 timeout=24000m
+         hop b1 expect nothing 10000
+         agent expect nothing 100",
+    );
+}
+
 /// Guards what was taken on against the end of the process: an attempt whose outcome nobody heard may have
 /// run, so an unsafe message gets `failed`, a safe one goes again, and one that was never out goes for the
 /// first time, all in the order taken and under the ids of the first life.
