Begin the scripts of pipelines in one place

Change: play_pipelined puts them before a script; steps, bounds and assertions stay as they are, and line numbers in a failure count from the same first line of the whole script.

--- a/tests/relay/batching.rs
+++ b/tests/relay/batching.rs
@@ -258,15 +258,18 @@
     );
 }
 
+/// Plays a script before `b1`, which takes calls behind one another.
+fn play_pipelined(script: &str) {
+    let start = "operator batching { ; next-hop b1 { ; depth 8 ; } ; }\nrelay start\npiped b1\n";
+    play(&format!("{start}{script}"));
+}
+
 /// Guards pipelining: calls go behind one another on one connection, answers in order; what may not be repeated has
 /// nothing before or behind it.
 #[test]
 fn calls_go_behind_one_another_where_the_partner_takes_that() {
-    play(
-        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          caller x take /safe id=p2 dest=2 timeout=28000m
          caller x take /safe id=p3 dest=2 timeout=28000m
          piped b1 expect p1,p2,p3
@@ -292,11 +295,8 @@
 /// on another line, and the partner is not taken for down by one break.
 #[test]
 fn a_break_in_mid_line_is_one_break_and_each_call_has_its_fate() {
-    play(
-        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          caller x take /safe id=p2 dest=2 timeout=28000m
          caller x take /safe id=p3 dest=2 timeout=28000m
          caller x take /safe id=p4 dest=2 timeout=28000m
@@ -314,11 +314,8 @@
 /// Guards an announced close in mid-line: nothing new behind it, what was written and is not answered goes again.
 #[test]
 fn an_announced_close_in_mid_line_ends_it() {
-    play(
-        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          caller x take /safe id=p2 dest=2 timeout=28000m
          piped b1 expect p1,p2
          piped b1 send 200 connection=close
@@ -334,11 +331,8 @@
 #[test]
 fn a_copy_in_mid_line_is_not_the_answer_of_the_next_call() {
     let answer = "HTTP/1.1 200 OK\\r\\ncontent-length: 0\\r\\n\\r\\n";
-    play(&format!(
-        "operator batching {{ ; next-hop b1 {{ ; depth 8 ; }} ; }}
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(&format!(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          caller x take /safe id=p2 dest=2 timeout=28000m
          piped b1 expect p1,p2
          piped b1 cut {answer}{answer}
@@ -352,11 +346,8 @@
 /// have run.
 #[test]
 fn an_answer_to_nobody_ends_the_line() {
-    play(
-        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          piped b1 expect p1
          piped b1 send 200
          piped b1 send 200
@@ -373,11 +364,8 @@
 #[test]
 fn what_may_not_be_repeated_follows_no_refusal_on_a_pipeline() {
     let refusal = "HTTP/1.1 429 X\\r\\nretry-after: 1\\r\\ncontent-length: 0\\r\\n\\r\\n";
-    play(&format!(
-        "operator batching {{ ; next-hop b1 {{ ; depth 8 ; }} ; }}
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(&format!(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          piped b1 expect p1
          piped b1 write {refusal}
          piped b1 expect p1
@@ -396,11 +384,8 @@
 /// Guards calls from an endpoint that answered nobody: none goes behind another, as if its answers could be told apart.
 #[test]
 fn after_an_answer_to_nobody_each_call_has_its_connection() {
-    play(
-        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          piped b1 expect p1
          piped b1 send 200
          piped b1 send 200
@@ -438,11 +423,8 @@
 /// Guards a call that waits too long behind another: while it may still run there it is not called again elsewhere.
 #[test]
 fn a_call_given_up_behind_another_is_not_called_again_beside_itself() {
-    play(
-        "operator batching { ; next-hop b1 { ; depth 8 ; } ; }
-         relay start
-         piped b1
-         caller x take /safe id=p1 dest=2 timeout=28000m
+    play_pipelined(
+        "caller x take /safe id=p1 dest=2 timeout=28000m
          caller x take /safe id=p2 dest=2 timeout=28000m
          piped b1 expect p1,p2
          piped b1 send 200
