Log each SIGHUP and the version of each configuration that is read

Change: src/configuration/version.rs names a text by its hash; the start, SIGHUP and check-config tell it. tests/program.rs takes its lines from among the new ones.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod attribution;
 pub mod batching;
 pub mod catalog;
+pub mod configuration;
 pub mod crowding;
 pub mod decision;
 pub mod fleet;
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -4,6 +4,7 @@
 use super::signals::Signals;
 use super::wiring::{Plan, PlatformPlan, SmppPlan};
 use super::{config, fleet, import, log, wiring};
+use crate::configuration;
 use crate::operator;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
@@ -114,9 +115,9 @@
     }
     let mut peers = None;
     if let Some(path) = args.config {
-        let config = config::read(&path)?;
+        let (version, config) = config::read(&path)?;
         peers = config.peers;
-        println!("{}", config.summary());
+        println!("{}, version {version}", config.summary());
     }
     if let Some(path) = args.operator {
         let operator = operator_file(&path, peers)?;
@@ -135,6 +136,14 @@
     Ok(operator)
 }
 
+/// Reads a configuration again, and tells what was read.
+fn read_again_from(path: &std::path::Path) -> Result<config::Config, String> {
+    let text = config::read_text(path)?;
+    let (version, bytes) = (configuration::Version::of(&text), text.len());
+    tracing::info!(target: "relay", event = "configuration-read", %version, bytes, "version {version} of the configuration was read");
+    config::of_text(&text).map_err(|why| format!("version {version}: {why}"))
+}
+
 fn print_import(path: &std::path::Path) -> Result<(), String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
@@ -157,7 +166,9 @@
         Signals::listen().map_err(|e| format!("cannot listen for signals: {e}"))?
     };
     let from = args.config.or_else(|| environment("LB_CONFIG").map(PathBuf::from));
-    let mut platform = from.as_ref().map(|path| config::read(path)).transpose()?;
+    let read = from.as_ref().map(|path| config::read(path)).transpose()?;
+    let (version, mut platform) =
+        read.map_or((None, None), |(version, config)| (Some(version), Some(config)));
     if let Some(config) = &mut platform {
         config.heed_environment(environment)?;
     }
@@ -173,6 +184,9 @@
         return Err(format!("nothing to serve: {missing}"));
     }
     log::init(operator.log.clone());
+    if let Some((version, path)) = version.zip(from.as_ref()) {
+        tracing::info!(target: "relay", event = "configuration", %version, "starts by {}, version {version}", path.display());
+    }
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let clock = Clock::system();
@@ -192,7 +206,8 @@
         let platform = platform.map(|config| PlatformPlan { config, reread: changes });
         // A file that cannot be used changes nothing. The file read again stands above the environment.
         let read_again = move || {
-            match from.as_ref().map(|path| config::read(path)) {
+            tracing::info!(target: "relay", event = "hangup", "SIGHUP: the files are read again");
+            match from.as_ref().map(|path| read_again_from(path)) {
                 Some(Ok(config)) => drop(moved.send(config)),
                 Some(Err(why)) => {
                     let text = "the configuration stays as it was read before";
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,9 +1,10 @@
 //! The configuration, decoded once into the values that the program uses.
 
+use crate::configuration::Version;
 use crate::fleet;
 use crate::interface::{Class, Kind, Late, Limits, Nanos, Repeat, Settings};
 use crate::protocol::discovery::{self, ListLimits, Names};
-use crate::protocol::fields::{address, at, flag, list, need, num, read_file, text};
+use crate::protocol::fields::{address, at, flag, list, need, num, text};
 use crate::protocol::platform::Defaults;
 use crate::routing::EndpointUpdate;
 use std::net::SocketAddr;
@@ -42,8 +43,22 @@
 
 type Res<T> = Result<T, String>;
 
-pub fn read(path: &Path) -> Res<Config> {
-    read_file(path, decode)
+/// Reads a file and decodes it; an error begins with the file's name.
+pub fn read(path: &Path) -> Res<(Version, Config)> {
+    let text = read_text(path)?;
+    let config = of_text(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok((Version::of(&text), config))
+}
+
+/// The text of a file; an error begins with its name.
+pub fn read_text(path: &Path) -> Res<String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Decodes the text of a file.
+pub fn of_text(text: &str) -> Res<Config> {
+    let value: JsonValue = text.parse().map_err(|e: tinyjson::JsonParseError| e.to_string())?;
+    decode(&value)
 }
 
 pub fn decode(v: &JsonValue) -> Res<Config> {
--- a/src/protocol/fields.rs
+++ b/src/protocol/fields.rs
@@ -3,7 +3,6 @@
 use crate::interface::Nanos;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::str::FromStr;
 use std::time::Duration;
 use tinyjson::JsonValue;
@@ -68,14 +67,6 @@
     Some(String::from_utf8_lossy(&bytes).into_owned()).filter(|s| !s.is_empty())
 }
 
-/// Reads a JSON file and decodes it; an error begins with the file's name.
-pub fn read_file<T>(path: &Path, decode: impl Fn(&JsonValue) -> Result<T, String>) -> Result<T, String> {
-    let said = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-    let raw = std::fs::read_to_string(path).map_err(|e| said(&e))?;
-    let value: JsonValue = raw.parse().map_err(|e| said(&e))?;
-    decode(&value).map_err(|e| said(&e))
-}
-
 pub fn need<T>(value: Option<T>, what: &str) -> Result<T, String> {
     value.ok_or_else(|| format!("`{what}` is missing or of the wrong kind"))
 }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -50,7 +50,9 @@
     command.args(["serve", "--config"]).arg(dir.join("c.json")).env("LB_STATE", &dir);
     let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-    let line = log.next().unwrap().unwrap();
+    // Lines that tell what was read come between.
+    let mut says = |words: &str| log.by_ref().take(8).flatten().find(|line| line.contains(words));
+    let line = says("relay serves on ").unwrap();
     let address = line.split_once("relay serves on ").unwrap().1.split(' ').next().unwrap();
     let mut stream = TcpStream::connect(address).unwrap();
     stream.write_all(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
@@ -62,9 +64,9 @@
         Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap();
     };
     hangup("{");
-    assert!(log.next().unwrap().unwrap().contains("the configuration stays as it was read before: "));
+    assert!(says("the configuration stays as it was read before: ").is_some());
     hangup(&CONFIG.replacen('{', r#"{"discovery":"127.0.0.1:1","#, 1));
-    assert!(log.next().unwrap().unwrap().contains("was read again: discovery at 127.0.0.1:1"));
+    assert!(says("was read again: discovery at 127.0.0.1:1").is_some());
     Command::new("kill").arg(child.id().to_string()).status().unwrap();
     assert!(child.wait().unwrap().success());
     assert!(log.last().unwrap().unwrap().contains("ends with 0 transactions in the journal"));
