Reproduce the broken configurations on real processes, as tests known to fail

A file that cannot be used is taken in part, and of a good one only the address. Change: tests/configuration/ starts the program between a stand-in endpoint and discovery and sends it SIGHUP with each key of a whole file left out, of another kind or out of range, with good files whose classes differ, and starts it over broken files. The stand-ins write whole files in the platform's form (tests/stand_ins/page_form.rs).

--- /dev/null
+++ b/tests/configuration/main.rs
@@ -0,0 +1,12 @@
+//! Configurations that are read while a real process serves, starts and is followed by another: a broken one changes nothing, a
+//! good one comes into force whole, and open messages keep the rules by which they were taken on.
+
+mod broken;
+#[path = "../upgrade/platform.rs"]
+#[allow(dead_code)]
+mod platform;
+mod rig;
+mod rules;
+#[path = "../stand_ins/mod.rs"]
+mod stand_ins;
+mod starts;
--- /dev/null
+++ b/tests/configuration/starts.rs
@@ -0,0 +1,77 @@
+//! Processes that start while a broken configuration lies there, or behind one that was read by SIGHUP.
+
+use crate::rig::Scene;
+use crate::stand_ins::page_form::{class, set};
+use crate::stand_ins::{entry, Discovery};
+use serde_json::{json, Value};
+
+const BROKEN: [&str; 3] = ["", "{\"name\":", "{}"];
+
+/// A second discovery, and the configuration that names it and has one more class.
+fn moved(scene: &Scene) -> (Discovery, String) {
+    let discovery = Discovery::start(entry("h", scene.endpoint.address, "active"));
+    let text = scene.changed(|document| {
+        set(document, "/discovery", discovery.address.to_string());
+        document["settings"]["services"].as_array_mut().unwrap().push(class("fresh", "pure"));
+    });
+    (discovery, text)
+}
+
+/// Guards a relay that is killed while a broken file lies there: the next process serves by what was in force.
+#[test]
+fn a_start_over_a_broken_file_serves_by_the_last_good_one() {
+    let scene = Scene::new(true);
+    let mut process = scene.platform.start_ready();
+    let (discovery, text) = moved(&scene);
+    scene.reread(&process, &text);
+    let mut zero: Value = serde_json::from_str(&text).unwrap();
+    set(&mut zero, "/settings/services/0/deadline", json!(0));
+    for (i, broken) in BROKEN.into_iter().map(str::to_string).chain([zero.to_string()]).enumerate() {
+        scene.platform.write(&broken);
+        process.kill();
+        process = scene.platform.start_ready();
+        let id = format!("m{i}");
+        assert_eq!(scene.hand_in("fresh", &id, 5_000), Some(202), "{broken:?}");
+        scene.endpoint.has_calls(&id, 1);
+        discovery.asked_again();
+    }
+}
+
+/// Guards an upgrade that begins while a broken file lies there.
+#[test]
+fn an_upgrade_over_a_broken_file_serves_by_the_last_good_one() {
+    let scene = Scene::new(true);
+    let old = scene.platform.start_ready();
+    let (discovery, text) = moved(&scene);
+    scene.reread(&old, &text);
+    scene.platform.write("{");
+    let _new = scene.platform.upgrade(old);
+    assert_eq!(scene.hand_in("fresh", "m1", 5_000), Some(202));
+    scene.endpoint.has_calls("m1", 1);
+    discovery.asked_again();
+}
+
+/// Guards a restart behind a SIGHUP that moved discovery: a variable that still has the address of before does not move it
+/// back, one that has another does.
+#[test]
+fn a_restart_stays_where_a_good_file_has_moved_discovery() {
+    let scene = Scene::new(true);
+    let start = |variable: String| {
+        let process = scene.platform.start_with(|command| command.env("LB_DISCOVERY", variable));
+        assert!(process.ready().is_some());
+        process
+    };
+    let first = scene.discovery.address.to_string();
+    let mut process = start(first.clone());
+    let (second, text) = moved(&scene);
+    scene.reread(&process, &text);
+    second.asked_again();
+    process.kill();
+    process = start(first);
+    second.asked_again();
+    process.kill();
+    let third = Discovery::start(entry("h", scene.endpoint.address, "active"));
+    process = start(third.address.to_string());
+    third.asked_again();
+    drop(process);
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for what the program talks to, on loopback sockets and threads: endpoints, discovery, a caller's words.
 #![allow(dead_code)]
 
+pub mod page_form;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -205,6 +207,12 @@
         self.list.lock().unwrap().1 = hosts.to_string();
     }
 
+    /// The next version of the list.
+    pub fn next(&self, hosts: &str) {
+        let mut list = self.list.lock().unwrap();
+        *list = (list.0 + 1, hosts.to_string());
+    }
+
     /// From now on the one hop has left and the other is there.
     pub fn replace(&self, old: SocketAddr, new: SocketAddr) {
         let hosts = format!("{},{}", entry("old", old, "left"), entry("new", new, "active"));
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -1,8 +1,10 @@
 //! The platform that runs a relay: it holds the callers' listening socket, starts processes of the program one beside
 //! another, tells them to end, and asks them at their consoles.
 
+use crate::stand_ins::page_form::page_form_with;
 use crate::stand_ins::{status, whole, Told};
 use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -31,10 +33,12 @@
 
 /// `notice` may not be repeated, `update` is keyed and in order, `status` may be repeated.
 pub const SERVICES: &str = r#"
-{"name":"notice","aim":2000000000,"deadline":20000000000,"importance":3,"late_worth":0.5,"repeat":"side_effect"},
+{"name":"notice","aim":2000000000,"deadline":20000000000,"importance":3,"late_worth":0.5,"repeat":"side_effect",
+ "memory_span":8000000000,"group":"all","stream":false},
 {"name":"update","aim":2000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,"repeat":"token",
- "memory_span":8000000000,"group":"all","in_order":true},
-{"name":"status","aim":2000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,"repeat":"pure"}"#;
+ "memory_span":8000000000,"group":"all","stream":false,"in_order":true},
+{"name":"status","aim":2000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,"repeat":"pure",
+ "memory_span":8000000000,"group":"all","stream":false}"#;
 
 impl Default for Terms {
     fn default() -> Terms {
@@ -75,20 +79,37 @@
         let address = listener.local_addr().unwrap();
         let listener = terms.inherit.then_some(listener);
         let Terms { descriptors, slots, per_call, services, .. } = *terms;
-        let config = format!(
-            r#"{{"name":"n1","listen":"{address}","discovery":"{discovery}","seed":"1",
-"limits":{{"sockets":{descriptors},"disk_mb":3}},"known":{},
-"settings":{{"azs":["z"],"kinds":["k"],"fleet_size":1,"domain":{{"calls_out":{slots},"per_call":[{per_call}]}},
-"limits":{{"max_open":4000,"most_tries":8,"retry_after":true,"max_retry_after":3000000000,"keepalive":10000000000}},
-"rules":{{"cold_share":1.0,"fall":1500000000,"overload_factor":1000.0,"warm_up":100000000,"key_rest":100000000}},
-"services":[{services}]}}}}"#,
-            whole(&(1, known.to_string()))
-        );
-        std::fs::write(dir.join("c.json"), config).unwrap();
+        let services: Value = serde_json::from_str(&format!("[{services}]")).unwrap();
+        let known: Value = serde_json::from_str(&whole(&(1, known.to_string()))).unwrap();
+        let document = page_form_with([
+            ("/listen", address.to_string().into()),
+            ("/discovery", discovery.to_string().into()),
+            ("/limits/sockets", descriptors.into()),
+            ("/known", known),
+            ("/settings/limits/cancel", false.into()),
+            ("/settings/domain/calls_out", slots.into()),
+            ("/settings/domain/per_call", vec![per_call].into()),
+            ("/settings/rules/key_rest", 100_000_000.into()),
+            ("/settings/services", services),
+        ]);
+        std::fs::write(dir.join("c.json"), document.to_string()).unwrap();
         std::fs::write(dir.join("relay.conf"), terms.operator).unwrap();
         Platform { listener, address, dir: dir.to_path_buf(), descriptors }
     }
 
+    /// The configuration that lies there.
+    #[allow(dead_code)]
+    pub fn document(&self) -> Value {
+        serde_json::from_str(&std::fs::read_to_string(self.dir.join("c.json")).unwrap()).unwrap()
+    }
+
+    /// Puts a configuration in its place, as a file that is there whole or not at all.
+    #[allow(dead_code)]
+    pub fn write(&self, text: &str) {
+        std::fs::write(self.dir.join("c.json.new"), text).unwrap();
+        std::fs::rename(self.dir.join("c.json.new"), self.dir.join("c.json")).unwrap();
+    }
+
     pub fn state(&self) -> PathBuf {
         self.dir.join("state")
     }
@@ -200,6 +221,12 @@
         None
     }
 
+    /// How many lines of its log have these words.
+    #[allow(dead_code)]
+    pub fn count_of(&self, words: &str) -> usize {
+        self.log.tell(|l| l.iter().filter(|line| line.contains(words)).count())
+    }
+
     /// Its log has these words, or will in a moment: it is read while the process may have ended.
     pub fn says(&self, words: &str) {
         let said = self.log.until(READY_WITHIN, |l| l.iter().any(|line| line.contains(words)));
