--- a/benches/batching.rs
+++ b/benches/batching.rs
@@ -2,15 +2,18 @@
 //! several paces: `cargo bench --bench batching [SECONDS]`. Seeded; prints the tables of
 //! `docs/measurements/batching.md` and writes its charts.
 
+#[path = "../tests/stand_ins/page_form.rs"]
+mod page_form;
 #[path = "batching/partner.rs"]
 mod partner;
 
+use basaltloom::configuration::{judge, Environment};
 use basaltloom::operator;
-use basaltloom::program::config;
 use basaltloom::program::wiring::{self, Plan, PlatformPlan};
 use basaltloom::routing::Clock;
 use basaltloom::transport::network::Tcp;
 use hdrhistogram::Histogram;
+use page_form::completed;
 use partner::{ms, partner, us, Pace, Seen};
 use plotters::prelude::*;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -102,7 +105,7 @@
     let (end, ended) = oneshot::channel::<()>();
     let state =
         std::env::temp_dir().join(format!("basaltloom-batching-{}-{}", std::process::id(), port.port()));
-    let text = format!(
+    let text = completed(&format!(
         r#"{{"listen":"{port}","seed":"{seed}","limits":{{"sockets":512,"disk_mb":64}},"known":{{"seq":1,"whole":true,
 "hosts":[{{"host":"h","dial":"{hop}","site":"z","class":"k","block":1,"health":"active","share":1.0,"born_ms":0}}]}},
 "settings":{{"azs":["z"],"kinds":["k"],"fleet_size":1,"domain":{{"calls_out":{slots},"per_call":[10]}},
@@ -110,16 +113,15 @@
 "cancel":true}},"rules":{{"cold_share":1.0,"fall":1500000000,"overload_factor":1000.0,"warm_up":100000000}},
 "services":[{{"name":"notice","aim":2000000000,"deadline":10000000000,"importance":1,"late_worth":0.4,
 "repeat":"pure"}}]}}}}"#
-    );
+    ));
     let mode = format!("batching {{\n {mode}\n}}");
     let handle = thread::spawn(move || {
         let operator = operator::parse("bench", &mode).expect("a mode");
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a loop");
         LocalSet::new().block_on(&runtime, async move {
-            let mut config = config::decode(&text.parse().expect("JSON")).expect("a configuration");
-            config.state = state.clone();
-            let (_moved, reread) = tokio::sync::mpsc::unbounded_channel();
-            let platform = Some(PlatformPlan { config, reread });
+            let environment = Environment { state: Some(state.clone()), ..Environment::default() };
+            let configuration = judge(&text, None).expect("a configuration").within(&environment, None);
+            let platform = Some(PlatformPlan { configuration, environment });
             let plan = Plan { platform, operator, descriptors: 512, ..Plan::default() };
             wiring::run(plan, Rc::new(Tcp), Clock::system(), async { drop(ended.await) })
                 .await
--- a/benches/flood/mod.rs
+++ b/benches/flood/mod.rs
@@ -1,7 +1,11 @@
 //! A flood of connections against the relay's own program, its descriptors lowered, beside clients that are known:
 //! used by the bench of the full size and, with a few thousand connections, by the tests.
 
+#[path = "../../tests/stand_ins/page_form.rs"]
+mod page_form;
+
 use hdrhistogram::Histogram;
+use page_form::completed;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -159,7 +163,7 @@
         std::fs::create_dir_all(&dir).expect("a folder");
         let hop = Arc::new(Hop::default());
         let dial = serve_hop(hop.clone());
-        let config = format!(
+        let config = completed(&format!(
             r#"{{"listen":"127.0.0.1:0","seed":"1","limits":{{"sockets":{descriptors},"disk_mb":8}},
 "known":{{"seq":1,"whole":true,"hosts":[{{"host":"h","dial":"{dial}","site":"z","class":"k","block":1,
 "health":"active","share":1.0,"born_ms":0}}]}},
@@ -168,7 +172,7 @@
 "rules":{{"cold_share":1.0,"fall":1500000000,"overload_factor":1000.0,"warm_up":100000000}},
 "services":[{{"name":"notice","aim":2000000000,"deadline":10000000000,"importance":1,"late_worth":0.5,
 "repeat":"side_effect"}}]}}}}"#
-        );
+        ));
         std::fs::write(dir.join("c.json"), config).expect("a configuration");
         std::fs::write(dir.join("relay.conf"), operator).expect("an operator's file");
         // The shell lowers the limit for the program alone.
@@ -181,7 +185,8 @@
         }
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the relay");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
-        let first = lines.next().and_then(Result::ok).expect("a first line");
+        let first = lines.by_ref().map_while(Result::ok).find(|line| line.contains("serves on"));
+        let first = first.expect("it serves");
         let address =
             first.split_once("serves on ").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
         let (ended, log) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(vec![first.clone()])));
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,15 +1,16 @@
 //! The command line.
 
 use super::inherited::Inherited;
+use super::reload::{allowed, Reread};
 use super::signals::Signals;
 use super::wiring::{Plan, PlatformPlan, SmppPlan};
-use super::{config, fleet, import, log, wiring};
-use crate::configuration;
+use super::{files, fleet, import, log, wiring};
+use crate::configuration::{judge, Configuration, Environment, Version as ConfigurationVersion};
 use crate::operator;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
 use argh::FromArgs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::sync::mpsc::unbounded_channel;
@@ -115,12 +116,12 @@
     }
     let mut peers = None;
     if let Some(path) = args.config {
-        let (version, config) = config::read(&path)?;
-        peers = config.peers;
-        println!("{}, version {version}", config.summary());
+        let configuration = read(&path)?;
+        peers = Some(configuration.peers);
+        println!("{}", configuration.summary());
     }
     if let Some(path) = args.operator {
-        let operator = operator_file(&path, peers)?;
+        let operator = read_operator(&path).and_then(|operator| allowed(operator, peers))?;
         operator.in_force.iter().for_each(|setting| println!("{setting}"));
         if let Some(smpp) = operator.smpp {
             println!("{}", smpp.summary());
@@ -129,22 +130,17 @@
     Ok(())
 }
 
-/// The operator's file, or what is wrong with it, by itself or with what the platform's settings allow.
-fn operator_file(path: &std::path::Path, peers: Option<bool>) -> Result<operator::Operator, String> {
-    let operator = operator::read(path).map_err(|faults| operator::told(&faults))?;
-    operator.fleet.as_ref().map_or(Ok(()), |fleet| fleet.allowed(peers))?;
-    Ok(operator)
+/// The configuration of a file, or all that is wrong with it in a line.
+fn read(path: &Path) -> Result<Configuration, String> {
+    judge(&files::read(path)?, None).map_err(|faults| format!("{}: {faults}", path.display()))
 }
 
-/// Reads a configuration again, and tells what was read.
-fn read_again_from(path: &std::path::Path) -> Result<config::Config, String> {
-    let text = config::read_text(path)?;
-    let (version, bytes) = (configuration::Version::of(&text), text.len());
-    tracing::info!(target: "relay", event = "configuration-read", %version, bytes, "version {version} of the configuration was read");
-    config::of_text(&text).map_err(|why| format!("version {version}: {why}"))
+/// The operator's file, or what is wrong with it.
+fn read_operator(path: &Path) -> Result<operator::Operator, String> {
+    operator::read(path).map_err(|faults| operator::told(&faults))
 }
 
-fn print_import(path: &std::path::Path) -> Result<(), String> {
+fn print_import(path: &Path) -> Result<(), String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
     let imported = import::import(&text).map_err(|why| format!("{name}:{why}"))?;
@@ -166,70 +162,54 @@
         Signals::listen().map_err(|e| format!("cannot listen for signals: {e}"))?
     };
     let from = args.config.or_else(|| environment("LB_CONFIG").map(PathBuf::from));
-    let read = from.as_ref().map(|path| config::read(path)).transpose()?;
-    let (version, mut platform) =
-        read.map_or((None, None), |(version, config)| (Some(version), Some(config)));
-    if let Some(config) = &mut platform {
-        config.heed_environment(environment)?;
+    let variables = Environment::of(environment).map_err(|faults| faults.to_string())?;
+    let configuration = from.as_ref().map(|path| read(path)).transpose()?.map(|read| {
+        let discovery = variables.discovery.or(read.discovery);
+        read.within(&variables, discovery)
+    });
+    if let Some((inherited, configuration)) = inherited.as_ref().zip(configuration.as_ref()) {
+        inherited.check(configuration.listen)?;
     }
-    if let Some((inherited, config)) = inherited.as_ref().zip(platform.as_ref()) {
-        inherited.check(config.listen)?;
-    }
-    let console = platform.as_ref().and_then(|c| c.console);
-    let peers = platform.as_ref().and_then(|c| c.peers);
-    let operator = args.operator.as_ref().map(|path| operator_file(path, peers)).transpose();
-    let operator = operator?.unwrap_or_default();
-    if platform.is_none() && operator.smpp.is_none() {
+    let console = configuration.as_ref().and_then(|c| c.console);
+    let peers = configuration.as_ref().map(|c| c.peers);
+    let operator = args.operator.as_ref().map(|path| read_operator(path)).transpose()?;
+    let operator = operator.map(|operator| allowed(operator, peers)).transpose()?.unwrap_or_default();
+    if configuration.is_none() && operator.smpp.is_none() {
         let missing = "give --config, an operator's file with a section `smpp`, or set LB_CONFIG";
         return Err(format!("nothing to serve: {missing}"));
     }
     log::init(operator.log.clone());
-    if let Some((version, path)) = version.zip(from.as_ref()) {
-        tracing::info!(target: "relay", event = "configuration", %version, "starts by {}, version {version}", path.display());
+    if let Some(configuration) = &configuration {
+        let version = configuration.version;
+        tracing::info!(target: "relay", event = "configuration", %version, "starts by version {version} of the configuration");
     }
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let clock = Clock::system();
-        let (again, reread) = unbounded_channel();
-        let (moved, changes) = unbounded_channel();
+        let (again, rereads) = unbounded_channel();
         let smpp = operator.smpp.clone().map(|config| {
-            let state = platform.as_ref().map(|c| c.state.clone());
-            let state = state.or_else(|| environment("LB_STATE").map(PathBuf::from));
+            let state = configuration.as_ref().map(|c| c.state.clone());
+            let state = state.or_else(|| variables.state.clone()).unwrap_or_else(|| PathBuf::from("."));
             // Where both fronts run they share the disk evenly.
-            let disk_bytes = platform.as_mut().map_or(DISK, |c| {
-                c.disk_bytes /= 2;
-                c.disk_bytes
-            });
-            let state = state.unwrap_or_else(|| PathBuf::from(".")).join("smpp");
-            SmppPlan { config, state, disk_bytes, seed: clock.now() }
+            let disk_bytes = configuration.as_ref().map_or(DISK, |c| c.disk_bytes / 2);
+            SmppPlan { config, state: state.join("smpp"), disk_bytes, seed: clock.now() }
         });
-        let platform = platform.map(|config| PlatformPlan { config, reread: changes });
-        // A file that cannot be used changes nothing. The file read again stands above the environment.
+        let platform =
+            configuration.map(|configuration| PlatformPlan { configuration, environment: variables });
         let read_again = move || {
             tracing::info!(target: "relay", event = "hangup", "SIGHUP: the files are read again");
-            match from.as_ref().map(|path| read_again_from(path)) {
-                Some(Ok(config)) => drop(moved.send(config)),
-                Some(Err(why)) => {
-                    let text = "the configuration stays as it was read before";
-                    tracing::error!(target: "relay", event = "reread-failed", "{text}: {why}");
-                }
-                None => {}
-            }
-            match args.operator.as_ref().map(|path| operator_file(path, peers)) {
-                Some(Ok(operator)) => drop(again.send(operator)),
-                Some(Err(faults)) => {
-                    let (text, count) =
-                        ("the operator's file stays as it was read before", faults.lines().count());
-                    let first = faults.lines().next().unwrap_or_default();
-                    tracing::error!(target: "operator", event = "operator-faulty", count, "{text}: {first}");
-                }
-                None => {}
+            let configuration = from.as_ref().map(|path| files::read(path));
+            if let Some(Ok(text)) = &configuration {
+                let (version, bytes) = (ConfigurationVersion::of(text), text.len());
+                tracing::info!(target: "relay", event = "configuration-read", %version, bytes, "version {version} of the configuration was read");
             }
+            let operator = args.operator.as_ref().map(|path| read_operator(path));
+            again.send(Reread { configuration, operator }).ok();
         };
         let descriptors = descriptors();
-        let (changes, continues_clock) = (Some(reread), true);
+        let (rereads, continues_clock) = (Some(rereads), true);
         let plan =
-            Plan { platform, smpp, operator, changes, descriptors, inherited, console, continues_clock };
+            Plan { platform, smpp, operator, rereads, descriptors, inherited, console, continues_clock };
         wiring::run(plan, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
     })
 }
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -1,13 +1,15 @@
 //! Starts the fronts: the platform's and the SMPP one, each on a core and a journal of its own.
 
-use super::config::Config;
 use super::inherited::Inherited;
 use super::listing::{Feed, Listing};
+use super::rooms::Rooms;
 use super::wiring::{keep_up, words, SmppPlan};
 use crate::admission::ledger::Purse;
+use crate::batching::Table;
+use crate::configuration::Configuration;
 use crate::fleet::PollSchedule;
 use crate::operator::Operator;
-use crate::protocol::discovery::{self, Names};
+use crate::protocol::discovery;
 use crate::protocol::platform::{self, Classes, Platform};
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
@@ -19,11 +21,10 @@
 use crate::transport::pipeline::Pipelines;
 use crate::transport::{Door, Leg, Legs, Pool};
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 /// Sets the chances taken with discovery apart from those of the module.
@@ -38,29 +39,39 @@
     pub gate: Gate,
     /// Makes cores of the journal.
     pub cores: Cores,
+    /// The configuration that holds.
+    pub in_force: InForce,
 }
 
+/// The configuration that holds now, for all who go by it.
+pub(super) type InForce = Rc<watch::Sender<Rc<Configuration>>>;
+
 /// By what cores of the platform's front are made.
 pub(super) struct Cores {
-    config: Config,
-    batching: Batching,
+    in_force: InForce,
+    rooms: Rooms,
+    batching: Table,
     clock: Clock,
 }
 
 impl Cores {
     /// A core of what the folder held when it was opened, and of what another process handed over beside that.
     fn of(&self, journal: Journal, replayed: Replayed, handover: Option<Handover>) -> Core {
+        let configuration = self.in_force.borrow().clone();
         let handed = handover.as_ref().and_then(|h| list(&h.list));
-        let known = handed.as_ref().unwrap_or(&self.config.known);
-        let first = First { known, batching: self.batching.clone(), tells_delivery: false };
-        let (settings, seed) = (self.config.settings.clone(), self.config.seed);
+        let known = handed.as_ref().unwrap_or(&configuration.known);
+        let batching = Batching { table: self.batching.clone(), kinds: configuration.names.kinds.clone() };
+        let first = First { known, batching, tells_delivery: false };
+        let (settings, seed) = (configuration.settings.clone(), configuration.seed);
         Core::taking_over(settings, seed, journal, replayed, first, handover, self.clock.now())
     }
 
     /// A core of what the folder holds now, and of what was handed over in vain.
     pub fn again(&self, mut handed: Handover) -> Result<Core, OpenError> {
-        let Config { state, disk_bytes, classes, .. } = &self.config;
-        let (mut journal, mut replayed) = Journal::open(state, *disk_bytes, classes.clone())?;
+        let configuration = self.in_force.borrow().clone();
+        let budget = self.rooms.journal(&configuration);
+        let (mut journal, mut replayed) =
+            Journal::open(&configuration.state, budget, configuration.classes.clone())?;
         // Its calls are not waited for any more.
         handed.calls.clear();
         let unwritten = std::mem::take(&mut handed.unwritten);
@@ -81,8 +92,8 @@
 
 /// What the platform's front starts from.
 pub(super) struct PlatformStart<'a> {
-    pub config: Config,
-    pub reread: UnboundedReceiver<Config>,
+    pub configuration: Configuration,
+    pub rooms: Rooms,
     pub journal: Journal,
     pub replayed: Replayed,
     pub handover: Option<Handover>,
@@ -96,19 +107,21 @@
     door: Rc<Door>,
     said: &Operator,
 ) -> Result<PlatformFront, String> {
-    let PlatformStart { config, reread, journal, replayed, handover, inherited, clock } = start;
-    let batching = Batching { table: said.batching.clone(), kinds: config.names.kinds.clone() };
-    let front = platform_front(&config, &net, &door);
+    let PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock } = start;
+    let configuration = Rc::new(configuration);
+    let in_force: InForce = Rc::new(watch::Sender::new(configuration.clone()));
+    let front = platform_front(&configuration, &net, &door);
     let (pool, records) = (front.pool.clone(), front.net.clone());
-    let known = (config.known.whole && !config.known.endpoints.is_empty()).then_some(config.known.seq);
+    let known = &configuration.known;
+    let known = (known.whole && !known.endpoints.is_empty()).then_some(known.seq);
     let seq = handover.as_ref().filter(|h| list(&h.list).is_some()).map_or(known, |h| h.list.seq);
-    let cores = Cores { config: config.clone(), batching, clock };
+    let cores = Cores { in_force: in_force.clone(), rooms, batching: said.batching.clone(), clock };
     let core = cores.of(journal, replayed, handover);
     let desk = Desk::new(core, clock, front);
     desk.act(|_, _| ());
 
-    let listener = listen(&config, &net, inherited).await?;
-    let address = listener.address().unwrap_or(config.listen);
+    let listener = listen(&configuration, &net, inherited).await?;
+    let address = listener.address().unwrap_or(configuration.listen);
     let (timed, telling) = (desk.clone(), desk.clone());
     keep_serving("the timer", &desk, move || timed.clone().keep_time());
     keep_serving("the notices", &desk, move || platform::tell_ends(telling.clone()));
@@ -116,8 +129,7 @@
     let listing = Listing::new(desk.clone(), seq);
     let applying = listing.clone();
     keep_serving("the list", &desk, move || applying.clone().apply());
-    spawn_local(follow_discovery(desk.clone(), listing.clone(), records, config.clone()));
-    spawn_local(heed(desk.clone(), listing.clone(), config.names.clone(), config.discovery, reread));
+    spawn_local(follow_discovery(desk.clone(), listing.clone(), records, in_force.clone()));
     let legs = Legs::new(door, words(said.admission.refusal));
     spawn_local(send_callers_away(desk.clone(), legs.clone()));
     let gate = Gate::open();
@@ -130,13 +142,13 @@
         }
     };
     spawn_local(legs.clone().accept(listener, answer, gone));
-    let name = &config.name;
+    let name = &configuration.name;
     tracing::info!(target: "relay", event = "serves", front = "platform", %address, "{name} serves on {address}");
-    Ok(PlatformFront { desk, legs, listing, gate, cores })
+    Ok(PlatformFront { desk, legs, listing, gate, cores, in_force })
 }
 
 /// What stands before the core.
-fn platform_front(config: &Config, net: &Net, door: &Rc<Door>) -> Platform {
+fn platform_front(config: &Configuration, net: &Net, door: &Rc<Door>) -> Platform {
     let drawing = |purse| Counted::over(net.clone(), door.ledger().clone(), purse);
     let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
     let connect = Duration::from_nanos(config.connect_timeout);
@@ -156,7 +168,7 @@
 
 /// The socket that callers connect to: the platform's own, where it hands one over.
 async fn listen(
-    config: &Config,
+    config: &Configuration,
     net: &Net,
     inherited: Option<&Inherited>,
 ) -> Result<Box<dyn Listen>, String> {
@@ -188,10 +200,11 @@
     desk: Rc<Desk<Platform>>,
     listing: Rc<Listing<Platform>>,
     net: Net,
-    config: Config,
+    in_force: InForce,
 ) {
     let life = Cell::new(0u64);
     let follow = || {
+        let config = in_force.borrow().clone();
         // Chances of its own each time.
         life.set(life.get() + 1);
         let seed = config.seed ^ POLL_SEED ^ (life.get() - 1);
@@ -219,35 +232,6 @@
     }
 }
 
-/// Takes in the configuration as it was read again: where discovery and notices go, from now on, and the
-/// known list where there is no discovery. All else holds from the next start on.
-async fn heed(
-    desk: Rc<Desk<Platform>>,
-    listing: Rc<Listing<Platform>>,
-    names: Names,
-    first: Option<SocketAddr>,
-    mut reread: UnboundedReceiver<Config>,
-) {
-    while let Some(config) = reread.recv().await {
-        // An address that only the environment gave stays.
-        let agent = config.discovery.or(first);
-        desk.front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
-        match agent {
-            Some(agent) => {
-                tracing::info!(target: "relay", event = "reread", %agent, "the configuration was read again: discovery at {agent}");
-            }
-            None if config.names == names && desk.roles.serves() => {
-                listing.learn(&config.known).await;
-                tracing::info!(target: "relay", event = "reread", "the configuration was read again: its list stands");
-            }
-            None => {
-                let text = "the configuration was read again: other kinds or zones need a restart";
-                tracing::warn!(target: "relay", event = "reread-needs-restart", "{text}");
-            }
-        }
-    }
-}
-
 pub(super) async fn start_smpp(
     plan: SmppPlan,
     net: Net,
--- a/src/program/import/mod.rs
+++ b/src/program/import/mod.rs
@@ -1,22 +1,17 @@
 //! The importer: nginx `upstream` blocks become destinations with their next hops, `location` blocks become
 //! classes. What has no counterpart here is named with its line.
 
+mod form;
 mod nginx;
+mod settings;
 
+use crate::configuration::settings::RepeatForm;
 use nginx::{millis, Directive};
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::net::{IpAddr, SocketAddr};
-use tinyjson::JsonValue;
 
 /// What nginx takes where nothing is said.
 const READ_TIMEOUT_MS: u64 = 60_000;
-const CONNECT_TIMEOUT_MS: u64 = 60_000;
-const KEEPALIVE_MS: u64 = 60_000;
-const LISTEN: &str = "0.0.0.0:8000";
-/// Calls out to all next hops where no `max_conns` says how many they take.
-const CALLS_OUT: u64 = 64;
-const MOST_TRIES: u64 = 8;
 /// The class of `location /`, for paths that begin like no other.
 const REST: &str = "default";
 
@@ -50,7 +45,7 @@
     read_ms: u64,
     /// Until when another server may still be tried.
     within_ms: u64,
-    repeat: &'static str,
+    repeat: RepeatForm,
 }
 
 /// Directives that a location takes from the blocks round it.
@@ -308,85 +303,20 @@
         let says = |word: &str| next.iter().any(|w| w == word);
         let after_it_may_have_run =
             says("timeout") || says("error") || next.iter().any(|w| w.starts_with("http_5"));
-        let repeat = if says("non_idempotent") && after_it_may_have_run { "pure" } else { "side_effect" };
+        let repeat = match says("non_idempotent") && after_it_may_have_run {
+            true => RepeatForm::Pure,
+            false => RepeatForm::SideEffect,
+        };
         self.classes.push(Class { name, upstream, read_ms, within_ms, repeat });
     }
 
     fn config(&self) -> String {
-        let mut out = String::new();
-        let number = |name: &str| self.order.iter().position(|n| n == name).map_or(0, |i| i + 1);
-        let servers = self.order.iter().flat_map(|n| self.upstreams[n].servers.iter().map(move |s| (n, s)));
-        let hosts = servers.clone().map(|(name, s)| {
-            let health = if s.down { "leaving" } else { "active" };
-            let most = if s.max_conns > 0 { format!(",\"max_conns\":{}", s.max_conns) } else { String::new() };
-            format!(
-                r#"{{"host":{},"dial":"{}","site":"here","class":"upstream","block":{},"health":"{health}","share":1.0,"born_ms":0,"weight":{},"backup":{}{most}}}"#,
-                quoted(&format!("{name}/{}", s.name)),
-                s.dial,
-                number(name),
-                s.weight,
-                s.backup
-            )
-        });
-        let bounded = servers.clone().all(|(_, s)| s.max_conns > 0);
-        let calls_out = if bounded { servers.map(|(_, s)| s.max_conns).sum() } else { CALLS_OUT };
-        let services = self.classes.iter().map(|c| {
-            let deadline = c.within_ms.max(c.read_ms);
-            format!(
-                r#"{{"name":{},"aim":{},"deadline":{},"importance":1.0,"late_worth":0.4,"repeat":"{}"}}"#,
-                quoted(&c.name),
-                c.read_ms * 1_000_000,
-                deadline * 1_000_000,
-                c.repeat
-            )
-        });
-        let defaults = self.classes.iter().map(|c| {
-            let timeout = c.within_ms.max(c.read_ms);
-            format!(r#"{}:{{"dest":{},"timeout_ms":{timeout}}}"#, quoted(&c.name), number(&c.upstream))
-        });
-        let joined = |parts: Vec<String>, indent: &str| parts.join(&format!(",\n{indent}"));
-        let keepalive = self.upstreams.values().filter_map(|u| u.keepalive_ms).min().unwrap_or(KEEPALIVE_MS);
-        let listen = self.listen.map_or(LISTEN.to_string(), |l| l.to_string());
-        let rest = self.classes.iter().any(|c| c.name == REST);
-        let written = write!(
-            out,
-            r#"{{
-  "name": "imported",
-  "listen": "{listen}",
-  "state": ".",
-  "limits": {{"sockets": 1024, "disk_mb": 64}},
-  {}"defaults": {{
-    {}}},
-  "known": {{"seq": 0, "whole": true, "hosts": [
-    {}]}},
-  "settings": {{
-    "azs": ["here"], "kinds": ["upstream"], "fleet_size": 1, "weights": "off",
-    "domain": {{"calls_out": {calls_out}, "late": "even", "per_call": [1], "separate_routes": [true], "route_fee": [0.0]}},
-    "limits": {{"cancel": true, "connect_timeout": {}, "keepalive": {}, "max_open": {}, "max_retry_after": 3000000000,
-      "most_tries": {}, "retry_after": true}},
-    "rules": {{"cold_share": 0.2, "fall": 1500000000, "overload_factor": 2.0, "warm_up": 10000000000}},
-    "services": [
-      {}]}}
-}}
-"#,
-            if rest { format!("\"default_class\": \"{REST}\",\n  ") } else { String::new() },
-            joined(defaults.collect(), "    "),
-            joined(hosts.collect(), "    "),
-            self.connect_ms.unwrap_or(CONNECT_TIMEOUT_MS).max(1) * 1_000_000,
-            keepalive.max(1_000) * 1_000_000,
-            calls_out * 8,
-            self.tries.unwrap_or(MOST_TRIES),
-            joined(services.collect(), "      "),
-        );
-        debug_assert!(written.is_ok());
-        out
+        let text = serde_json::to_string_pretty(&self.form());
+        debug_assert!(text.is_ok());
+        text.unwrap_or_default() + "\n"
     }
 }
 
-fn quoted(text: &str) -> String {
-    JsonValue::String(text.to_string()).stringify().unwrap_or_default()
-}
-
 /// `10.0.0.1:80`, `10.0.0.1`, `[::1]:80`, `localhost:80`.
 fn address(text: &str, port: u16) -> Option<SocketAddr> {
     let text = text.replacen("localhost", "127.0.0.1", usize::from(text.starts_with("localhost")));
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -16,9 +16,22 @@
 const EACH: Duration = Duration::from_secs(1);
 /// Kinds of events told apart at once: beyond that they are summed up by their names alone.
 const KINDS: usize = 1_024;
-/// What answers a message, not an operator, or tells who is there: each is a line of its own.
-const NEVER_SUMMED: &[&str] =
-    &["message-end", "repeated", "member-alive", "member-faulty", "member-left", "view"];
+/// What answers a message or a signal, or tells who is there: each is a line of its own.
+const NEVER_SUMMED: &[&str] = &[
+    "configuration",
+    "configuration-read",
+    "hangup",
+    "member-alive",
+    "member-faulty",
+    "member-left",
+    "message-end",
+    "operator-faulty",
+    "operator-reread",
+    "repeated",
+    "reread",
+    "reread-failed",
+    "view",
+];
 
 /// Words on what keeps a command from being done; not part of the log.
 pub fn complain(text: &str) {
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -3,8 +3,8 @@
 mod beside;
 mod boot_clock;
 mod cli;
-pub mod config;
 mod descriptors;
+mod files;
 pub mod fleet;
 mod fronts;
 pub mod import;
@@ -12,6 +12,8 @@
 pub mod listing;
 pub mod log;
 mod ownership;
+pub mod reload;
+mod rooms;
 mod signals;
 mod takeover;
 pub mod wiring;
--- /dev/null
+++ b/src/program/reload.rs
@@ -0,0 +1,150 @@
+//! Puts in force what SIGHUP has read again: the platform's configuration first, then the operator's file, each whole or not at
+//! all.
+
+use super::beside::Beside;
+use super::descriptors::Share;
+use super::fronts::{InForce, PlatformFront};
+use super::listing::Listing;
+use super::log;
+use super::wiring::words;
+use crate::configuration::{judge_again, Configuration, Environment, Version};
+use crate::operator::fleet::Fleet;
+use crate::operator::Operator;
+use crate::protocol::platform::Platform;
+use crate::protocol::smpp;
+use crate::routing::Desk;
+use crate::transport::Legs;
+use std::rc::Rc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// The files as they were read at one signal; of a file that is not in use nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Reread {
+    /// The text of the platform's configuration, or why it could not be read.
+    pub configuration: Option<Result<String, String>>,
+    /// What the operator's file says, or what is wrong with it.
+    pub operator: Option<Result<Operator, String>>,
+}
+
+/// What goes by the operator's file.
+pub(super) struct Reload {
+    /// Membership as the process started with it.
+    pub fleet: Option<Fleet>,
+    pub share: Rc<Share>,
+    pub beside: Rc<Beside>,
+}
+
+/// What goes by the platform's configuration.
+pub(super) struct PlatformReload {
+    desk: Rc<Desk<Platform>>,
+    legs: Rc<Legs>,
+    listing: Rc<Listing<Platform>>,
+    in_force: InForce,
+    environment: Environment,
+}
+
+impl PlatformReload {
+    /// For this front, in this environment.
+    pub fn of(front: &PlatformFront, environment: Environment) -> PlatformReload {
+        PlatformReload {
+            desk: front.desk.clone(),
+            legs: front.legs.clone(),
+            listing: front.listing.clone(),
+            in_force: front.in_force.clone(),
+            environment,
+        }
+    }
+
+    /// Judges a text, and puts in force what it says where it is whole.
+    async fn take(&self, text: &str, uses_peers: bool) {
+        let in_force = self.in_force.borrow().clone();
+        let version = Version::of(text);
+        match judge_again(text, &in_force, &self.environment, uses_peers) {
+            Ok(configuration) => self.put_in_force(Rc::new(configuration)).await,
+            Err(faults) => {
+                let (count, in_force) = (faults.count(), in_force.version);
+                let said = "the configuration stays as it was read before";
+                tracing::error!(target: "relay", event = "reread-failed", %version, %in_force, count, "{said}: version {version}: {faults}");
+            }
+        }
+    }
+
+    async fn put_in_force(&self, configuration: Rc<Configuration>) {
+        let before = self.in_force.send_replace(configuration.clone());
+        let (agent, version) = (configuration.discovery, configuration.version);
+        self.desk.front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
+        let read = "the configuration was read again";
+        match agent {
+            Some(agent) => {
+                tracing::info!(target: "relay", event = "reread", %version, %agent, "{read}: discovery at {agent}");
+            }
+            None if configuration.names == before.names && self.desk.roles.serves() => {
+                self.listing.learn(&configuration.known).await;
+                tracing::info!(target: "relay", event = "reread", %version, "{read}: its list stands");
+            }
+            None => {
+                let text = "other kinds or zones need a restart";
+                tracing::warn!(target: "relay", event = "reread-needs-restart", "{read}: {text}");
+            }
+        }
+    }
+}
+
+impl Reload {
+    /// Goes by all that is read again, in its order.
+    pub async fn follow(self, mut rereads: UnboundedReceiver<Reread>, platform: Option<PlatformReload>) {
+        while let Some(reread) = rereads.recv().await {
+            match (&platform, &reread.configuration) {
+                (Some(platform), Some(Ok(text))) => platform.take(text, self.fleet.is_some()).await,
+                (_, Some(Err(why))) => {
+                    let text = "the configuration stays as it was read before";
+                    tracing::error!(target: "relay", event = "reread-failed", "{text}: {why}");
+                }
+                _ => {}
+            }
+            let peers = platform.as_ref().map(|platform| platform.in_force.borrow().peers);
+            let operator = reread.operator.map(|read| read.and_then(|operator| allowed(operator, peers)));
+            match operator {
+                Some(Ok(operator)) => self.put_in_force(&operator, platform.as_ref()),
+                Some(Err(faults)) => {
+                    let (text, count) =
+                        ("the operator's file stays as it was read before", faults.lines().count());
+                    let faults = faults.lines().collect::<Vec<_>>().join("; ");
+                    tracing::error!(target: "operator", event = "operator-faulty", count, "{text}: {faults}");
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// The log, admission, batching, and of SMPP its endpoints; the rest holds from the next start on.
+    fn put_in_force(&self, said: &Operator, platform: Option<&PlatformReload>) {
+        log::heed(said.log.clone());
+        let closed = self.share.admit_by(said.admission.clone());
+        if let Some(PlatformReload { desk, legs, .. }) = platform {
+            legs.say(words(said.admission.refusal));
+            if desk.roles.serves() {
+                desk.act(|core, now| core.set_batching(now, said.batching.clone()));
+            }
+        }
+        let same = |a: &Fleet| Fleet { place: None, ..a.clone() };
+        if self.fleet.as_ref().map(same) != said.fleet.as_ref().map(same) {
+            tracing::warn!(target: "operator", event = "reread-needs-restart", "section `fleet` holds from the next start on");
+        }
+        match (self.beside.smpp(), &said.smpp) {
+            (Some(desk), Some(config)) => smpp::learn(&desk, config),
+            (None, None) => {}
+            _ => {
+                tracing::warn!(target: "operator", event = "reread-needs-restart", "the SMPP front comes or goes with a restart alone")
+            }
+        }
+        let text = "the operator's file was read again";
+        tracing::info!(target: "operator", event = "operator-reread", closed, "{text}: {closed} legs beyond its caps are closed");
+    }
+}
+
+/// An operator's file that agrees with what the platform's settings allow.
+pub(super) fn allowed(operator: Operator, peers: Option<bool>) -> Result<Operator, String> {
+    operator.fleet.as_ref().map_or(Ok(()), |fleet| fleet.allowed(peers))?;
+    Ok(operator)
+}
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -1,18 +1,20 @@
 //! Starts the parts and ties them together.
 
 use super::beside::{Beside, BesidePlan, FleetPlan};
-use super::config::Config;
 use super::descriptors::Share;
 use super::fronts::{start_platform, PlatformFront, PlatformStart};
 use super::inherited::Inherited;
 use super::ownership::{own, Claim, Owned};
+use super::reload::{PlatformReload, Reload, Reread};
+use super::rooms::Rooms;
 use super::takeover::{self, Takeover};
 use super::{fleet, log};
 use crate::admission::ledger;
+use crate::configuration::{Configuration, Environment};
 use crate::operator::admission::Refusal;
-use crate::operator::fleet::Fleet;
 use crate::operator::Operator;
 use crate::protocol::console::{self, Asked};
+use crate::protocol::discovery::Names;
 use crate::protocol::platform::Platform;
 use crate::protocol::smpp;
 use crate::protocol::smpp::config::SmppConfig;
@@ -49,8 +51,8 @@
     pub platform: Option<PlatformPlan>,
     pub smpp: Option<SmppPlan>,
     pub operator: Operator,
-    /// The operator's file read again, as often as that is asked for.
-    pub changes: Option<UnboundedReceiver<Operator>>,
+    /// The files read again, as often as that is asked for.
+    pub rereads: Option<UnboundedReceiver<Reread>>,
     /// Descriptors that the process may have.
     pub descriptors: usize,
     /// The callers' listening socket, where the platform hands one over: then processes may take over from one another.
@@ -61,10 +63,12 @@
     pub continues_clock: bool,
 }
 
+/// What the platform's front starts by.
 pub struct PlatformPlan {
-    pub config: Config,
-    /// The file read again, as often as that is asked for.
-    pub reread: UnboundedReceiver<Config>,
+    /// The configuration as it holds in the environment.
+    pub configuration: Configuration,
+    /// What stands above the file.
+    pub environment: Environment,
 }
 
 #[derive(Clone)]
@@ -164,28 +168,39 @@
     }
     let (ending, superseded) = (Rc::new(Cell::new(false)), Rc::new(Notify::new()));
     let beside = Rc::new(Beside::default());
-    let fleet = fleet_plan(&operator, &mut plan)?;
+    let fleet = fleet_plan(&operator, &plan)?;
     let smpp = plan.smpp.take();
-    let changes = plan.changes.take();
+    let reload = Reload { fleet: operator.fleet.clone(), share: share.clone(), beside: beside.clone() };
+    let rereads = plan.rereads.take();
     let Some(platform) = plan.platform.take() else {
         let beside_plan = BesidePlan { fleet, smpp, net, door, clock };
         beside.start(&beside_plan, None, false).await?;
-        follow_changes(changes, operator.fleet, share, None, beside.clone());
+        follow(rereads, reload, None);
         return Ok(Started { platform: None, beside, ending, superseded });
     };
-    let hello = plan.inherited.as_ref().map(|_| hello(&platform.config));
-    let owned = claim(&platform.config, hello.clone(), clock, plan.continues_clock).await?;
+    let PlatformPlan { configuration, environment } = platform;
+    let rooms = Rooms { has_smpp: smpp.is_some(), has_fleet: fleet.is_some() };
+    let hello = plan.inherited.as_ref().map(|_| hello(&configuration));
+    let claimed = Claim {
+        dir: &configuration.state,
+        budget: rooms.journal(&configuration),
+        classes: &configuration.classes,
+        hello: hello.clone(),
+        clock,
+        continues_clock: plan.continues_clock,
+    };
+    let owned = own(claimed).await?;
     let Owned { journal, replayed, handover, predecessor, clock, turn } = owned;
     if let Some(predecessor) = &predecessor {
         share.other_holds(predecessor.descriptors);
     }
     let beside_plan = BesidePlan { fleet, smpp, net: net.clone(), door: door.clone(), clock };
     let after_takeover = handover.is_some();
-    let dir = platform.config.state.clone();
-    let PlatformPlan { config, reread } = platform;
+    let dir = configuration.state.clone();
     let inherited = plan.inherited.as_ref();
-    let start = PlatformStart { config, reread, journal, replayed, handover, inherited, clock };
+    let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock };
     let front = start_platform(start, net, door, &operator).await?;
+    follow(rereads, reload, Some(PlatformReload::of(&front, environment)));
     let PlatformFront { desk: serving, legs, .. } = &front;
     let platform = (serving.clone(), legs.clone());
     desk.replace(Some(serving.clone()));
@@ -199,23 +214,19 @@
         let takeover = Takeover { front, hello, dir, beside, beside_plan, ending, superseded };
         spawn_local(takeover.offer());
     }
-    follow_changes(changes, operator.fleet, share, Some(platform.clone()), beside.clone());
     Ok(Started { platform: Some(platform), beside, ending, superseded })
 }
 
-fn hello(config: &Config) -> Hello {
-    let (kinds, zones) = (config.names.kinds.clone(), config.names.zones.clone());
-    Hello { version: VERSION, name: config.name.clone(), listen: config.listen, kinds, zones }
+fn hello(configuration: &Configuration) -> Hello {
+    let Names { kinds, zones } = configuration.names.clone();
+    Hello { version: VERSION, name: configuration.name.clone(), listen: configuration.listen, kinds, zones }
 }
 
-async fn claim(
-    config: &Config,
-    hello: Option<Hello>,
-    clock: Clock,
-    continues_clock: bool,
-) -> Result<Owned, String> {
-    let (dir, budget, classes) = (&config.state, config.disk_bytes, &config.classes);
-    own(Claim { dir, budget, classes, hello, clock, continues_clock }).await
+/// Has what is read again put in force, for good.
+fn follow(rereads: Option<UnboundedReceiver<Reread>>, reload: Reload, platform: Option<PlatformReload>) {
+    if let Some(rereads) = rereads {
+        spawn_local(reload.follow(rereads, platform));
+    }
 }
 
 /// What the console answers: whether this process takes clients, and whether an operation is in force.
@@ -240,23 +251,22 @@
 /// Sets apart the seed of membership from that of the module.
 const MEMBERSHIP: u64 = 0x6d65_6d62_6572_7368;
 
-/// Membership lives beside the journal, and within its room.
-fn fleet_plan(operator: &Operator, plan: &mut Plan) -> Result<Option<FleetPlan>, String> {
+/// Membership, as the operator's file has it.
+fn fleet_plan(operator: &Operator, plan: &Plan) -> Result<Option<FleetPlan>, String> {
     let Some(section) = operator.fleet.clone() else { return Ok(None) };
     let shares = plan.platform.as_ref().filter(|_| section.deals).map(|p| {
-        let s = &p.config.settings;
+        let s = &p.configuration.settings;
         crate::fleet::together::Terms { senders: s.senders, cold_share: s.cold_share, warm_up: s.warm_up }
     });
-    let (name, dir, seed) = match (&mut plan.platform, &plan.smpp) {
-        (Some(PlatformPlan { config, .. }), _) => {
-            if config.disk_bytes < 2 * fleet::DISK {
-                let (has, wants) = (config.disk_bytes, 2 * fleet::DISK);
+    let (name, dir, seed) = match (&plan.platform, &plan.smpp) {
+        (Some(PlatformPlan { configuration, .. }), _) => {
+            let (has, wants) = (configuration.disk_bytes, 2 * fleet::DISK);
+            if has < wants {
                 return Err(format!(
                     "fleet: the lasting folder may hold {has} bytes, expected {wants} at least"
                 ));
             }
-            config.disk_bytes -= fleet::DISK;
-            (config.name.clone(), config.state.clone(), config.seed)
+            (configuration.name.clone(), configuration.state.clone(), configuration.seed)
         }
         (None, Some(smpp)) => ("relay".to_string(), smpp.state.clone(), smpp.seed),
         (None, None) => return Err("fleet: nothing is served".to_string()),
@@ -264,51 +274,6 @@
     Ok(Some(FleetPlan { section, name, dir, seed: seed ^ MEMBERSHIP, shares }))
 }
 
-fn follow_changes(
-    changes: Option<UnboundedReceiver<Operator>>,
-    fleet: Option<Fleet>,
-    share: Rc<Share>,
-    platform: Option<PlatformDesk>,
-    beside: Rc<Beside>,
-) {
-    if let Some(changes) = changes {
-        spawn_local(follow_operator(changes, fleet, share, platform, beside));
-    }
-}
-
-/// Takes in the operator's file as it was read again: the log, admission, and of SMPP its next hops.
-async fn follow_operator(
-    mut changes: UnboundedReceiver<Operator>,
-    fleet: Option<Fleet>,
-    share: Rc<Share>,
-    platform: Option<PlatformDesk>,
-    beside: Rc<Beside>,
-) {
-    while let Some(said) = changes.recv().await {
-        log::heed(said.log.clone());
-        let closed = share.admit_by(said.admission.clone());
-        if let Some((desk, legs)) = &platform {
-            legs.say(words(said.admission.refusal));
-            if desk.roles.serves() {
-                desk.act(|core, now| core.set_batching(now, said.batching.clone()));
-            }
-        }
-        let same = |a: &Fleet| Fleet { place: None, ..a.clone() };
-        if fleet.as_ref().map(same) != said.fleet.as_ref().map(same) {
-            tracing::warn!(target: "operator", event = "reread-needs-restart", "section `fleet` holds from the next start on");
-        }
-        match (beside.smpp(), &said.smpp) {
-            (Some(desk), Some(config)) => smpp::learn(&desk, config),
-            (None, None) => {}
-            _ => {
-                tracing::warn!(target: "operator", event = "reread-needs-restart", "the SMPP front comes or goes with a restart alone")
-            }
-        }
-        let text = "the operator's file was read again";
-        tracing::info!(target: "operator", event = "operator-reread", closed, "{text}: {closed} legs beyond its caps are closed");
-    }
-}
-
 /// What a caller is told that is turned away before it has asked.
 pub(super) fn words(refusal: Refusal) -> Bytes {
     match refusal {
@@ -349,7 +314,7 @@
 
 /// As many descriptors as the platform allows, or the process has, whichever is lower.
 fn descriptors(plan: &Plan) -> usize {
-    plan.platform.as_ref().map_or(usize::MAX, |p| p.config.sockets).min(plan.descriptors)
+    plan.platform.as_ref().map_or(usize::MAX, |p| p.configuration.sockets).min(plan.descriptors)
 }
 
 /// Starts a task without which the relay would stand still, and starts it again if it panics.
--- a/src/protocol/discovery/known.rs
+++ b/src/protocol/discovery/known.rs
@@ -1,17 +1,15 @@
 //! A list that was read whole with the file that holds it, such as the one under `known`.
 
-use super::entry::{EntryFault, Fields, Member, Names, Skipped, Value};
+use super::entry::{whole_number, EntryFault, Fields, Member, Names, Skipped, Value as Simple};
 use crate::catalog::EndpointUpdate;
-use crate::protocol::fields::{flag, list, num};
-use std::collections::HashMap;
-use tinyjson::JsonValue;
+use serde_json::{Map, Value};
 
 /// Decodes a list, or its changes. Entries that cannot be used are left out, and told in the log.
-pub fn decode_update(value: &JsonValue, names: &Names) -> Option<EndpointUpdate> {
+pub fn decode_update(value: &Value, names: &Names) -> Option<EndpointUpdate> {
     let mut skipped = Skipped::default();
-    let (seq, whole) = (num(value, "seq")? as u64, flag(value, "whole")?);
-    let entries = list(value, "hosts").iter().enumerate();
-    let endpoints = entries.filter_map(|(place, entry)| match entry.get::<HashMap<_, _>>() {
+    let (seq, whole) = (whole_number(value.get("seq")?.as_f64()?)?, value.get("whole")?.as_bool()?);
+    let entries = value.get("hosts").and_then(Value::as_array).into_iter().flatten().enumerate();
+    let endpoints = entries.filter_map(|(place, entry)| match entry.as_object() {
         Some(members) => fields(members, names).complete(place, &mut skipped),
         None => {
             skipped.add(None, place, EntryFault::NotAnObject);
@@ -23,7 +21,7 @@
     Some(EndpointUpdate { seq, whole, endpoints })
 }
 
-fn fields(members: &HashMap<String, JsonValue>, names: &Names) -> Fields {
+fn fields(members: &Map<String, Value>, names: &Names) -> Fields {
     let mut fields = Fields::default();
     for (name, value) in members {
         if let Some(member) = Member::named(name) {
@@ -33,12 +31,12 @@
     fields
 }
 
-fn simple(value: &JsonValue) -> Value<'_> {
+fn simple(value: &Value) -> Simple<'_> {
     match value {
-        JsonValue::String(text) => Value::Text(text),
-        JsonValue::Number(number) => Value::Number(*number),
-        JsonValue::Boolean(flag) => Value::Flag(*flag),
-        JsonValue::Null => Value::Null,
-        JsonValue::Array(_) | JsonValue::Object(_) => Value::Nested,
+        Value::String(text) => Simple::Text(text),
+        Value::Number(number) => number.as_f64().map_or(Simple::Nested, Simple::Number),
+        Value::Bool(flag) => Simple::Flag(*flag),
+        Value::Null => Simple::Null,
+        Value::Array(_) | Value::Object(_) => Simple::Nested,
     }
 }
--- a/src/protocol/fields.rs
+++ b/src/protocol/fields.rs
@@ -1,11 +1,8 @@
-//! Small fields of the platform's protocol, and ways to pick values out of JSON.
+//! Small fields of the platform's protocol.
 
 use crate::interface::Nanos;
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
-use tinyjson::JsonValue;
 
 /// `480m` or `250u`: a number and a unit, milliseconds or microseconds.
 pub fn span(text: &str) -> Option<Nanos> {
@@ -66,35 +63,3 @@
     }
     Some(String::from_utf8_lossy(&bytes).into_owned()).filter(|s| !s.is_empty())
 }
-
-pub fn need<T>(value: Option<T>, what: &str) -> Result<T, String> {
-    value.ok_or_else(|| format!("`{what}` is missing or of the wrong kind"))
-}
-
-pub fn address(text: &str, what: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("`{what}`: {text:?} is no address with a port"))
-}
-
-/// A step into a JSON object; `None` where there is no such member.
-pub fn at<'a>(value: &'a JsonValue, path: &str) -> Option<&'a JsonValue> {
-    path.split('.').try_fold(value, |v, name| {
-        let object: &HashMap<String, JsonValue> = v.get()?;
-        object.get(name).filter(|v| !matches!(v, JsonValue::Null))
-    })
-}
-
-pub fn num(value: &JsonValue, path: &str) -> Option<f64> {
-    at(value, path)?.get::<f64>().copied()
-}
-
-pub fn text<'a>(value: &'a JsonValue, path: &str) -> Option<&'a str> {
-    at(value, path)?.get::<String>().map(String::as_str)
-}
-
-pub fn flag(value: &JsonValue, path: &str) -> Option<bool> {
-    at(value, path)?.get::<bool>().copied()
-}
-
-pub fn list<'a>(value: &'a JsonValue, path: &str) -> &'a [JsonValue] {
-    at(value, path).and_then(|v| v.get::<Vec<JsonValue>>()).map_or(&[], |v| v)
-}
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -1,7 +1,9 @@
 //! Configurations that are read while a real process serves, starts and is followed by another: a broken one changes nothing, a
 //! good one comes into force whole, and open messages keep the rules by which they were taken on.
 
+mod breaks;
 mod broken;
+mod judged;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
--- a/tests/discovery/decode.rs
+++ b/tests/discovery/decode.rs
@@ -6,7 +6,7 @@
 use basaltloom::protocol::discovery::{decode_update, Damage, Decoder, Heading, ListFault};
 use bytes::Bytes;
 use proptest::prelude::*;
-use tinyjson::JsonValue;
+use serde_json::Value;
 
 type Decoded = Result<(Heading, Vec<Endpoint>), ListFault>;
 
@@ -279,9 +279,9 @@
         text in text(),
         pieces in proptest::collection::vec(1usize..40, 0..200),
     ) {
-        let value: JsonValue = text.parse().unwrap();
+        let value: Value = text.parse().unwrap();
         let known = decode_update(&value, &names()).unwrap();
-        let listed = value["hosts"].get::<Vec<JsonValue>>().unwrap().len();
+        let listed = value["hosts"].as_array().unwrap().len();
         match in_pieces(text.as_bytes(), pieces) {
             Ok((heading, endpoints)) => {
                 prop_assert_eq!((heading.seq, heading.whole), (known.seq, known.whole));
--- a/tests/discovery/limits.rs
+++ b/tests/discovery/limits.rs
@@ -1,33 +1,31 @@
 //! How much of a list is taken in, as the configuration says.
 
-use basaltloom::program::config::{decode, Config};
-use tinyjson::JsonValue;
+use crate::page_form::page_form_with;
+use basaltloom::configuration::{judge, Configuration, Faults};
+use serde_json::Value;
 
-/// The configuration with these `limits`.
-fn config(limits: &str) -> Result<Config, String> {
-    let text = format!(
-        r#"{{"listen":"127.0.0.1:1","limits":{limits},"settings":{{"fleet_size":1,
-        "domain":{{"calls_out":8}},"limits":{{"max_open":9,"most_tries":3}},
-        "rules":{{"cold_share":0.2,"fall":1,"overload_factor":2.0,"warm_up":1}},
-        "services":[{{"name":"a","aim":1,"deadline":2,"importance":1.0,"late_worth":0.4,"repeat":"pure"}}]}}}}"#
-    );
-    decode(&text.parse::<JsonValue>().unwrap())
+/// The configuration with these limits on memory and lists.
+fn configuration(memory: Value, list: Value) -> Result<Configuration, Faults> {
+    judge(&page_form_with([("/limits/memory_mb", memory), ("/limits/list_mb", list)]).to_string(), None)
 }
 
-/// Guards the cap on lists: the operator's word, else half of the memory, else 64 MB; never under 4 MiB by itself.
+/// Guards the cap on lists: the operator's word, else half of the memory; never under 4 MiB by itself.
 #[test]
 fn the_cap_is_a_setting_or_fits_the_memory() {
-    for (limits, bytes) in [
-        ("{}", 64_000_000),
-        (r#"{"memory_mb":2048}"#, 1_024_000_000),
-        (r#"{"memory_mb":192}"#, 96_000_000),
-        (r#"{"memory_mb":8}"#, 4 << 20),
-        (r#"{"memory_mb":0}"#, 64_000_000),
-        (r#"{"memory_mb":192,"list_mb":1.5}"#, 1_500_000),
+    for (memory, list, bytes) in [
+        (2048.into(), Value::Null, 1_024_000_000),
+        (192.into(), Value::Null, 96_000_000),
+        (8.into(), Value::Null, 4 << 20),
+        (192.into(), 1.5.into(), 1_500_000),
     ] {
-        assert_eq!(config(limits).unwrap().list.bytes, bytes, "{limits}");
+        assert_eq!(configuration(memory, list).unwrap().list.bytes, bytes);
     }
-    for limits in [r#"{"list_mb":0}"#, r#"{"list_mb":-3}"#, r#"{"list_mb":"64"}"#] {
-        assert!(config(limits).is_err_and(|e| e.contains("limits.list_mb")), "{limits}");
+    for list in [0.into(), (-3).into(), "64".into()] {
+        let faults = configuration(192.into(), list).unwrap_err().to_string();
+        assert!(faults.contains("limits.list_mb"), "{faults}");
+    }
+    for memory in [0.into(), Value::Null] {
+        let faults = configuration(memory, Value::Null).unwrap_err().to_string();
+        assert!(faults.contains("limits.memory_mb"), "{faults}");
     }
 }
--- a/tests/discovery/main.rs
+++ b/tests/discovery/main.rs
@@ -4,6 +4,8 @@
 mod decode;
 mod follow;
 mod limits;
+#[path = "../stand_ins/page_form.rs"]
+mod page_form;
 mod rig;
 #[path = "../seed/mod.rs"]
 mod seed;
--- a/tests/endings/rig.rs
+++ b/tests/endings/rig.rs
@@ -1,5 +1,6 @@
 //! The program as a process.
 
+use crate::stand_ins::page_form::completed;
 use crate::stand_ins::{post, status, whole, Told};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -16,7 +17,7 @@
 
 impl Relay {
     pub fn start(dir: &Path, descriptors: usize, discovery: SocketAddr, known: &str) -> Relay {
-        let config = format!(
+        let config = completed(&format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1",
 "limits":{{"sockets":{descriptors},"disk_mb":3}},"known":{},
 "settings":{{"azs":["z"],"kinds":["k"],"fleet_size":1,"domain":{{"calls_out":32,"per_call":[1]}},
@@ -25,7 +26,7 @@
 "services":[{{"name":"notice","aim":2000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,
 "repeat":"side_effect"}}]}}}}"#,
             whole(&(1, known.to_string()))
-        );
+        ));
         std::fs::write(dir.join("c.json"), config).unwrap();
         let start = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
         let mut command = Command::new("sh");
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -1,7 +1,7 @@
 //! The importer: what it prints is what `check-config` and `serve` take, and what it leaves out it names.
 
+use basaltloom::configuration::{judge, Configuration};
 use basaltloom::interface::{Repeat, Terms};
-use basaltloom::program::config::{decode, Config};
 use basaltloom::program::import::import;
 use basaltloom::routing::EndpointState;
 
@@ -40,9 +40,9 @@
 }
 "#;
 
-fn imported(nginx: &str) -> (Config, Vec<String>) {
+fn imported(nginx: &str) -> (Configuration, Vec<String>) {
     let imported = import(nginx).unwrap();
-    (decode(&imported.config.parse().unwrap()).unwrap(), imported.notes)
+    (judge(&imported.config, None).unwrap(), imported.notes)
 }
 
 /// Guards the mapping: upstreams to destinations and next hops, locations to classes, with their terms.
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -4,9 +4,12 @@
 #[path = "../partner/mod.rs"]
 mod limited;
 mod overload;
+#[path = "../stand_ins/page_form.rs"]
+mod page_form;
 mod partner;
 mod rig;
 
+use page_form::completed;
 use rig::{program, Faults, Rig, Way};
 use std::collections::BTreeSet;
 use std::process::Command;
@@ -270,11 +273,11 @@
     let dir = std::env::temp_dir().join(format!("basaltloom-rig-peers-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
     let settings = |peers: &str| {
-        format!(
+        completed(&format!(
             r#"{{"listen":"127.0.0.1:0","seed":"1","settings":{{"fleet_size":2,"domain":{{"calls_out":2}},"limits":{{"max_open":4,"most_tries":2{peers}}},
 "rules":{{"cold_share":0.2,"fall":1500000000,"overload_factor":2.0,"warm_up":9000000000}},
 "services":[{{"name":"notice","aim":1000000000,"deadline":5000000000,"importance":1,"late_worth":0.5,"repeat":"pure"}}]}}}}"#
-        )
+        ))
     };
     let (config, operator) = (dir.join("c.json"), dir.join("relay.conf"));
     std::fs::write(&operator, "# a fleet\nfleet {\n name t\n listen 127.0.0.1:7\n}\n").unwrap();
@@ -290,9 +293,11 @@
         assert!(said.contains("relay.conf:2:1: ") && said.contains("`limits.peers` false"), "{said}");
     }
     assert_eq!(run(&["check-config", at], r#","peers":true"#).0, Some(0));
-    assert_eq!(run(&["check-config", at], "").0, Some(0));
+    // Not said at all is no permission: the key is missing.
+    let (code, said) = run(&["check-config", at], r#","peers":null"#);
+    assert!(code == Some(1) && said.contains("settings.limits.peers"), "{said}");
     std::fs::write(&operator, "fleet {\n name t\n listen 0.0.0.0:7\n probe 1ms\n}\n").unwrap();
-    let (code, said) = run(&["check-config", at], "");
+    let (code, said) = run(&["check-config", at], r#","peers":true"#);
     assert_eq!((code, said.lines().count()), (Some(1), 2), "{said}");
     std::fs::remove_dir_all(&dir).ok();
 }
--- a/tests/processes/rig.rs
+++ b/tests/processes/rig.rs
@@ -3,6 +3,7 @@
 //! reorder or cut what it says, by a seed. Processes are stopped, starved, killed and started again; only those that the
 //! rig started are, by the handles that it holds. What relays say in their logs is kept by one clock.
 
+use crate::page_form::completed;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::cmp::Reverse;
@@ -244,9 +245,9 @@
         let seed = self.switch.dice.lock().unwrap().next_u64();
         let (settings, serves) = (self.settings, self.serves(i));
         let known = self.known.as_ref().map_or(String::new(), |known| format!(r#""known":{},"#, known(i)));
-        let config = format!(
+        let config = completed(&format!(
             r#"{{"name":"r{of}","listen":"{serves}","seed":"{seed:x}",{known}"limits":{{"sockets":256,"disk_mb":3}},{settings}}}"#
-        );
+        ));
         let (listen, reach) = (self.switch.relay(i), self.switch.reach(i));
         let join: Vec<String> = self.join.iter().map(|j| self.switch.reach(*j).to_string()).collect();
         let (join, room, spans) = (join.join(" "), i % 3, self.spans);
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -1,10 +1,14 @@
 //! The program itself: its command line, and one start and end on real sockets.
 
+#[path = "stand_ins/page_form.rs"]
+mod page_form;
+
+use page_form::completed;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::process::{Command, Stdio};
 
-const CONFIG: &str = r#"{"listen":"127.0.0.1:0","seed":"1","limits":{"sockets":256,"disk_mb":1},
+const CONFIG: &str = r#"{"name":"relay","listen":"127.0.0.1:0","seed":"1","limits":{"sockets":256,"disk_mb":1},
 "settings":{"fleet_size":1,"domain":{"calls_out":2},"limits":{"max_open":4,"most_tries":2},
 "rules":{"cold_share":0.2,"fall":1500000000,"overload_factor":2.0,"warm_up":9000000000},
 "services":[{"name":"notice","aim":1000000000,"deadline":5000000000,"importance":1,"late_worth":0.5,"repeat":"pure"}]}}"#;
@@ -45,7 +49,8 @@
 fn it_serves_until_it_is_told_to_end() {
     let dir = std::env::temp_dir().join(format!("basaltloom-program-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
-    std::fs::write(dir.join("c.json"), CONFIG).unwrap();
+    let config = completed(CONFIG);
+    std::fs::write(dir.join("c.json"), &config).unwrap();
     let mut command = basaltloom();
     command.args(["serve", "--config"]).arg(dir.join("c.json")).env("LB_STATE", &dir);
     let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
@@ -65,7 +70,7 @@
     };
     hangup("{");
     assert!(says("the configuration stays as it was read before: ").is_some());
-    hangup(&CONFIG.replacen('{', r#"{"discovery":"127.0.0.1:1","#, 1));
+    hangup(&config.replacen('{', r#"{"discovery":"127.0.0.1:1","#, 1));
     assert!(says("was read again: discovery at 127.0.0.1:1").is_some());
     Command::new("kill").arg(child.id().to_string()).status().unwrap();
     assert!(child.wait().unwrap().success());
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -6,6 +6,8 @@
 mod carriers;
 mod crowding;
 mod network;
+#[path = "../stand_ins/page_form.rs"]
+mod page_form;
 mod platform;
 mod scenario;
 mod smpp;
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -15,9 +15,11 @@
 
 use crate::carriers::{self, Esme, Smsc, Texts};
 use crate::network::{Places, Seen};
+use crate::page_form::completed;
+use basaltloom::configuration::{judge, Environment};
 use basaltloom::operator::{self, Operator};
-use basaltloom::program::config::{self, Config};
 use basaltloom::program::import::import;
+use basaltloom::program::reload::Reread;
 use basaltloom::program::wiring;
 use basaltloom::program::wiring::{Plan, PlatformPlan, SmppPlan};
 use basaltloom::routing::Clock;
@@ -246,8 +248,7 @@
 struct Running {
     task: JoinHandle<()>,
     end: Option<oneshot::Sender<()>>,
-    moved: UnboundedSender<Config>,
-    reread: UnboundedSender<Operator>,
+    again: UnboundedSender<Reread>,
 }
 
 pub struct World {
@@ -327,22 +328,22 @@
         for (i, at) in carriers::SMSCS.iter().enumerate().filter(|_| self.relay.is_none()) {
             self.smscs.insert((i + 1).to_string(), Smsc::listen(&self.net, at.parse().unwrap()));
         }
-        let (reread, receiver) = unbounded_channel();
+        let (again, rereads) = unbounded_channel();
         let (operator, state) = (self.operator(true), self.state.clone());
         let config = operator.smpp.clone().unwrap();
         let plan = SmppPlan { config, state, disk_bytes: 3_000_000, seed: 7 };
-        let changes = Some(receiver);
-        let plan = Plan { smpp: Some(plan), operator, changes, descriptors: 1024, ..Plan::default() };
-        self.run(plan, unbounded_channel().0, reread).await;
+        let rereads = Some(rereads);
+        let plan = Plan { smpp: Some(plan), operator, rereads, descriptors: 1024, ..Plan::default() };
+        self.run(plan, again).await;
     }
 
-    async fn run(&mut self, plan: Plan, moved: UnboundedSender<Config>, reread: UnboundedSender<Operator>) {
+    async fn run(&mut self, plan: Plan, again: UnboundedSender<Reread>) {
         let (end, ended) = oneshot::channel();
         let (net, inner, clock) = (Rc::new(Seen(self.net.clone())), LocalSet::new(), self.clock());
         inner.spawn_local(async move {
             wiring::run(plan, net, clock, async { drop(ended.await) }).await.unwrap();
         });
-        self.relay = Some(Running { task: spawn_local(inner), end: Some(end), moved, reread });
+        self.relay = Some(Running { task: spawn_local(inner), end: Some(end), again });
         sleep(Duration::from_millis(1)).await;
     }
 
@@ -374,12 +375,14 @@
                 // Lines are set apart by `;` in a script.
                 self.terms = rest.join(" ").replace(';', "\n");
                 if let Some(running) = &self.relay {
-                    running.reread.send(self.operator(false)).unwrap();
+                    let operator = Some(Ok(self.operator(false)));
+                    running.again.send(Reread { operator, ..Reread::default() }).unwrap();
                 }
             }
             ["carrier", name, "leaving"] => {
                 self.leaving.push(name.to_string());
-                self.relay.as_ref().unwrap().reread.send(self.operator(true)).unwrap();
+                let operator = Some(Ok(self.operator(true)));
+                self.relay.as_ref().unwrap().again.send(Reread { operator, ..Reread::default() }).unwrap();
             }
             _ => panic!("{place}: no such step"),
         }
@@ -460,8 +463,9 @@
                 self.start(&config).await;
             }
             "move" => {
-                let config = config::decode(&self.config(NEW_AGENT).parse().unwrap()).unwrap();
-                self.relay.as_ref().unwrap().moved.send(config).unwrap();
+                let configuration = Some(Ok(self.config(NEW_AGENT)));
+                let reread = Reread { configuration, operator: None };
+                self.relay.as_ref().unwrap().again.send(reread).unwrap();
                 self.net.refuse(AGENT.parse().unwrap());
             }
             "import" => {
@@ -486,20 +490,22 @@
 
     fn config(&self, agent: &str) -> String {
         let known = self.agent.borrow().whole();
-        format!(
+        completed(&format!(
             r#"{{"name":"t","listen":"{RELAY}","discovery":"{agent}","seed":"7","limits":{{"sockets":{SOCKETS},"disk_mb":3}},"known":{known},"settings":{SETTINGS}}}"#
-        )
+        ))
     }
 
     async fn start(&mut self, text: &str) {
-        let mut config = config::decode(&text.parse().unwrap()).unwrap();
-        config.state = self.state.clone();
-        config.listen = RELAY.parse().unwrap();
-        let (moved, reread) = unbounded_channel();
-        let (again, changes) = unbounded_channel();
-        let (platform, operator) = (Some(PlatformPlan { config, reread }), self.operator(false));
-        let plan = Plan { platform, operator, changes: Some(changes), descriptors: 1024, ..Plan::default() };
-        self.run(plan, moved, again).await;
+        let (state, listen) = (Some(self.state.clone()), RELAY.parse().ok());
+        let environment = Environment { state, listen, ..Environment::default() };
+        let read = judge(text, None).unwrap_or_else(|faults| panic!("{faults}"));
+        let discovery = read.discovery;
+        let configuration = read.within(&environment, discovery);
+        let (again, rereads) = unbounded_channel();
+        let platform = Some(PlatformPlan { configuration, environment });
+        let operator = self.operator(false);
+        let plan = Plan { platform, operator, rereads: Some(rereads), descriptors: 1024, ..Plan::default() };
+        self.run(plan, again).await;
     }
 
     fn open_world(&mut self) {
--- a/tests/scale/mod.rs
+++ b/tests/scale/mod.rs
@@ -12,6 +12,8 @@
 pub mod hollow_list;
 pub mod http;
 pub mod list;
+#[path = "../stand_ins/page_form.rs"]
+mod page_form;
 pub mod process_figures;
 pub mod real_relay;
 pub mod run_file;
--- a/tests/scale/real_relay.rs
+++ b/tests/scale/real_relay.rs
@@ -1,6 +1,7 @@
 //! The real program as a process, spoken to as clients do and measured from outside.
 
 use super::list::UNLISTED;
+use super::page_form::completed;
 use super::process_figures::ProcessFigures;
 use std::fs;
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -174,14 +175,14 @@
     let RelayPlan { name, listen, discovery, fleet_size, disk_mb, known, .. } = plan;
     let known = known.as_ref().map_or(String::new(), |known| format!(r#""known":{known},"#));
     let discovery = discovery.map_or(String::new(), |at| format!(r#""discovery":"{at}","#));
-    format!(
+    completed(&format!(
         r#"{{"name":"{name}","listen":"{listen}",{discovery}"seed":"1",{known}
 "limits":{{"sockets":1024,"disk_mb":{disk_mb}}},
 "settings":{{"fleet_size":{fleet_size},"domain":{{"calls_out":64,"per_call":[1]}},"kinds":["m1"],"azs":["a","b","c"],
-"limits":{{"max_open":100000,"most_tries":6,"peers":true}},
+"limits":{{"max_open":100000,"most_tries":6,"peers":true,"retry_after":false}},
 "rules":{{"cold_share":0.3,"fall":1500000000,"overload_factor":2.0,"warm_up":9000000000}},
 "services":[{{"name":"notice","aim":1000000000,"deadline":20000000000,"importance":1,"late_worth":0.5,"repeat":"pure"}}]}}}}"#
-    )
+    ))
 }
 
 impl Drop for RealRelay {
--- a/tests/stand_ins/page_form.rs
+++ b/tests/stand_ins/page_form.rs
@@ -7,7 +7,7 @@
 pub fn page_form() -> Value {
     json!({
         "name": "n1", "listen": "127.0.0.1:0", "seed": "1",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256, "disk_mb": 3},
         "known": {"seq": 1, "whole": true, "hosts": []},
         "settings": {
             "azs": ["z"], "callers": {"marks_retry": false}, "discovery": "push",
@@ -19,7 +19,7 @@
             "goal": {"whole": 0.45, "worst_class": 0.3, "worst_tenant": 0.0, "worst_window": 0.25},
             "kinds": ["k"], "layers": ["partners"],
             "limits": {
-                "cancel": true, "connect_timeout": 1_500_000_000, "cpu_us_per_request": 0.0, "cpu_us_per_s": 1_000_000,
+                "cancel": false, "connect_timeout": 1_500_000_000, "cpu_us_per_request": 0.0, "cpu_us_per_s": 1_000_000,
                 "keepalive": 10_000_000_000u64, "max_open": 4_000, "max_retry_after": 3_000_000_000u64, "most_tries": 8,
                 "peers": false, "probes": true, "retry_after": true, "second_copies": false, "streams_per_conn": 1
             },
@@ -47,6 +47,38 @@
     })
 }
 
+/// The form with what this text says in place of its own: classes get what they leave out, lists of kinds and zones an element
+/// for each of them.
+pub fn completed(text: &str) -> String {
+    let mut document = page_form();
+    merge(&mut document, serde_json::from_str(text).unwrap());
+    for service in document["settings"]["services"].as_array_mut().unwrap() {
+        let said = service.take();
+        *service = class("", "pure");
+        merge(service, said);
+    }
+    let settings = &mut document["settings"];
+    for (list, of) in [("per_call", "kinds"), ("separate_routes", "kinds"), ("route_fee", "azs")] {
+        let count = settings[of].as_array().unwrap().len();
+        let list = settings["domain"][list].as_array_mut().unwrap();
+        let first = list[0].clone();
+        list.resize(count, first);
+    }
+    document.to_string()
+}
+
+/// Members of objects one by one, all else as a whole.
+fn merge(into: &mut Value, from: Value) {
+    match (into, from) {
+        (Value::Object(members), Value::Object(others)) => {
+            for (name, value) in others {
+                merge(members.entry(name).or_insert(Value::Null), value);
+            }
+        }
+        (into, from) => *into = from,
+    }
+}
+
 /// Sets what a pointer such as `/settings/limits/max_open` names; its parent has to be there.
 pub fn set(document: &mut Value, pointer: &str, value: impl Into<Value>) {
     let (parent, key) = pointer.rsplit_once('/').unwrap();
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -86,7 +86,6 @@
             ("/discovery", discovery.to_string().into()),
             ("/limits/sockets", descriptors.into()),
             ("/known", known),
-            ("/settings/limits/cancel", false.into()),
             ("/settings/domain/calls_out", slots.into()),
             ("/settings/domain/per_call", vec![per_call].into()),
             ("/settings/rules/key_rest", 100_000_000.into()),
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -1,10 +1,13 @@
 //! The module across rooms: an attempt at an endpoint outside the relay's own zone costs what the site says.
 
 mod fixture;
+#[path = "stand_ins/page_form.rs"]
+mod page_form;
 
-use basaltloom::program::config;
+use basaltloom::configuration::judge;
 use basaltloom::*;
 use fixture::settings;
+use page_form::completed;
 
 const MS: u64 = 1_000_000;
 const SEC: u64 = 1_000 * MS;
@@ -65,18 +68,15 @@
 
 #[test]
 fn the_platform_configuration_gives_the_relays_zone_and_the_price_of_a_crossing() {
-    let text = r#"{"listen":"127.0.0.1:0","settings":{"fleet_size":3,"zone":2,"azs":["a","b","c"],
-    "prices":{"cross_zone":0.03},"domain":{"calls_out":2},"limits":{"max_open":4,"most_tries":2},
-    "rules":{"cold_share":0.2,"fall":1500000000,"overload_factor":2.0,"warm_up":9000000000},
-    "services":[{"name":"reminder","aim":2500000000,"deadline":20000000000,"importance":1,"late_worth":0.3,
-    "repeat":"pure"}]}}"#;
-    let config = config::decode(&text.parse().unwrap()).unwrap();
-    assert_eq!((config.settings.zone, config.settings.cross_zone), (2, 0.03));
-    let plain = text.replace(r#""zone":2,"#, "").replace(r#""prices":{"cross_zone":0.03},"#, "");
-    let config = config::decode(&plain.parse().unwrap()).unwrap();
-    assert_eq!(
-        (config.settings.zone, config.settings.cross_zone),
-        (0, 0.0),
-        "a site without rooms pays nothing"
+    let text = completed(
+        r#"{"settings":{"fleet_size":3,"zone":2,"azs":["a","b","c"],"prices":{"cross_zone":0.03},
+        "domain":{"calls_out":2},"services":[{"name":"reminder"}]}}"#,
     );
+    let read = judge(&text, None).unwrap();
+    assert_eq!((read.settings.zone, read.settings.cross_zone), (2, 0.03));
+    let without = text.replace(r#""zone":2"#, r#""zome":2"#).replace(r#""cross_zone""#, r#""cross_zome""#);
+    let faults = judge(&without, None).unwrap_err().to_string();
+    for key in ["settings.zone", "settings.prices.cross_zone"] {
+        assert!(faults.contains(&format!("`{key}` is missing")), "{faults}");
+    }
 }
