--- a/benches/scale/held.rs
+++ b/benches/scale/held.rs
@@ -109,7 +109,7 @@
     for i in 0..size {
         let offer = Offer {
             id: format!("{i:016x}"),
-            class: 0,
+            class: "notice".to_string(),
             dest: i as u64 % DESTINATIONS,
             key: None,
             idempotency: None,
--- a/src/batching/former.rs
+++ b/src/batching/former.rs
@@ -62,6 +62,11 @@
         Former { hops: HashMap::new(), due: BTreeSet::new(), at_once: at_once.max(1), winding_up: false }
     }
 
+    /// So many calls may be out to one endpoint from now on.
+    pub fn set_at_once(&mut self, at_once: usize) {
+        self.at_once = at_once.max(1);
+    }
+
     /// Whether anything was released to this next hop, or its terms were set.
     pub fn knows(&self, hop: EndpointId) -> bool {
         self.hops.contains_key(&hop)
--- a/src/batching/sharing.rs
+++ b/src/batching/sharing.rs
@@ -23,7 +23,7 @@
         let (Some(h), false) = (self.book.hosts.get(&host), ids.is_empty()) else { return true };
         let mut bytes = 0;
         for m in ids.iter().chain([&id]).filter_map(|id| self.book.messages.get(id)) {
-            let repeat = self.set.classes[m.class].repeat;
+            let repeat = m.rules.class.repeat;
             if !h.terms().call.unsafe_shares && !may_share(Wire::Batch, repeat) {
                 return false;
             }
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -16,7 +16,7 @@
 pub type DestId = u64;
 
 /// What a repeat of a message does at its destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// Any number of attempts is harmless.
     Safe,
@@ -28,7 +28,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Full worth within this time of the first hand-in.
     pub aim: Nanos,
@@ -49,8 +49,21 @@
     }
 }
 
+/// What holds for a message from the time when it was taken on to its end, whatever settings come into force meanwhile.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MessageRules {
+    /// Its class.
+    pub class: Class,
+    /// Attempts that it may have.
+    pub max_attempts: u32,
+    /// How its worth falls.
+    pub late: Late,
+    /// Rest of its key after an attempt of unknown outcome.
+    pub key_rest: Nanos,
+}
+
 /// How worth falls between aim and deadline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Late {
     Even,
     Halves,
@@ -65,7 +78,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kind {
     /// Its endpoints are separate routes, each with its own limit, waits and outages.
     pub apart: bool,
@@ -112,6 +125,12 @@
 }
 
 impl Settings {
+    /// What holds for messages of the class at this place.
+    pub fn rules_of(&self, place: usize) -> Option<MessageRules> {
+        let (max_attempts, late, key_rest) = (self.max_attempts, self.late, self.key_rest);
+        Some(MessageRules { class: self.classes.get(place)?.clone(), max_attempts, late, key_rest })
+    }
+
     /// A share of the slots, one at least.
     pub(crate) fn part_of_slots(&self, share: f64) -> usize {
         ((self.slots as f64 * share) as usize).max(1)
@@ -214,6 +233,11 @@
 pub enum Event {
     /// News of the list; `whole` replaces all that was known.
     Listed { whole: bool, entries: Vec<Entry> },
+    /// These settings hold from now on. `classes`: the number by which the class at each place of them is named; at the
+    /// start it is the place. Messages that are held keep the rules by which they were taken on.
+    Retuned { settings: Box<Settings>, classes: Vec<usize> },
+    /// What holds for messages of an earlier life that name their class by this number.
+    Rules { class: usize, rules: Box<MessageRules> },
     /// A message was handed in and now awaits its final answer.
     Taken { id: MsgId, class: usize, dest: DestId, key: Option<String>, time_left: Nanos },
     /// An attempt ended; `over` says that its message has had its final answer.
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -3,6 +3,7 @@
 use super::interface::*;
 use super::records::Knowledge;
 use super::Relay;
+use std::sync::Arc;
 
 impl Relay {
     pub(super) fn rare(&mut self, event: &Event) {
@@ -10,7 +11,7 @@
             Event::Restored { id, class, dest, key, time_left, attempts, may_have_run } => {
                 self.taken(*id, *class, *dest, key.clone(), *time_left);
                 let past = may_have_run.map(|(ago, zone)| (self.now.saturating_sub(ago), zone));
-                self.book.restore(self.now, &self.set, *id, *attempts, past);
+                self.book.restore(self.now, *id, *attempts, past);
                 self.file(*id);
             }
             Event::Rejected { id } => {
@@ -37,7 +38,9 @@
             }
             Event::Dealt { host, rate } if self.book.hosts.contains_key(host) => self.dealt(*host, *rate),
             Event::Waits { host, wait } => self.heed(*host, *wait),
-            noted => self.book.note(self.now, noted, self.set.max_attempts),
+            Event::Retuned { settings, classes } => self.retuned((**settings).clone(), classes),
+            Event::Rules { class, rules } => drop(self.rules.insert(*class, Arc::new((**rules).clone()))),
+            noted => self.book.note(self.now, noted),
         }
     }
 
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -11,6 +11,7 @@
 mod ranks;
 mod records;
 mod release;
+mod retune;
 pub mod table;
 mod turns;
 pub mod views;
@@ -21,6 +22,8 @@
 use interface::*;
 use records::*;
 use release::INTERVAL;
+use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const PATROL: Nanos = 250 * MS; // most between steps while anything is held: risks fade without an event
 
@@ -28,6 +31,10 @@
 #[derive(Debug)]
 pub struct Relay {
     pub(crate) set: Settings,
+    /// The rules of classes by their numbers: those in force, and those of messages of an earlier life.
+    rules: BTreeMap<usize, Arc<MessageRules>>,
+    /// Messages that may be held: more than the settings say while those that were held before there was less room last.
+    held_most: usize,
     dice: Dice,
     now: Nanos,
     pub(crate) book: Book,
@@ -40,7 +47,13 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mean_cost = settings.classes.iter().map(|c| c.aim as f64).fold(0.0, f64::max);
         let (book, actions) = (Book::default(), Vec::new());
-        Relay { set: settings, dice: Dice(seed), now: 0, book, slowness: 1.0, mean_cost, actions }
+        let rules = (0..settings.classes.len()).filter_map(|place| {
+            let rules = settings.rules_of(place)?;
+            Some((place, Arc::new(rules)))
+        });
+        let (rules, held_most) = (rules.collect(), settings.max_held);
+        let dice = Dice(seed);
+        Relay { set: settings, rules, held_most, dice, now: 0, book, slowness: 1.0, mean_cost, actions }
     }
 
     /// Takes in what happened at `now` and returns what to do. One step is one batch: its sends to one
--- a/src/decision/ranks.rs
+++ b/src/decision/ranks.rs
@@ -117,7 +117,7 @@
     /// Keeps the indexes with a message that is held, or whose past became known.
     pub(super) fn file(&mut self, id: MsgId) {
         let Some(m) = self.book.messages.get(&id) else { return };
-        let (c, end) = (&self.set.classes[m.class], self.end(m));
+        let (c, end) = (&m.rules.class, self.end(m));
         let odd = end != m.aim_at.saturating_add(c.span());
         self.book.ends.set(id, Some(end));
         self.book.file(id, odd);
@@ -131,10 +131,10 @@
         let restored = restored.filter(move |(m, _)| !risky || self.risk_taken(m));
         let restored: Range<'a> = Box::new(restored.map(move |(m, id)| valued((m.aim_at, id))));
         let mut ranges: Vec<std::iter::Peekable<Range<'a>>> = Vec::new();
-        for (class, ids) in &f.ranks.usual {
-            let c = &self.set.classes[*class];
-            let last = if risky { self.takes_risk_until(c) } else { Nanos::MAX };
-            for (from, to, newest_first) in self.stretches(c, horizon as Nanos) {
+        for ids in f.ranks.usual.values() {
+            let Some(rules) = ids.first().map(|(_, id)| &self.book.messages[id].rules) else { continue };
+            let last = if risky { self.takes_risk_until(&rules.class) } else { Nanos::MAX };
+            for (from, to, newest_first) in self.stretches(rules, horizon as Nanos) {
                 let to = to.min(last);
                 if from.is_some_and(|from| from >= to) {
                     continue;
@@ -175,8 +175,8 @@
 
     /// Aims of a class in stretches, each after the first time up to the second, in which the loss rises with the aim
     /// (then the newest comes first) or does not.
-    fn stretches(&self, c: &Class, horizon: Nanos) -> Vec<(Option<Nanos>, Nanos, bool)> {
-        let now = self.now;
+    fn stretches(&self, rules: &MessageRules, horizon: Nanos) -> Vec<(Option<Nanos>, Nanos, bool)> {
+        let (c, now) = (&rules.class, self.now);
         // Those that end within the horizon lose all that they are worth now: less, the older they are. Those whose
         // aim is still to come would lose the same.
         let ending = now.saturating_add(horizon).checked_sub(c.span());
@@ -189,7 +189,7 @@
             }
         };
         // Where it halves, down to the least worth: whoever is there loses nothing more until its end.
-        let halves = self.set.late == Late::Halves;
+        let halves = rules.late == Late::Halves;
         let floor = if c.late_worth > 0.0 { c.aim as f64 * -c.late_worth.log2() } else { f64::MAX };
         let least = now.checked_sub(floor as Nanos).filter(|_| halves);
         stretch(ending.and_then(|e| Some(e.min(least?))), false);
@@ -249,10 +249,9 @@
                 relay.book.flows.insert(1, Flow::new(1.0));
                 for id in 0..400u64 {
                     let class = (id % 2) as usize;
-                    let c = &relay.set.classes[class];
+                    let rules = relay.rules[&class].clone();
                     let deadline = (20_010 + id * 23) * MS;
-                    let aim = deadline + c.aim - c.deadline;
-                    let mut m = Message::new(class, 1, None, 0, aim, deadline);
+                    let mut m = Message::new((class, rules), 1, None, 0, deadline);
                     m.odd = id % 17 == 0;
                     relay.book.messages.insert(id, m);
                     relay.book.hold(id, 1, (id as f64, id as f64 + 1.0));
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -63,7 +63,12 @@
         }
         for e in entries {
             let kind = kinds.get(e.kind).copied().unwrap_or(Kind { apart: false, per_call: 1 });
-            match self.hosts.list(now, e, kind, || (rng.roll() * LOTS) as u32) {
+            let route = self.hosts.get(&e.host).filter(|h| h.dest == e.dest).map(|h| h.route(e.host));
+            let change = self.hosts.list(now, e, kind, || (rng.roll() * LOTS) as u32);
+            if change == Change::Listing {
+                self.carry_waits(e.host, route);
+            }
+            match change {
                 Change::Nothing => continue,
                 // Listed for another destination, it must not get messages of the one that it left.
                 Change::Moved => drop(self.turned.insert(e.host)),
@@ -82,9 +87,9 @@
     }
 
     /// Takes down what nothing follows from at once.
-    pub fn note(&mut self, now: Nanos, event: &Event, attempts: u32) {
+    pub fn note(&mut self, now: Nanos, event: &Event) {
         match event {
-            Event::Spent { id } => self.spend_attempts(*id, attempts),
+            Event::Spent { id } => self.spend_attempts(*id),
             Event::Settled { id } => {
                 let key = self.unsettled.remove(id);
                 self.leave_key(&key, *id, now);
@@ -179,7 +184,15 @@
         let Some(m) = self.messages.get_mut(&id) else { return };
         self.attempts.insert(
             (id, m.attempts),
-            Attempt { host, call, sent, idle, key: m.key.clone(), cancelled: false },
+            Attempt {
+                host,
+                call,
+                sent,
+                idle,
+                key: m.key.clone(),
+                key_rest: m.rules.key_rest,
+                cancelled: false,
+            },
         );
         m.attempts += 1;
         m.restored = false;
@@ -249,18 +262,11 @@
     }
 
     /// Gives a message the past that it had before a restart.
-    pub fn restore(
-        &mut self,
-        now: Nanos,
-        set: &Settings,
-        id: MsgId,
-        attempts: u32,
-        may_have_run: Option<(Nanos, usize)>,
-    ) {
+    pub fn restore(&mut self, now: Nanos, id: MsgId, attempts: u32, may_have_run: Option<(Nanos, usize)>) {
         let Some(m) = self.messages.get_mut(&id) else { return };
         (m.attempts, m.may_have_run) = (attempts, may_have_run);
         m.restored = true;
-        let age = set.classes[m.class].deadline.saturating_sub(m.deadline.saturating_sub(now));
+        let age = m.rules.class.deadline.saturating_sub(m.deadline.saturating_sub(now));
         if let Some(f) = self.flows.get_mut(&m.dest) {
             f.count_older(now, age);
         }
@@ -268,9 +274,10 @@
         self.next_end = 0;
     }
 
-    pub fn spend_attempts(&mut self, id: MsgId, all: u32) {
+    /// A message has had all its attempts.
+    pub fn spend_attempts(&mut self, id: MsgId) {
         if let Some(m) = self.messages.get_mut(&id) {
-            m.attempts = m.attempts.max(all);
+            m.attempts = m.attempts.max(m.rules.max_attempts);
             self.ends.change(id);
         }
     }
--- a/src/decision/records/continued.rs
+++ b/src/decision/records/continued.rs
@@ -1,7 +1,7 @@
 //! What goes on from one process of the relay to the next: calls that are out, keys that rest.
 
 use super::book::Book;
-use super::{HostId, MsgId, Nanos};
+use super::{HostId, MsgId, Nanos, RouteId};
 
 impl Book {
     /// Takes in a call that another process sent for these held messages.
@@ -17,6 +17,24 @@
         }
     }
 
+    /// A host may have another route now: what it was told to wait binds there too.
+    pub fn carry_waits(&mut self, host: HostId, before: Option<RouteId>) {
+        let now = self.hosts.get(&host).map(|h| h.route(host));
+        let Some((before, now)) = before.zip(now).filter(|(before, now)| before != now) else { return };
+        if let Some((wait, rest)) = self.routes.get(&before).map(|route| (route.wait, route.rest)) {
+            let route = self.routes.entry(now).or_default();
+            (route.wait, route.rest) = (route.wait.max(wait), route.rest.max(rest));
+        }
+    }
+
+    /// Lets go of paces that came of the listing alone: the next call to each route sets one anew.
+    pub fn forget_listed_paces(&mut self) {
+        for route in self.routes.values_mut() {
+            let was_shown = route.cut > 0 || route.limit > 0.0 || route.dealt.is_some();
+            route.pace = route.pace.filter(|_| was_shown);
+        }
+    }
+
     /// Others of this key wait until then.
     pub fn key_rests(&mut self, key: &str, until: Nanos, id: MsgId) {
         let line = self.keys.entry(key.to_string()).or_default();
--- a/src/decision/records/host.rs
+++ b/src/decision/records/host.rs
@@ -225,6 +225,15 @@
         }
     }
 
+    /// Gives a host this kind and zone; whether they are others than it had.
+    pub fn relist(&mut self, host: &mut Host, kind: Kind, zone: usize) -> bool {
+        let differs = *host.kind() != kind || host.zone() != zone;
+        if differs {
+            host.profile = self.shared(Profile { kind, zone, ..(*host.profile).clone() });
+        }
+        differs
+    }
+
     /// Gives a host these terms.
     pub fn set_terms(&mut self, host: &mut Host, terms: Terms) {
         if *host.terms() != terms {
--- a/src/decision/records/hosts.rs
+++ b/src/decision/records/hosts.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Change {
     Nothing,
-    /// The state or the scale of a host that is known.
+    /// The state, the scale, the kind or the zone of a host that is known.
     Listing,
     /// The host is new.
     New,
@@ -96,10 +96,15 @@
     /// Takes in an entry of the list; `lot` is drawn for a host that is new.
     pub fn list(&mut self, now: Nanos, e: &Entry, kind: Kind, lot: impl FnOnce() -> u32) -> Change {
         let change = match self.table.get_mut(e.host) {
-            Some(h) if h.dest == e.dest && h.state == e.state && h.scale == e.scale => Change::Nothing,
             Some(h) if h.dest == e.dest => {
+                let relisted = self.profiles.relist(h, kind, e.zone);
+                let is_same = h.state == e.state && h.scale == e.scale && !relisted;
                 (h.state, h.scale) = (e.state, e.scale);
-                Change::Listing
+                if is_same {
+                    Change::Nothing
+                } else {
+                    Change::Listing
+                }
             }
             known => {
                 let change = if known.is_some() { Change::Moved } else { Change::New };
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -12,14 +12,17 @@
 pub(crate) use host::{Health, Host};
 pub use knowledge::Knowledge;
 
-use super::interface::{DestId, HostId, MsgId, Nanos, Terms};
+use super::interface::{DestId, HostId, MessageRules, MsgId, Nanos, Terms};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 /// A message that still awaits its final answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Message {
+    /// Messages with the same number have the same rules.
     pub class: usize,
+    pub rules: Arc<MessageRules>,
     pub dest: DestId,
     pub key: Option<String>,
     pub taken: Nanos,
@@ -49,6 +52,8 @@
     /// How long its host had gone unused before it.
     pub idle: Nanos,
     pub key: Option<String>,
+    /// Rest of the key where its outcome stays unknown.
+    pub key_rest: Nanos,
     pub cancelled: bool,
 }
 
@@ -113,15 +118,16 @@
 
 impl Message {
     pub fn new(
-        class: usize,
+        (class, rules): (usize, Arc<MessageRules>),
         dest: DestId,
         key: Option<String>,
         taken: Nanos,
-        aim_at: Nanos,
         deadline: Nanos,
     ) -> Self {
+        let aim_at = deadline.saturating_add(rules.class.aim).saturating_sub(rules.class.deadline);
         Message {
             class,
+            rules,
             dest,
             key,
             taken,
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -23,7 +23,7 @@
 impl Relay {
     /// Takes a message: its tags by equations 2 to 4.
     pub(super) fn taken(&mut self, id: MsgId, class: usize, dest: DestId, key: Option<String>, left: Nanos) {
-        let Some(c) = self.set.classes.get(class) else {
+        let Some(rules) = self.rules.get(&class).cloned() else {
             self.actions.push(Action::Refuse { id, come_back: 0 });
             return;
         };
@@ -31,13 +31,12 @@
             return;
         }
         let deadline = self.now.saturating_add(left);
-        let key = key.filter(|_| c.in_order);
-        let aim_at = deadline.saturating_add(c.aim).saturating_sub(c.deadline);
-        let flow = Flow::new(c.aim as f64);
+        let key = key.filter(|_| rules.class.in_order);
+        let flow = Flow::new(rules.class.aim as f64);
         if let Some(key) = &key {
             self.book.keys.entry(key.clone()).or_default().line.push_back(id);
         }
-        self.book.messages.insert(id, Message::new(class, dest, key, self.now, aim_at, deadline));
+        self.book.messages.insert(id, Message::new((class, rules), dest, key, self.now, deadline));
         let idle = !self.book.turns.waits(dest);
         self.book.flows.entry(dest).or_insert(flow).count_taken(self.now, self.set.longest_life());
         for host in self.book.hosts_of(dest).to_vec().into_iter().filter(|_| idle) {
@@ -190,7 +189,7 @@
     /// All rules, whatever the heuristics want.
     fn gate(&self, id: MsgId, host: HostId) -> bool {
         let Some(m) = self.book.messages.get(&id) else { return false };
-        let open = !m.out && m.attempts < self.set.max_attempts && self.may_begin(id, host, self.now);
+        let open = !m.out && m.attempts < m.rules.max_attempts && self.may_begin(id, host, self.now);
         open && self.book.calls.len() < self.set.slots
             && self.opens_at(host) <= self.now
             && self.book.key_free(id, m, self.now)
@@ -199,7 +198,7 @@
     /// Whether its first byte may go to this host at `at`: before its end, and as its class may be repeated.
     pub fn may_begin(&self, id: MsgId, host: HostId, at: Nanos) -> bool {
         let Some((m, h)) = self.book.messages.get(&id).zip(self.book.hosts.get(&host)) else { return false };
-        let repeats = match (m.may_have_run, self.set.classes[m.class].repeat) {
+        let repeats = match (m.may_have_run, m.rules.class.repeat) {
             (None, _) | (_, Repeat::Safe) => true,
             (Some(_), Repeat::Unsafe) => false,
             (Some((_, zone)), Repeat::Keyed { zone_only, .. }) => !zone_only || zone == h.zone(),
@@ -267,7 +266,7 @@
         let left = m.deadline - self.now - ANSWER_MARGIN.min(m.deadline - self.now);
         let twice = f64::from(1 << m.attempts.min(4));
         let patience = (self.overdue_after(host) as f64 * TIMEOUT * twice) as Nanos;
-        match self.set.classes[m.class].repeat {
+        match m.rules.class.repeat {
             Repeat::Unsafe => left,
             Repeat::Safe => left.min(patience),
             Repeat::Keyed { memory, .. } => {
--- a/src/decision/worth.rs
+++ b/src/decision/worth.rs
@@ -12,7 +12,7 @@
 impl Relay {
     /// Until when it may be sent: to its deadline, or while a first attempt that may have run is remembered.
     pub(super) fn end(&self, m: &Message) -> Nanos {
-        match (m.may_have_run, self.set.classes[m.class].repeat) {
+        match (m.may_have_run, m.rules.class.repeat) {
             (Some((at, _)), Repeat::Keyed { memory, .. }) => m.deadline.min(at.saturating_add(memory)),
             _ => m.deadline,
         }
@@ -20,12 +20,12 @@
 
     /// What it is worth if it is sent at `at`, by the settings.
     fn worth_at(&self, m: &Message, at: Nanos) -> f64 {
-        let class = &self.set.classes[m.class];
+        let class = &m.rules.class;
         if at >= self.end(m) {
             return 0.0;
         }
         let over = at.saturating_sub(m.aim_at) as f64;
-        let share = match self.set.late {
+        let share = match m.rules.late {
             _ if at <= m.aim_at => 1.0,
             Late::Even => {
                 let span = m.deadline.saturating_sub(m.aim_at).max(1) as f64;
@@ -44,8 +44,8 @@
 
     /// Worth that a failed trial with this message would put in danger: most where it can't be sent again.
     pub(super) fn at_stake(&self, m: &Message) -> f64 {
-        let share = match self.set.classes[m.class].repeat {
-            _ if m.attempts + 2 >= self.set.max_attempts => 3.0,
+        let share = match m.rules.class.repeat {
+            _ if m.attempts + 2 >= m.rules.max_attempts => 3.0,
             Repeat::Safe => 0.0,
             Repeat::Keyed { .. } if m.may_have_run.is_some() => 0.01,
             Repeat::Keyed { .. } => 0.5,
@@ -56,7 +56,7 @@
 
     /// An unsafe message that fails is lost for good: until its reserve begins it waits for a sound host.
     pub(super) fn risk_taken(&self, m: &Message) -> bool {
-        let c = &self.set.classes[m.class];
+        let c = &m.rules.class;
         c.repeat != Repeat::Unsafe || m.deadline < self.reserve_from(c)
     }
 
@@ -83,9 +83,9 @@
         }
         let mut over = self.book.ends.take(self.now + ANSWER_MARGIN);
         let hopeless = |m: &Message| {
-            let spent = m.attempts >= self.set.max_attempts;
+            let spent = m.attempts >= m.rules.max_attempts;
             let ran_out = self.now + ANSWER_MARGIN >= self.end(m);
-            let lost = m.may_have_run.is_some() && self.set.classes[m.class].repeat == Repeat::Unsafe;
+            let lost = m.may_have_run.is_some() && m.rules.class.repeat == Repeat::Unsafe;
             (!m.out && (spent || ran_out || lost)) || self.now + ANSWER_MARGIN >= m.deadline
         };
         over.retain(|id| self.book.messages.get(id).is_some_and(hopeless));
@@ -108,7 +108,7 @@
 
     pub(super) fn may_refuse(&self, m: &Message) -> bool {
         let clean = m.may_have_run.is_none() && !m.out;
-        match self.set.classes[m.class].repeat {
+        match m.rules.class.repeat {
             Repeat::Safe => true,
             Repeat::Keyed { zone_only, .. } => clean || !zone_only,
             Repeat::Unsafe => clean,
@@ -133,7 +133,9 @@
     /// When places run out the door turns away any newcomer: the least hopeful go instead, told to come back.
     pub(super) fn make_room(&mut self) {
         let free = ((self.set.max_held as f64 * ROOM) as usize).max(1);
-        while self.book.messages.len() + free > self.set.max_held {
+        // What was held when the room became less stays.
+        self.held_most = self.held_most.min(self.book.messages.len() + free).max(self.set.max_held);
+        while self.book.messages.len() + free > self.held_most {
             let mut least: Option<(f64, Nanos, MsgId)> = None;
             for dest in self.book.turns.all() {
                 let at = self.turn_at(dest);
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -10,12 +10,12 @@
 use crate::fleet::PollSchedule;
 use crate::operator::Operator;
 use crate::protocol::discovery;
-use crate::protocol::platform::{self, Classes, Platform};
+use crate::protocol::platform::{self, PathClasses, Platform};
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
 use crate::routing::handover::{Endpoints, Handover};
 use crate::routing::journal::{OpenError, Replayed};
-use crate::routing::{Clock, Core, Desk, EndpointUpdate, Journal};
+use crate::routing::{Classes, Clock, Core, Desk, EndpointUpdate, Journal};
 use crate::transport::gate::{Gate, Gated};
 use crate::transport::network::{Counted, Listen, Net};
 use crate::transport::pipeline::Pipelines;
@@ -70,8 +70,8 @@
     pub fn again(&self, mut handed: Handover) -> Result<Core, OpenError> {
         let configuration = self.in_force.borrow().clone();
         let budget = self.rooms.journal(&configuration);
-        let (mut journal, mut replayed) =
-            Journal::open(&configuration.state, budget, configuration.classes.clone())?;
+        let classes = Classes::of(&configuration.classes, &configuration.settings);
+        let (mut journal, mut replayed) = Journal::open(&configuration.state, budget, classes)?;
         // Its calls are not waited for any more.
         handed.calls.clear();
         let unwritten = std::mem::take(&mut handed.unwritten);
@@ -157,7 +157,7 @@
     let pipelines = Pipelines::new(drawing(Purse::Calls), pool.clone(), keepalive, connect);
     // Well beyond what the settings give any class, a deadline is a mistake.
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
-    let classes = Classes {
+    let classes = PathClasses {
         names: config.classes.clone(),
         defaults: config.defaults.clone(),
         rest: config.default_class,
@@ -239,9 +239,9 @@
     clock: Clock,
 ) -> Result<Rc<Desk<Smpp>>, String> {
     let SmppPlan { config, state, disk_bytes, seed } = plan;
-    let opened = std::fs::create_dir_all(&state)
-        .map_err(OpenError::Io)
-        .and_then(|()| Journal::open(&state, disk_bytes, config.class_list()));
+    let opened = std::fs::create_dir_all(&state).map_err(OpenError::Io).and_then(|()| {
+        Journal::open(&state, disk_bytes, Classes::of(&config.class_list(), &config.settings))
+    });
     let (journal, replayed) =
         opened.map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))?;
     let (settings, known) = (config.settings.clone(), config.route_news());
--- a/src/program/ownership.rs
+++ b/src/program/ownership.rs
@@ -4,7 +4,7 @@
 use super::boot_clock;
 use crate::routing::handover::{Handover, Hello, ToPredecessor, ToSuccessor};
 use crate::routing::journal::{OpenError, Preread, Replayed};
-use crate::routing::{Clock, Journal};
+use crate::routing::{Classes, Clock, Journal};
 use crate::transport::local_channel::{self, Reader, Writer};
 use rustix::fs::{flock, FlockOperation};
 use rustix::io::Errno;
@@ -51,8 +51,8 @@
     pub dir: &'a Path,
     /// Bytes that it may hold.
     pub budget: u64,
-    /// Names of the classes, by their places.
-    pub classes: &'a [String],
+    /// The classes by which messages are to be taken on.
+    pub classes: &'a Classes,
     /// Who it is to a process that still serves; none where it cannot take over.
     pub hello: Option<Hello>,
     /// The clock to go by where no earlier process of this boot has left one.
@@ -96,7 +96,7 @@
     let turn = StartTurn::wait(dir, patience).await?;
     let from = Instant::now();
     loop {
-        match Journal::open(dir, claim.budget, claim.classes.to_vec()) {
+        match Journal::open(dir, claim.budget, claim.classes.clone()) {
             Ok((journal, replayed)) => {
                 let clock =
                     if claim.continues_clock { boot_clock::go_on(dir, claim.clock) } else { claim.clock };
@@ -161,7 +161,7 @@
     let ToSuccessor::Released(mut handover, descriptors) = hear(&mut reader).await? else {
         return Err(Failed::Gone);
     };
-    let opened = Journal::open_after(preread, claim.dir, claim.budget, claim.classes.to_vec());
+    let opened = Journal::open_after(preread, claim.dir, claim.budget, claim.classes);
     let (mut journal, mut replayed) = opened.map_err(|_| Failed::Gone)?;
     journal.append_unwritten(std::mem::take(&mut handover.unwritten), &mut replayed);
     let predecessor = Predecessor { reader, writer, descriptors };
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -9,7 +9,7 @@
 use crate::routing::core::Offer;
 use crate::routing::handover::{Handover, Hello, Operation, Successor, ToPredecessor, ToSuccessor, VERSION};
 use crate::routing::journal::OpenError;
-use crate::routing::Desk;
+use crate::routing::{Desk, Taken};
 use crate::transport::local_channel::{self, Reader, Writer};
 use crate::transport::Legs;
 use serde::Serialize;
@@ -129,7 +129,7 @@
 
     /// Whether a process is the next one of this relay.
     fn may_follow(&self, hello: &Hello) -> Result<(), String> {
-        let own = &self.hello;
+        let (own, names) = (&self.hello, self.front.in_force.borrow().names.clone());
         match () {
             () if hello.version != VERSION => {
                 Err(format!("it speaks version {} of the takeover, expected {VERSION}", hello.version))
@@ -141,7 +141,7 @@
                 );
                 Err(format!("the folder is in use by {ours}, not by {theirs}"))
             }
-            () if hello.kinds != own.kinds || hello.zones != own.zones => {
+            () if hello.kinds != names.kinds || hello.zones != names.zones => {
                 Err("it has other kinds or zones".to_string())
             }
             () => Ok(()),
@@ -244,9 +244,16 @@
     let writing = spawn_local(write(writer, queue));
     while let Ok(message) = reader.next().await {
         match message {
-            ToSuccessor::Take(number, offer) => {
+            ToSuccessor::Offered(number, offer) => {
                 drop(spawn_local(take(desk.clone(), to.clone(), number, offer)))
             }
+            ToSuccessor::Take(number, offer) => {
+                let named = offer.named(&desk.front.classes.borrow().names);
+                match named {
+                    Some(offer) => drop(spawn_local(take(desk.clone(), to.clone(), number, offer))),
+                    None => drop(to.send(ToPredecessor::Taken(number, Taken::UnknownClass))),
+                }
+            }
             ToSuccessor::Operate(number, operation) => {
                 drop(spawn_local(operate(desk.clone(), to.clone(), number, operation)));
             }
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -19,7 +19,7 @@
 use crate::protocol::smpp;
 use crate::protocol::smpp::config::SmppConfig;
 use crate::routing::handover::{Hello, Operated, VERSION};
-use crate::routing::{Clock, Core, Desk, Front};
+use crate::routing::{Classes, Clock, Core, Desk, Front};
 use crate::transport::network::Net;
 use crate::transport::{Door, Legs};
 use bytes::Bytes;
@@ -181,10 +181,11 @@
     let PlatformPlan { configuration, environment } = platform;
     let rooms = Rooms { has_smpp: smpp.is_some(), has_fleet: fleet.is_some() };
     let hello = plan.inherited.as_ref().map(|_| hello(&configuration));
+    let classes = Classes::of(&configuration.classes, &configuration.settings);
     let claimed = Claim {
         dir: &configuration.state,
         budget: rooms.journal(&configuration),
-        classes: &configuration.classes,
+        classes: &classes,
         hello: hello.clone(),
         clock,
         continues_clock: plan.continues_clock,
--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -41,9 +41,8 @@
             _ => not_allowed("GET, HEAD"),
         });
     }
-    let classes = &desk.front.classes;
-    let name = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or("");
-    let Some(class) = classes.names.iter().position(|c| c == name).or(classes.rest) else {
+    let classes = desk.front.classes.borrow().clone();
+    let Some(class) = classes.place_of(path) else {
         return refused(plain(StatusCode::NOT_FOUND));
     };
     if request.method() != Method::POST {
@@ -53,8 +52,8 @@
     if request.headers().contains_key(TRANSFER_ENCODING) {
         return closing(plain(StatusCode::LENGTH_REQUIRED));
     }
-    let Some(mut offer) = offer(class, classes.defaults[class], request.uri().query(), request.headers())
-    else {
+    let (name, defaults) = (&classes.names[class], classes.defaults[class]);
+    let Some(mut offer) = offer(name, defaults, request.uri().query(), request.headers()) else {
         return refused(plain(StatusCode::BAD_REQUEST));
     };
     if classes.longest > 0 && offer.time_left > classes.longest {
@@ -77,12 +76,14 @@
         Taken::Already => plain(StatusCode::ACCEPTED),
         Taken::Other => plain(StatusCode::CONFLICT),
         Taken::Failed => plain(StatusCode::GATEWAY_TIMEOUT),
+        // It was dropped while the request came.
+        Taken::UnknownClass => plain(StatusCode::NOT_FOUND),
         Taken::Refused { after, .. } => refusal(after),
     }
 }
 
 /// What the head of a request says; `None` if anything is missing, said twice or can't be passed on.
-fn offer(class: usize, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
+fn offer(class: &str, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
     let said = ["x-request-id", "idempotency-key", "x-consignee", "x-timeout"];
     if said.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
         return None;
@@ -95,7 +96,7 @@
     }
     Some(Offer {
         id: id.to_string(),
-        class,
+        class: class.to_string(),
         dest: get("x-consignee").map_or(or.dest, |v| fields::value(v, "dest"))?,
         key: fields::query(query, "thread"),
         idempotency: idempotency.map(str::to_string),
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -36,9 +36,17 @@
     pub time_left: Option<Nanos>,
 }
 
-/// The classes as paths name them.
+impl PathClasses {
+    /// The class of a path, by its first part.
+    fn place_of(&self, path: &str) -> Option<usize> {
+        let name = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or("");
+        self.names.iter().position(|class| class == name).or(self.rest)
+    }
+}
+
+/// The classes that clients may name.
 #[derive(Clone, Debug, Default)]
-pub struct Classes {
+pub struct PathClasses {
     pub names: Vec<String>,
     pub defaults: Vec<Defaults>,
     /// For paths that begin like none of them.
@@ -53,7 +61,8 @@
     pub pool: Rc<Pool>,
     /// For next hops that take calls behind one another.
     pub pipelines: Pipelines,
-    pub classes: Classes,
+    /// The classes in force, which may change.
+    pub classes: RefCell<Rc<PathClasses>>,
     /// Where discovery and notices are, which may change.
     pub agent: watch::Sender<Option<SocketAddr>>,
     /// Whether callers are sent away.
@@ -67,10 +76,11 @@
         net: Net,
         pool: Rc<Pool>,
         pipelines: Pipelines,
-        classes: Classes,
+        classes: PathClasses,
         agent: Option<SocketAddr>,
     ) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
+        let classes = RefCell::new(Rc::new(classes));
         let (agent, draining) = (watch::Sender::new(agent), watch::Sender::new(false));
         Platform { net, pool, pipelines, classes, agent, draining, owed, more_owed }
     }
--- a/src/protocol/smpp/esme.rs
+++ b/src/protocol/smpp/esme.rs
@@ -177,7 +177,7 @@
                 Taken::Other => (CommandStatus::EsmeRsubmitfail, String::new(), None),
                 Taken::Refused { full: true, .. } => (CommandStatus::EsmeRmsgqful, String::new(), None),
                 Taken::Refused { .. } => (CommandStatus::EsmeRthrottled, String::new(), None),
-                Taken::Failed => (CommandStatus::EsmeRsubmitfail, String::new(), None),
+                Taken::Failed | Taken::UnknownClass => (CommandStatus::EsmeRsubmitfail, String::new(), None),
             }
         }
     };
@@ -210,7 +210,7 @@
     };
     Ok(Offer {
         id: front.next_id(),
-        class,
+        class: front.config.classes.get(class).map_or(String::new(), |class| class.name.clone()),
         dest,
         key: Some(address.to_string()),
         idempotency: None,
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -76,8 +76,8 @@
         let served = replies.iter().any(|(_, r)| *r == Reply::Ended(Outcome::Served));
         let left = replies.iter().filter_map(|(b, _)| {
             let t = self.transactions.get(b.transaction)?;
-            let (aim, deadline, _) = self.of_classes.get(t.class)?;
-            Some((t.deadline + aim).saturating_sub(deadline + now))
+            let class = &self.journal.classes().rules(t.class)?.class;
+            Some((t.deadline + class.aim).saturating_sub(class.deadline + now))
         });
         let affordable = left.min().unwrap_or(0);
         if let Some(shares) = &mut self.shares {
@@ -152,8 +152,9 @@
     /// What its former has to know of an attempt.
     pub(super) fn member(&self, attempt: Attempt, unsafe_shares: bool) -> Member {
         let t = self.transactions.get(attempt.transaction);
-        let class = t.and_then(|t| self.of_classes.get(t.class));
-        let (aim, deadline, repeat) = class.copied().unwrap_or((0, 0, Repeat::Unsafe));
+        let class = t.and_then(|t| self.journal.classes().rules(t.class)).map(|rules| &rules.class);
+        let (aim, deadline, repeat) =
+            class.map_or((0, 0, Repeat::Unsafe), |class| (class.aim, class.deadline, class.repeat));
         let alone = !unsafe_shares && !may_share(Wire::Batch, repeat);
         // A message may have been handed in with less than its class's time, so its aim is told from its end.
         let aim_at = t.map_or(0, |t| t.deadline.saturating_sub(deadline.saturating_sub(aim)));
@@ -162,9 +163,9 @@
 
     /// Whether all its messages may be sent again if it stays open whether they ran.
     pub fn is_repeatable(&self, call: &Call) -> bool {
-        let class = |b: &Attempt| self.of_classes.get(self.transactions.get(b.transaction)?.class);
+        let rules = |b: &Attempt| self.journal.classes().rules(self.transactions.get(b.transaction)?.class);
         let repeatable =
-            |b: &Attempt| class(b).is_some_and(|(.., repeat)| may_share(Wire::Pipeline, *repeat));
+            |b: &Attempt| rules(b).is_some_and(|rules| may_share(Wire::Pipeline, rules.class.repeat));
         call.attempts.iter().all(repeatable)
     }
 
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -74,8 +74,9 @@
 
     /// The key of a message of which an attempt is given up.
     fn resting_key(&self, now: Nanos, no: TransactionNo) -> Option<RestingKey> {
-        let key = self.transactions.get(no)?.key.clone()?;
-        Some(RestingKey { key, until: now + self.key_rest, transaction: no })
+        let t = self.transactions.get(no)?;
+        let (key, rules) = (t.key.clone()?, self.journal.classes().rules(t.class)?);
+        Some(RestingKey { key, until: now + rules.key_rest, transaction: no })
     }
 
     /// What another process has learned, by the numbers that endpoints have here.
@@ -85,13 +86,7 @@
     }
 
     /// Takes in what another process handed over; its endpoints are known already.
-    pub(super) fn take_over(
-        &mut self,
-        classes: usize,
-        now: Nanos,
-        handover: Option<Handover>,
-        last_out: &LastOut,
-    ) {
+    pub(super) fn take_over(&mut self, now: Nanos, handover: Option<Handover>, last_out: &LastOut) {
         let continues = handover.is_some();
         let handover = handover.unwrap_or_default();
         self.transactions.remember_delivered(&handover.delivered);
@@ -105,12 +100,14 @@
             }
         }
         let adopted = calls.iter().flat_map(|(.., ids)| ids.iter().copied()).collect();
-        let (asks, strange) = self.restored(classes, now, &adopted);
+        let (asks, strange) = self.restored(now, &adopted);
         let ailing = if continues { Vec::new() } else { self.ailing(now, last_out) };
         let knowledge = continues.then(|| self.renumbered(handover.knowledge, &handover.names));
         let keys = handover.keys.iter();
         let keys = keys.map(|k| (k.key.clone(), k.until.saturating_sub(now), k.transaction));
+        let older = self.journal.classes().older().map(|(no, rules)| (no, rules.clone()));
         let left = Left {
+            classes: older.collect(),
             asks,
             ailing,
             knowledge,
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -14,7 +14,6 @@
     /// an outcome may have run, but for those that are out at another process. What has its end only needs to tell it.
     pub(super) fn restored(
         &mut self,
-        classes: usize,
         now: Nanos,
         out_elsewhere: &HashSet<TransactionNo>,
     ) -> (Vec<Ask>, Vec<TransactionNo>) {
@@ -29,7 +28,7 @@
             let ended = t.ending.is_some();
             if ended {
                 self.work.ended.push(no);
-            } else if t.class >= classes {
+            } else if self.journal.classes().rules(t.class).is_none() {
                 strange.push(no);
                 continue;
             }
@@ -59,17 +58,19 @@
 
     pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
         if let Some(t) = self.transactions.find(&offer.id).and_then(|no| self.transactions.get(no)) {
-            let same = t.class == offer.class && t.dest == offer.dest && t.body == offer.body;
+            let same_class = self.journal.classes().name(t.class) == offer.class;
+            let same = same_class && t.dest == offer.dest && t.body == offer.body;
             return if same { Taken::Already } else { Taken::Other };
         }
         if self.transactions.was_delivered(&offer.id) {
             return Taken::Already;
         }
+        let Some(class) = self.journal.classes().named(&offer.class) else { return Taken::UnknownClass };
         // What no next hop serves could only be held until its time is up.
         if !self.catalog.serves(offer.dest) {
             return Taken::Refused { after: DOOR_ADVICE, full: false };
         }
-        let Offer { id, class, dest, key, idempotency, time_left, body, owner } = offer;
+        let Offer { id, dest, key, idempotency, time_left, body, owner, .. } = offer;
         let deadline = now.saturating_add(time_left);
         // A slice of what was read from the connection would keep all of that, several kB for a few bytes.
         let body = Bytes::copy_from_slice(&body);
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -7,9 +7,11 @@
 mod intake;
 mod listing;
 mod maintenance;
+mod retune;
 mod values;
 
 pub use handover::Released;
+pub use retune::{Moved, Retuning};
 pub use values::{Carried, Letter, Note, Offer, Piping, Taken, Work};
 
 use super::facade::{Facade, Picked, Told};
@@ -20,7 +22,7 @@
 use super::values::{Attempt, Reply, TransactionNo};
 use crate::batching::{Former, Table, Terms};
 use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
-use crate::interface::{Nanos, Outcome, Repeat, Settings};
+use crate::interface::{Nanos, Outcome, Settings};
 use crate::maintenance::Maintenance;
 use ends::Withheld;
 use handover::Begun;
@@ -42,7 +44,6 @@
     batching: Batching,
     /// Messages in a call, by kind, that the partners allow.
     allowed: Vec<usize>,
-    of_classes: Vec<(Nanos, Nanos, Repeat)>,
     slots: usize,
     /// Where the relay goes by what its fleet deals out.
     shares: Option<Shares>,
@@ -52,8 +53,6 @@
     maintenance: Maintenance,
     /// Calls that are out.
     begun: Begun,
-    /// How long a key rests after an attempt that may still be running.
-    key_rest: Nanos,
 }
 
 /// The operator's terms for calls, with the names of the kinds that they speak of.
@@ -108,13 +107,13 @@
         now: Nanos,
     ) -> Core {
         let First { known, batching, tells_delivery } = first;
-        let classes = settings.classes.len();
-        let (slots, key_rest) = (settings.slots, settings.key_rest);
-        let former = Former::new(slots * 3 / 4);
-        let allowed = settings.kinds.iter().map(|k| k.per_call.max(1)).collect();
-        let of_classes = settings.classes.iter().map(|c| (c.aim, c.deadline, c.repeat)).collect();
+        let slots = settings.slots;
+        let former = Former::new(retune::calls_to_one(slots));
+        let allowed = retune::messages_in_a_call(&settings);
+        let mut journal = journal;
+        journal.name_classes(&settings);
         let Replayed { transactions, next_no, last_out, torn, maintenance, .. } = replayed;
-        let facade = Facade::new(settings, seed, !tells_delivery);
+        let facade = Facade::new(settings.clone(), seed, !tells_delivery);
         let (catalog, work) = (EndpointCatalog::default(), Work::default());
         let mut core = Core {
             facade,
@@ -127,22 +126,25 @@
             former,
             batching,
             allowed,
-            of_classes,
             slots,
             shares: None,
             withheld: Withheld::default(),
             maintenance,
             begun: Begun::default(),
-            key_rest,
         };
         if torn > 0 {
             core.work
                 .notes
                 .push(Note::new("journal-torn", format!("{torn} bytes at the end were no whole record")));
         }
+        let in_force = core.journal.classes().in_force().to_vec();
+        if !in_force.iter().copied().eq(0..in_force.len()) {
+            let picked = core.facade.retune(now, settings, in_force);
+            core.absorb(now, picked);
+        }
         core.work.draining = Some(core.maintenance.is_draining()).filter(|draining| *draining);
         core.learn(now, known);
-        core.take_over(classes, now, handover, &last_out);
+        core.take_over(now, handover, &last_out);
         core
     }
 
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -10,7 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
     pub id: String,
-    pub class: usize,
+    /// The name of its class: which rules that means is decided when it is taken on.
+    pub class: String,
     pub dest: u64,
     pub key: Option<String>,
     pub idempotency: Option<String>,
@@ -32,6 +33,8 @@
     Refused { after: Nanos, full: bool },
     /// It cannot be delivered, and no promise is made.
     Failed,
+    /// No class of this name is in force.
+    UnknownClass,
 }
 
 /// Something for the log, with the stable name of its kind.
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -6,7 +6,7 @@
 use crate::catalog::{EndpointId, EndpointState, EndpointView};
 use crate::decision::views::HostView;
 use crate::decision::{Knowledge, Relay};
-use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, Nanos, Settings};
+use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, MessageRules, Nanos, Settings};
 use std::collections::{BTreeSet, HashMap};
 
 /// What the module wants done now.
@@ -67,6 +67,8 @@
 /// What an earlier life left, with times as spans from now.
 #[derive(Clone, Debug, Default)]
 pub struct Left {
+    /// Classes that are not in force any more, by the numbers that messages name.
+    pub classes: Vec<(usize, MessageRules)>,
     pub asks: Vec<Ask>,
     pub ailing: Vec<Ailing>,
     /// What another process has learned.
@@ -96,8 +98,6 @@
 #[derive(Debug)]
 pub struct Facade {
     relay: Relay,
-    max_held: usize,
-    in_order: Vec<bool>,
     /// Number of the next attempt of each transaction that the module holds.
     attempts: HashMap<TransactionNo, u32>,
     /// Wake-ups that the module asked for; it counts on each of them.
@@ -107,13 +107,8 @@
 impl Facade {
     /// `settle_later`: a transaction that was ended is over only once `settled` says so.
     pub fn new(settings: Settings, seed: u64, settle_later: bool) -> Self {
-        let mut facade = Facade {
-            max_held: settings.max_held,
-            in_order: settings.classes.iter().map(|c| c.in_order).collect(),
-            relay: Relay::new(settings, seed),
-            attempts: HashMap::new(),
-            dues: BTreeSet::new(),
-        };
+        let mut facade =
+            Facade { relay: Relay::new(settings, seed), attempts: HashMap::new(), dues: BTreeSet::new() };
         if settle_later {
             facade.relay.settle_later();
         }
@@ -122,7 +117,7 @@
 
     /// Whether the module holds all that it may.
     pub fn full(&self) -> bool {
-        self.relay.held() >= self.max_held
+        self.relay.held() >= self.relay.held_most()
     }
 
     /// When `tick` is wanted next.
@@ -151,6 +146,8 @@
     /// an outage when it ended, since how soon one is tried rests on what is held for it. Returns the calls that are out
     /// at another process, with the numbers of their attempts.
     pub fn restore(&mut self, now: Nanos, left: Left) -> (Picked, Vec<Call>) {
+        // Before their messages: whether those go in turn is asked at once.
+        self.learn_classes(now, left.classes);
         let mut events = self.asked(left.asks);
         events.extend(left.ailing.iter().map(|a| Event::Ailing {
             host: a.endpoint,
@@ -169,6 +166,24 @@
         (self.step(now, &events), calls)
     }
 
+    fn learn_classes(&mut self, now: Nanos, classes: Vec<(usize, MessageRules)>) {
+        let rules = |(class, rules)| Event::Rules { class, rules: Box::new(rules) };
+        let events: Vec<Event> = classes.into_iter().map(rules).collect();
+        if !events.is_empty() {
+            self.step(now, &events);
+        }
+    }
+
+    /// These settings hold from now on; `classes` are the numbers of their classes, by their places.
+    pub fn retune(&mut self, now: Nanos, settings: Settings, classes: Vec<usize>) -> Picked {
+        self.step(now, &[Event::Retuned { settings: Box::new(settings), classes }])
+    }
+
+    /// Whether endpoints would be listed otherwise under these settings.
+    pub fn would_list_anew(&self, settings: &Settings) -> bool {
+        self.relay.kinds() != settings.kinds
+    }
+
     fn next_attempt(&mut self, id: TransactionNo, timeout: Nanos) -> Attempt {
         let count = self.attempts.entry(id).or_insert(0);
         let attempt = Attempt { transaction: id, number: *count, timeout };
@@ -181,7 +196,7 @@
         for a in asks {
             let Ask { transaction: id, class, dest, key, time_left, past, bytes, ended } = a;
             if ended {
-                let ordered = self.in_order.get(class) == Some(&true);
+                let ordered = self.relay.is_in_order(class);
                 events.extend(key.filter(|_| ordered).map(|key| Event::Unsettled { id, key }));
                 continue;
             }
--- a/src/routing/handover/mod.rs
+++ b/src/routing/handover/mod.rs
@@ -17,6 +17,7 @@
 use crate::catalog::{Endpoint, EndpointId};
 use crate::decision::Knowledge;
 use crate::interface::Nanos;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -141,8 +142,9 @@
     /// The journal is free from now on, and this is what it does not tell. The number of descriptors that the predecessor
     /// holds.
     Released(Box<Handover>, usize),
-    /// A message came in on a connection of the predecessor's. The number names the answer.
-    Take(u64, Offer),
+    /// A message came in on a connection of the predecessor's, one of a version that knows classes by their places. The number
+    /// names the answer.
+    Take(u64, PlacedOffer),
     /// The caller never heard that this message was taken on.
     Withdraw(TransactionNo),
     /// A call that was handed over open has ended.
@@ -151,6 +153,30 @@
     Operate(u64, Operation),
     /// It holds so many descriptors now.
     Descriptors(usize),
+    /// A message came in on a connection of the predecessor's. The number names the answer.
+    Offered(u64, Offer),
+}
+
+/// An [`Offer`] as versions write it that know classes by their places in the settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlacedOffer {
+    id: String,
+    class: usize,
+    dest: u64,
+    key: Option<String>,
+    idempotency: Option<String>,
+    time_left: Nanos,
+    body: Bytes,
+    owner: String,
+}
+
+impl PlacedOffer {
+    /// The same with the name of its class, where these are the names of the settings; none if it has no class there.
+    pub fn named(self, names: &[String]) -> Option<Offer> {
+        let PlacedOffer { id, class, dest, key, idempotency, time_left, body, owner } = self;
+        let class = names.get(class)?.clone();
+        Some(Offer { id, class, dest, key, idempotency, time_left, body, owner })
+    }
 }
 
 /// What the successor says.
--- a/src/routing/handover/roles.rs
+++ b/src/routing/handover/roles.rs
@@ -122,7 +122,7 @@
     /// Hands a message on; none where the other is gone before it answers.
     pub async fn take(&self, offer: Offer) -> Option<Taken> {
         let (number, answer) = self.taken.next();
-        self.to.send(ToSuccessor::Take(number, offer)).ok()?;
+        self.to.send(ToSuccessor::Offered(number, offer)).ok()?;
         answer.await.ok()
     }
 
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -18,13 +18,15 @@
 pub use record::Record;
 pub use replay::{LastOut, Replayed};
 
+use super::classes::{ClassKey, Classes};
 use super::transactions::{Transaction, Transactions};
 use super::values::TransactionNo;
+use crate::interface::Settings;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
 use record::{encode, set_ailing, Ailing};
 use replay::replay;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -47,7 +49,9 @@
     file: File,
     /// None once the journal is another process's.
     lock: Option<WriterLock>,
-    classes: Vec<String>,
+    classes: Classes,
+    /// Keys of the classes that the file holds.
+    written: BTreeSet<ClassKey>,
     budget: u64,
     /// Bytes of whole records in the file.
     size: u64,
@@ -66,8 +70,12 @@
 impl Journal {
     /// Opens the journal in `dir`, which may hold `budget` bytes in all, and reads what it holds. Where another process
     /// has it, nothing is changed.
-    pub fn open(dir: &Path, budget: u64, classes: Vec<String>) -> Result<(Journal, Replayed), OpenError> {
-        Journal::open_after(Preread::none(), dir, budget, classes)
+    pub fn open(
+        dir: &Path,
+        budget: u64,
+        classes: impl Into<Classes>,
+    ) -> Result<(Journal, Replayed), OpenError> {
+        Journal::open_after(Preread::none(), dir, budget, &classes.into())
     }
 
     /// The same where most of it was read before, while another process still had it.
@@ -75,18 +83,19 @@
         preread: Preread,
         dir: &Path,
         budget: u64,
-        classes: Vec<String>,
+        classes: &Classes,
     ) -> Result<(Journal, Replayed), OpenError> {
         let lock = WriterLock::take(dir)?;
         let path = dir.join(NAME);
         remove_if_there(&dir.join(COPY))?;
-        let Preread { replayed, good, .. } = preread.go_on(&path, &classes)?;
+        let Preread { replayed, good, .. } = preread.go_on(&path, classes)?;
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let mut journal = Journal {
             dir: dir.to_path_buf(),
             file,
             lock: Some(lock),
-            classes,
+            classes: replayed.classes.clone(),
+            written: replayed.written.clone(),
             budget: budget.saturating_sub(MARGIN + ROOM_AILING),
             size: good,
             unwritten: Vec::new(),
@@ -125,14 +134,59 @@
     /// Writes a record of what is done only once it is written. On an error nothing of it stays.
     pub fn write(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
         self.flush()?;
-        self.append(&encode(no, record, &self.classes))?;
+        let class = match record {
+            Record::Taken(t) => self.classes.key(t.class).filter(|key| !self.written.contains(key)),
+            _ => None,
+        };
+        // In one write: a transaction without its class would go by other rules.
+        let mut bytes = class.map_or(Vec::new(), |key| self.encoded_class(key));
+        bytes.extend(self.encoded(no, record));
+        self.append(&bytes)?;
+        self.written.extend(class);
         self.account(no, record);
         Ok(())
     }
 
+    fn encoded(&self, no: TransactionNo, record: &Record) -> Vec<u8> {
+        encode(no, record, &self.classes)
+    }
+
+    fn encoded_class(&self, key: ClassKey) -> Vec<u8> {
+        let class = self.classes.find(key).and_then(|no| self.classes.get(no));
+        class.map_or(Vec::new(), |class| self.encoded(0, &Record::Class(&class)))
+    }
+
+    /// The classes by which transactions are and were taken on.
+    pub fn classes(&self) -> &Classes {
+        &self.classes
+    }
+
+    /// The rules of the classes in force, which were opened by their names alone.
+    pub fn name_classes(&mut self, settings: &Settings) {
+        let in_force = self.classes.in_force().iter();
+        let names: Vec<String> = in_force.map(|no| self.classes.name(*no).to_string()).collect();
+        self.classes.put_in_force(&names, settings);
+    }
+
+    /// The same, to be changed.
+    pub fn classes_mut(&mut self) -> &mut Classes {
+        &mut self.classes
+    }
+
+    /// It may hold so many bytes from now on, but never less than what is owed takes.
+    pub fn set_budget(&mut self, budget: u64, all: &Transactions) {
+        self.budget = budget.saturating_sub(MARGIN + ROOM_AILING);
+        if !self.fits(0) {
+            self.copy(all).ok();
+        }
+        let owed = self.size + self.live_bytes + self.live.len() as u64 * ROOM_EACH;
+        self.budget = self.budget.max(owed);
+    }
+
     /// Writes a record of what has happened already. An error is told, and the record kept until it can be written.
     pub fn note(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
-        self.unwritten.extend(encode(no, record, &self.classes));
+        let bytes = self.encoded(no, record);
+        self.unwritten.extend(bytes);
         self.account(no, record);
         self.flush()
     }
@@ -158,8 +212,9 @@
 
     /// Takes in records that the process before could not write.
     pub fn append_unwritten(&mut self, unwritten: Vec<u8>, replayed: &mut Replayed) {
-        replay(&Bytes::from(unwritten.clone()), &self.classes, replayed);
+        replay(&Bytes::from(unwritten.clone()), replayed);
         self.unwritten.extend(unwritten);
+        (self.classes, self.written) = (replayed.classes.clone(), replayed.written.clone());
         self.ailing = replayed.ailing.clone();
         self.maintenance = replayed.maintenance.clone();
         self.live.clear();
@@ -238,29 +293,34 @@
 
     /// Replaces the file by one of what is live. Where that fails, the present one goes on.
     fn copy(&mut self, all: &Transactions) -> io::Result<()> {
-        let mut bytes = encode(0, &Record::AllAiling(&self.ailing), &self.classes);
+        let mut bytes = self.encoded(0, &Record::AllAiling(&self.ailing));
         if self.maintenance != Maintenance::default() {
-            bytes.extend(encode(0, &Record::Maintenance(&self.maintenance), &self.classes));
+            bytes.extend(self.encoded(0, &Record::Maintenance(&self.maintenance)));
         }
+        let mut written = BTreeSet::new();
         for (no, t) in all.iter().filter(|(no, _)| self.live.contains_key(no)) {
-            bytes.extend(encode(no, &Record::Taken(t), &self.classes));
+            if let Some(key) = self.classes.key(t.class).filter(|key| written.insert(*key)) {
+                bytes.extend(self.encoded_class(key));
+            }
+            bytes.extend(self.encoded(no, &Record::Taken(t)));
         }
         if self.lock.is_none() || self.size + bytes.len() as u64 > self.budget + MARGIN / 2 {
             return Err(io::Error::other("there is no room for a copy"));
         }
         let (path, copy) = (self.dir.join(NAME), self.dir.join(COPY));
-        let written = write_new(&copy, &bytes).and_then(|file| fs::rename(&copy, &path).map(|()| file));
-        let file = written.inspect_err(|_| drop(fs::remove_file(&copy)))?;
+        let replaced = write_new(&copy, &bytes).and_then(|file| fs::rename(&copy, &path).map(|()| file));
+        let file = replaced.inspect_err(|_| drop(fs::remove_file(&copy)))?;
         self.file = file;
         self.size = bytes.len() as u64;
         self.has_torn_tail = false;
+        self.written = written;
         // The copy is made of what is known, so it has these too.
         self.unwritten.clear();
         Ok(())
     }
 
     fn copy_len(&self, t: &Transaction) -> u64 {
-        let class = self.classes.get(t.class).map_or(0, String::len);
+        let class = self.classes.name(t.class).len();
         let texts = [class, t.id.len(), t.owner.len(), t.body.len()].iter().sum::<usize>();
         let optional =
             [&t.key, &t.idempotency].iter().map(|o| o.as_ref().map_or(0, |s| s.len())).sum::<usize>();
--- a/src/routing/journal/preread.rs
+++ b/src/routing/journal/preread.rs
@@ -1,5 +1,6 @@
 //! A journal read while another process writes it, so that little is left to read once it is ours.
 
+use super::super::classes::Classes;
 use super::replay::{replay, Replayed};
 use super::NAME;
 use bytes::Bytes;
@@ -25,24 +26,29 @@
     }
 
     /// Reads what there is in a folder, and changes nothing.
-    pub fn of(dir: &Path, classes: &[String]) -> io::Result<Preread> {
+    pub fn of(dir: &Path, classes: &Classes) -> io::Result<Preread> {
         Preread::none().go_on(&dir.join(NAME), classes)
     }
 
     /// Reads on from where it was left, or from the start where another file has taken its place.
-    pub(super) fn go_on(self, path: &Path, classes: &[String]) -> io::Result<Preread> {
+    pub(super) fn go_on(self, path: &Path, classes: &Classes) -> io::Result<Preread> {
+        let none = || {
+            let mut none = Preread::none();
+            none.replayed.classes = classes.clone();
+            none
+        };
         let mut file = match File::open(path) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Preread::none()),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(none()),
             file => file?,
         };
         let meta = file.metadata()?;
         let is = Some((meta.dev(), meta.ino()));
-        let mut read = if self.file == is && self.good <= meta.len() { self } else { Preread::none() };
+        let mut read = if self.file == is && self.good <= meta.len() { self } else { none() };
         file.seek(SeekFrom::Start(read.good))?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let bytes = Bytes::from(bytes);
-        let good = replay(&bytes, classes, &mut read.replayed);
+        let good = replay(&bytes, &mut read.replayed);
         read.replayed.torn = bytes.len() as u64 - good;
         read.good += good;
         read.file = is;
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -1,5 +1,6 @@
 //! Records of the journal as bytes: length, checksum, the number of the transaction, what happened to it.
 
+use super::super::classes::{Class, ClassKey, Classes};
 use super::super::transactions::{Ending, Transaction};
 use super::super::values::{End, TransactionNo};
 use crate::interface::Nanos;
@@ -12,6 +13,8 @@
 /// The code of a transaction that is over, and what follows it where that was delivered.
 pub(super) const OVER: u8 = 5;
 pub(super) const DELIVERED: u8 = 1;
+/// The code of a class.
+pub(super) const CLASS: u8 = 11;
 
 /// What happens to a transaction, as the journal keeps it.
 #[derive(Debug)]
@@ -39,6 +42,8 @@
     AllAiling(&'a Ailing),
     /// All that operators have taken out of service.
     Maintenance(&'a Maintenance),
+    /// A class that transactions name by its key from now on.
+    Class(&'a Class),
 }
 
 fn put(out: &mut Vec<u8>, bytes: &[u8]) {
@@ -80,7 +85,7 @@
     }
 }
 
-pub(super) fn encode(no: TransactionNo, record: &Record, classes: &[String]) -> Vec<u8> {
+pub(super) fn encode(no: TransactionNo, record: &Record, classes: &Classes) -> Vec<u8> {
     let mut out = vec![0; HEAD];
     out.extend(no.to_le_bytes());
     match record {
@@ -93,12 +98,14 @@
             put_moment(&mut out, t.may_have_run);
             put_moment(&mut out, t.out);
             put_ending(&mut out, t.ending, t.reason);
-            put(&mut out, classes.get(t.class).map_or("", |c| c).as_bytes());
+            put(&mut out, classes.name(t.class).as_bytes());
             put(&mut out, t.id.as_bytes());
             put(&mut out, t.owner.as_bytes());
             put_option(&mut out, &t.key);
             put_option(&mut out, &t.idempotency);
             put(&mut out, &t.body);
+            // Versions that know of no keys go by the name, and read no further.
+            out.extend(classes.key(t.class).into_iter().flat_map(ClassKey::to_le_bytes));
         }
         Record::Out { at, zone } => {
             out.push(2);
@@ -121,6 +128,11 @@
             out.extend([8, u8::from(maintenance.is_draining())]);
             maintenance.cordoned().for_each(|name| put(&mut out, name.as_bytes()));
         }
+        // Under the number 0 versions that do not know it pass it over.
+        Record::Class(class) => {
+            out.push(CLASS);
+            out.extend(class.encoded().1);
+        }
         Record::AllAiling(all) => {
             out.push(10);
             for (name, rate) in all.iter() {
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -1,12 +1,13 @@
 //! What the records of an earlier life say, read back.
 
+use super::super::classes::{Class, ClassKey, Classes, UNKNOWN};
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
-use super::record::{set_ailing, Ailing, DELIVERED, HEAD, OVER};
+use super::record::{set_ailing, Ailing, CLASS, DELIVERED, HEAD, OVER};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// When each destination was last called, as far as the journal still tells.
 pub type LastOut = HashMap<u64, Nanos>;
@@ -15,6 +16,10 @@
 #[derive(Debug, Default)]
 pub struct Replayed {
     pub transactions: Transactions,
+    /// The classes that they name, and those in force.
+    pub classes: Classes,
+    /// Keys of the classes that the journal holds.
+    pub written: BTreeSet<ClassKey>,
     pub next_no: TransactionNo,
     pub ailing: Ailing,
     pub last_out: LastOut,
@@ -77,11 +82,11 @@
 }
 
 /// Takes in all whole records; returns how many bytes they are.
-pub(super) fn replay(bytes: &Bytes, classes: &[String], into: &mut Replayed) -> u64 {
+pub(super) fn replay(bytes: &Bytes, into: &mut Replayed) -> u64 {
     let (mut rest, mut good) = (Reader(bytes.clone()), 0);
     while let (Some(len), Some(sum)) = (rest.u32(), rest.u32()) {
         let Some(body) = rest.bytes(len as usize).filter(|b| crc32fast::hash(b) == sum) else { break };
-        if apply(Reader(body), classes, into).is_none() {
+        if apply(Reader(body), into).is_none() {
             break;
         }
         good += HEAD as u64 + u64::from(len);
@@ -89,7 +94,7 @@
     good
 }
 
-fn apply(mut r: Reader, classes: &[String], into: &mut Replayed) -> Option<()> {
+fn apply(mut r: Reader, into: &mut Replayed) -> Option<()> {
     let (no, code) = (r.u64()?, r.u8()?);
     into.next_no = into.next_no.max(no + 1);
     if code == 6 {
@@ -120,8 +125,14 @@
         set_ailing(&mut into.ailing, &name, ailing.then_some(0.0));
         return Some(());
     }
+    if code == CLASS {
+        let class: Class = postcard::from_bytes(&r.0).ok()?;
+        into.written.insert(class.encoded().0);
+        into.classes.number_of(class);
+        return Some(());
+    }
     if code == 1 {
-        let t = taken(r, classes)?;
+        let t = taken(r, &into.classes)?;
         into.transactions.insert(no, t);
         return Some(());
     }
@@ -153,12 +164,12 @@
     Some(())
 }
 
-fn taken(mut r: Reader, classes: &[String]) -> Option<Transaction> {
+fn taken(mut r: Reader, classes: &Classes) -> Option<Transaction> {
     let (dest, taken_at, deadline, attempts) = (r.u64()?, r.u64()?, r.u64()?, r.u32()?);
     let (may_have_run, out, (ending, reason)) = (r.moment()?, r.moment()?, r.ending()?);
     let class = r.text()?;
-    Some(Transaction {
-        class: classes.iter().position(|c| *c == class).unwrap_or(usize::MAX),
+    let mut t = Transaction {
+        class: classes.named(&class).unwrap_or(UNKNOWN),
         id: r.text()?,
         owner: r.text()?,
         key: r.option()?,
@@ -173,5 +184,8 @@
         out,
         ending,
         reason,
-    })
+    };
+    // Versions that knew of no keys wrote none.
+    t.class = r.u64().and_then(|key| classes.find(key)).unwrap_or(t.class);
+    Some(t)
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! The core: requests, attempts and their outcomes. It knows no wire.
 
+pub mod classes;
 pub mod clock;
 pub mod core;
 pub mod desk;
@@ -12,6 +13,7 @@
 
 pub use crate::catalog::{Endpoint, EndpointCatalog, EndpointId, EndpointState, EndpointUpdate};
 pub use crate::interface::{Class, Kind, Late, Limits, Nanos, Outcome, Repeat, Settings};
+pub use classes::Classes;
 pub use clock::Clock;
 pub use core::{Core, Offer, Taken, Work};
 pub use desk::{Desk, Front};
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -1,5 +1,6 @@
 //! The transactions that the relay owes an end, with all that must outlast the process.
 
+use super::classes::ClassNo;
 use super::values::{End, TransactionNo};
 use crate::interface::Nanos;
 use bytes::Bytes;
@@ -9,8 +10,8 @@
 pub struct Transaction {
     /// The id under which its client handed it in.
     pub id: String,
-    /// The class by its place in the settings; the journal keeps the name.
-    pub class: usize,
+    /// The class by which it was taken on.
+    pub class: ClassNo,
     pub dest: u64,
     pub key: Option<String>,
     pub idempotency: Option<String>,
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -67,7 +67,7 @@
         let folder = std::env::temp_dir().join(format!("basaltloom-listing-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let settings = Settings { max_held: 10_000, slots: 64, ..fixture::settings() };
-        let classes = settings.classes.iter().enumerate().map(|(i, _)| i.to_string()).collect();
+        let classes: Vec<String> = settings.classes.iter().enumerate().map(|(i, _)| i.to_string()).collect();
         let (journal, replayed) = Journal::open(&folder, 3_000_000, classes).unwrap();
         let batching = Batching { table: Table::default(), kinds: Vec::new() };
         let first = First { known: &EndpointUpdate::default(), batching, tells_delivery: false };
@@ -95,7 +95,7 @@
     fn take(&self, id: &str, dest: u64) -> Taken {
         let offer = Offer {
             id: id.to_string(),
-            class: 0,
+            class: "0".to_string(),
             dest,
             key: None,
             idempotency: None,
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -40,6 +40,7 @@
 }
 
 fn offer(id: String, class: usize) -> Offer {
+    let class = format!("c{class}");
     let (idempotency, key) = (None, None);
     let (body, owner) = (Bytes::from_static(b"x"), String::new());
     Offer { id, class, dest: 5, key, idempotency, time_left: TIME_LEFT, body, owner }
@@ -47,7 +48,7 @@
 
 /// A relay of six, with its endpoint and what its journal holds.
 fn core(dir: &std::path::Path, seed: u64, now: u64) -> Core {
-    let classes = (0..5).map(|i| format!("c{i}")).collect();
+    let classes: Vec<String> = (0..5).map(|i| format!("c{i}")).collect();
     let (journal, replayed) = Journal::open(dir, 3_000_000, classes).unwrap();
     let known = EndpointUpdate { seq: 1, whole: true, endpoints: vec![hop()] };
     let first = First { known: &known, batching: Batching::default(), tells_delivery: false };
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -91,7 +91,7 @@
 
 impl Life {
     fn new(dir: &Path, now: u64, seed: u64, oracle: Oracle) -> Life {
-        let classes = (0..5).map(|i| format!("c{i}")).collect();
+        let classes: Vec<String> = (0..5).map(|i| format!("c{i}")).collect();
         let (journal, replayed) = Journal::open(dir, 3_000_000, classes).unwrap();
         let known = EndpointUpdate { seq: 1, whole: true, endpoints: vec![hop("a", 0), hop("b", 1)] };
         let first = First { known: &known, batching: Batching::default(), tells_delivery: false };
@@ -158,7 +158,7 @@
                 let key = (class == 4).then(|| "k".to_string());
                 let offer = Offer {
                     id,
-                    class,
+                    class: format!("c{class}"),
                     dest: 5,
                     key,
                     idempotency: None,
