Put a good configuration in force whole at SIGHUP, all its settings with it

Callers of a class that a good file had added got 404 until the next start, and attempts, limits and rules stayed those of the start: at SIGHUP the address of discovery alone was taken (heed in src/program/fronts.rs). What is asked of discovery begins anew where its terms differ. Pool, pipelines, the descriptor share and the fleet's terms can be changed while they run; src/program/terms.rs says in one place what each is made of.

--- a/src/crowding/mod.rs
+++ b/src/crowding/mod.rs
@@ -67,6 +67,11 @@
         Holding { keepalive, many: senders > ROOM_LEAST, opened: 0, scarce_until: HashMap::new() }
     }
 
+    /// Other terms, from now on.
+    pub fn set(&mut self, keepalive: Nanos, senders: u32) {
+        (self.keepalive, self.many) = (keepalive, senders > ROOM_LEAST);
+    }
+
     /// A connection is opened: until when it may be used.
     pub fn opened(&mut self, now: Nanos) -> Nanos {
         self.opened = self.opened.wrapping_add(1);
--- a/src/fleet/together.rs
+++ b/src/fleet/together.rs
@@ -78,6 +78,11 @@
 }
 
 impl Together {
+    /// Other terms, from now on.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
     /// Numbers go on from the time at the start, so that a later life has higher ones.
     pub fn new(me: Id, terms: Terms, now: Nanos) -> Together {
         let tick = (now / (EACH / 2)) as u32;
--- a/src/program/beside.rs
+++ b/src/program/beside.rs
@@ -10,7 +10,7 @@
 use crate::routing::{Clock, Desk};
 use crate::transport::network::Net;
 use crate::transport::Door;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -32,8 +32,8 @@
     pub name: String,
     pub dir: PathBuf,
     pub seed: u64,
-    /// Where the relays deal out among them what partners take.
-    pub shares: Option<together::Terms>,
+    /// What they go by where the relays deal out among them what endpoints take.
+    pub shares: Option<Rc<Cell<together::Terms>>>,
 }
 
 /// What is to run beside.
@@ -52,6 +52,8 @@
     tasks: RefCell<Option<LocalSet>>,
     member: RefCell<Option<Rc<fleet::Running>>>,
     smpp: RefCell<Option<Rc<Desk<Smpp>>>>,
+    /// What is dealt out by, where it is.
+    shares: RefCell<Option<Rc<Cell<together::Terms>>>>,
 }
 
 impl Beside {
@@ -90,7 +92,8 @@
                     .map_err(|e| format!("fleet: {}: {e}", fleet.dir.display()))?;
                 let member =
                     fleet::start(&fleet.section, &fleet.name, &fleet.dir, fleet.seed, plan.clock).await?;
-                if let (Some((desk, _)), Some(terms)) = (platform, fleet.shares) {
+                if let (Some((desk, _)), Some(terms)) = (platform, fleet.shares.clone()) {
+                    self.shares.replace(Some(terms.clone()));
                     spawn_local(member.clone().share(desk.clone(), terms));
                 }
                 self.member.replace(Some(member));
@@ -124,6 +127,13 @@
         self.tasks.take();
     }
 
+    /// What endpoints take is dealt out by other terms from now on.
+    pub fn deal_by(&self, terms: together::Terms) {
+        if let Some(shares) = &*self.shares.borrow() {
+            shares.set(terms);
+        }
+    }
+
     /// Membership, where it runs.
     pub fn member(&self) -> Option<Rc<fleet::Running>> {
         self.member.borrow().clone()
--- a/src/program/descriptors.rs
+++ b/src/program/descriptors.rs
@@ -25,7 +25,9 @@
 
 /// What this process may hold of what its relay may.
 pub(super) struct Share {
-    total: usize,
+    total: Cell<usize>,
+    /// Kept for a process that may be started beside this one.
+    successor: usize,
     /// What another process of the relay holds.
     other: Cell<usize>,
     admission: RefCell<Said>,
@@ -35,12 +37,14 @@
 impl Share {
     /// Of `allowed` in all; where another process may be started beside this one, there is always room for it.
     pub fn new(allowed: usize, may_hand_over: bool, admission: Said, net: Net) -> Rc<Share> {
-        let total = allowed.min(MOST).saturating_sub(if may_hand_over { SUCCESSOR } else { 0 });
+        let successor = if may_hand_over { SUCCESSOR } else { 0 };
+        let total = allowed.min(MOST).saturating_sub(successor);
         let figures = Figures::new(total, true);
         let settings = admission.settings(figures.plain());
         let ledger = Ledger::new(figures.ledger, figures.kept(&settings));
         let door = Door::new(settings, ledger, net);
-        Rc::new(Share { total, other: Cell::new(0), admission: RefCell::new(admission), door })
+        let (total, other) = (Cell::new(total), Cell::new(0));
+        Rc::new(Share { total, successor, other, admission: RefCell::new(admission), door })
     }
 
     /// Who comes in, by these descriptors.
@@ -55,6 +59,14 @@
         }
     }
 
+    /// So many in all from now on.
+    pub fn allow(&self, allowed: usize) {
+        let total = allowed.min(MOST).saturating_sub(self.successor);
+        if self.total.replace(total) != total {
+            self.apply();
+        }
+    }
+
     /// Admission by other terms from now on; returns how many callers are beyond them and are closed.
     pub fn admit_by(&self, admission: Said) -> usize {
         self.admission.replace(admission);
@@ -62,7 +74,7 @@
     }
 
     fn apply(&self) -> usize {
-        let figures = Figures::new(self.total.saturating_sub(self.other.get()), self.other.get() == 0);
+        let figures = Figures::new(self.total.get().saturating_sub(self.other.get()), self.other.get() == 0);
         let settings = self.admission.borrow().settings(figures.plain());
         self.door.ledger().set(figures.ledger, figures.kept(&settings));
         self.door.reload(settings)
--- a/src/program/fleet.rs
+++ b/src/program/fleet.rs
@@ -85,12 +85,13 @@
     }
 
     /// Has a front go by what the fleet deals out, for good.
-    pub async fn share<F: Front>(self: Rc<Self>, desk: Rc<Desk<F>>, terms: Terms) {
+    pub async fn share<F: Front>(self: Rc<Self>, desk: Rc<Desk<F>>, terms: Rc<Cell<Terms>>) {
         desk.act(|core, _| core.share());
         let me = self.view().me.name.clone();
-        let mut together = Together::new(id(&me), terms, self.clock.now());
+        let mut together = Together::new(id(&me), terms.get(), self.clock.now());
         loop {
             sleep(TURNS_EACH).await;
+            together.set_terms(terms.get());
             let (now, view) = (self.clock.now(), self.view());
             let others: Vec<_> = view.others.iter().filter(|m| m.state.there()).collect();
             let peers: Vec<Peer<'_>> = others.iter().map(|m| peer(m)).collect();
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -3,6 +3,7 @@
 use super::inherited::Inherited;
 use super::listing::{Feed, Listing};
 use super::rooms::Rooms;
+use super::terms::{self, DiscoveryTerms};
 use super::wiring::{keep_up, words, SmppPlan};
 use crate::admission::ledger::Purse;
 use crate::batching::Table;
@@ -10,7 +11,7 @@
 use crate::fleet::PollSchedule;
 use crate::operator::Operator;
 use crate::protocol::discovery;
-use crate::protocol::platform::{self, PathClasses, Platform};
+use crate::protocol::platform::{self, Platform};
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First};
 use crate::routing::handover::{Endpoints, Handover};
@@ -22,7 +23,6 @@
 use crate::transport::{Door, Leg, Legs, Pool};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -49,7 +49,7 @@
 /// By what cores of the platform's front are made.
 pub(super) struct Cores {
     in_force: InForce,
-    rooms: Rooms,
+    pub rooms: Rooms,
     batching: Table,
     clock: Clock,
 }
@@ -148,22 +148,14 @@
 }
 
 /// What stands before the core.
-fn platform_front(config: &Configuration, net: &Net, door: &Rc<Door>) -> Platform {
+fn platform_front(configuration: &Configuration, net: &Net, door: &Rc<Door>) -> Platform {
     let drawing = |purse| Counted::over(net.clone(), door.ledger().clone(), purse);
-    let keepalive = Duration::from_nanos(config.settings.keepalive.max(1_000_000_000) / 10 * 9);
-    let connect = Duration::from_nanos(config.connect_timeout);
-    let most = door.ledger().kept(Purse::Calls);
-    let pool = Pool::new(drawing(Purse::Calls), most, keepalive, config.settings.senders, connect);
-    let pipelines = Pipelines::new(drawing(Purse::Calls), pool.clone(), keepalive, connect);
-    // Well beyond what the settings give any class, a deadline is a mistake.
-    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).saturating_mul(2);
-    let classes = PathClasses {
-        names: config.classes.clone(),
-        defaults: config.defaults.clone(),
-        rest: config.default_class,
-        longest,
-    };
-    Platform::new(drawing(Purse::Records), pool, pipelines, classes, config.discovery)
+    let terms = terms::pool(configuration, door);
+    let pool = Pool::new(drawing(Purse::Calls), terms);
+    let pipelines =
+        Pipelines::new(drawing(Purse::Calls), pool.clone(), terms.keepalive, terms.connect_timeout);
+    let classes = terms::path_classes(configuration);
+    Platform::new(drawing(Purse::Records), pool, pipelines, classes, configuration.discovery)
 }
 
 /// The socket that callers connect to: the platform's own, where it hands one over.
@@ -204,14 +196,26 @@
 ) {
     let life = Cell::new(0u64);
     let follow = || {
-        let config = in_force.borrow().clone();
-        // Chances of its own each time.
-        life.set(life.get() + 1);
-        let seed = config.seed ^ POLL_SEED ^ (life.get() - 1);
-        let schedule = PollSchedule::new(config.settings.senders, config.asked, seed);
-        let agent = desk.front.agent.subscribe();
-        let (names, feed) = (config.names.clone(), Feed(listing.clone()));
-        discovery::follow(net.clone(), agent, names, schedule, listing.in_force(), config.list, feed)
+        let mut configurations = in_force.subscribe();
+        let (desk, listing, net, life) = (&desk, &listing, &net, &life);
+        async move {
+            loop {
+                let (terms, seed) = {
+                    let configuration = configurations.borrow_and_update();
+                    (DiscoveryTerms::of(&configuration), configuration.seed)
+                };
+                // Chances of its own each time.
+                let seed = seed ^ POLL_SEED ^ life.replace(life.get() + 1);
+                let schedule = PollSchedule::new(terms.senders, terms.asked, seed);
+                let (agent, names) = (desk.front.agent.subscribe(), terms.names.clone());
+                let (seq, feed) = (listing.in_force(), Feed(listing.clone()));
+                let others = |now: &Rc<Configuration>| DiscoveryTerms::of(now) != terms;
+                tokio::select! {
+                    () = discovery::follow(net.clone(), agent, names, schedule, seq, terms.limits, feed) => return,
+                    changed = configurations.wait_for(others) => if changed.is_err() { return },
+                }
+            }
+        }
     };
     desk.roles.while_serving(follow).await;
 }
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -49,6 +49,12 @@
         self.pending.take();
     }
 
+    /// Drops what is pending, and what was known of discovery's list: endpoints are told by other names from now on.
+    pub fn restart(&self) {
+        self.pending.take();
+        self.in_force.set(None);
+    }
+
     /// Applies what is committed, for good.
     pub async fn apply(self: Rc<Self>) {
         loop {
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -16,6 +16,7 @@
 mod rooms;
 mod signals;
 mod takeover;
+mod terms;
 pub mod wiring;
 
 pub use cli::main;
--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -5,13 +5,15 @@
 use super::descriptors::Share;
 use super::fronts::{InForce, PlatformFront};
 use super::listing::Listing;
-use super::log;
+use super::rooms::Rooms;
 use super::wiring::words;
+use super::{log, terms};
 use crate::configuration::{judge_again, Configuration, Environment, Version};
 use crate::operator::fleet::Fleet;
 use crate::operator::Operator;
 use crate::protocol::platform::Platform;
 use crate::protocol::smpp;
+use crate::routing::core::{Moved, Retuning};
 use crate::routing::Desk;
 use crate::transport::Legs;
 use std::rc::Rc;
@@ -41,26 +43,31 @@
     listing: Rc<Listing<Platform>>,
     in_force: InForce,
     environment: Environment,
+    rooms: Rooms,
+    /// Descriptors that the process may have, whatever the configuration says.
+    descriptors: usize,
 }
 
 impl PlatformReload {
-    /// For this front, in this environment.
-    pub fn of(front: &PlatformFront, environment: Environment) -> PlatformReload {
+    /// For this front, in this environment, for a process that may have so many descriptors.
+    pub fn of(front: &PlatformFront, environment: Environment, descriptors: usize) -> PlatformReload {
         PlatformReload {
             desk: front.desk.clone(),
             legs: front.legs.clone(),
             listing: front.listing.clone(),
             in_force: front.in_force.clone(),
             environment,
+            rooms: front.cores.rooms,
+            descriptors,
         }
     }
 
     /// Judges a text, and puts in force what it says where it is whole.
-    async fn take(&self, text: &str, uses_peers: bool) {
+    async fn take(&self, text: &str, others: &Reload) {
         let in_force = self.in_force.borrow().clone();
         let version = Version::of(text);
-        match judge_again(text, &in_force, &self.environment, uses_peers) {
-            Ok(configuration) => self.put_in_force(Rc::new(configuration)).await,
+        match judge_again(text, &in_force, &self.environment, others.fleet.is_some()) {
+            Ok(configuration) => self.put_in_force(Rc::new(configuration), others).await,
             Err(faults) => {
                 let (count, in_force) = (faults.count(), in_force.version);
                 let said = "the configuration stays as it was read before";
@@ -69,23 +76,39 @@
         }
     }
 
-    async fn put_in_force(&self, configuration: Rc<Configuration>) {
+    /// All of it at once: nobody sees one part of it without the others.
+    async fn put_in_force(&self, configuration: Rc<Configuration>, others: &Reload) {
         let before = self.in_force.send_replace(configuration.clone());
-        let (agent, version) = (configuration.discovery, configuration.version);
-        self.desk.front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
-        let read = "the configuration was read again";
-        match agent {
-            Some(agent) => {
-                tracing::info!(target: "relay", event = "reread", %version, %agent, "{read}: discovery at {agent}");
-            }
-            None if configuration.names == before.names && self.desk.roles.serves() => {
-                self.listing.learn(&configuration.known).await;
-                tracing::info!(target: "relay", event = "reread", %version, "{read}: its list stands");
-            }
-            None => {
-                let text = "other kinds or zones need a restart";
-                tracing::warn!(target: "relay", event = "reread-needs-restart", "{read}: {text}");
-            }
+        let (front, share) = (&self.desk.front, &others.share);
+        front.classes.replace(Rc::new(terms::path_classes(&configuration)));
+        share.allow(configuration.sockets.min(self.descriptors));
+        let pool = terms::pool(&configuration, share.door());
+        front.pool.retune(pool);
+        front.pipelines.retune(pool.keepalive, pool.connect_timeout);
+        others.beside.deal_by(terms::sharing(&configuration));
+        if self.desk.roles.serves() {
+            let (names, named) = (&before.names, &configuration.names);
+            let moved = Moved::between((&names.kinds, &names.zones), (&named.kinds, &named.zones));
+            let retuning = Retuning {
+                settings: &configuration.settings,
+                classes: &configuration.classes,
+                kinds: &named.kinds,
+                moved,
+                journal_bytes: self.rooms.journal(&configuration),
+            };
+            self.desk.act(|core, now| core.retune(now, &retuning));
+        }
+        if before.names != configuration.names {
+            self.listing.restart();
+        }
+        let agent = configuration.discovery;
+        front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
+        let (version, was) = (configuration.version, before.version);
+        let text = "the configuration was read again: discovery at";
+        let at = agent.map_or("no address, its list stands".to_string(), |agent| agent.to_string());
+        tracing::info!(target: "relay", event = "reread", %version, %was, "{text} {at}");
+        if agent.is_none() && self.desk.roles.serves() {
+            self.listing.learn(&configuration.known).await;
         }
     }
 }
@@ -95,7 +118,7 @@
     pub async fn follow(self, mut rereads: UnboundedReceiver<Reread>, platform: Option<PlatformReload>) {
         while let Some(reread) = rereads.recv().await {
             match (&platform, &reread.configuration) {
-                (Some(platform), Some(Ok(text))) => platform.take(text, self.fleet.is_some()).await,
+                (Some(platform), Some(Ok(text))) => platform.take(text, &self).await,
                 (_, Some(Err(why))) => {
                     let text = "the configuration stays as it was read before";
                     tracing::error!(target: "relay", event = "reread-failed", "{text}: {why}");
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -8,7 +8,7 @@
 use super::reload::{PlatformReload, Reload, Reread};
 use super::rooms::Rooms;
 use super::takeover::{self, Takeover};
-use super::{fleet, log};
+use super::{fleet, log, terms};
 use crate::admission::ledger;
 use crate::configuration::{Configuration, Environment};
 use crate::operator::admission::Refusal;
@@ -201,7 +201,7 @@
     let inherited = plan.inherited.as_ref();
     let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock };
     let front = start_platform(start, net, door, &operator).await?;
-    follow(rereads, reload, Some(PlatformReload::of(&front, environment)));
+    follow(rereads, reload, Some(PlatformReload::of(&front, environment, plan.descriptors)));
     let PlatformFront { desk: serving, legs, .. } = &front;
     let platform = (serving.clone(), legs.clone());
     desk.replace(Some(serving.clone()));
@@ -255,10 +255,11 @@
 /// Membership, as the operator's file has it.
 fn fleet_plan(operator: &Operator, plan: &Plan) -> Result<Option<FleetPlan>, String> {
     let Some(section) = operator.fleet.clone() else { return Ok(None) };
-    let shares = plan.platform.as_ref().filter(|_| section.deals).map(|p| {
-        let s = &p.configuration.settings;
-        crate::fleet::together::Terms { senders: s.senders, cold_share: s.cold_share, warm_up: s.warm_up }
-    });
+    let shares = plan
+        .platform
+        .as_ref()
+        .filter(|_| section.deals)
+        .map(|p| Rc::new(Cell::new(terms::sharing(&p.configuration))));
     let (name, dir, seed) = match (&plan.platform, &plan.smpp) {
         (Some(PlatformPlan { configuration, .. }), _) => {
             let (has, wants) = (configuration.disk_bytes, 2 * fleet::DISK);
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -11,7 +11,7 @@
 use crate::routing::EndpointId;
 use bytes::Bytes;
 use connection::Connection;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,8 +31,8 @@
     pool: Rc<Pool>,
     connections: RefCell<HashMap<EndpointId, Connections>>,
     opening: OpeningCounts,
-    connect_timeout: Duration,
-    keepalive: Duration,
+    connect_timeout: Cell<Duration>,
+    keepalive: Cell<Duration>,
 }
 
 /// Connections that are being opened, by endpoint.
@@ -65,9 +65,16 @@
     /// None yet; connections come up within `connect_timeout` and are left open for `keepalive` without a call.
     pub fn new(net: Net, pool: Rc<Pool>, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
         let (connections, opening) = (RefCell::default(), RefCell::default());
+        let (connect_timeout, keepalive) = (Cell::new(connect_timeout), Cell::new(keepalive));
         Pipelines { net, pool, connections, opening, connect_timeout, keepalive }
     }
 
+    /// Other terms, from now on.
+    pub fn retune(&self, keepalive: Duration, connect_timeout: Duration) {
+        self.keepalive.set(keepalive);
+        self.connect_timeout.set(connect_timeout);
+    }
+
     /// Makes sure that there is a connection on which a call may go, which `send` takes then without a pause: an idle
     /// one, else a new one while there are fewer than `most`, else the one with the fewest calls out.
     pub async fn ready(
@@ -99,7 +106,8 @@
         let mut connections = self.connections.borrow_mut();
         let Some(connections) = connections.get_mut(&endpoint) else { return (None, 0) };
         connections.retain(|(at, connection)| {
-            let is_usable = connection.is_open() && *at == dial && connection.idle_for() < self.keepalive;
+            let is_usable =
+                connection.is_open() && *at == dial && connection.idle_for() < self.keepalive.get();
             let keeps = is_usable || connection.out() > 0;
             if !keeps {
                 connection.end(Break::Cancelled);
@@ -122,7 +130,7 @@
 
     async fn open(&self, endpoint: EndpointId, dial: SocketAddr, depth: usize) -> Result<(), NoLease> {
         let opening = Opening::begin(&self.opening, endpoint);
-        let connected = timeout(self.connect_timeout, self.net.connect(dial)).await;
+        let connected = timeout(self.connect_timeout.get(), self.net.connect(dial)).await;
         drop(opening);
         let stream = match connected {
             Ok(Ok(stream)) => stream,
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -24,7 +24,7 @@
     idle: RefCell<HashMap<EndpointId, Vec<Idle>>>,
     /// Lines that are open or opening.
     open: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
     /// When the clock of `holding` began, and how long lines wait for a next call.
     from: Instant,
     holding: RefCell<Holding>,
@@ -32,7 +32,7 @@
     sooner: Notify,
     /// What has waited longer is not to be used.
     trusted: Cell<Duration>,
-    connect_timeout: Duration,
+    connect_timeout: Cell<Duration>,
     sources: RefCell<Sources>,
     /// Counts answers, and checks what rests on them.
     pub audit: Rc<RefCell<Audit>>,
@@ -145,7 +145,7 @@
         (self.line, self.waited, self.is_last) = (None, Duration::ZERO, false);
         let pool = &self.pool;
         self.lives = pool.holding.borrow_mut().opened(pool.now());
-        match Line::open(&pool.net, self.dial, pool.connect_timeout, ANSWER_MOST).await {
+        match Line::open(&pool.net, self.dial, pool.connect_timeout.get(), ANSWER_MOST).await {
             Ok(line) => {
                 let (connection, endpoint) = (line.number(), self.endpoint);
                 tracing::debug!(target: "routing", event = "connection-opened", connection, endpoint, dial = %self.dial);
@@ -174,14 +174,33 @@
     }
 }
 
+/// What a pool goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolTerms {
+    /// Connections that may be open.
+    pub most: usize,
+    /// How long one may wait for its next call.
+    pub keepalive: Duration,
+    /// Relays that call the same endpoints.
+    pub senders: u32,
+    /// A connection that is not there by then never will be.
+    pub connect_timeout: Duration,
+}
+
 impl Pool {
-    pub fn new(
-        net: Net,
-        most: usize,
-        keepalive: Duration,
-        senders: u32,
-        connect_timeout: Duration,
-    ) -> Rc<Self> {
+    /// Goes by other terms from now on: those that wait are closed by them, too.
+    pub fn retune(&self, terms: PoolTerms) {
+        let PoolTerms { most, keepalive, senders, connect_timeout } = terms;
+        self.most.set(most);
+        self.connect_timeout.set(connect_timeout);
+        self.holding.borrow_mut().set(keepalive.as_nanos() as Nanos, senders);
+        self.trusted.set(keepalive);
+        self.sooner.notify_one();
+    }
+
+    /// One that goes by these terms.
+    pub fn new(net: Net, terms: PoolTerms) -> Rc<Self> {
+        let PoolTerms { most, keepalive, senders, connect_timeout } = terms;
         let (idle, open, from) = (RefCell::default(), Cell::new(0), Instant::now());
         let holding = RefCell::new(Holding::new(keepalive.as_nanos() as Nanos, senders));
         let (trusted, sooner) = (Cell::new(keepalive), Notify::new());
@@ -190,12 +209,12 @@
             net,
             idle,
             open,
-            most,
+            most: Cell::new(most),
             from,
             holding,
             sooner,
             trusted,
-            connect_timeout,
+            connect_timeout: Cell::new(connect_timeout),
             sources,
             audit,
             told,
@@ -255,7 +274,7 @@
         if reuse == Reuse::No {
             self.close_one(endpoint);
         }
-        if self.open.get() >= self.most && !self.close_oldest() {
+        if self.open.get() >= self.most.get() && !self.close_oldest() {
             return Err(NoLease::OutOfRoom);
         }
         self.open.set(self.open.get() + 1);
