Keep the last good files in the lasting folder, and start by them over broken ones

Callers lost the relay where a process was killed, or another started beside it, while a broken file lay there: it ended at once (rc 1), and what had been in force was nowhere. A restart behind a SIGHUP that had moved discovery went back to the LB_DISCOVERY of the first start. A start judges its file by the kept one and serves by that where the file is not whole; the log names every fault and the version that holds. The operator's file is kept the same way, with all that it includes. LB_DISCOVERY stands above the file until SIGHUP has moved discovery; then it counts again once it has changed (Origin in src/configuration/environment.rs). Tests: the three of tests/configuration/starts.rs failed before (two: the process ended; one: discovery of the first start) and pass now; three more: an operator's file, damaged kept files, a folder that takes no writes.

--- a/benches/batching.rs
+++ b/benches/batching.rs
@@ -7,7 +7,7 @@
 #[path = "batching/partner.rs"]
 mod partner;
 
-use basaltloom::configuration::{judge, Environment};
+use basaltloom::configuration::{judge, Environment, Origin};
 use basaltloom::operator;
 use basaltloom::program::wiring::{self, Plan, PlatformPlan};
 use basaltloom::routing::Clock;
@@ -120,8 +120,9 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a loop");
         LocalSet::new().block_on(&runtime, async move {
             let environment = Environment { state: Some(state.clone()), ..Environment::default() };
-            let configuration = judge(&text, None).expect("a configuration").within(&environment, None);
-            let platform = Some(PlatformPlan { configuration, environment });
+            let configuration = judge(&text, None).expect("a configuration");
+            let configuration = configuration.at_start(&environment, Origin::default());
+            let platform = Some(PlatformPlan { configuration, environment, names_before: None });
             let plan = Plan { platform, operator, descriptors: 512, ..Plan::default() };
             wiring::run(plan, Rc::new(Tcp), Clock::system(), async { drop(ended.await) })
                 .await
--- a/src/catalog/endpoint.rs
+++ b/src/catalog/endpoint.rs
@@ -4,6 +4,15 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Kinds and zones by name, as the settings list them: endpoints are told by their places.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    /// The names of kinds, an endpoint's `class`.
+    pub kinds: Vec<String>,
+    /// The names of zones, an endpoint's `site`.
+    pub zones: Vec<String>,
+}
+
 /// An endpoint, as numbered by the catalog. A number is never given again.
 pub type EndpointId = HostId;
 
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -11,7 +11,7 @@
 mod table;
 mod update;
 
-pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate, EndpointView};
+pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate, EndpointView, Names};
 pub use names::name_hash;
 pub use store::{Applied, EndpointCatalog, Forgotten};
 pub use update::{Draft, PendingUpdate, Piece, Progress, MOST_IN_A_PIECE, MOST_MOVED_TOGETHER};
--- a/src/configuration/environment.rs
+++ b/src/configuration/environment.rs
@@ -2,6 +2,7 @@
 
 use super::fault::{Fault, Faults};
 use super::Configuration;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -47,10 +48,54 @@
     }
 }
 
+/// How the address of discovery that is in force came to be that.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// `LB_DISCOVERY` of the process.
+    pub variable: Option<SocketAddr>,
+    /// A file that was read later has moved it: that variable is older.
+    pub is_moved: bool,
+}
+
+impl Origin {
+    /// At a start with this variable, behind the last configuration that was in force here.
+    pub fn at_start(variable: Option<SocketAddr>, last: Option<Origin>) -> Origin {
+        let is_moved = last.is_some_and(|last| last.is_moved && last.variable == variable);
+        Origin { variable, is_moved }
+    }
+
+    /// A file was read again that names an address, or none.
+    fn read_again(self, names_one: bool) -> Origin {
+        Origin { is_moved: self.is_moved || names_one, ..self }
+    }
+}
+
 impl Configuration {
-    /// The same as it holds in this environment. `discovery`: the address that counts.
-    pub fn within(self, environment: &Environment, discovery: Option<SocketAddr>) -> Configuration {
+    /// The same as it holds in this environment at a start.
+    pub fn at_start(self, environment: &Environment, origin: Origin) -> Configuration {
+        let discovery = match origin.is_moved {
+            true => self.discovery.or(environment.discovery),
+            false => environment.discovery.or(self.discovery),
+        };
+        self.within(environment, discovery, origin)
+    }
+
+    /// The same as it holds where it is read again by a process that goes by the one in force: whatever variable that was
+    /// started with, the file is newer.
+    pub(super) fn read_again(self, environment: &Environment, in_force: &Configuration) -> Configuration {
+        let origin = in_force.origin.read_again(self.discovery.is_some());
+        let discovery = self.discovery.or(in_force.discovery);
+        self.within(environment, discovery, origin)
+    }
+
+    fn within(
+        self,
+        environment: &Environment,
+        discovery: Option<SocketAddr>,
+        origin: Origin,
+    ) -> Configuration {
         Configuration {
+            origin,
             name: environment.name.clone().unwrap_or(self.name),
             listen: environment.listen.unwrap_or(self.listen),
             console: environment.console.or(self.console),
--- a/src/configuration/judge.rs
+++ b/src/configuration/judge.rs
@@ -2,7 +2,7 @@
 
 use super::completeness::{joined, lacks};
 use super::consistency;
-use super::environment::Environment;
+use super::environment::{Environment, Origin};
 use super::fault::{Fault, Faults};
 use super::form::{DefaultsForm, Form, LimitsForm};
 use super::settings::{DiscoveryForm, SettingsForm};
@@ -37,11 +37,7 @@
     environment: &Environment,
     uses_peers: bool,
 ) -> Result<Configuration, Faults> {
-    // Whatever variable the process was started with, the file is newer.
-    let within = |read: Configuration| {
-        let discovery = read.discovery.or(in_force.discovery);
-        read.within(environment, discovery)
-    };
+    let within = |read: Configuration| read.read_again(environment, in_force);
     let changes = |read: &Configuration| {
         let peers = (uses_peers && !read.peers).then(|| {
             Fault::at("settings.limits.peers", "is false, but the operator's file has a section `fleet`")
@@ -129,6 +125,7 @@
         name: form.name.as_str().to_string(),
         listen: form.listen,
         discovery: form.discovery,
+        origin: Origin::default(),
         console: form.console,
         state: PathBuf::from(form.state.as_deref().unwrap_or(".")),
         seed: seed(&form.seed),
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -12,7 +12,7 @@
 pub mod value;
 mod version;
 
-pub use environment::Environment;
+pub use environment::{Environment, Origin};
 pub use fault::{Fault, Faults};
 pub use judge::{judge, judge_again};
 pub use version::Version;
@@ -42,6 +42,8 @@
     pub listen: SocketAddr,
     /// Discovery and notices; without it the known list stands and ends are only logged.
     pub discovery: Option<SocketAddr>,
+    /// How that came to be in force.
+    pub origin: Origin,
     /// Where operators call; none: nowhere.
     pub console: Option<SocketAddr>,
     /// The lasting folder.
@@ -75,6 +77,11 @@
 }
 
 impl Configuration {
+    /// Its text with an empty list of endpoints.
+    pub fn without_endpoints(&self) -> String {
+        self.document.to_string()
+    }
+
     /// What it is, in a line.
     pub fn summary(&self) -> String {
         let (classes, endpoints) = (self.classes.join(", "), self.known.endpoints.len());
--- a/src/decision/records/continued.rs
+++ b/src/decision/records/continued.rs
@@ -27,6 +27,20 @@
         }
     }
 
+    /// Where the other process had routes apart that are shared here, or shared ones that are apart, waits bind all the same.
+    pub fn carry_handed_waits(&mut self) {
+        let others: Vec<(HostId, RouteId)> = self
+            .hosts
+            .conditions()
+            .filter_map(|(id, _)| {
+                let host = self.hosts.get(&id)?;
+                let other = if host.kind().apart { RouteId::Dest(host.dest) } else { RouteId::Host(id) };
+                Some((id, other))
+            })
+            .collect();
+        others.into_iter().for_each(|(id, other)| self.carry_waits(id, Some(other)));
+    }
+
     /// Lets go of paces that came of the listing alone: the next call to each route sets one anew.
     pub fn forget_listed_paces(&mut self) {
         for route in self.routes.values_mut() {
--- a/src/decision/records/knowledge.rs
+++ b/src/decision/records/knowledge.rs
@@ -100,6 +100,7 @@
             }
         }
         self.routes.extend(knowledge.routes);
+        self.carry_handed_waits();
         self.idle_safe = knowledge.idle_safe;
         for (dest, learned) in knowledge.flows {
             if let Some(flow) = self.flows.get_mut(&dest) {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -26,6 +26,8 @@
     pub smpp: Option<SmppConfig>,
     /// All settings as they hold, in the order of the file's sections.
     pub in_force: Vec<InForce>,
+    /// The file with all that it includes, as one text.
+    pub text: String,
 }
 
 /// The file's settings, or all that is wrong with it.
@@ -69,7 +71,8 @@
     let smpp = smpp.is_there().then(|| SmppConfig::read(smpp));
     file.finish();
     let Findings { faults, in_force } = findings;
-    (Operator { log, admission, batching, fleet, smpp, in_force: in_force.into_inner() }, faults.into_inner())
+    let (in_force, text) = (in_force.into_inner(), syntax::render(directives));
+    (Operator { log, admission, batching, fleet, smpp, in_force, text }, faults.into_inner())
 }
 
 /// Faults as lines of a text.
--- a/src/operator/syntax.rs
+++ b/src/operator/syntax.rs
@@ -122,6 +122,23 @@
     }
 }
 
+/// The same directives as a text of one file.
+pub fn render(directives: &[Directive]) -> String {
+    let mut text = String::new();
+    for directive in directives {
+        text.push_str(&directive.name.text);
+        for value in &directive.values {
+            let escaped = value.text.replace('\\', "\\\\").replace('"', "\\\"");
+            text.push_str(&format!(" \"{escaped}\""));
+        }
+        match &directive.section {
+            Some(inner) => text.push_str(&format!(" {{\n{}}}\n", render(inner))),
+            None => text.push('\n'),
+        }
+    }
+    text
+}
+
 /// Reads a text that stands in no file; `include` is refused there.
 pub fn parse(name: &str, text: &str) -> Result<Vec<Directive>, Vec<Fault>> {
     let mut reader = Reader { tree: PathBuf::new(), faults: Vec::new(), open: vec![PathBuf::new(); DEEPEST] };
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -3,10 +3,10 @@
 use super::inherited::Inherited;
 use super::reload::{allowed, Reread};
 use super::signals::Signals;
+use super::starting::Start;
 use super::wiring::{Plan, PlatformPlan, SmppPlan};
-use super::{files, fleet, import, log, wiring};
+use super::{files, fleet, import, log, starting, wiring};
 use crate::configuration::{judge, Configuration, Environment, Version as ConfigurationVersion};
-use crate::operator;
 use crate::routing::Clock;
 use crate::transport::network::Tcp;
 use argh::FromArgs;
@@ -121,7 +121,7 @@
         println!("{}", configuration.summary());
     }
     if let Some(path) = args.operator {
-        let operator = read_operator(&path).and_then(|operator| allowed(operator, peers))?;
+        let operator = starting::read_operator(&path).and_then(|operator| allowed(operator, peers))?;
         operator.in_force.iter().for_each(|setting| println!("{setting}"));
         if let Some(smpp) = operator.smpp {
             println!("{}", smpp.summary());
@@ -135,11 +135,6 @@
     judge(&files::read(path)?, None).map_err(|faults| format!("{}: {faults}", path.display()))
 }
 
-/// The operator's file, or what is wrong with it.
-fn read_operator(path: &Path) -> Result<operator::Operator, String> {
-    operator::read(path).map_err(|faults| operator::told(&faults))
-}
-
 fn print_import(path: &Path) -> Result<(), String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
@@ -163,17 +158,21 @@
     };
     let from = args.config.or_else(|| environment("LB_CONFIG").map(PathBuf::from));
     let variables = Environment::of(environment).map_err(|faults| faults.to_string())?;
-    let configuration = from.as_ref().map(|path| read(path)).transpose()?.map(|read| {
-        let discovery = variables.discovery.or(read.discovery);
-        read.within(&variables, discovery)
-    });
+    let start = from.as_ref().map(|path| starting::configuration(path, &variables)).transpose()?;
+    let (configuration, refused, names_before) = match start {
+        Some(Start { configuration, refused, names_before }) => (Some(configuration), refused, names_before),
+        None => (None, None, None),
+    };
     if let Some((inherited, configuration)) = inherited.as_ref().zip(configuration.as_ref()) {
         inherited.check(configuration.listen)?;
     }
     let console = configuration.as_ref().and_then(|c| c.console);
     let peers = configuration.as_ref().map(|c| c.peers);
-    let operator = args.operator.as_ref().map(|path| read_operator(path)).transpose()?;
-    let operator = operator.map(|operator| allowed(operator, peers)).transpose()?.unwrap_or_default();
+    let folder = configuration.as_ref().map(|c| c.state.clone()).or_else(|| variables.state.clone());
+    let folder = folder.unwrap_or_else(|| PathBuf::from("."));
+    let read = args.operator.as_ref().map(|path| starting::operator(path, &folder, peers)).transpose()?;
+    let operator_folder = read.is_some().then(|| folder.clone());
+    let (operator, operator_refused) = read.unwrap_or_default();
     if configuration.is_none() && operator.smpp.is_none() {
         let missing = "give --config, an operator's file with a section `smpp`, or set LB_CONFIG";
         return Err(format!("nothing to serve: {missing}"));
@@ -181,21 +180,31 @@
     log::init(operator.log.clone());
     if let Some(configuration) = &configuration {
         let version = configuration.version;
+        if let Some(faults) = refused {
+            let text = "the file is broken, the last good configuration stays in force";
+            tracing::error!(target: "relay", event = "configuration-refused", in_force = %version, "{text}: {faults}");
+        }
         tracing::info!(target: "relay", event = "configuration", %version, "starts by version {version} of the configuration");
     }
+    if let Some(faults) = operator_refused {
+        let (count, faults) = (faults.lines().count(), faults.lines().collect::<Vec<_>>().join("; "));
+        let text = "the operator's file is broken, the last good one stays in force";
+        tracing::error!(target: "operator", event = "operator-faulty", count, "{text}: {faults}");
+    }
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let clock = Clock::system();
         let (again, rereads) = unbounded_channel();
         let smpp = operator.smpp.clone().map(|config| {
-            let state = configuration.as_ref().map(|c| c.state.clone());
-            let state = state.or_else(|| variables.state.clone()).unwrap_or_else(|| PathBuf::from("."));
             // Where both fronts run they share the disk evenly.
             let disk_bytes = configuration.as_ref().map_or(DISK, |c| c.disk_bytes / 2);
-            SmppPlan { config, state: state.join("smpp"), disk_bytes, seed: clock.now() }
+            SmppPlan { config, state: folder.join("smpp"), disk_bytes, seed: clock.now() }
+        });
+        let platform = configuration.map(|configuration| PlatformPlan {
+            configuration,
+            environment: variables,
+            names_before,
         });
-        let platform =
-            configuration.map(|configuration| PlatformPlan { configuration, environment: variables });
         let read_again = move || {
             tracing::info!(target: "relay", event = "hangup", "SIGHUP: the files are read again");
             let configuration = from.as_ref().map(|path| files::read(path));
@@ -203,13 +212,22 @@
                 let (version, bytes) = (ConfigurationVersion::of(text), text.len());
                 tracing::info!(target: "relay", event = "configuration-read", %version, bytes, "version {version} of the configuration was read");
             }
-            let operator = args.operator.as_ref().map(|path| read_operator(path));
+            let operator = args.operator.as_ref().map(|path| starting::read_operator(path));
             again.send(Reread { configuration, operator }).ok();
         };
         let descriptors = descriptors();
         let (rereads, continues_clock) = (Some(rereads), true);
-        let plan =
-            Plan { platform, smpp, operator, rereads, descriptors, inherited, console, continues_clock };
+        let plan = Plan {
+            platform,
+            smpp,
+            operator,
+            operator_folder,
+            rereads,
+            descriptors,
+            inherited,
+            console,
+            continues_clock,
+        };
         wiring::run(plan, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
     })
 }
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -1,6 +1,7 @@
 //! Starts the fronts: the platform's and the SMPP one, each on a core and a journal of its own.
 
 use super::inherited::Inherited;
+use super::last_good::Keeper;
 use super::listing::{Feed, Listing};
 use super::rooms::Rooms;
 use super::terms::{self, DiscoveryTerms};
@@ -10,10 +11,10 @@
 use crate::configuration::Configuration;
 use crate::fleet::PollSchedule;
 use crate::operator::Operator;
-use crate::protocol::discovery;
+use crate::protocol::discovery::{self, Names};
 use crate::protocol::platform::{self, Platform};
 use crate::protocol::smpp::{self, Smpp};
-use crate::routing::core::{Batching, First};
+use crate::routing::core::{Batching, First, Moved};
 use crate::routing::handover::{Endpoints, Handover};
 use crate::routing::journal::{OpenError, Replayed};
 use crate::routing::{Classes, Clock, Core, Desk, EndpointUpdate, Journal};
@@ -41,6 +42,8 @@
     pub cores: Cores,
     /// The configuration that holds.
     pub in_force: InForce,
+    /// Keeps it in the folder.
+    pub keeper: Rc<Keeper>,
 }
 
 /// The configuration that holds now, for all who go by it.
@@ -56,9 +59,13 @@
 
 impl Cores {
     /// A core of what the folder held when it was opened, and of what another process handed over beside that.
-    fn of(&self, journal: Journal, replayed: Replayed, handover: Option<Handover>) -> Core {
+    fn of(&self, journal: Journal, replayed: Replayed, handover: Option<(Handover, Names)>) -> Core {
         let configuration = self.in_force.borrow().clone();
-        let handed = handover.as_ref().and_then(|h| list(&h.list));
+        let handed = handover.as_ref().and_then(|(handover, names)| {
+            let moved = Moved::between(names, &configuration.names);
+            list(&handover.list).map(|update| moved.apply(update))
+        });
+        let handover = handover.map(|(handover, _)| handover);
         let known = handed.as_ref().unwrap_or(&configuration.known);
         let batching = Batching { table: self.batching.clone(), kinds: configuration.names.kinds.clone() };
         let first = First { known, batching, tells_delivery: false };
@@ -66,8 +73,8 @@
         Core::taking_over(settings, seed, journal, replayed, first, handover, self.clock.now())
     }
 
-    /// A core of what the folder holds now, and of what was handed over in vain.
-    pub fn again(&self, mut handed: Handover) -> Result<Core, OpenError> {
+    /// A core of what the folder holds now, and of what was handed over in vain, with endpoints by these names.
+    pub fn again(&self, mut handed: Handover, names: Names) -> Result<Core, OpenError> {
         let configuration = self.in_force.borrow().clone();
         let budget = self.rooms.journal(&configuration);
         let classes = Classes::of(&configuration.classes, &configuration.settings);
@@ -79,7 +86,7 @@
         if journal.bytes() == handed.journal_bytes {
             journal.append_unwritten(unwritten, &mut replayed);
         }
-        Ok(self.of(journal, replayed, Some(handed)))
+        Ok(self.of(journal, replayed, Some((handed, names))))
     }
 }
 
@@ -96,7 +103,7 @@
     pub rooms: Rooms,
     pub journal: Journal,
     pub replayed: Replayed,
-    pub handover: Option<Handover>,
+    pub handover: Option<(Handover, Names)>,
     pub inherited: Option<&'a Inherited>,
     pub clock: Clock,
 }
@@ -114,9 +121,14 @@
     let (pool, records) = (front.pool.clone(), front.net.clone());
     let known = &configuration.known;
     let known = (known.whole && !known.endpoints.is_empty()).then_some(known.seq);
-    let seq = handover.as_ref().filter(|h| list(&h.list).is_some()).map_or(known, |h| h.list.seq);
+    let handed =
+        handover.as_ref().map(|(handover, _)| &handover.list).filter(|handed| list(handed).is_some());
+    let seq = handed.map_or(known, |handed| handed.seq);
     let cores = Cores { in_force: in_force.clone(), rooms, batching: said.batching.clone(), clock };
     let core = cores.of(journal, replayed, handover);
+    let keeper = Keeper::new(&configuration.state, configuration.disk_bytes);
+    keeper.keep_configuration(&configuration);
+    spawn_local(keeper.clone().catch_up());
     let desk = Desk::new(core, clock, front);
     desk.act(|_, _| ());
 
@@ -144,7 +156,7 @@
     spawn_local(legs.clone().accept(listener, answer, gone));
     let name = &configuration.name;
     tracing::info!(target: "relay", event = "serves", front = "platform", %address, "{name} serves on {address}");
-    Ok(PlatformFront { desk, legs, listing, gate, cores, in_force })
+    Ok(PlatformFront { desk, legs, listing, gate, cores, in_force, keeper })
 }
 
 /// What stands before the core.
--- a/src/program/ownership.rs
+++ b/src/program/ownership.rs
@@ -2,6 +2,8 @@
 //! before it still serves, never where the two have nothing to do with each other.
 
 use super::boot_clock;
+use crate::protocol::discovery::Names;
+use crate::routing::core::Moved;
 use crate::routing::handover::{Handover, Hello, ToPredecessor, ToSuccessor};
 use crate::routing::journal::{OpenError, Preread, Replayed};
 use crate::routing::{Classes, Clock, Journal};
@@ -53,8 +55,9 @@
     pub budget: u64,
     /// The classes by which messages are to be taken on.
     pub classes: &'a Classes,
-    /// Who it is to a process that still serves; none where it cannot take over.
-    pub hello: Option<Hello>,
+    /// Who it is to a process that still serves, by the names that are in force there: the likelier first. None where it
+    /// cannot take over.
+    pub hellos: Vec<Hello>,
     /// The clock to go by where no earlier process of this boot has left one.
     pub clock: Clock,
     /// Whether it goes on with the clock of earlier processes.
@@ -77,8 +80,8 @@
     pub journal: Journal,
     /// What it holds.
     pub replayed: Replayed,
-    /// What it does not tell, where a process handed it over.
-    pub handover: Option<Handover>,
+    /// What it does not tell, where a process handed it over, and the names by which that tells of endpoints.
+    pub handover: Option<(Handover, Names)>,
     /// That process.
     pub predecessor: Option<Predecessor>,
     /// The relay's clock.
@@ -87,12 +90,28 @@
     pub turn: StartTurn,
 }
 
+impl Owned {
+    /// The names by which zones were told by who wrote the journal, and those of now.
+    pub fn rename_zones(&mut self, before: Option<&Names>, now: &Names) {
+        let handed = self.handover.as_ref().map(|(_, names)| names.clone());
+        let Some(before) = handed.as_ref().or(before) else { return };
+        let moved = Moved::between(before, now);
+        if !moved.moves_zones() {
+            return;
+        }
+        self.replayed.transactions.renumber_zones(|zone| moved.zone(zone));
+        if let Err(e) = self.journal.rewrite(&self.replayed.transactions) {
+            tracing::warn!(target: "journal", event = "journal-zones-unwritten", "the zones of open messages have moved, which cannot be written: {e}");
+        }
+    }
+}
+
 /// Comes to own the folder, however long the process that has it takes to hand it over.
 pub async fn own(claim: Claim<'_>) -> Result<Owned, String> {
     let dir = claim.dir;
     std::fs::create_dir_all(dir).map_err(|e| cannot_open(dir, &e))?;
     // A process that cannot take over does not wait for those that can.
-    let patience = if claim.hello.is_some() { Duration::MAX } else { RELEASED_WITHIN };
+    let patience = if claim.hellos.is_empty() { RELEASED_WITHIN } else { Duration::MAX };
     let turn = StartTurn::wait(dir, patience).await?;
     let from = Instant::now();
     loop {
@@ -102,15 +121,12 @@
                     if claim.continues_clock { boot_clock::go_on(dir, claim.clock) } else { claim.clock };
                 return Ok(Owned { journal, replayed, handover: None, predecessor: None, clock, turn });
             }
-            Err(OpenError::InUse(holder)) => match &claim.hello {
-                Some(hello) => match take_over(&claim, hello).await {
-                    Ok(taken) => return Ok(taken.owned(turn)),
-                    Err(Failed::Refused(why)) => return Err(cannot_open(dir, &why)),
-                    Err(Failed::Gone) => sleep(LOOK_AGAIN).await,
-                },
-                None if from.elapsed() < RELEASED_WITHIN => sleep(LOOK_AGAIN).await,
-                None => return Err(cannot_open(dir, &OpenError::InUse(holder))),
+            Err(OpenError::InUse(_)) if !claim.hellos.is_empty() => match take_over(&claim).await {
+                Ok(taken) => return Ok(taken.owned(turn)),
+                Err(Failed::Refused(why)) => return Err(cannot_open(dir, &why)),
+                Err(Failed::Gone) => sleep(LOOK_AGAIN).await,
             },
+            Err(OpenError::InUse(_)) if from.elapsed() < RELEASED_WITHIN => sleep(LOOK_AGAIN).await,
             Err(e) => return Err(cannot_open(dir, &e)),
         }
     }
@@ -133,20 +149,32 @@
     journal: Journal,
     replayed: Replayed,
     handover: Handover,
+    names: Names,
     predecessor: Predecessor,
     clock: Clock,
 }
 
 impl TakenOver {
     fn owned(self, turn: StartTurn) -> Owned {
-        let TakenOver { journal, replayed, handover, predecessor, clock } = self;
-        let (handover, predecessor) = (Some(handover), Some(predecessor));
+        let TakenOver { journal, replayed, handover, names, predecessor, clock } = self;
+        let (handover, predecessor) = (Some((handover, names)), Some(predecessor));
         Owned { journal, replayed, handover, predecessor, clock, turn }
     }
 }
 
 /// Has the process that owns the folder hand it over.
-async fn take_over(claim: &Claim<'_>, hello: &Hello) -> Result<TakenOver, Failed> {
+async fn take_over(claim: &Claim<'_>) -> Result<TakenOver, Failed> {
+    let mut refused = Failed::Gone;
+    for hello in &claim.hellos {
+        match take_over_as(claim, hello).await {
+            Err(why @ Failed::Refused(_)) => refused = why,
+            result => return result,
+        }
+    }
+    Err(refused)
+}
+
+async fn take_over_as(claim: &Claim<'_>, hello: &Hello) -> Result<TakenOver, Failed> {
     let stream = local_channel::connect(claim.dir).await.map_err(|_| Failed::Gone)?;
     let (mut reader, mut writer) = local_channel::framed(stream);
     say(&mut writer, ToPredecessor::Hello(hello.clone())).await?;
@@ -166,7 +194,8 @@
     journal.append_unwritten(std::mem::take(&mut handover.unwritten), &mut replayed);
     let predecessor = Predecessor { reader, writer, descriptors };
     let (handover, clock) = (*handover, Clock::continued(anchor));
-    Ok(TakenOver { journal, replayed, handover, predecessor, clock })
+    let names = Names { kinds: hello.kinds.clone(), zones: hello.zones.clone() };
+    Ok(TakenOver { journal, replayed, handover, names, predecessor, clock })
 }
 
 async fn say(writer: &mut Writer<ToPredecessor>, message: ToPredecessor) -> Result<(), Failed> {
--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -4,6 +4,7 @@
 use super::beside::Beside;
 use super::descriptors::Share;
 use super::fronts::{InForce, PlatformFront};
+use super::last_good::{Keeper, Name};
 use super::listing::Listing;
 use super::rooms::Rooms;
 use super::wiring::words;
@@ -34,6 +35,8 @@
     pub fleet: Option<Fleet>,
     pub share: Rc<Share>,
     pub beside: Rc<Beside>,
+    /// Keeps the operator's file, where one is in use.
+    pub keeper: Option<Rc<Keeper>>,
 }
 
 /// What goes by the platform's configuration.
@@ -44,6 +47,7 @@
     in_force: InForce,
     environment: Environment,
     rooms: Rooms,
+    keeper: Rc<Keeper>,
     /// Descriptors that the process may have, whatever the configuration says.
     descriptors: usize,
 }
@@ -58,6 +62,7 @@
             in_force: front.in_force.clone(),
             environment,
             rooms: front.cores.rooms,
+            keeper: front.keeper.clone(),
             descriptors,
         }
     }
@@ -87,16 +92,15 @@
         front.pipelines.retune(pool.keepalive, pool.connect_timeout);
         others.beside.deal_by(terms::sharing(&configuration));
         if self.desk.roles.serves() {
-            let (names, named) = (&before.names, &configuration.names);
-            let moved = Moved::between((&names.kinds, &names.zones), (&named.kinds, &named.zones));
             let retuning = Retuning {
                 settings: &configuration.settings,
                 classes: &configuration.classes,
-                kinds: &named.kinds,
-                moved,
+                kinds: &configuration.names.kinds,
+                moved: Moved::between(&before.names, &configuration.names),
                 journal_bytes: self.rooms.journal(&configuration),
             };
             self.desk.act(|core, now| core.retune(now, &retuning));
+            self.keeper.keep_configuration(&configuration);
         }
         if before.names != configuration.names {
             self.listing.restart();
@@ -161,6 +165,9 @@
                 tracing::warn!(target: "operator", event = "reread-needs-restart", "the SMPP front comes or goes with a restart alone")
             }
         }
+        if platform.is_none_or(|platform| platform.desk.roles.serves()) {
+            self.keeper.iter().for_each(|keeper| keeper.keep(Name::Operator, said.text.clone()));
+        }
         let text = "the operator's file was read again";
         tracing::info!(target: "operator", event = "operator-reread", closed, "{text}: {closed} legs beyond its caps are closed");
     }
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -5,6 +5,7 @@
 use super::descriptors::{self, Share};
 use super::fronts::PlatformFront;
 use super::ownership::Predecessor;
+use crate::protocol::discovery::Names;
 use crate::protocol::platform::Platform;
 use crate::routing::core::Offer;
 use crate::routing::handover::{Handover, Hello, Operation, Successor, ToPredecessor, ToSuccessor, VERSION};
@@ -54,9 +55,12 @@
     writer: Writer<ToSuccessor>,
     queue: UnboundedReceiver<ToSuccessor>,
     successor: Rc<Successor>,
-    handed: Handover,
+    handed: Handed,
 }
 
+/// What was handed over, and the names by which it tells of endpoints.
+type Handed = (Handover, Names);
+
 impl Takeover {
     /// Hands over to a process that asks for it, whenever this one decides.
     pub async fn offer(self) {
@@ -149,8 +153,10 @@
     }
 
     /// Stops deciding, and tells the other what the journal does not tell.
-    fn release(&self, successor: &Rc<Successor>) -> Handover {
+    fn release(&self, successor: &Rc<Successor>) -> Handed {
         let front = &self.front;
+        let names = front.in_force.borrow().names.clone();
+        front.keeper.stop();
         front.gate.set(false);
         self.beside.stop();
         let handover = front.desk.release(successor.clone(), front.listing.in_force()).handover;
@@ -158,11 +164,11 @@
         let (calls, unwritten) = (handover.calls.len(), handover.unwritten.len());
         tracing::info!(target: "takeover", event = "released", calls, unwritten, "the journal is released, {calls} calls stay here");
         successor.tell(ToSuccessor::Released(Box::new(handover.clone()), descriptors::held()));
-        handover
+        (handover, names)
     }
 
     /// Carries what the two processes tell each other until the other is gone. Returns what it was handed.
-    async fn accompany(&self, taken: TakenOver) -> Handover {
+    async fn accompany(&self, taken: TakenOver) -> Handed {
         let TakenOver { mut reader, writer, queue, successor, handed } = taken;
         let writing = spawn_local(write(writer, queue));
         let counting = spawn_local(tell_descriptors(successor.clone()));
@@ -181,14 +187,14 @@
     }
 
     /// Decides again with the other gone; false where a third process does, or this one ends.
-    async fn take_back(&self, handed: Handover) -> bool {
+    async fn take_back(&self, (handed, names): Handed) -> bool {
         let front = &self.front;
         let from = Instant::now();
         let core = loop {
             if self.ending.get() {
                 break None;
             }
-            match front.cores.again(handed.clone()) {
+            match front.cores.again(handed.clone(), names.clone()) {
                 Ok(core) => break Some(core),
                 Err(OpenError::InUse(_)) if from.elapsed() > FREE_WITHIN => break None,
                 Err(_) => sleep(LOOK_AGAIN).await,
@@ -199,6 +205,8 @@
             return false;
         };
         front.desk.resume(core);
+        // It may have been read again meanwhile.
+        front.keeper.keep_configuration(&front.in_force.borrow());
         front.gate.set(true);
         // Callers stay, unless an operator had them sent away.
         front.desk.front.draining.send_modify(|_| ());
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -4,6 +4,7 @@
 use super::descriptors::Share;
 use super::fronts::{start_platform, PlatformFront, PlatformStart};
 use super::inherited::Inherited;
+use super::last_good::{Keeper, Name};
 use super::ownership::{own, Claim, Owned};
 use super::reload::{PlatformReload, Reload, Reread};
 use super::rooms::Rooms;
@@ -51,6 +52,8 @@
     pub platform: Option<PlatformPlan>,
     pub smpp: Option<SmppPlan>,
     pub operator: Operator,
+    /// Where the operator's file is kept, where one is in use.
+    pub operator_folder: Option<PathBuf>,
     /// The files read again, as often as that is asked for.
     pub rereads: Option<UnboundedReceiver<Reread>>,
     /// Descriptors that the process may have.
@@ -69,6 +72,8 @@
     pub configuration: Configuration,
     /// What stands above the file.
     pub environment: Environment,
+    /// The kinds and zones of what was in force here before, if anything was.
+    pub names_before: Option<Names>,
 }
 
 #[derive(Clone)]
@@ -170,28 +175,42 @@
     let beside = Rc::new(Beside::default());
     let fleet = fleet_plan(&operator, &plan)?;
     let smpp = plan.smpp.take();
-    let reload = Reload { fleet: operator.fleet.clone(), share: share.clone(), beside: beside.clone() };
+    let operator_keeper = plan.operator_folder.as_ref().map(|folder| {
+        Keeper::new(folder, plan.platform.as_ref().map_or(u64::MAX, |p| p.configuration.disk_bytes))
+    });
+    let reload = Reload {
+        fleet: operator.fleet.clone(),
+        share: share.clone(),
+        beside: beside.clone(),
+        keeper: operator_keeper.clone(),
+    };
     let rereads = plan.rereads.take();
     let Some(platform) = plan.platform.take() else {
         let beside_plan = BesidePlan { fleet, smpp, net, door, clock };
         beside.start(&beside_plan, None, false).await?;
+        keep_operator(operator_keeper, &operator);
         follow(rereads, reload, None);
         return Ok(Started { platform: None, beside, ending, superseded });
     };
-    let PlatformPlan { configuration, environment } = platform;
+    let PlatformPlan { configuration, environment, names_before } = platform;
     let rooms = Rooms { has_smpp: smpp.is_some(), has_fleet: fleet.is_some() };
-    let hello = plan.inherited.as_ref().map(|_| hello(&configuration));
+    let own_hello = plan.inherited.as_ref().map(|_| hello(&configuration, &configuration.names));
+    // A process that serves goes by what is in force, whatever lies there now.
+    let names = names_before.iter().cloned().chain([configuration.names.clone()]);
+    let hellos = names.filter(|_| own_hello.is_some()).map(|names| hello(&configuration, &names)).collect();
     let classes = Classes::of(&configuration.classes, &configuration.settings);
     let claimed = Claim {
         dir: &configuration.state,
         budget: rooms.journal(&configuration),
         classes: &classes,
-        hello: hello.clone(),
+        hellos,
         clock,
         continues_clock: plan.continues_clock,
     };
-    let owned = own(claimed).await?;
+    let mut owned = own(claimed).await?;
+    owned.rename_zones(names_before.as_ref(), &configuration.names);
     let Owned { journal, replayed, handover, predecessor, clock, turn } = owned;
+    keep_operator(operator_keeper, &operator);
     if let Some(predecessor) = &predecessor {
         share.other_holds(predecessor.descriptors);
     }
@@ -210,7 +229,7 @@
         spawn_local(takeover::follow(predecessor, serving.clone(), share.clone()));
     }
     beside.start(&beside_plan, Some(&platform), after_takeover).await?;
-    if let Some(hello) = hello {
+    if let Some(hello) = own_hello {
         let (beside, ending, superseded) = (beside.clone(), ending.clone(), superseded.clone());
         let takeover = Takeover { front, hello, dir, beside, beside_plan, ending, superseded };
         spawn_local(takeover.offer());
@@ -218,11 +237,20 @@
     Ok(Started { platform: Some(platform), beside, ending, superseded })
 }
 
-fn hello(configuration: &Configuration) -> Hello {
-    let Names { kinds, zones } = configuration.names.clone();
+/// Who this process is to one that serves; endpoints are told by these names.
+fn hello(configuration: &Configuration, names: &Names) -> Hello {
+    let Names { kinds, zones } = names.clone();
     Hello { version: VERSION, name: configuration.name.clone(), listen: configuration.listen, kinds, zones }
 }
 
+/// Keeps the operator's file that is in force.
+fn keep_operator(keeper: Option<Rc<Keeper>>, operator: &Operator) {
+    if let Some(keeper) = keeper {
+        keeper.keep(Name::Operator, operator.text.clone());
+        spawn_local(keeper.catch_up());
+    }
+}
+
 /// Has what is read again put in force, for good.
 fn follow(rereads: Option<UnboundedReceiver<Reread>>, reload: Reload, platform: Option<PlatformReload>) {
     if let Some(rereads) = rereads {
--- a/src/protocol/discovery/decode.rs
+++ b/src/protocol/discovery/decode.rs
@@ -1,9 +1,9 @@
 //! Decodes a list while its bytes come: each entry is handed on as soon as it is whole, and nothing else is kept of
 //! what was read. Members come in any order, with others among them that mean nothing here.
 
-use super::entry::{whole_number, EntryFault, Fields, Member, Names, Skipped, Value};
+use super::entry::{whole_number, EntryFault, Fields, Member, Skipped, Value};
 use super::fault::{Damage, ListFault, TOKEN_MOST};
-use crate::catalog::Endpoint;
+use crate::catalog::{Endpoint, Names};
 use actson::feeder::JsonFeeder;
 use actson::options::JsonParserOptionsBuilder;
 use actson::parser::ParserError;
--- a/src/protocol/discovery/entry.rs
+++ b/src/protocol/discovery/entry.rs
@@ -1,19 +1,10 @@
 //! One entry of a list: from its members, in whatever order they come, to an endpoint.
 
-use crate::catalog::{Endpoint, EndpointState};
+use crate::catalog::{Endpoint, EndpointState, Names};
 use crate::interface::Terms;
 use std::fmt;
 use std::net::SocketAddr;
 
-/// Kinds and zones by name, as the settings list them.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Names {
-    /// The names of kinds, an endpoint's `class`.
-    pub kinds: Vec<String>,
-    /// The names of zones, an endpoint's `site`.
-    pub zones: Vec<String>,
-}
-
 fn place(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
--- a/src/protocol/discovery/known.rs
+++ b/src/protocol/discovery/known.rs
@@ -1,7 +1,7 @@
 //! A list that was read whole with the file that holds it, such as the one under `known`.
 
-use super::entry::{whole_number, EntryFault, Fields, Member, Names, Skipped, Value as Simple};
-use crate::catalog::EndpointUpdate;
+use super::entry::{whole_number, EntryFault, Fields, Member, Skipped, Value as Simple};
+use crate::catalog::{EndpointUpdate, Names};
 use serde_json::{Map, Value};
 
 /// Decodes a list, or its changes. Entries that cannot be used are left out, and told in the log.
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -16,8 +16,9 @@
 mod request;
 mod trouble;
 
+pub use crate::catalog::Names;
 pub use decode::{Decoder, Heading};
-pub use entry::{EntryFault, Member, Names, Skipped};
+pub use entry::{EntryFault, Member, Skipped};
 pub use fault::{Damage, ListFault};
 pub use known::decode_update;
 pub use limits::ListLimits;
--- a/src/routing/core/retune.rs
+++ b/src/routing/core/retune.rs
@@ -1,7 +1,7 @@
 //! Settings that come into force while messages are open.
 
 use super::Core;
-use crate::catalog::{EndpointId, EndpointState, EndpointUpdate, EndpointView};
+use crate::catalog::{EndpointId, EndpointState, EndpointUpdate, EndpointView, Names};
 use crate::interface::{Nanos, Settings};
 use std::collections::BTreeSet;
 
@@ -40,12 +40,22 @@
 
 impl Moved {
     /// From names to names.
-    pub fn between(before: (&[String], &[String]), now: (&[String], &[String])) -> Moved {
+    pub fn between(before: &Names, now: &Names) -> Moved {
         let moved = |before: &[String], now: &[String]| match now.starts_with(before) {
             true => Vec::new(),
             false => before.iter().map(|name| now.iter().position(|other| other == name)).collect(),
         };
-        Moved { kinds: moved(before.0, now.0), zones: moved(before.1, now.1) }
+        Moved { kinds: moved(&before.kinds, &now.kinds), zones: moved(&before.zones, &now.zones) }
+    }
+
+    /// Whether a zone has another place now.
+    pub fn moves_zones(&self) -> bool {
+        !self.zones.is_empty()
+    }
+
+    /// The place that a zone has now; of one that is gone a place that no zone has.
+    pub fn zone(&self, before: usize) -> usize {
+        self.zones.get(before).copied().flatten().unwrap_or(usize::MAX)
     }
 
     /// An update with the places that hold now.
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -173,6 +173,11 @@
         &mut self.classes
     }
 
+    /// Writes what is live anew: what was changed of it holds for the next process too.
+    pub fn rewrite(&mut self, all: &Transactions) -> io::Result<()> {
+        self.copy(all)
+    }
+
     /// It may hold so many bytes from now on, but never less than what is owed takes.
     pub fn set_budget(&mut self, budget: u64, all: &Transactions) {
         self.budget = budget.saturating_sub(MARGIN + ROOM_AILING);
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -113,6 +113,15 @@
         self.by_no.iter().map(|(no, t)| (*no, t))
     }
 
+    /// Has all attempts that are remembered name their zones by other places.
+    pub fn renumber_zones(&mut self, place: impl Fn(usize) -> usize) {
+        for t in self.by_no.values_mut() {
+            for (_, zone) in t.may_have_run.iter_mut().chain(t.out.iter_mut()) {
+                *zone = place(*zone);
+            }
+        }
+    }
+
     pub fn len(&self) -> usize {
         self.by_no.len()
     }
--- a/tests/configuration/rig.rs
+++ b/tests/configuration/rig.rs
@@ -72,10 +72,15 @@
 impl Scene {
     /// With an endpoint that answers at once, or only when it is let go.
     pub fn new(answers: bool) -> Scene {
+        Scene::with(answers, &Terms::default())
+    }
+
+    /// The same on other terms.
+    pub fn with(answers: bool, terms: &Terms) -> Scene {
         let endpoint = Endpoint::start(answers);
         let known = entry("h", endpoint.address, "active");
         let discovery = Discovery::start(known.clone());
-        let platform = Platform::new(&folder(), &Terms::default(), discovery.address, &known);
+        let platform = Platform::new(&folder(), terms, discovery.address, &known);
         Scene { platform, endpoint, discovery }
     }
 
--- a/tests/configuration/starts.rs
+++ b/tests/configuration/starts.rs
@@ -1,9 +1,11 @@
 //! Processes that start while a broken configuration lies there, or behind one that was read by SIGHUP.
 
+use crate::platform::Terms;
 use crate::rig::Scene;
 use crate::stand_ins::page_form::{class, set};
 use crate::stand_ins::{entry, Discovery};
 use serde_json::{json, Value};
+use std::time::Duration;
 
 const BROKEN: [&str; 3] = ["", "{\"name\":", "{}"];
 
@@ -75,3 +77,60 @@
     third.asked_again();
     drop(process);
 }
+
+/// Guards a start over an operator's file that is broken: what was in force last is, and the log names all that is wrong.
+#[test]
+fn a_start_over_a_broken_operators_file_serves_by_the_last_good_one() {
+    let terms = Terms { operator: "admission {\n refuse close\n}\n", ..Terms::default() };
+    let scene = Scene::with(true, &terms);
+    let operator = scene.platform.dir.join("relay.conf");
+    let mut process = scene.platform.start_ready();
+    process.kill();
+    std::fs::write(&operator, "admission {\n refuse never\n legs none\n}\nlog nowhere\n").unwrap();
+    process = scene.platform.start_ready();
+    process.says("the operator's file is broken, the last good one stays in force");
+    assert_eq!(scene.hand_in("notice", "m1", 5_000), Some(202));
+    scene.endpoint.has_calls("m1", 1);
+}
+
+/// Guards a start with nothing good to go by: what was kept is damaged, or there never was anything.
+#[test]
+fn a_start_without_any_good_file_ends_with_a_clear_error() {
+    let scene = Scene::new(true);
+    let kept = scene.platform.state().join("relay.config");
+    let mut process = scene.platform.start_ready();
+    process.kill();
+    scene.platform.write("{");
+    let whole = std::fs::read(&kept).unwrap();
+    for damaged in [whole[..whole.len() / 2].to_vec(), [&whole[..], b"x"].concat(), Vec::new()] {
+        std::fs::write(&kept, damaged).unwrap();
+        let mut process = scene.platform.start();
+        let ended = process.ends_within(Duration::from_secs(5));
+        assert!(ended.is_some_and(|status| !status.success()), "{ended:?}");
+        process.says("the file is no JSON");
+    }
+    std::fs::write(&kept, whole).unwrap();
+    drop(scene.platform.start_ready());
+}
+
+/// Guards the last good file from a folder that takes no writes for a while: it is kept as soon as it does.
+#[test]
+fn a_file_that_cannot_be_kept_at_once_is_kept_later() {
+    let scene = Scene::new(true);
+    let mut process = scene.platform.start_ready();
+    let copy = scene.platform.state().join("relay.config.new");
+    // A folder in its place lets no file be written there.
+    std::fs::create_dir(&copy).unwrap();
+    let (discovery, text) = moved(&scene);
+    scene.reread(&process, &text);
+    process.says("cannot be kept yet");
+    assert_eq!(scene.hand_in("fresh", "m1", 5_000), Some(202));
+    std::fs::remove_dir(&copy).unwrap();
+    std::thread::sleep(Duration::from_millis(2_500));
+    scene.platform.write("");
+    process.kill();
+    process = scene.platform.start_ready();
+    assert_eq!(scene.hand_in("fresh", "m2", 5_000), Some(202));
+    discovery.asked_again();
+    drop(process);
+}
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -16,7 +16,7 @@
 use crate::carriers::{self, Esme, Smsc, Texts};
 use crate::network::{Places, Seen};
 use crate::page_form::completed;
-use basaltloom::configuration::{judge, Environment};
+use basaltloom::configuration::{judge, Environment, Origin};
 use basaltloom::operator::{self, Operator};
 use basaltloom::program::import::import;
 use basaltloom::program::reload::Reread;
@@ -499,10 +499,9 @@
         let (state, listen) = (Some(self.state.clone()), RELAY.parse().ok());
         let environment = Environment { state, listen, ..Environment::default() };
         let read = judge(text, None).unwrap_or_else(|faults| panic!("{faults}"));
-        let discovery = read.discovery;
-        let configuration = read.within(&environment, discovery);
+        let configuration = read.at_start(&environment, Origin::default());
         let (again, rereads) = unbounded_channel();
-        let platform = Some(PlatformPlan { configuration, environment });
+        let platform = Some(PlatformPlan { configuration, environment, names_before: None });
         let operator = self.operator(false);
         let plan = Plan { platform, operator, rereads: Some(rereads), descriptors: 1024, ..Plan::default() };
         self.run(plan, again).await;
