Refuse an operator's file whole where only a start can bring in a part of it

Operators who changed the log or admission and the section smpp or fleet in one file had the one part put in force at SIGHUP and the other left for the next start, with a line reread-needs-restart: what held was no file that anybody wrote. Cause: the operator's file, too, was put in force part by part, and nothing knew what was in force before. Change: the file in force is kept in memory (Reload::operator); Operator::needs_start names the sections in which another differs otherwise than a running process can take (carriers can), and such a file is refused whole with operator-faulty, a fault a section. It holds from the next start on. Tests: starts::an_operators_file_that_needs_a_start_is_refused_whole_until_then failed on (the log fell silent at level error) and passes; tests/operator.rs has the rule itself.

--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -87,7 +87,7 @@
 }
 
 /// Everything a relay knows at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Relays that send to the same destinations, this one included.
     pub senders: u32,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -30,6 +30,21 @@
     pub text: String,
 }
 
+impl Operator {
+    /// The sections in which `now` differs from what is in force in a way that only a start can bring about.
+    pub fn needs_start(&self, now: &Operator) -> Vec<&'static str> {
+        let fleet = |operator: &Operator| {
+            operator.fleet.as_ref().map(|fleet| fleet::Fleet { place: None, ..fleet.clone() })
+        };
+        let smpp = match (&self.smpp, &now.smpp) {
+            (Some(before), Some(now)) => before.is_same_but_for_carriers(now),
+            (before, now) => before.is_none() && now.is_none(),
+        };
+        let differ = [("fleet", fleet(self) != fleet(now)), ("smpp", !smpp)];
+        differ.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+}
+
 /// The file's settings, or all that is wrong with it.
 pub fn read(path: &Path) -> Result<Operator, Vec<Fault>> {
     decode(&syntax::read(path)?)
--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -10,13 +10,13 @@
 use super::wiring::words;
 use super::{log, terms};
 use crate::configuration::{judge_again, Configuration, Environment, Version};
-use crate::operator::fleet::Fleet;
 use crate::operator::Operator;
 use crate::protocol::platform::Platform;
 use crate::protocol::smpp;
 use crate::routing::core::{Moved, Retuning};
 use crate::routing::Desk;
 use crate::transport::Legs;
+use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -31,11 +31,11 @@
 
 /// What goes by the operator's file.
 pub(super) struct Reload {
-    /// Membership as the process started with it.
-    pub fleet: Option<Fleet>,
+    /// The file that is in force.
+    pub operator: RefCell<Operator>,
     pub share: Rc<Share>,
     pub beside: Rc<Beside>,
-    /// Keeps the operator's file, where one is in use.
+    /// Keeps that file, where one is in use.
     pub keeper: Option<Rc<Keeper>>,
 }
 
@@ -71,7 +71,8 @@
     async fn take(&self, text: &str, others: &Reload) {
         let in_force = self.in_force.borrow().clone();
         let version = Version::of(text);
-        match judge_again(text, &in_force, &self.environment, others.fleet.is_some()) {
+        let with_fleet = others.operator.borrow().fleet.is_some();
+        match judge_again(text, &in_force, &self.environment, with_fleet) {
             Ok(configuration) => self.put_in_force(Rc::new(configuration), others).await,
             Err(faults) => {
                 let (count, in_force) = (faults.count(), in_force.version);
@@ -130,7 +131,10 @@
                 _ => {}
             }
             let peers = platform.as_ref().map(|platform| platform.in_force.borrow().peers);
-            let operator = reread.operator.map(|read| read.and_then(|operator| allowed(operator, peers)));
+            let operator = reread.operator.map(|read| {
+                read.and_then(|operator| allowed(operator, peers))
+                    .and_then(|operator| self.applicable(operator))
+            });
             match operator {
                 Some(Ok(operator)) => self.put_in_force(&operator, platform.as_ref()),
                 Some(Err(faults)) => {
@@ -144,8 +148,20 @@
         }
     }
 
-    /// The log, admission, batching, and of SMPP its endpoints; the rest holds from the next start on.
+    /// Refuses a file that cannot come into force whole while the process runs.
+    fn applicable(&self, read: Operator) -> Result<Operator, String> {
+        let sections = self.operator.borrow().needs_start(&read);
+        let fault =
+            |name| format!("section `{name}` differs from what is in force: only a start can change it");
+        match sections.is_empty() {
+            true => Ok(read),
+            false => Err(sections.into_iter().map(fault).collect::<Vec<_>>().join("\n")),
+        }
+    }
+
+    /// The log, admission, batching, and of SMPP its endpoints: all in which the files differ.
     fn put_in_force(&self, said: &Operator, platform: Option<&PlatformReload>) {
+        self.operator.replace(said.clone());
         log::heed(said.log.clone());
         let closed = self.share.admit_by(said.admission.clone());
         if let Some(PlatformReload { desk, legs, .. }) = platform {
@@ -154,16 +170,8 @@
                 desk.act(|core, now| core.set_batching(now, said.batching.clone()));
             }
         }
-        let same = |a: &Fleet| Fleet { place: None, ..a.clone() };
-        if self.fleet.as_ref().map(same) != said.fleet.as_ref().map(same) {
-            tracing::warn!(target: "operator", event = "reread-needs-restart", "section `fleet` holds from the next start on");
-        }
-        match (self.beside.smpp(), &said.smpp) {
-            (Some(desk), Some(config)) => smpp::learn(&desk, config),
-            (None, None) => {}
-            _ => {
-                tracing::warn!(target: "operator", event = "reread-needs-restart", "the SMPP front comes or goes with a restart alone")
-            }
+        if let Some((desk, config)) = self.beside.smpp().zip(said.smpp.as_ref()) {
+            smpp::learn(&desk, config);
         }
         if platform.is_none_or(|platform| platform.desk.roles.serves()) {
             self.keeper.iter().for_each(|keeper| keeper.keep(Name::Operator, said.text.clone()));
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -179,7 +179,7 @@
         Keeper::new(folder, plan.platform.as_ref().map_or(u64::MAX, |p| p.configuration.disk_bytes))
     });
     let reload = Reload {
-        fleet: operator.fleet.clone(),
+        operator: RefCell::new(operator.clone()),
         share: share.clone(),
         beside: beside.clone(),
         keeper: operator_keeper.clone(),
--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SmppConfig {
     pub listen: SocketAddr,
     /// What we call ourselves in answers to binds.
@@ -23,7 +23,7 @@
     pub max_sessions: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
     pub connect: Duration,
     /// For a bind to be asked for, and for any answer but that to a submit.
@@ -32,14 +32,14 @@
     pub enquire: Duration,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SmppClass {
     pub name: String,
     pub service_types: Vec<String>,
 }
 
 /// Who may bind to us.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Account {
     pub system_id: String,
     pub password: String,
@@ -55,7 +55,7 @@
 }
 
 /// An SMSC to which we bind: a next hop.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Carrier {
     pub name: String,
     pub dial: SocketAddr,
@@ -257,6 +257,11 @@
         }
     }
 
+    /// Whether it says the same but for its carriers, which can change while the front runs.
+    pub fn is_same_but_for_carriers(&self, other: &SmppConfig) -> bool {
+        SmppConfig { carriers: self.carriers.clone(), ..other.clone() } == *self
+    }
+
     /// The class of a message of this account, by its service type.
     pub fn class_of(&self, account: &Account, service_type: &str) -> usize {
         let named = |c: &SmppClass| c.service_types.iter().any(|t| t == service_type);
--- a/tests/configuration/starts.rs
+++ b/tests/configuration/starts.rs
@@ -134,3 +134,22 @@
     discovery.asked_again();
     drop(process);
 }
+
+/// Guards a good operator's file from a section of it that a running process cannot change: all of the file waits for a start.
+#[test]
+fn an_operators_file_that_needs_a_start_is_refused_whole_until_then() {
+    let terms = Terms { operator: "log {\n level info\n}\n", ..Terms::default() };
+    let scene = Scene::with(true, &terms);
+    let mut process = scene.platform.start_ready();
+    let example = std::fs::read_to_string("deploy/relay.conf").unwrap();
+    let smpp = &example[example.find("\nsmpp {").unwrap()..];
+    std::fs::write(scene.platform.dir.join("relay.conf"), format!("log {{\n level error\n}}\n{smpp}"))
+        .unwrap();
+    let text = scene.platform.document().to_string();
+    scene.reread(&process, &text);
+    process.says("section `smpp` differs from what is in force");
+    // The level `info` still holds.
+    scene.reread(&process, &text);
+    assert_eq!(process.count_of("event=\"reread\""), 2);
+    process.kill();
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -160,3 +160,22 @@
     }
     fs::remove_dir_all(&dir).ok();
 }
+
+/// Guards the rule that a file comes into force whole: what a running process cannot change is known, section by section.
+#[test]
+fn sections_that_only_a_start_can_change_are_known() {
+    let text = fs::read_to_string("deploy/relay.conf").unwrap();
+    let read = |text: &str| operator::parse("relay.conf", text).unwrap_or_else(|f| panic!("{}", told(&f)));
+    let before = read(&text);
+    let needs_start = |from: &str, to: &str| {
+        assert!(text.contains(from), "{from}");
+        before.needs_start(&read(&text.replacen(from, to, 1)))
+    };
+    assert!(before.needs_start(&before).is_empty());
+    assert!(needs_start("standing 8", "standing 9").is_empty());
+    assert!(needs_start("health active", "health leaving").is_empty());
+    assert_eq!(needs_start("window 10", "window 11"), ["smpp"]);
+    assert_eq!(needs_start("forget 24h", "forget 25h"), ["fleet"]);
+    assert_eq!(before.needs_start(&read("")), ["fleet", "smpp"]);
+    assert_eq!(read("").needs_start(&before), ["fleet", "smpp"]);
+}
