Read the configuration at SIGHUP also after SIGTERM

Messages that were open when a process was told to end were called by the lists and told to the discovery of before, whatever SIGHUP said after SIGTERM: signals were no longer heard while the process ended. Cause: the loop over signals returned at the first SIGTERM or SIGINT, and with it went the one reader of SIGHUP. Change: SIGHUP is heard by a task of its own until the process is gone (src/program/signals.rs).

--- a/src/program/signals.rs
+++ b/src/program/signals.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::spawn_local;
 
 /// Heard from `listen` on, which comes before all else: the default of SIGHUP ends the process.
 pub struct Signals {
@@ -20,15 +21,18 @@
         })
     }
 
-    /// Does something at each SIGHUP, and completes at the first SIGTERM or SIGINT.
-    pub async fn told_to_end(mut self, at_hangup: impl Fn()) {
-        loop {
-            tokio::select! {
-                Some(()) = self.term.recv() => return,
-                Some(()) = self.int.recv() => return,
-                Some(()) = self.hangup.recv() => at_hangup(),
-                else => return std::future::pending().await,
+    /// Does something at each SIGHUP, to the end of the process, and completes at the first SIGTERM or SIGINT.
+    pub async fn told_to_end(self, at_hangup: impl Fn() + 'static) {
+        let Signals { mut term, mut int, mut hangup } = self;
+        spawn_local(async move {
+            while hangup.recv().await.is_some() {
+                at_hangup();
             }
+        });
+        tokio::select! {
+            Some(()) = term.recv() => {}
+            Some(()) = int.recv() => {}
+            else => std::future::pending().await,
         }
     }
 }
--- a/tests/configuration/starts.rs
+++ b/tests/configuration/starts.rs
@@ -153,3 +153,17 @@
     assert_eq!(process.count_of("event=\"reread\""), 2);
     process.kill();
 }
+
+/// Guards a process that is told to end and has messages open yet: what SIGHUP tells then holds for them.
+#[test]
+fn a_process_that_ends_still_reads_its_configuration() {
+    let scene = Scene::new(false);
+    let process = scene.platform.start_ready();
+    assert_eq!(scene.hand_in("notice", "m1", 5_000), Some(202));
+    scene.endpoint.has_calls("m1", 1);
+    process.signal(rustix::process::Signal::TERM);
+    let (discovery, text) = moved(&scene);
+    scene.reread(&process, &text);
+    discovery.asked_again();
+    scene.endpoint.let_go();
+}
