Check each second that all parts go by the configuration in force, and that rules stay

Change: Configuration::differing_parts (src/configuration/audit.rs) compares the classes that clients may name, those of the core, the decision module's settings, the address of discovery and the time for connections with the one configuration in force; the platform's front asks once a second and logs configuration-violation with a count. Notes that end in -violation are errors. Test: judged::each_part_that_goes_by_another_configuration_is_found.

--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -2,6 +2,7 @@
 //! No I/O: who reads files and puts a configuration in force is `program`.
 #![warn(missing_docs)]
 
+mod audit;
 mod completeness;
 mod consistency;
 mod environment;
@@ -12,6 +13,7 @@
 pub mod value;
 mod version;
 
+pub use audit::Parts;
 pub use environment::{Environment, Origin};
 pub use fault::{Fault, Faults};
 pub use judge::{judge, judge_again};
--- a/src/decision/retune.rs
+++ b/src/decision/retune.rs
@@ -1,6 +1,6 @@
 //! Settings that come into force while messages are held and calls are out.
 
-use super::interface::{Kind, Settings};
+use super::interface::Settings;
 use super::Relay;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -28,13 +28,8 @@
         self.rules.get(&class).is_some_and(|rules| rules.class.in_order)
     }
 
-    /// Messages that may be held.
-    pub fn held_most(&self) -> usize {
-        self.set.max_held
-    }
-
-    /// The kinds of destination.
-    pub fn kinds(&self) -> &[Kind] {
-        &self.set.kinds
+    /// The settings that hold.
+    pub fn settings(&self) -> &Settings {
+        &self.set
     }
 }
--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -9,7 +9,8 @@
 use super::rooms::Rooms;
 use super::wiring::words;
 use super::{log, terms};
-use crate::configuration::{judge_again, Configuration, Environment, Version};
+use crate::configuration::{judge_again, Configuration, Environment, Parts, Version};
+use crate::interface::Nanos;
 use crate::operator::Operator;
 use crate::protocol::platform::Platform;
 use crate::protocol::smpp;
@@ -18,7 +19,12 @@
 use crate::transport::Legs;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::sleep;
+
+/// All parts are asked so often what they go by.
+const AUDIT_EACH: Duration = Duration::from_secs(1);
 
 /// The files as they were read at one signal; of a file that is not in use nothing.
 #[derive(Clone, Debug, Default)]
@@ -67,6 +73,37 @@
         }
     }
 
+    /// What the parts of this process go by.
+    fn parts(&self) -> Parts {
+        let front = &self.desk.front;
+        let (settings, core_classes) = self.desk.see(|core| (core.settings().clone(), core.class_names()));
+        Parts {
+            client_classes: front.classes.borrow().names.clone(),
+            core_classes,
+            settings,
+            discovery: *front.agent.borrow(),
+            connect_timeout: front.pool.connect_timeout().as_nanos() as Nanos,
+        }
+    }
+
+    /// Checks that all parts go by the configuration in force, for good; each that does not is told and counted.
+    pub async fn audit(self: Rc<Self>) {
+        let mut violations = 0;
+        loop {
+            sleep(AUDIT_EACH).await;
+            if !self.desk.roles.serves() {
+                continue;
+            }
+            let in_force = self.in_force.borrow().clone();
+            let differing = in_force.differing_parts(&self.parts());
+            if !differing.is_empty() {
+                violations += differing.len();
+                let (version, parts) = (in_force.version, differing.join(", "));
+                tracing::error!(target: "relay", event = "configuration-violation", %version, parts, violations, "parts go by another configuration than the one in force");
+            }
+        }
+    }
+
     /// Judges a text, and puts in force what it says where it is whole.
     async fn take(&self, text: &str, others: &Reload) {
         let in_force = self.in_force.borrow().clone();
@@ -120,7 +157,7 @@
 
 impl Reload {
     /// Goes by all that is read again, in its order.
-    pub async fn follow(self, mut rereads: UnboundedReceiver<Reread>, platform: Option<PlatformReload>) {
+    pub async fn follow(self, mut rereads: UnboundedReceiver<Reread>, platform: Option<Rc<PlatformReload>>) {
         while let Some(reread) = rereads.recv().await {
             match (&platform, &reread.configuration) {
                 (Some(platform), Some(Ok(text))) => platform.take(text, &self).await,
@@ -136,7 +173,7 @@
                     .and_then(|operator| self.applicable(operator))
             });
             match operator {
-                Some(Ok(operator)) => self.put_in_force(&operator, platform.as_ref()),
+                Some(Ok(operator)) => self.put_in_force(&operator, platform.as_deref()),
                 Some(Err(faults)) => {
                     let (text, count) =
                         ("the operator's file stays as it was read before", faults.lines().count());
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -220,7 +220,9 @@
     let inherited = plan.inherited.as_ref();
     let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock };
     let front = start_platform(start, net, door, &operator).await?;
-    follow(rereads, reload, Some(PlatformReload::of(&front, environment, plan.descriptors)));
+    let platform_reload = Rc::new(PlatformReload::of(&front, environment, plan.descriptors));
+    spawn_local(platform_reload.clone().audit());
+    follow(rereads, reload, Some(platform_reload));
     let PlatformFront { desk: serving, legs, .. } = &front;
     let platform = (serving.clone(), legs.clone());
     desk.replace(Some(serving.clone()));
@@ -252,7 +254,7 @@
 }
 
 /// Has what is read again put in force, for good.
-fn follow(rereads: Option<UnboundedReceiver<Reread>>, reload: Reload, platform: Option<PlatformReload>) {
+fn follow(rereads: Option<UnboundedReceiver<Reread>>, reload: Reload, platform: Option<Rc<PlatformReload>>) {
     if let Some(rereads) = rereads {
         spawn_local(reload.follow(rereads, platform));
     }
--- a/src/routing/core/retune.rs
+++ b/src/routing/core/retune.rs
@@ -1,9 +1,10 @@
 //! Settings that come into force while messages are open.
 
-use super::Core;
+use super::{Core, Note};
 use crate::catalog::{EndpointId, EndpointState, EndpointUpdate, EndpointView, Names};
-use crate::interface::{Nanos, Settings};
-use std::collections::BTreeSet;
+use crate::interface::{MessageRules, Nanos, Settings};
+use crate::routing::values::TransactionNo;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What comes into force.
 #[derive(Clone, Debug)]
@@ -73,14 +74,39 @@
 }
 
 impl Core {
+    /// The settings that hold.
+    pub fn settings(&self) -> &Settings {
+        self.facade.settings()
+    }
+
+    /// The names of the classes by which messages are taken on.
+    pub fn class_names(&self) -> Vec<String> {
+        let classes = self.journal.classes();
+        classes.in_force().iter().map(|class| classes.name(*class).to_string()).collect()
+    }
+
+    /// The rules of all that is open.
+    fn open_rules(&self) -> BTreeMap<TransactionNo, Option<MessageRules>> {
+        let classes = self.journal.classes();
+        self.transactions.iter().map(|(no, t)| (no, classes.rules(t.class).cloned())).collect()
+    }
+
     /// These settings hold from now on: for what is taken on, and for all endpoints. What is open keeps the rules by which it
     /// was taken on.
     pub fn retune(&mut self, now: Nanos, retuning: &Retuning<'_>) {
         let Retuning { settings, classes, kinds, moved, journal_bytes } = retuning;
+        let before = self.open_rules();
         let numbers = self.journal.classes_mut().put_in_force(classes, settings);
         let used: BTreeSet<usize> = self.transactions.iter().map(|(_, t)| t.class).collect();
         self.journal.classes_mut().retain(|class| used.contains(&class));
         self.journal.set_budget(*journal_bytes, &self.transactions);
+        let now_open = self.open_rules();
+        let changed = before.iter().filter(|(no, rules)| now_open.get(no) != Some(rules)).count();
+        if changed > 0 {
+            let text =
+                format!("{changed} open messages have other rules than those that they were taken on by");
+            self.work.notes.push(Note::new("rules-violation", text));
+        }
         self.slots = settings.slots;
         self.former.set_at_once(calls_to_one(settings.slots));
         self.allowed = messages_in_a_call(settings);
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -54,6 +54,9 @@
     match event {
         "journal-restored" => tracing::info!(target: "journal", event, front, "{text}"),
         _ if event.starts_with("journal") => tracing::warn!(target: "journal", event, front, "{text}"),
+        _ if event.ends_with("-violation") => {
+            tracing::error!(target: "routing", event, front, hop, "{text}")
+        }
         "hop-down" => tracing::warn!(target: "routing", event, front, hop, "{text}"),
         _ => tracing::info!(target: "routing", event, front, hop, "{text}"),
     }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -117,7 +117,7 @@
 
     /// Whether the module holds all that it may.
     pub fn full(&self) -> bool {
-        self.relay.held() >= self.relay.held_most()
+        self.relay.held() >= self.relay.settings().max_held
     }
 
     /// When `tick` is wanted next.
@@ -179,9 +179,14 @@
         self.step(now, &[Event::Retuned { settings: Box::new(settings), classes }])
     }
 
+    /// The settings that the module goes by.
+    pub fn settings(&self) -> &Settings {
+        self.relay.settings()
+    }
+
     /// Whether endpoints would be listed otherwise under these settings.
     pub fn would_list_anew(&self, settings: &Settings) -> bool {
-        self.relay.kinds() != settings.kinds
+        self.relay.settings().kinds != settings.kinds
     }
 
     fn next_attempt(&mut self, id: TransactionNo, timeout: Nanos) -> Attempt {
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -188,6 +188,11 @@
 }
 
 impl Pool {
+    /// A connection that is not there by then never will be.
+    pub fn connect_timeout(&self) -> Duration {
+        self.connect_timeout.get()
+    }
+
     /// Goes by other terms from now on: those that wait are closed by them, too.
     pub fn retune(&self, terms: PoolTerms) {
         let PoolTerms { most, keepalive, senders, connect_timeout } = terms;
--- a/tests/configuration/judged.rs
+++ b/tests/configuration/judged.rs
@@ -3,7 +3,7 @@
 use crate::breaks::{breaks, texts, Break};
 use crate::stand_ins::entry;
 use crate::stand_ins::page_form::{class, page_form_with, remove, set};
-use basaltloom::configuration::{judge, judge_again, Configuration, Environment};
+use basaltloom::configuration::{judge, judge_again, Configuration, Environment, Parts};
 use serde_json::{json, Value};
 
 /// A document with all that tests break, and keys that no page names.
@@ -161,3 +161,27 @@
     assert_eq!(again("/discovery", json!("127.0.0.1:9"), false), "");
     assert!(again("/seed", json!("another"), true).contains("settings.limits.peers"));
 }
+
+/// Guards the run-time check: each part that goes by another configuration is named, and none that does not.
+#[test]
+fn each_part_that_goes_by_another_configuration_is_found() {
+    let in_force = whole(&document());
+    let parts = || Parts {
+        client_classes: in_force.classes.clone(),
+        core_classes: in_force.classes.clone(),
+        settings: in_force.settings.clone(),
+        discovery: in_force.discovery,
+        connect_timeout: in_force.connect_timeout,
+    };
+    let named = |change: fn(&mut Parts)| {
+        let mut parts = parts();
+        change(&mut parts);
+        in_force.differing_parts(&parts)
+    };
+    assert!(named(|_| {}).is_empty());
+    assert_eq!(named(|parts| parts.client_classes.truncate(1)), ["client classes"]);
+    assert_eq!(named(|parts| parts.core_classes.reverse()), ["core classes"]);
+    assert_eq!(named(|parts| parts.settings.slots += 1), ["settings"]);
+    assert_eq!(named(|parts| parts.discovery = None), ["discovery"]);
+    assert_eq!(named(|parts| parts.connect_timeout += 1), ["connections"]);
+}
