Play good and broken configurations under callers, kills, restarts and upgrades

Judged: no message lost or repeated beyond its class, a class counts from its file on and no longer than that, nobody connects to a broken file's discovery, no call to an endpoint that drains, no violation and no panic in any log.

--- a/tests/attribution/endpoint.rs
+++ b/tests/attribution/endpoint.rs
@@ -147,6 +147,9 @@
     pub address: SocketAddr,
     pub record: Told<Record>,
     pub connections: Arc<AtomicUsize>,
+    /// Calls that came to it.
+    #[allow(dead_code)]
+    pub calls: Arc<AtomicUsize>,
 }
 
 /// Bytes of a copy that are sent ahead of the rest where it comes in two parts: its first line.
@@ -168,6 +171,8 @@
         let address = listener.local_addr().unwrap();
         let connections = Arc::new(AtomicUsize::new(0));
         let (told, opened) = (record.clone(), connections.clone());
+        let calls = Arc::new(AtomicUsize::new(0));
+        let came = calls.clone();
         let first_call = Arc::new(OnceLock::new());
         let receipt = Arc::new(AtomicU64::new(0));
         spawn(move || {
@@ -180,12 +185,13 @@
                     record: told.clone(),
                     ended: ended.clone(),
                     receipt: receipt.clone(),
+                    calls: came.clone(),
                     output: Arc::new(Mutex::new(stream.try_clone().unwrap())),
                 };
                 spawn(move || connection.serve(stream));
             }
         });
-        Endpoint { address, record, connections }
+        Endpoint { address, record, connections, calls }
     }
 }
 
@@ -197,6 +203,7 @@
     record: Told<Record>,
     ended: Told<BTreeSet<String>>,
     receipt: Arc<AtomicU64>,
+    calls: Arc<AtomicUsize>,
     output: Arc<Mutex<TcpStream>>,
 }
 
@@ -209,6 +216,7 @@
             if let Some(copy) = pending.take() {
                 self.write_at_request(copy);
             }
+            self.calls.fetch_add(1, Ordering::SeqCst);
             let ids = ids(&head, &body);
             let ended = self.ended.tell(|ended| ended.clone());
             let first_call = *self.first_call.get_or_init(Instant::now);
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -3,12 +3,19 @@
 
 mod breaks;
 mod broken;
+#[path = "../upgrade/callers.rs"]
+#[allow(dead_code)]
+mod callers;
+#[path = "../attribution/endpoint.rs"]
+#[allow(dead_code)]
+mod endpoint;
 mod judged;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
 mod rig;
 mod rules;
+mod soak;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 mod starts;
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -171,10 +171,14 @@
 
 impl Discovery {
     pub fn start(hosts: String) -> Discovery {
+        Discovery::beside(hosts, Told::default())
+    }
+
+    /// The same, which notes ends with those that another one hears.
+    pub fn beside(hosts: String, ended: Told<BTreeSet<String>>) -> Discovery {
         let (down, list) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new((1, hosts))));
         let told: Told<Vec<u64>> = Told::default();
         let (d, l, t) = (down.clone(), list.clone(), told.clone());
-        let ended: Told<BTreeSet<String>> = Told::default();
         let notices = ended.clone();
         let address = serve_bodies(TcpListener::bind("127.0.0.1:0").unwrap(), move |head, body| {
             if head[0].starts_with("POST") {
