Split the wiring: shutdown and the admission log are modules, the start is four functions

Nothing changes for callers. src/program/wiring.rs had one function of ninety lines that started everything, the end of the process and the once-a-second log of admission; shutdown.rs and admission_log.rs have these now, and the starts with and without the platform's front are told apart.

--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -5,7 +5,7 @@
 use super::listing::{Feed, Listing};
 use super::rooms::Rooms;
 use super::terms::{self, DiscoveryTerms};
-use super::wiring::{keep_up, words, SmppPlan};
+use super::wiring::{keep_up, SmppPlan};
 use crate::admission::ledger::Purse;
 use crate::batching::Table;
 use crate::configuration::Configuration;
@@ -142,7 +142,7 @@
     let applying = listing.clone();
     keep_serving("the list", &desk, move || applying.clone().apply());
     spawn_local(follow_discovery(desk.clone(), listing.clone(), records, in_force.clone()));
-    let legs = Legs::new(door, words(said.admission.refusal));
+    let legs = Legs::new(door, terms::refusal_text(said.admission.refusal));
     spawn_local(send_callers_away(desk.clone(), legs.clone()));
     let gate = Gate::open();
     let listener = Box::new(Gated { listener, gate: gate.clone() });
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! The program: its command line, configuration, log, signals, and what is wired to what.
 
+mod admission_log;
 mod beside;
 mod boot_clock;
 mod cli;
@@ -15,6 +16,7 @@
 mod ownership;
 pub mod reload;
 mod rooms;
+mod shutdown;
 mod signals;
 mod starting;
 mod takeover;
--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -7,7 +7,6 @@
 use super::last_good::{Keeper, Name};
 use super::listing::Listing;
 use super::rooms::Rooms;
-use super::wiring::words;
 use super::{log, terms};
 use crate::configuration::{judge_again, Configuration, Environment, Parts, Version};
 use crate::interface::Nanos;
@@ -21,6 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// All parts are asked so often what they go by.
@@ -156,6 +156,14 @@
 }
 
 impl Reload {
+    /// Keeps the operator's file that is in force, and what is to be kept later as soon as that can be done.
+    pub fn keep(&self) {
+        if let Some(keeper) = &self.keeper {
+            keeper.keep(Name::Operator, self.operator.borrow().text.clone());
+            spawn_local(keeper.clone().catch_up());
+        }
+    }
+
     /// Goes by all that is read again, in its order.
     pub async fn follow(self, mut rereads: UnboundedReceiver<Reread>, platform: Option<Rc<PlatformReload>>) {
         while let Some(reread) = rereads.recv().await {
@@ -202,7 +210,7 @@
         log::heed(said.log.clone());
         let closed = self.share.admit_by(said.admission.clone());
         if let Some(PlatformReload { desk, legs, .. }) = platform {
-            legs.say(words(said.admission.refusal));
+            legs.say(terms::refusal_text(said.admission.refusal));
             if desk.roles.serves() {
                 desk.act(|core, now| core.set_batching(now, said.batching.clone()));
             }
--- a/src/program/terms.rs
+++ b/src/program/terms.rs
@@ -4,10 +4,12 @@
 use crate::configuration::Configuration;
 use crate::fleet::{self, together};
 use crate::interface::Nanos;
+use crate::operator::admission::Refusal;
 use crate::protocol::discovery::{ListLimits, Names};
 use crate::protocol::platform::PathClasses;
 use crate::transport::pool::PoolTerms;
 use crate::transport::Door;
+use bytes::Bytes;
 use std::time::Duration;
 
 /// A connection is kept for no less, whatever the settings say.
@@ -64,3 +66,15 @@
         }
     }
 }
+
+/// What a caller is told that is turned away before it has asked.
+pub(super) fn refusal_text(refusal: Refusal) -> Bytes {
+    match refusal {
+        Refusal::Close => Bytes::new(),
+        Refusal::Unavailable(after) => {
+            let after = after.as_secs_f64();
+            let head = format!("HTTP/1.1 503 Service Unavailable\r\nRetry-After: {after}\r\n");
+            Bytes::from(head + "Connection: close\r\nContent-Length: 0\r\n\r\n")
+        }
+    }
+}
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -2,28 +2,25 @@
 
 use super::beside::{Beside, BesidePlan, FleetPlan};
 use super::descriptors::Share;
-use super::fronts::{start_platform, PlatformFront, PlatformStart};
+use super::fronts::{start_platform, PlatformStart};
 use super::inherited::Inherited;
-use super::last_good::{Keeper, Name};
+use super::last_good::Keeper;
 use super::ownership::{own, Claim, Owned};
 use super::reload::{PlatformReload, Reload, Reread};
 use super::rooms::Rooms;
 use super::takeover::{self, Takeover};
-use super::{fleet, log, terms};
+use super::{admission_log, fleet, shutdown, terms};
 use crate::admission::ledger;
 use crate::configuration::{Configuration, Environment};
-use crate::operator::admission::Refusal;
 use crate::operator::Operator;
 use crate::protocol::console::{self, Asked};
 use crate::protocol::discovery::Names;
 use crate::protocol::platform::Platform;
-use crate::protocol::smpp;
 use crate::protocol::smpp::config::SmppConfig;
 use crate::routing::handover::{Hello, Operated, VERSION};
-use crate::routing::{Classes, Clock, Core, Desk, Front};
+use crate::routing::{Classes, Clock, Desk};
 use crate::transport::network::Net;
-use crate::transport::{Door, Legs};
-use bytes::Bytes;
+use crate::transport::Legs;
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -31,16 +28,10 @@
 use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, Instant};
 
-/// From the first signal on the relay may be killed after this time.
-const KILLED_AFTER: Duration = Duration::from_millis(3_600);
-/// Callers may still come for a while after the signal; to be gone by then would turn them away unheard.
-const STAYS: Duration = Duration::from_millis(1_500);
 /// Descriptors for the listener, the log, the journal, discovery and the notices, and some to move with.
 pub(super) const SPARE: usize = 32;
 /// Of them, those that discovery, notices and the journal draw as they need them.
@@ -112,125 +103,104 @@
         () = started.superseded.notified() => {}
     }
     started.ending.set(true);
-    wind_up(&started).await;
+    shutdown::run(started.platform.as_ref(), &started.beside).await;
     Ok(())
 }
 
-async fn wind_up(started: &Started) {
-    let told = Instant::now();
-    tracing::info!(target: "relay", event = "told-to-end", "callers are asked to leave, what is out is seen to its end");
-    let Started { platform, beside, .. } = started;
-    if let Some(member) = beside.member() {
-        member.leave();
-    }
-    let mut stays = STAYS;
-    if let Some((desk, legs)) = platform {
-        if desk.roles.serves() {
-            legs.close_when_idle();
-            close(desk);
-        } else {
-            // Callers find the process that took over.
-            stays = Duration::ZERO;
-        }
-    }
-    let smpp = beside.smpp();
-    if let Some(desk) = smpp.clone() {
-        close(&desk);
-        spawn_local(async move { smpp::part(&desk, KILLED_AFTER - Duration::from_millis(300)).await });
-    }
-    let busy = || {
-        let callers = platform.as_ref().is_some_and(|(_, legs)| legs.open() > 0);
-        let out = platform.as_ref().map_or(0, |(desk, _)| match desk.roles.serves() {
-            true => desk.calls_out() + desk.see(Core::open),
-            false => desk.calls_here(),
-        });
-        let smpp = smpp.as_ref().is_some_and(|d| d.calls_out() > 0 || d.front.legs_open() > 0);
-        callers || out > 0 || smpp
-    };
-    while told.elapsed() < KILLED_AFTER && (told.elapsed() < stays || busy()) {
-        sleep(Duration::from_millis(20)).await;
-    }
-    let of_platform = platform.as_ref().filter(|(desk, _)| desk.roles.serves());
-    let left = of_platform.map_or(0, |(d, _)| d.see(Core::open)) + smpp.map_or(0, |d| d.see(Core::open));
-    tracing::info!(target: "relay", event = "ends", left, "ends with {left} transactions in the journal");
-}
-
+/// The platform's front and its legs.
 pub(super) type PlatformDesk = (Rc<Desk<Platform>>, Rc<Legs>);
 
+/// The platform's front as soon as it serves.
+type Serving = Rc<RefCell<Option<Rc<Desk<Platform>>>>>;
+
 async fn start(mut plan: Plan, net: Net, clock: Clock) -> Result<Started, String> {
-    let operator = plan.operator.clone();
-    let share =
-        Share::new(descriptors(&plan), plan.inherited.is_some(), operator.admission.clone(), net.clone());
+    let (caps, limit) = (plan.operator.admission.clone(), descriptors(&plan));
+    let share = Share::new(limit, plan.inherited.is_some(), caps, net.clone());
     let door = share.door().clone();
     spawn_local(door.clone().give_way());
-    spawn_local(watch(door.clone()));
-    let desk = Rc::new(RefCell::new(None));
-    if let Some(console) = plan.console {
-        let listener = net.listen(console).await;
-        let listener = listener.map_err(|e| format!("console: cannot listen on {console}: {e}"))?;
-        let desk = desk.clone();
-        spawn_local(console::serve(listener, move |asked| answer(desk.clone(), asked)));
-    }
-    let (ending, superseded) = (Rc::new(Cell::new(false)), Rc::new(Notify::new()));
-    let beside = Rc::new(Beside::default());
-    let fleet = fleet_plan(&operator, &plan)?;
-    let smpp = plan.smpp.take();
-    let operator_keeper = plan.operator_folder.as_ref().map(|folder| {
-        Keeper::new(folder, plan.platform.as_ref().map_or(u64::MAX, |p| p.configuration.disk_bytes))
-    });
+    spawn_local(admission_log::run(door.clone()));
+    let serving = Serving::default();
+    start_console(plan.console, &net, &serving).await?;
+    let rooms = Rooms { has_smpp: plan.smpp.is_some(), has_fleet: plan.operator.fleet.is_some() };
+    let fleet = fleet_plan(&plan.operator, &plan)?;
+    let beside_plan = BesidePlan { fleet, smpp: plan.smpp.take(), net, door, clock };
+    let platform = plan.platform.take();
+    let keeper = operator_keeper(&plan, platform.as_ref());
     let reload = Reload {
-        operator: RefCell::new(operator.clone()),
+        operator: RefCell::new(plan.operator.clone()),
         share: share.clone(),
-        beside: beside.clone(),
-        keeper: operator_keeper.clone(),
-    };
-    let rereads = plan.rereads.take();
-    let Some(platform) = plan.platform.take() else {
-        let beside_plan = BesidePlan { fleet, smpp, net, door, clock };
-        beside.start(&beside_plan, None, false).await?;
-        keep_operator(operator_keeper, &operator);
-        follow(rereads, reload, None);
-        return Ok(Started { platform: None, beside, ending, superseded });
+        beside: Rc::new(Beside::default()),
+        keeper,
     };
+    match platform {
+        Some(platform) => start_with_platform(plan, platform, beside_plan, reload, rooms, &serving).await,
+        None => start_without_platform(plan, beside_plan, reload).await,
+    }
+}
+
+/// The SMPP front alone, or membership alone.
+async fn start_without_platform(
+    plan: Plan,
+    beside_plan: BesidePlan,
+    reload: Reload,
+) -> Result<Started, String> {
+    let beside = reload.beside.clone();
+    beside.start(&beside_plan, None, false).await?;
+    reload.keep();
+    follow(plan.rereads, reload, None);
+    Ok(Started { platform: None, beside, ending: Rc::default(), superseded: Rc::default() })
+}
+
+/// The platform's front, and what is beside it; where another process serves, it hands over what it has.
+async fn start_with_platform(
+    plan: Plan,
+    platform: PlatformPlan,
+    mut beside_plan: BesidePlan,
+    reload: Reload,
+    rooms: Rooms,
+    serving: &Serving,
+) -> Result<Started, String> {
     let PlatformPlan { configuration, environment, names_before } = platform;
-    let rooms = Rooms { has_smpp: smpp.is_some(), has_fleet: fleet.is_some() };
     let own_hello = plan.inherited.as_ref().map(|_| hello(&configuration, &configuration.names));
     // A process that serves goes by what is in force, whatever lies there now.
     let names = names_before.iter().cloned().chain([configuration.names.clone()]);
     let hellos = names.filter(|_| own_hello.is_some()).map(|names| hello(&configuration, &names)).collect();
     let classes = Classes::of(&configuration.classes, &configuration.settings);
-    let claimed = Claim {
+    let claim = Claim {
         dir: &configuration.state,
         budget: rooms.journal(&configuration),
         classes: &classes,
         hellos,
-        clock,
+        clock: beside_plan.clock,
         continues_clock: plan.continues_clock,
     };
-    let mut owned = own(claimed).await?;
+    let mut owned = own(claim).await?;
     owned.rename_zones(names_before.as_ref(), &configuration.names);
     let Owned { journal, replayed, handover, predecessor, clock, turn } = owned;
-    keep_operator(operator_keeper, &operator);
+    reload.keep();
+    beside_plan.clock = clock;
+    let (share, beside) = (reload.share.clone(), reload.beside.clone());
     if let Some(predecessor) = &predecessor {
         share.other_holds(predecessor.descriptors);
     }
-    let beside_plan = BesidePlan { fleet, smpp, net: net.clone(), door: door.clone(), clock };
     let after_takeover = handover.is_some();
     let dir = configuration.state.clone();
     let inherited = plan.inherited.as_ref();
     let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock };
-    let front = start_platform(start, net, door, &operator).await?;
+    let (net, door) = (beside_plan.net.clone(), beside_plan.door.clone());
+    let front = start_platform(start, net, door, &plan.operator).await?;
     let platform_reload = Rc::new(PlatformReload::of(&front, environment, plan.descriptors));
     spawn_local(platform_reload.clone().audit());
-    follow(rereads, reload, Some(platform_reload));
-    let PlatformFront { desk: serving, legs, .. } = &front;
-    let platform = (serving.clone(), legs.clone());
-    desk.replace(Some(serving.clone()));
+    follow(plan.rereads, reload, Some(platform_reload));
+    let desk = front.desk.clone();
+    let platform = (desk.clone(), front.legs.clone());
+    serving.replace(Some(desk.clone()));
     drop(turn);
     if let Some(predecessor) = predecessor {
-        spawn_local(takeover::follow(predecessor, serving.clone(), share.clone()));
+        spawn_local(takeover::follow(predecessor, desk, share));
     }
     beside.start(&beside_plan, Some(&platform), after_takeover).await?;
+    let (ending, superseded) = (Rc::new(Cell::new(false)), Rc::new(Notify::new()));
     if let Some(hello) = own_hello {
         let (beside, ending, superseded) = (beside.clone(), ending.clone(), superseded.clone());
         let takeover = Takeover { front, hello, dir, beside, beside_plan, ending, superseded };
@@ -239,20 +209,28 @@
     Ok(Started { platform: Some(platform), beside, ending, superseded })
 }
 
+/// Listens to operators, where the platform says at which address.
+async fn start_console(address: Option<SocketAddr>, net: &Net, serving: &Serving) -> Result<(), String> {
+    let Some(address) = address else { return Ok(()) };
+    let listener = net.listen(address).await;
+    let listener = listener.map_err(|e| format!("console: cannot listen on {address}: {e}"))?;
+    let serving = serving.clone();
+    spawn_local(console::serve(listener, move |asked| answer(serving.clone(), asked)));
+    Ok(())
+}
+
+/// Keeps the operator's file, where one is in use.
+fn operator_keeper(plan: &Plan, platform: Option<&PlatformPlan>) -> Option<Rc<Keeper>> {
+    let disk_bytes = platform.map_or(u64::MAX, |platform| platform.configuration.disk_bytes);
+    plan.operator_folder.as_ref().map(|folder| Keeper::new(folder, disk_bytes))
+}
+
 /// Who this process is to one that serves; endpoints are told by these names.
 fn hello(configuration: &Configuration, names: &Names) -> Hello {
     let Names { kinds, zones } = names.clone();
     Hello { version: VERSION, name: configuration.name.clone(), listen: configuration.listen, kinds, zones }
 }
 
-/// Keeps the operator's file that is in force.
-fn keep_operator(keeper: Option<Rc<Keeper>>, operator: &Operator) {
-    if let Some(keeper) = keeper {
-        keeper.keep(Name::Operator, operator.text.clone());
-        spawn_local(keeper.catch_up());
-    }
-}
-
 /// Has what is read again put in force, for good.
 fn follow(rereads: Option<UnboundedReceiver<Reread>>, reload: Reload, platform: Option<Rc<PlatformReload>>) {
     if let Some(rereads) = rereads {
@@ -261,8 +239,8 @@
 }
 
 /// What the console answers: whether this process takes clients, and whether an operation is in force.
-async fn answer(desk: Rc<RefCell<Option<Rc<Desk<Platform>>>>>, asked: Asked) -> StatusCode {
-    let desk = desk.borrow().clone();
+async fn answer(serving: Serving, asked: Asked) -> StatusCode {
+    let desk = serving.borrow().clone();
     let yes = match (asked, desk) {
         (_, None) => false,
         (Asked::Health, Some(desk)) => desk.roles.serves(),
@@ -306,44 +284,6 @@
     Ok(Some(FleetPlan { section, name, dir, seed: seed ^ MEMBERSHIP, shares }))
 }
 
-/// What a caller is told that is turned away before it has asked.
-pub(super) fn words(refusal: Refusal) -> Bytes {
-    match refusal {
-        Refusal::Close => Bytes::new(),
-        Refusal::Unavailable(after) => {
-            let after = after.as_secs_f64();
-            let head = format!("HTTP/1.1 503 Service Unavailable\r\nRetry-After: {after}\r\n");
-            Bytes::from(head + "Connection: close\r\nContent-Length: 0\r\n\r\n")
-        }
-    }
-}
-
-/// Tells once a second what the door did, where it turned anybody away or ran short.
-async fn watch(door: Rc<Door>) {
-    loop {
-        sleep(Duration::from_secs(1)).await;
-        log::sum_up();
-        let tally = door.take_tally();
-        let (open, known) = door.open();
-        let (admitted, made_room) = (tally.admitted, tally.made_room);
-        if tally.refusals() > 0 {
-            let by: Vec<String> =
-                tally.refused.iter().map(|(why, n)| format!("{}={n}", why.name())).collect();
-            let (refused, by) = (tally.refusals(), by.join(" "));
-            tracing::warn!(target: "admission", event = "legs-refused", refused, by, open, known, "callers were turned away");
-        }
-        if tally.without_descriptor > 0 {
-            let count = tally.without_descriptor;
-            tracing::warn!(target: "admission", event = "descriptors-out", count, open, "callers were turned away for want of descriptors");
-        }
-        if tally.not_introduced > 0 {
-            let count = tally.not_introduced;
-            tracing::warn!(target: "admission", event = "not-introduced", count, "legs of a front had no PROXY header that could be read");
-        }
-        tracing::debug!(target: "admission", event = "legs", open, known, admitted, made_room, "the last second");
-    }
-}
-
 /// As many descriptors as the platform allows, or the process has, whichever is lower.
 fn descriptors(plan: &Plan) -> usize {
     plan.platform.as_ref().map_or(usize::MAX, |p| p.configuration.sockets).min(plan.descriptors)
@@ -357,7 +297,3 @@
         }
     });
 }
-
-fn close<F: Front>(desk: &Rc<Desk<F>>) {
-    desk.act(|core, now| core.closing(now, now + KILLED_AFTER.as_nanos() as u64));
-}
