Try a kept file again also where another one could be written after it

Nobody met it yet: each folder's keeper holds one file today. Of two files waiting, the outcome of the last alone said whether to try again, so the first would have stayed unwritten. Change: any failure has the rest tried again (src/program/last_good.rs). No test of its own: two files in one keeper are not made anywhere.

--- a/src/program/last_good.rs
+++ b/src/program/last_good.rs
@@ -145,12 +145,15 @@
     }
 
     fn write_pending(&self) {
-        let mut failed = None;
-        self.pending.borrow_mut().retain(|name, text| {
-            failed = write(&self.dir, *name, text).err();
-            failed.is_some()
+        let mut failure = None;
+        self.pending.borrow_mut().retain(|name, text| match write(&self.dir, *name, text) {
+            Ok(()) => false,
+            Err(e) => {
+                failure = Some(e);
+                true
+            }
         });
-        if let Some(e) = failed {
+        if let Some(e) = failure {
             tracing::warn!(target: "relay", event = "file-not-kept", "the files in force cannot be kept yet: {e}");
             self.behind.notify_one();
         }
