--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -1,21 +1,15 @@
 //! The relay journal by its file: each failure that it has to live with.
 
+#[path = "fixture/journal.rs"]
+mod fixture;
+
 use basaltloom::routing::journal::{Journal, OpenError, Record};
 use basaltloom::routing::transactions::{Ending, Transaction, Transactions};
 use basaltloom::routing::End;
-use bytes::Bytes;
+use fixture::Folder;
 use std::path::{Path, PathBuf};
 
-struct Folder(PathBuf);
-
 impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("basaltloom-journal-{}-{name}", std::process::id()));
-        std::fs::remove_dir_all(&path).ok();
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-
     fn file(&self) -> PathBuf {
         self.0.join("relay.journal")
     }
@@ -31,29 +25,9 @@
     }
 }
 
-impl Drop for Folder {
-    fn drop(&mut self) {
-        std::fs::remove_dir_all(&self.0).ok();
-    }
-}
-
+/// A message of the second class that waits for its key.
 fn transaction(id: &str, body: usize) -> Transaction {
-    Transaction {
-        id: id.to_string(),
-        class: 1,
-        dest: 7,
-        key: Some("k".to_string()),
-        idempotency: None,
-        taken_at: 50,
-        deadline: 9_000,
-        body: Bytes::from(vec![b'x'; body]),
-        owner: String::new(),
-        attempts: 0,
-        may_have_run: None,
-        out: None,
-        ending: None,
-        reason: 0,
-    }
+    Transaction { class: 1, key: Some("k".to_string()), ..fixture::transaction(id, body) }
 }
 
 /// Guards the past of a message: all that the records say of it comes back, also from a copy.
--- a/tests/journal_behind.rs
+++ b/tests/journal_behind.rs
@@ -1,29 +1,17 @@
 //! A journal whose folder takes no writes for a while. A binary of its own: the limit on file sizes that makes writes fail
 //! holds for the whole process.
 
+#[path = "fixture/journal.rs"]
+mod fixture;
+
 use basaltloom::routing::journal::{Journal, Record};
 use basaltloom::routing::transactions::{Ending, Transaction};
 use basaltloom::routing::End;
-use bytes::Bytes;
+use fixture::Folder;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 
 fn transaction(id: &str) -> Transaction {
-    Transaction {
-        id: id.to_string(),
-        class: 0,
-        dest: 7,
-        key: None,
-        idempotency: None,
-        taken_at: 50,
-        deadline: 9_000,
-        body: Bytes::from(vec![b'x'; 100]),
-        owner: String::new(),
-        attempts: 0,
-        may_have_run: None,
-        out: None,
-        ending: None,
-        reason: 0,
-    }
+    fixture::transaction(id, 100)
 }
 
 /// Lets files of this process grow to so many bytes; a write beyond them fails, after what still fits.
@@ -39,10 +27,8 @@
     // Without a handler the signal that comes with such a failure ends the process.
     let xfsz = tokio::signal::unix::SignalKind::from_raw(25);
     let _heard = tokio::signal::unix::signal(xfsz).unwrap();
-    let dir = std::env::temp_dir().join(format!("basaltloom-behind-{}", std::process::id()));
-    std::fs::remove_dir_all(&dir).ok();
-    std::fs::create_dir_all(&dir).unwrap();
-    let open = || Journal::open(&dir, 3_000_000, vec!["a".into()]).unwrap();
+    let folder = Folder::new("behind");
+    let open = || Journal::open(&folder.0, 3_000_000, vec!["a".into()]).unwrap();
     let (mut journal, _) = open();
     for no in 1..=3 {
         journal.write(no, &Record::Taken(&transaction(&format!("m{no}")))).unwrap();
@@ -63,5 +49,4 @@
     assert_eq!((replayed.torn, replayed.next_no), (0, 5));
     let left: Vec<_> = replayed.transactions.iter().map(|(no, t)| (no, t.ending)).collect();
     assert_eq!(left, [(2, Some(returned)), (3, None), (4, None)]);
-    std::fs::remove_dir_all(&dir).ok();
 }
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -1,15 +1,19 @@
 //! Settings that change while messages are open: the decision module and a core with its journal, in virtual time.
 
 mod fixture;
+#[path = "fixture/journal.rs"]
+mod journal_fixture;
 
 use basaltloom::routing::core::{Batching, Carried, First, Moved, Retuning};
+use basaltloom::routing::journal::Record;
 use basaltloom::routing::{
-    Call, Classes, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
+    Call, Classes, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken, Transaction,
 };
 use basaltloom::*;
 use bytes::Bytes;
 use fixture::settings;
-use std::path::{Path, PathBuf};
+use journal_fixture::{transaction, Folder};
+use std::path::Path;
 
 const MS: u64 = 1_000_000;
 const SEC: u64 = 1_000 * MS;
@@ -24,23 +28,6 @@
     (0..5).map(|place| format!("c{place}")).collect()
 }
 
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("basaltloom-retune-{}-{name}", std::process::id()));
-        std::fs::remove_dir_all(&path).ok();
-        std::fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        std::fs::remove_dir_all(&self.0).ok();
-    }
-}
-
 fn endpoint(kind: usize) -> Endpoint {
     let address = "127.0.0.1:9".parse().unwrap();
     let (name, state) = ("a".to_string(), EndpointState::Active);
@@ -179,25 +166,10 @@
 fn a_journal_without_rules_goes_by_the_names_of_classes() {
     let folder = Folder::new("names");
     let unnamed = || Journal::open(&folder.0, BUDGET, names()).unwrap();
-    let transaction = |id: &str, class| basaltloom::routing::Transaction {
-        id: id.to_string(),
-        class,
-        dest: 5,
-        key: None,
-        idempotency: None,
-        taken_at: START,
-        deadline: START + 20 * SEC,
-        body: Bytes::from_static(b"x"),
-        owner: String::new(),
-        attempts: 0,
-        may_have_run: None,
-        out: None,
-        ending: None,
-        reason: 0,
-    };
     for (no, class) in [(1, 0), (2, 4)] {
-        let record = transaction(&format!("m{no}"), class);
-        unnamed().0.write(no, &basaltloom::routing::journal::Record::Taken(&record)).unwrap();
+        let message = transaction(&format!("m{no}"), 1);
+        let record = Transaction { class, dest: 5, taken_at: START, deadline: START + 20 * SEC, ..message };
+        unnamed().0.write(no, &Record::Taken(&record)).unwrap();
     }
     let mut set = settings();
     set.classes.pop();
