Split the endpoint off the flood's rig, and read the seeds of soaks in one place

Two soaks read the same variable with the same lines; tests/stand_ins has them now. What is tested and measured stays as it was.

--- a/benches/flood/mod.rs
+++ b/benches/flood/mod.rs
@@ -1,14 +1,16 @@
 //! A flood of connections against the relay's own program, its descriptors lowered, beside clients that are known:
 //! used by the bench of the full size and, with a few thousand connections, by the tests.
 
+mod endpoint;
 #[path = "../../tests/stand_ins/page_form.rs"]
 mod page_form;
 
+use endpoint::Endpoint;
 use hdrhistogram::Histogram;
 use page_form::completed;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -96,12 +98,12 @@
     }
 }
 
-/// The relay's program, a next hop that takes all, and what came of it.
+/// The relay's program, an endpoint that takes all, and what came of it.
 pub struct Rig {
     pub child: Child,
     pub address: SocketAddr,
     dir: PathBuf,
-    hop: Arc<Hop>,
+    endpoint: Arc<Endpoint>,
     /// Ids for which the log told an end.
     ended: Arc<Mutex<Vec<String>>>,
     pub log: Arc<Mutex<Vec<String>>>,
@@ -110,59 +112,13 @@
     taken: Mutex<BTreeSet<String>>,
 }
 
-#[derive(Default)]
-struct Hop {
-    served: Mutex<BTreeMap<String, u32>>,
-}
-
-/// The next hop: each connection carries one call after another, and each call is taken.
-fn serve_hop(hop: Arc<Hop>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the next hop");
-    let address = listener.local_addr().expect("its address");
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let hop = hop.clone();
-            spawn(move || {
-                let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
-                let mut output = stream;
-                loop {
-                    let (mut id, mut length, mut line) = (String::new(), 0, String::new());
-                    loop {
-                        line.clear();
-                        if input.read_line(&mut line).unwrap_or(0) == 0 {
-                            return;
-                        }
-                        let lower = line.to_ascii_lowercase();
-                        if lower.starts_with("x-request-id:") {
-                            id = line[13..].trim().to_string();
-                        } else if let Some(n) = lower.strip_prefix("content-length:") {
-                            length = n.trim().parse().unwrap_or(0);
-                        } else if line == "\r\n" {
-                            break;
-                        }
-                    }
-                    let mut body = vec![0; length];
-                    if input.read_exact(&mut body).is_err() {
-                        return;
-                    }
-                    *hop.served.lock().unwrap().entry(id).or_default() += 1;
-                    if output.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    address
-}
-
 impl Rig {
     /// Starts the program under so many descriptors, with an operator's file.
     pub fn start(name: &str, descriptors: usize, operator: &str) -> Rig {
         let dir = std::env::temp_dir().join(format!("basaltloom-flood-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
-        let hop = Arc::new(Hop::default());
-        let dial = serve_hop(hop.clone());
+        let endpoint = Arc::new(Endpoint::default());
+        let dial = endpoint.serve();
         let config = completed(&format!(
             r#"{{"listen":"127.0.0.1:0","seed":"1","limits":{{"sockets":{descriptors},"disk_mb":8}},
 "known":{{"seq":1,"whole":true,"hosts":[{{"host":"h","dial":"{dial}","site":"z","class":"k","block":1,
@@ -204,7 +160,7 @@
             child,
             address: address.unwrap_or_else(|| panic!("no address in {first:?}")),
             dir,
-            hop,
+            endpoint,
             ended,
             log,
             reader: Some(reader),
@@ -374,7 +330,7 @@
             reader.join().ok();
         }
         let taken = std::mem::take(&mut *self.taken.lock().unwrap());
-        let served = self.hop.served.lock().unwrap();
+        let served = self.endpoint.served.lock().unwrap();
         let ended = self.ended.lock().unwrap();
         let ends = |id: &String| {
             served.get(id).copied().unwrap_or(0) + ended.iter().filter(|e| *e == id).count() as u32
--- a/tests/attribution/soak.rs
+++ b/tests/attribution/soak.rs
@@ -5,7 +5,7 @@
 use crate::callers::{Callers, Traffic};
 use crate::endpoint::{Copies, Endpoint, Nature, Record, Violations};
 use crate::platform::{Platform, Process, Terms, KILLED_AFTER};
-use crate::stand_ins::{entry, folder, Told};
+use crate::stand_ins::{entry, folder, soak_seeds, Told};
 use crate::{start, PAUSE, PIPELINED, TIME_MS};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -173,20 +173,10 @@
     wrong.into_iter().map(|line| format!("seed {}, {scenario:?}: {line}", scenario.seed)).collect()
 }
 
-/// The seeds to play: `BASALTLOOM_SOAK_SEEDS=FROM..TO` names others.
-fn seeds() -> Range<u64> {
-    let named = std::env::var("BASALTLOOM_SOAK_SEEDS").ok();
-    let named = named.as_deref().and_then(|text| {
-        let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
-    });
-    named.unwrap_or(SEEDS)
-}
-
 /// Guards all rules that rest on answers from faults that overlap.
 #[test]
 fn no_answer_is_taken_for_anothers_under_faults_that_overlap() {
-    let seeds: Vec<u64> = seeds().collect();
+    let seeds: Vec<u64> = soak_seeds(SEEDS).collect();
     let mut wrong = Vec::new();
     for seeds in seeds.chunks(AT_ONCE) {
         let plays: Vec<_> = seeds.iter().map(|seed| Scenario::drawn(*seed)).collect();
--- a/tests/configuration/soak.rs
+++ b/tests/configuration/soak.rs
@@ -7,7 +7,7 @@
 use crate::platform::{Platform, Process, Terms, KILLED_AFTER};
 use crate::rig::IN_FORCE_WITHIN;
 use crate::stand_ins::page_form::{class, set};
-use crate::stand_ins::{entry, folder, message_within, Discovery, Told};
+use crate::stand_ins::{entry, folder, message_within, soak_seeds, Discovery, Told};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -281,20 +281,10 @@
     wrong.into_iter().map(|line| format!("seed {seed}, {actions:?}: {line}")).collect()
 }
 
-/// The seeds to play: `BASALTLOOM_SOAK_SEEDS=FROM..TO` names others.
-fn seeds() -> Range<u64> {
-    let named = std::env::var("BASALTLOOM_SOAK_SEEDS").ok();
-    let named = named.as_deref().and_then(|text| {
-        let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
-    });
-    named.unwrap_or(SEEDS)
-}
-
 /// Guards all that goes by a configuration from files in any order, good and broken, over all that ends a process.
 #[test]
 fn no_part_of_a_broken_file_comes_into_force_and_all_of_a_good_one_does() {
-    let seeds: Vec<u64> = seeds().collect();
+    let seeds: Vec<u64> = soak_seeds(SEEDS).collect();
     let mut wrong = Vec::new();
     for seeds in seeds.chunks(AT_ONCE) {
         let start = |seed: &u64| {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -272,3 +273,13 @@
          Idempotency-Key: {id}\r\nContent-Length: 2\r\n\r\nhi"
     )
 }
+
+/// The seeds of a soak: `BASALTLOOM_SOAK_SEEDS=FROM..TO` names others than these.
+pub fn soak_seeds(usual: Range<u64>) -> Range<u64> {
+    let named = std::env::var("BASALTLOOM_SOAK_SEEDS").ok();
+    let named = named.as_deref().and_then(|text| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    });
+    named.unwrap_or(usual)
+}
