--- a/tests/configuration/judged.rs
+++ b/tests/configuration/judged.rs
@@ -115,24 +115,26 @@
     assert_eq!(configuration.settings.max_attempts, 2);
 }
 
-/// Guards keys of the operator's own: left out they are missed, said to be null they are gone.
+/// Guards keys of the operator's own: left out they are missed, said to be null, or empty, they are gone.
 #[test]
-fn a_key_of_the_operators_own_goes_where_it_is_said_to_be_null() {
+fn a_key_of_the_operators_own_goes_where_it_is_said_to() {
     let mut with = document();
-    for (pointer, value) in [
-        ("/default_class", json!("notice")),
-        ("/defaults", json!({"notice": {"dest": 1}})),
-        ("/limits/list_mb", json!(2)),
+    for (pointer, value, none) in [
+        ("/default_class", json!("notice"), Value::Null),
+        ("/defaults", json!({"notice": {"dest": 1}}), json!({})),
+        ("/limits/list_mb", json!(2), Value::Null),
     ] {
         let plain = with.clone();
         set(&mut with, pointer, value);
         let in_force = whole(&with);
         assert!(faults(&plain, &in_force).contains("is missing"));
-        let mut null = with.clone();
-        set(&mut null, pointer, Value::Null);
-        let said = if pointer == "/defaults" { String::new() } else { faults(&null, &in_force) };
-        assert_eq!(said, "");
+        let mut without = with.clone();
+        set(&mut without, pointer, none);
+        assert_eq!(faults(&without, &in_force), "", "{pointer}");
     }
+    let in_force = whole(&with);
+    set(&mut with, "/defaults", Value::Null);
+    assert!(faults(&with, &in_force).contains("`defaults`"), "no null in its place");
 }
 
 /// Guards a process that runs from files that ask for what only a start can change, and relays from talking to one another
