Tell each message's life in the log, an event a line that one search finds

What happened to a message could not be read from the log: calls were told with all their ids, one line a second for each endpoint, and begun calls, endings and restored messages not at all. At level debug of the new part 'messages' each event has its message's id, the connection and the place on it, and is never summed up.

--- a/src/operator/logging.rs
+++ b/src/operator/logging.rs
@@ -22,7 +22,7 @@
 
 /// What an event may be about.
 pub const TARGETS: &[&str] =
-    &["relay", "admission", "routing", "platform", "journal", "smpp", "operator", "fleet"];
+    &["relay", "admission", "routing", "messages", "platform", "journal", "smpp", "operator", "fleet"];
 
 impl Said {
     pub fn read(mut s: Section<'_>) -> Said {
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -16,8 +16,11 @@
 const EACH: Duration = Duration::from_secs(1);
 /// Kinds of events told apart at once: beyond that they are summed up by their names alone.
 const KINDS: usize = 1_024;
+/// The target of events that are each about one message.
+const MESSAGES: &str = crate::routing::message_log::TARGET;
 /// What answers a message or a signal, or tells who is there: each is a line of its own.
 const NEVER_SUMMED: &[&str] = &[
+    "call-ended",
     "configuration",
     "configuration-read",
     "hangup",
@@ -111,7 +114,7 @@
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
         let mut about = About::default();
         event.record(&mut about);
-        if NEVER_SUMMED.contains(&about.event.as_str()) {
+        if event.metadata().target() == MESSAGES || NEVER_SUMMED.contains(&about.event.as_str()) {
             return true;
         }
         let mut kinds = lock(&self.shared.kinds);
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -230,7 +230,7 @@
     verdict: Option<Verdict>,
 ) {
     let is_doubtful = verdict.is_some_and(|verdict| !verdict.is_known());
-    if !is_doubtful && !tracing::enabled!(target: "routing", tracing::Level::DEBUG) {
+    if !is_doubtful && !tracing::enabled!(target: "messages", tracing::Level::DEBUG) {
         return;
     }
     let hop = endpoint.name.as_str();
@@ -241,7 +241,7 @@
             tracing::warn!(target: "routing", event = "answer-doubtful", hop, ?ids, connection, request, ?doubt, "an answer may be another call's");
         }
         Some(Verdict::Known(Proof::First | Proof::Unlike)) | None => {
-            tracing::debug!(target: "routing", event = "call-ended", hop, ?ids, connection, request, ?replies, ?verdict);
+            tracing::debug!(target: "messages", event = "call-ended", hop, ?ids, connection, request, ?replies, ?verdict);
         }
     }
 }
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -108,7 +108,7 @@
             Err(NoLease::NotUp) => return passage.all(Outcome::NoConnection),
             Err(NoLease::OutOfRoom) => return passage.all(Outcome::NotSent),
         };
-        let letters = passage.begin();
+        let letters = passage.begin(lease.via());
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
         let Some((request, len)) = hook::request(hop.address, &letters, left).filter(|_| !letters.is_empty())
         else {
@@ -182,12 +182,15 @@
             Err(NoLease::NotUp) => return passage.all(Outcome::NoConnection),
             Err(NoLease::OutOfRoom) => return passage.all(Outcome::NotSent),
         }
-        let letters = passage.begin();
+        let Some(place) = pipelines.place(hop.id, hop.address, piping.repeatable) else {
+            return passage.all(Outcome::NotSent);
+        };
+        let letters = passage.begin(place.via());
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
         let Some(request) = hook::wire(hop.address, &letters, left).filter(|_| !letters.is_empty()) else {
             return Carried::default();
         };
-        let Some(mut pending) = pipelines.send(hop.id, hop.address, piping.repeatable, request) else {
+        let Some(mut pending) = place.send(request) else {
             return Carried::each(&letters, Reply::Ended(Outcome::NotSent));
         };
         let answer = tokio::select! {
--- a/src/protocol/smpp/link.rs
+++ b/src/protocol/smpp/link.rs
@@ -1,5 +1,7 @@
 //! One SMPP session's plumbing, the same on both sides: frames in, frames out, answers to their requests.
 
+use crate::routing::message_log::Via;
+use crate::transport::connection::next_number;
 use crate::transport::Stream;
 use bytes::{Bytes, BytesMut};
 use rusmpp::decode::DecodeWithLength;
@@ -46,6 +48,8 @@
 }
 
 pub struct Link {
+    /// Its number in the log.
+    number: u64,
     out: mpsc::Sender<Outgoing>,
     waiting: RefCell<HashMap<u32, oneshot::Sender<Box<Command>>>>,
     next: Cell<u32>,
@@ -74,6 +78,7 @@
         }
     };
     let link = Link {
+        number: next_number(),
         out,
         waiting: RefCell::default(),
         next: Cell::new(1),
@@ -97,6 +102,11 @@
         self.open.get()
     }
 
+    /// Its number, and the sequence number of its next request.
+    pub fn next_via(&self) -> Via {
+        Via { connection: self.number, request: self.next.get() as usize }
+    }
+
     /// Ends the link at once; whatever waits for an answer on it is lost.
     pub fn close(&self) {
         self.open.set(false);
--- a/src/protocol/smpp/smsc.rs
+++ b/src/protocol/smpp/smsc.rs
@@ -3,6 +3,7 @@
 use super::config::{Carrier, Times};
 use super::link::{self, Heard, Link, Reader, Unanswered};
 use crate::interface::Outcome;
+use crate::routing::message_log::Via;
 use crate::routing::Reply;
 use crate::transport::network::Net;
 use rusmpp::pdus::BindTransmitter;
@@ -51,6 +52,11 @@
 }
 
 impl Seat {
+    /// The bind's number in the log, and the sequence number that a request would have now.
+    pub fn via(&self) -> Via {
+        self.bind.link.next_via()
+    }
+
     /// Submits and says how that ended.
     pub async fn submit(&self, pdu: Pdu, within: Duration) -> Reply {
         match self.bind.link.request(pdu, within).await {
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -7,6 +7,7 @@
 use crate::interface::{Nanos, Outcome, Repeat};
 use crate::routing::facade::Told;
 use crate::routing::journal::Record;
+use crate::routing::message_log::{self, NotBegun, Via};
 use crate::routing::transactions::Ending;
 use crate::routing::values::{Attempt, Call, Reply};
 use std::cmp::Reverse;
@@ -14,7 +15,7 @@
 impl Core {
     /// Called when a call can be written, before its first byte: the attempts that may still go, journaled
     /// as out. What is not among them was never sent.
-    pub fn begin(&mut self, now: Nanos, call: &Call) -> Vec<Letter> {
+    pub fn begin(&mut self, now: Nanos, call: &Call, via: Via) -> Vec<Letter> {
         let Some(hop) = self.catalog.get(call.endpoint) else { return Vec::new() };
         let leased = self.shares.as_ref().is_none_or(|s| s.in_force(call.endpoint, now));
         if !leased || !self.facade.still_open(call.endpoint, now) {
@@ -27,9 +28,11 @@
             let in_time = self.facade.may_begin(no, call.endpoint, now);
             let Some(t) = self.transactions.get_mut(no) else { continue };
             if t.ending.is_some() || t.dest != dest {
+                message_log::not_begun(t, attempt, hop.name, NotBegun::HasItsEnd);
                 continue;
             }
             if !in_time {
+                message_log::not_begun(t, attempt, hop.name, NotBegun::TooLate);
                 let first = t.may_have_run.map_or(0, |(at, _)| now.saturating_sub(at) / 1_000_000);
                 let left = t.deadline.saturating_sub(now) / 1_000_000;
                 let text = "a branch was ready too late to be begun";
@@ -38,11 +41,13 @@
                 continue;
             }
             if let Err(e) = self.journal.write(no, &Record::Out { at: now, zone }) {
+                message_log::not_begun(t, attempt, hop.name, NotBegun::Unwritten);
                 let text = format!("cannot begin a branch: {e}");
                 self.work.notes.push(Note::new("journal-cannot-begin", text));
                 continue;
             }
             (t.attempts, t.out) = (t.attempts + 1, Some((now, zone)));
+            message_log::begun(t, attempt, hop.name, via);
             let (id, idempotency, body) = (t.id.clone(), t.idempotency.clone(), t.body.clone());
             letters.push((t.deadline, Letter { attempt: *attempt, id, idempotency, body }));
         }
@@ -86,10 +91,12 @@
         let (waiting, out) = self.facade.load_of(hop);
         let pressure = Pressure { affordable, waiting, out };
         let size = self.former.ended(now, hop, replies.len(), served.then_some(took), pressure);
+        let name = self.catalog.get(hop).map_or(String::new(), |endpoint| endpoint.name.to_string());
         for (attempt, reply) in replies {
             let no = attempt.transaction;
             let was_out = self.begun.remove(&(no, attempt.number)).is_some();
             let Some(t) = self.transactions.get_mut(no) else { continue };
+            message_log::outcome(t, attempt, &name, reply, was_out);
             if !was_out && reply.settles() {
                 let text = format!("an attempt that is not out was said to be over: {}", t.id);
                 self.work.notes.push(Note::new("outcome-violation", text));
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -3,6 +3,7 @@
 use super::{Core, Note};
 use crate::interface::Nanos;
 use crate::routing::journal::Record;
+use crate::routing::message_log;
 use crate::routing::transactions::Ending;
 use crate::routing::values::TransactionNo;
 
@@ -48,7 +49,11 @@
         }
         t.ending = Some(ending);
         let reason = t.reason;
-        match self.note(now, no, &Record::Ending(ending, reason)) {
+        let written = self.note(now, no, &Record::Ending(ending, reason));
+        if let Some(t) = self.transactions.get(no) {
+            message_log::ending(t, ending, written);
+        }
+        match written {
             true => self.work.ended.push(no),
             false => self.withheld.ends.push(no),
         }
@@ -66,9 +71,8 @@
     }
 
     fn close(&mut self, now: Nanos, no: TransactionNo, record: &Record) -> bool {
-        if self.transactions.remove(no).is_none() {
-            return true;
-        }
+        let Some(t) = self.transactions.remove(no) else { return true };
+        message_log::over(&t.id, record);
         let written = self.note(now, no, record);
         self.journal.tidy(&self.transactions);
         written
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -4,6 +4,7 @@
 use crate::interface::Nanos;
 use crate::routing::facade::Ask;
 use crate::routing::journal::Record;
+use crate::routing::message_log;
 use crate::routing::transactions::{Ending, Transaction};
 use crate::routing::values::{End, TransactionNo};
 use bytes::Bytes;
@@ -25,6 +26,7 @@
             if !is_out {
                 t.may_have_run = t.may_have_run.or(t.out.take());
             }
+            message_log::restored(no, t, is_out);
             let ended = t.ending.is_some();
             if ended {
                 self.work.ended.push(no);
@@ -103,6 +105,7 @@
             return Taken::Refused { after: DOOR_ADVICE, full: true };
         }
         self.next_no += 1;
+        message_log::taken(no, &t, self.journal.classes().name(t.class));
         self.transactions.insert(no, t);
         let ask = Ask { transaction: no, class, dest, key, time_left, past: None, bytes, ended: false };
         let mut picked = self.facade.pick(now, ask);
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -2,6 +2,7 @@
 
 use super::core::{Carried, Core, Letter, Note, Offer, Released, Taken, Work};
 use super::handover::{CallOutcome, Operated, Operation, Roles, Successor, ToPredecessor, ToSuccessor};
+use super::message_log::Via;
 use super::values::{Call, Reply, TransactionNo};
 use super::Clock;
 use crate::catalog::{Endpoint, EndpointId};
@@ -77,11 +78,11 @@
 
 impl<F: Front> Passage<'_, F> {
     /// Right before the first byte: the attempts that may still go, journaled as out.
-    pub fn begin(&self) -> Vec<Letter> {
+    pub fn begin(&self, via: Via) -> Vec<Letter> {
         if !self.desk.decides(self.life) {
             return Vec::new();
         }
-        self.desk.act(|core, now| core.begin(now, self.call))
+        self.desk.act(|core, now| core.begin(now, self.call, via))
     }
 
     /// All its attempts ended alike, before any was begun.
--- /dev/null
+++ b/src/routing/message_log.rs
@@ -0,0 +1,66 @@
+//! The life of each message in the log, at level debug under the target `messages`: one line an event, each with the
+//! message's id in the field `id`, so that a search for an id finds all of it.
+
+use super::transactions::{Ending, Transaction};
+use super::values::{Attempt, Reply};
+use std::fmt;
+
+/// The target of these events.
+pub const TARGET: &str = "messages";
+
+/// The connection of a call, and its place among the requests on it, from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub struct Via {
+    /// The connection's number in the log.
+    pub connection: u64,
+    /// 1 for the first request that it carries.
+    pub request: usize,
+}
+
+/// Why an attempt that was released is not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotBegun {
+    /// The message has its end already.
+    HasItsEnd,
+    /// Its time, or that in which it may be repeated, is over.
+    TooLate,
+    /// The journal takes no record of it.
+    Unwritten,
+}
+
+/// A message was taken on.
+pub fn taken(no: u64, t: &Transaction, class: &str) {
+    tracing::debug!(target: TARGET, event = "message-taken", id = %t.id, no, class, dest = t.dest, deadline = t.deadline);
+}
+
+/// A message of an earlier process was read back.
+pub fn restored(no: u64, t: &Transaction, is_out_elsewhere: bool) {
+    let (attempts, may_have_run, ending) = (t.attempts, t.may_have_run.is_some(), t.ending);
+    tracing::debug!(target: TARGET, event = "message-restored", id = %t.id, no, attempts, may_have_run, is_out_elsewhere, ?ending);
+}
+
+/// An attempt is about to be written.
+pub fn begun(t: &Transaction, attempt: &Attempt, hop: &str, via: Via) {
+    let (number, Via { connection, request }) = (attempt.number, via);
+    tracing::debug!(target: TARGET, event = "message-begun", id = %t.id, attempt = number, hop, connection, request);
+}
+
+/// An attempt that was released is not written.
+pub fn not_begun(t: &Transaction, attempt: &Attempt, hop: &str, why: NotBegun) {
+    tracing::debug!(target: TARGET, event = "message-not-begun", id = %t.id, attempt = attempt.number, hop, ?why);
+}
+
+/// An attempt has its outcome.
+pub fn outcome(t: &Transaction, attempt: &Attempt, hop: &str, reply: &Reply, was_out: bool) {
+    tracing::debug!(target: TARGET, event = "message-outcome", id = %t.id, attempt = attempt.number, hop, ?reply, was_out);
+}
+
+/// The relay has decided how a message ends.
+pub fn ending(t: &Transaction, ending: Ending, written: bool) {
+    tracing::debug!(target: TARGET, event = "message-ending", id = %t.id, ?ending, written);
+}
+
+/// Nothing more is owed for a message.
+pub fn over(id: &str, how: impl fmt::Debug) {
+    tracing::debug!(target: TARGET, event = "message-over", id, ?how);
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,6 +7,7 @@
 pub mod facade;
 pub mod handover;
 pub mod journal;
+pub mod message_log;
 mod shares;
 pub mod transactions;
 pub mod values;
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -195,7 +195,7 @@
 }
 
 /// The number that a new connection of this process gets in the log.
-pub(super) fn next_number() -> u64 {
+pub fn next_number() -> u64 {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -3,6 +3,7 @@
 use crate::attribution::{Exchanges, Fingerprint, Verdict};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
+use crate::routing::message_log::Via;
 use crate::transport::answer::{parse, Answer, Unreadable};
 use crate::transport::connection::{next_number, ANSWER_WITHIN};
 use crate::transport::network::Stream;
@@ -100,6 +101,11 @@
         self.idle_since.get().elapsed()
     }
 
+    /// The place of a request that is sent now.
+    pub(super) fn next_via(&self) -> Via {
+        Via { connection: self.number, request: self.next.get() as usize + 1 }
+    }
+
     /// Puts a call behind those that are out.
     pub(super) fn send(self: Rc<Self>, request: Bytes, repeatable: bool) -> PendingCall {
         let ticket = self.next.get();
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -8,6 +8,7 @@
 use super::network::{out_of_room, Net};
 use super::pool::{NoLease, Pool};
 use crate::batching::fate::Break;
+use crate::routing::message_log::Via;
 use crate::routing::EndpointId;
 use bytes::Bytes;
 use connection::Connection;
@@ -61,6 +62,25 @@
     }
 }
 
+/// A place for one call on a connection.
+pub struct Place {
+    connection: Rc<Connection>,
+    repeatable: bool,
+}
+
+impl Place {
+    /// The connection, and the place of the call's request on it.
+    pub fn via(&self) -> Via {
+        self.connection.next_via()
+    }
+
+    /// Sends the call; `None` where the connection takes none any more.
+    pub fn send(self, request: Bytes) -> Option<PendingCall> {
+        let fits = self.connection.may_take(self.repeatable);
+        fits.then(|| self.connection.send(request, self.repeatable))
+    }
+}
+
 impl Pipelines {
     /// None yet; connections come up within `connect_timeout` and are left open for `keepalive` without a call.
     pub fn new(net: Net, pool: Rc<Pool>, keepalive: Duration, connect_timeout: Duration) -> Pipelines {
@@ -143,21 +163,15 @@
         Ok(())
     }
 
-    /// Sends a call on the connection that `ready` found; `None` where that is gone meanwhile.
-    pub fn send(
-        &self,
-        endpoint: EndpointId,
-        dial: SocketAddr,
-        repeatable: bool,
-        request: Bytes,
-    ) -> Option<PendingCall> {
+    /// The place on the connection that `ready` found, with the fewest calls out.
+    pub fn place(&self, endpoint: EndpointId, dial: SocketAddr, repeatable: bool) -> Option<Place> {
         let connections = self.connections.borrow();
         let fits = connections
             .get(&endpoint)?
             .iter()
             .filter(|(at, connection)| *at == dial && connection.may_take(repeatable));
         let (_, connection) = fits.min_by_key(|(_, connection)| connection.out())?;
-        Some(connection.clone().send(request, repeatable))
+        Some(Place { connection: connection.clone(), repeatable })
     }
 
     /// Nothing new goes to this endpoint, and nothing that has not begun; connections without a call close.
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -5,6 +5,7 @@
 use crate::attribution::{Audit, Counts, Fingerprint, Reuse, Sources};
 use crate::crowding::Holding;
 use crate::interface::Nanos;
+use crate::routing::message_log::Via;
 use crate::routing::EndpointId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -117,6 +118,15 @@
         self.line.as_mut()
     }
 
+    /// Its connection, and the place that a request on it would have now.
+    pub fn via(&self) -> Via {
+        let line = self.line.as_ref();
+        line.map_or(Via::default(), |line| Via {
+            connection: line.number(),
+            request: line.exchanges.requests() + 1,
+        })
+    }
+
     /// How long its line had waited in the pool, where the other side may have closed it; nothing for a new one.
     pub fn waited(&self) -> Duration {
         self.waited
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -9,6 +9,7 @@
 use basaltloom::protocol::discovery::ListReceiver;
 use basaltloom::routing::core::{Batching, Carried, First};
 use basaltloom::routing::desk::Passage;
+use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Clock, Core, Desk, EndpointId, Front, Journal, Offer, Reply, Taken, TransactionNo,
 };
@@ -36,7 +37,7 @@
 
 impl Front for StandIn {
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
-        let letters = passage.begin();
+        let letters = passage.begin(Via::default());
         let Some(first) = letters.first() else { return passage.all(Outcome::NotSent) };
         self.begun.borrow_mut().push((passage.hop.name.clone(), first.id.clone()));
         while self.held.get() {
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -4,6 +4,7 @@
 mod fixture;
 
 use basaltloom::routing::core::{Batching, Carried, First};
+use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
 };
@@ -84,7 +85,7 @@
     let (mut count, mut served_at) = (0, 0);
     loop {
         for (call, _) in relay.work().calls {
-            for letter in relay.begin(now, &call) {
+            for letter in relay.begin(now, &call, Via::default()) {
                 called.entry(letter.id).or_insert(now);
             }
             out.entry(now + ANSWER).or_default().push(call);
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -6,6 +6,7 @@
 
 use basaltloom::routing::core::{Batching, Carried, First, Moved, Retuning};
 use basaltloom::routing::journal::Record;
+use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Call, Classes, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken, Transaction,
 };
@@ -80,7 +81,7 @@
         let mut ids = Vec::new();
         while now < until {
             for call in std::mem::take(&mut self.calls) {
-                let letters = self.core.begin(now, &call);
+                let letters = self.core.begin(now, &call, Via::default());
                 ids.extend(letters.iter().map(|letter| letter.id.clone()));
                 let replies = call.attempts.iter().map(|a| (*a, Reply::Ended(answer)));
                 self.core.report(now, call.endpoint, &Carried::from(replies.collect::<Vec<_>>()), MS);
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -4,6 +4,7 @@
 mod fixture;
 
 use basaltloom::routing::core::{Batching, Carried, First, Letter};
+use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Attempt, Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
 };
@@ -171,7 +172,8 @@
             }
             Due::Begin(call, zone) => {
                 let gone = call.attempts.iter().any(|b| self.gone.contains(&(b.transaction, b.number)));
-                let letters = if gone { Vec::new() } else { self.core.begin(self.now, &call) };
+                let letters =
+                    if gone { Vec::new() } else { self.core.begin(self.now, &call, Via::default()) };
                 self.begun += letters.len();
                 for l in &letters {
                     self.oracle.begins(self.now, zone, &l.id)?;
