Reproduce calls after final answers on real processes, as tests known to fail

An endpoint stand-in answers a fifth of the messages with 410 or 504 (alone, in batches, on pipelines; whole and cut in sixteen forms, six in batches), and counts calls that come after.

--- a/tests/attribution/endpoint.rs
+++ b/tests/attribution/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint on loopback that sends some of its answers twice, and a record of what truly ran there.
 
+use crate::finals::{self, After, Finals, Says, Written};
 use crate::stand_ins::{request, Told};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,6 +11,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// When the second copy of an answer is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,13 +36,22 @@
     /// Of a hundred calls, those whose connection is reset once they have run, and those that take long.
     pub resets: u32,
     pub hangs: u32,
+    /// Messages that have had their final answer, which is all that they get.
+    pub finals: Option<Finals>,
     pub seed: u64,
 }
 
 impl Nature {
-    /// One that neither resets nor hangs.
+    /// One that neither resets nor hangs, and serves each message.
     pub fn new(copies: Copies, receipts: bool, seed: u64) -> Nature {
-        Nature { copies, receipts, resets: 0, hangs: 0, seed }
+        Nature { copies, receipts, resets: 0, hangs: 0, finals: None, seed }
+    }
+
+    /// What it says in the end of a message that it does not serve.
+    fn says_of(&self, id: &str) -> Option<Says> {
+        let finals = self.finals?;
+        let drawn = xxh3_64_with_seed(id.as_bytes(), self.seed) % 100;
+        (drawn < u64::from(finals.percent)).then_some(finals.says)
     }
 }
 
@@ -50,6 +61,8 @@
     /// Calls that ran, or that still run.
     ran: u32,
     delivered: bool,
+    /// What was said of it in the end, and when that was first written.
+    final_answer: Option<(Says, Instant)>,
     out: Vec<TcpStream>,
 }
 
@@ -59,6 +72,7 @@
     pub run_again: BTreeSet<String>,
     pub out_twice: BTreeSet<String>,
     pub out_of_turn: BTreeSet<String>,
+    pub called_after_final: BTreeSet<String>,
 }
 
 /// All that came to the endpoint.
@@ -69,13 +83,36 @@
     pub copies_sent: u32,
     /// Calls with several messages.
     pub batches: u32,
+    /// When processes of the relay were killed.
+    pub kills: Vec<Instant>,
 }
 
+/// An answer written so shortly before its relay was killed may not have been read by it.
+const UNREAD_AT_A_KILL: Duration = Duration::from_millis(30);
+
 impl Record {
     pub fn is_delivered(&self, id: &str) -> bool {
         self.calls.get(id).is_some_and(|calls| calls.delivered)
     }
 
+    /// Messages that have had a final answer which said so.
+    #[allow(dead_code)]
+    pub fn finals(&self, says: Says) -> BTreeSet<String> {
+        let said = |calls: &Calls| calls.final_answer.is_some_and(|(said, _)| said == says);
+        self.calls.iter().filter(|(_, calls)| said(calls)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether nothing more is owed for a message, by what it was answered.
+    pub fn is_over(&self, id: &str) -> bool {
+        let said = self.calls.get(id).and_then(|calls| calls.final_answer);
+        self.is_delivered(id) || said.is_some_and(|(said, _)| said == Says::Over)
+    }
+
+    /// Whether a process may have been killed before it read what was written then.
+    fn may_be_unread(&self, written: Instant) -> bool {
+        self.kills.iter().any(|kill| *kill >= written && *kill - written < UNREAD_AT_A_KILL)
+    }
+
     /// A call begins: what may not be repeated has not run, no earlier attempt is out on an open connection, and all
     /// messages of the key that were called before it are over.
     fn begin(&mut self, id: &str, stream: &TcpStream, ended: &BTreeSet<String>) {
@@ -84,12 +121,17 @@
                 other.ends_with(&format!("@{key}"))
                     && other != id
                     && !calls.delivered
+                    && calls.final_answer.is_none_or(|(said, _)| said != Says::Over)
                     && !ended.contains(other)
             };
             if self.calls.iter().any(open) {
                 self.violations.out_of_turn.insert(id.to_string());
             }
         }
+        let final_answer = self.calls.get(id).and_then(|calls| calls.final_answer);
+        if final_answer.is_some_and(|(_, written)| !self.may_be_unread(written)) {
+            self.violations.called_after_final.insert(id.to_string());
+        }
         let calls = self.calls.entry(id.to_string()).or_default();
         if calls.ran > 0 && id.starts_with("notice") {
             self.violations.run_again.insert(id.to_string());
@@ -108,6 +150,11 @@
         let gone = ends(stream);
         calls.out.retain(|out| ends(out) != gone);
     }
+
+    fn say(&mut self, id: &str, says: Says) {
+        let calls = self.calls.get_mut(id).unwrap();
+        calls.final_answer.get_or_insert((says, Instant::now()));
+    }
 }
 
 /// Whether the other side has neither closed nor ended its sending, whatever lies unread before that.
@@ -224,10 +271,29 @@
             self.record.tell(|record| {
                 for id in &ids {
                     record.begin(id, &stream, &ended);
-                    record.calls.get_mut(id).unwrap().ran += u32::from(!refuses);
+                    let runs = !refuses && self.nature.says_of(id).is_none();
+                    record.calls.get_mut(id).unwrap().ran += u32::from(runs);
                 }
                 record.batches += u32::from(ids.len() > 1);
             });
+            let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
+            if let Some(written) = self.final_answer(&ids, closes) {
+                sleep(millis(&mut self.rng, 1, 4));
+                self.record.tell(|record| {
+                    for id in &ids {
+                        if let Some(says) = self.nature.says_of(id) {
+                            record.say(id, says);
+                        }
+                        record.end(id, &stream, written.delivers.contains(id));
+                    }
+                });
+                match self.write_parts(written) {
+                    Ok(After::GoesOn) => continue,
+                    Ok(After::Closes) => drop(stream.shutdown(Shutdown::Both)),
+                    Err(_) => {}
+                }
+                return;
+            }
             sleep(if refuses { millis(&mut self.rng, 1, 4) } else { millis(&mut self.rng, 20, 90) });
             if !refuses && chance(&mut self.rng, self.nature.hangs) {
                 sleep(HANG);
@@ -236,7 +302,6 @@
                 stream.shutdown(Shutdown::Both).ok();
                 return;
             }
-            let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
             let answer = self.answer(&ids, refuses, closes);
             // Counted before it is written: what follows from it comes at once.
             self.record.tell(|record| ids.iter().for_each(|id| record.end(id, &stream, !refuses)));
@@ -254,6 +319,25 @@
         }
     }
 
+    /// The answer to a call of which some messages have had their final answer.
+    fn final_answer(&self, ids: &[String], closes: bool) -> Option<Written> {
+        let Finals { says, form, batch, .. } = self.nature.finals?;
+        let is_final = |id: &str| self.nature.says_of(id).is_some();
+        match ids {
+            _ if !ids.iter().any(|id| is_final(id)) => None,
+            [_] => Some(finals::single(says, form, closes)),
+            _ => Some(finals::batch(says, batch, ids, is_final)),
+        }
+    }
+
+    fn write_parts(&self, written: Written) -> std::io::Result<After> {
+        for (pause, part) in written.parts {
+            sleep(pause);
+            self.write(&part)?;
+        }
+        Ok(written.after)
+    }
+
     fn answer(&self, ids: &[String], refuses: bool, closes: bool) -> Vec<u8> {
         let close = if closes { "Connection: close\r\n" } else { "" };
         if refuses {
--- a/tests/attribution/main.rs
+++ b/tests/attribution/main.rs
@@ -5,6 +5,7 @@
 #[path = "../upgrade/callers.rs"]
 mod callers;
 mod endpoint;
+mod finals;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
@@ -77,7 +78,7 @@
         copies: record.copies_sent,
         batches: record.batches,
         connections: endpoint.connections.load(std::sync::atomic::Ordering::SeqCst),
-        lost: taken.iter().filter(|id| !record.is_delivered(id) && !ended.contains(*id)).cloned().collect(),
+        lost: taken.iter().filter(|id| !record.is_over(id) && !ended.contains(*id)).cloned().collect(),
         violations: record.violations.clone(),
     });
     println!("{classes:?} {nature:?}: {seen:?}");
--- a/tests/attribution/soak.rs
+++ b/tests/attribution/soak.rs
@@ -76,6 +76,7 @@
             receipts: draw.below(3) > 0,
             resets: draw.below(4),
             hangs: draw.below(3),
+            finals: None,
             seed: seed * 2 + n,
         };
         let natures = [nature(0), nature(1)];
@@ -160,7 +161,7 @@
     let ended = agent.ended.tell(|ended| ended.clone());
     let (lost, violations) = record.tell(|record| {
         let lost: Vec<String> =
-            taken.iter().filter(|id| !record.is_delivered(id) && !ended.contains(*id)).cloned().collect();
+            taken.iter().filter(|id| !record.is_over(id) && !ended.contains(*id)).cloned().collect();
         (lost, record.violations.clone())
     });
     let mut wrong = Vec::new();
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -9,6 +9,8 @@
 #[path = "../attribution/endpoint.rs"]
 #[allow(dead_code)]
 mod endpoint;
+#[path = "../attribution/finals.rs"]
+mod finals;
 mod judged;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
--- /dev/null
+++ b/tests/final_answers/rig.rs
@@ -0,0 +1,127 @@
+//! One relay with one endpoint that has final answers for some messages, under callers.
+
+use crate::callers::{Callers, Traffic};
+use crate::endpoint::{Endpoint, Nature, Violations};
+use crate::finals::Says;
+use crate::platform::{Platform, Process, Terms};
+use crate::stand_ins::{entry, folder, Discovery};
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, PoisonError};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The time of each message, and by when its end has been told: its time, the rule's slack, and that of a restart.
+const TIME_MS: u64 = 4_000;
+const SETTLED_WITHIN: Duration = Duration::from_millis(TIME_MS + 300 + 1_500);
+/// Between two messages of one caller.
+const PAUSE: Duration = Duration::from_millis(50);
+const CALLERS: usize = 8;
+
+/// One process starts at a time: the address of its console was free a moment before.
+static STARTING: Mutex<()> = Mutex::new(());
+
+pub fn start(platform: &Platform) -> Process {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    platform.start_ready()
+}
+
+/// A relay, its endpoint and discovery.
+pub struct Scene {
+    pub platform: Platform,
+    pub endpoint: Endpoint,
+    pub discovery: Discovery,
+    pub processes: Vec<Process>,
+    nature: Nature,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+#[allow(dead_code)]
+pub struct Seen {
+    pub taken: usize,
+    pub delivered: usize,
+    pub finals: usize,
+    pub batches: u32,
+    pub calls: usize,
+    pub connections: usize,
+    /// Neither delivered, nor over, nor ended by a notice.
+    pub lost: BTreeSet<String>,
+    pub violations: Violations,
+    /// Lines of the log that tell of a broken rule.
+    pub told: Vec<String>,
+}
+
+impl Scene {
+    pub fn new(terms: &Terms, nature: Nature) -> Scene {
+        let discovery = Discovery::start(String::new());
+        let endpoint = Endpoint::start(nature, discovery.ended.clone());
+        let known = entry("h", endpoint.address, "active");
+        discovery.list(&known);
+        let platform = Platform::new(&folder(), terms, discovery.address, &known);
+        let processes = vec![start(&platform)];
+        Scene { platform, endpoint, discovery, processes, nature }
+    }
+
+    /// Callers of one class; keyed messages are in order.
+    pub fn callers(&self, class: &'static str) -> Callers {
+        let traffic = Traffic { class, time_ms: TIME_MS, in_order: class == "update", pause: PAUSE };
+        Callers::start_with(CALLERS, self.platform.address, traffic)
+    }
+
+    /// Kills the process that serves, and starts another when the platform would.
+    pub fn kill(&mut self) {
+        self.processes.last_mut().unwrap().kill();
+        self.endpoint.record.tell(|record| record.kills.push(Instant::now()));
+        sleep(Duration::from_millis(600));
+        self.processes.push(start(&self.platform));
+    }
+
+    /// What came of it, once all that the callers handed in has had its time.
+    pub fn seen(self, callers: Callers) -> Seen {
+        let taken = callers.stop().taken;
+        sleep(SETTLED_WITHIN);
+        let ended = self.discovery.ended.tell(|ended| ended.clone());
+        let told = self.processes.iter().flat_map(|process| process.log.tell(|lines| lines.clone()));
+        let told = told.filter(|line| line.contains("-violation") || line.contains("panicked"));
+        let seen = self.endpoint.record.tell(|record| Seen {
+            taken: taken.len(),
+            delivered: taken.iter().filter(|id| record.is_delivered(id)).count(),
+            finals: record.finals(Says::Over).len() + record.finals(Says::NoMore).len(),
+            batches: record.batches,
+            calls: self.endpoint.calls.load(Ordering::SeqCst),
+            connections: self.endpoint.connections.load(Ordering::SeqCst),
+            lost: taken.iter().filter(|id| !record.is_over(id) && !ended.contains(*id)).cloned().collect(),
+            violations: record.violations.clone(),
+            told: told.collect(),
+        });
+        println!("{:?}: {}", self.nature, seen.words());
+        std::fs::remove_dir_all(&self.platform.dir).ok();
+        seen
+    }
+}
+
+impl Seen {
+    /// Counts in place of ids.
+    fn words(&self) -> String {
+        let Seen { taken, delivered, finals, batches, calls, connections, lost, violations, told } = self;
+        let Violations { run_again, out_twice, out_of_turn, called_after_final } = violations;
+        format!(
+            "{taken} taken, {delivered} delivered, {finals} final, {} called after, {} lost, {} run again, {} out twice, \
+             {} out of turn, {calls} calls, {batches} batches, {connections} connections, {} lines told",
+            called_after_final.len(),
+            lost.len(),
+            run_again.len(),
+            out_twice.len(),
+            out_of_turn.len(),
+            told.len()
+        )
+    }
+
+    /// Final answers came, and no rule was broken.
+    pub fn judge(&self) {
+        assert!(self.taken > 200 && self.finals >= 5, "{self:?}");
+        assert_eq!((&self.lost, &self.violations), (&BTreeSet::new(), &Violations::default()), "{self:?}");
+        assert!(self.told.is_empty(), "{:?}", self.told);
+    }
+}
