End a message whose final answer cannot be proven, in place of calling it again

Callers' messages went out again after 410 or 504: the second honest answer on a connection reads like the first, so it was doubtful, and whatever was doubtful, cut or given up fell on 'may go out again'. The new module src/settlement/ is the one place that says what follows from an answer: settled, spent, may go out again, or must end. Where what has come may have been a final answer, the message ends by a notice and no call follows; an answer is read as far as it has come (src/transport/beginning.rs), in a batch line by line, and a call that is given up gets one last look at what came in that turn.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod program;
 pub mod protocol;
 pub mod routing;
+pub mod settlement;
 pub mod transport;
 
 pub use decision::interface::{self, *};
--- a/src/protocol/discovery/request.rs
+++ b/src/protocol/discovery/request.rs
@@ -65,7 +65,7 @@
         }
     };
     // The body is counted as it is read, so that its size can be told.
-    let opened = Line::open(net, agent, CONNECTED, usize::MAX).await;
+    let opened = Line::open(net, agent, CONNECTED, usize::MAX, 0).await;
     let mut line = opened.map_err(|_| Unheard::Silent)?;
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
     let request = request.map_err(|_| Unheard::Silent)?;
--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -3,11 +3,14 @@
 use super::fields::{self, seconds, span_text};
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::Letter;
-use crate::routing::{Attempt, Limit, Reply};
+use crate::routing::{Limit, Reply};
+use crate::settlement::Said;
+use crate::transport::beginning::{Beginning, Told};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::CONNECTION;
 use hyper::{HeaderMap, Request, StatusCode};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// The request of a call, and its body's length.
@@ -100,24 +103,68 @@
     status == StatusCode::SERVICE_UNAVAILABLE && closes && wait(headers) == 0
 }
 
-/// What the answer to a batch says of each attempt; one that it does not name may have run.
-pub fn replies(headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Vec<(Attempt, Reply)> {
-    let wait = wait(headers);
-    let text = String::from_utf8_lossy(body);
-    let ends: Vec<(&str, &str)> = text.lines().filter_map(|l| l.trim().split_once(' ')).collect();
-    // Named twice with different ends it may have had either.
-    let end = |l: &Letter| {
-        let mut named = ends.iter().filter(|e| e.0 == l.id).map(|e| e.1.trim());
-        let first = named.next()?;
-        named.all(|end| end == first).then_some(first)
+/// What a whole answer says of each message of its call.
+pub fn said(status: StatusCode, headers: &HeaderMap, body: &[u8], letters: &[Letter]) -> Vec<Said> {
+    match status {
+        StatusCode::OK if letters.len() > 1 => {
+            said_in_batch(&String::from_utf8_lossy(body), wait(headers), letters)
+        }
+        status => vec![Said::Plainly(reply(status, headers)); letters.len()],
+    }
+}
+
+/// The same of an answer that has not come whole.
+pub fn said_in_part(beginning: &Beginning, letters: &[Letter]) -> Vec<Said> {
+    let each = |said| vec![said; letters.len()];
+    match beginning {
+        Beginning::Nothing | Beginning::Unreadable => each(Said::NotFinal),
+        Beginning::Digits(digits) => {
+            let may_be_final = final_statuses(letters.len())
+                .iter()
+                .any(|status| status.as_str().starts_with(digits.as_str()));
+            each(if may_be_final { Said::MaybeFinal } else { Said::NotFinal })
+        }
+        Beginning::Told(Told { status, headers, body, .. }) => {
+            // A line of which a part is missing says nothing.
+            let lines = body.iter().rposition(|byte| *byte == b'\n').map_or(0, |end| end + 1);
+            said(*status, headers.as_ref().unwrap_or(&HeaderMap::new()), &body[..lines], letters)
+        }
+    }
+}
+
+/// Statuses of answers that may say of a message that it is over, or has had all its attempts.
+fn final_statuses(messages: usize) -> &'static [StatusCode] {
+    match messages {
+        1 => &[StatusCode::GONE, StatusCode::GATEWAY_TIMEOUT],
+        // Each message has an end of its own in the body.
+        _ => &[StatusCode::GONE, StatusCode::GATEWAY_TIMEOUT, StatusCode::OK],
+    }
+}
+
+/// What the lines of a batch's answer say of each message; `wait` is told to those that are deferred.
+fn said_in_batch(text: &str, wait: Nanos, letters: &[Letter]) -> Vec<Said> {
+    let mut ends: HashMap<&str, Vec<&str>> = HashMap::new();
+    for (id, end) in text.lines().filter_map(|line| line.trim().split_once(' ')) {
+        ends.entry(id).or_default().push(end.trim());
+    }
+    let said = |letter: &Letter| match ends.get(letter.id.as_str()).map_or(&[][..], Vec::as_slice) {
+        [] => Said::Nothing,
+        [first, others @ ..] if others.iter().all(|end| end == first) => {
+            Said::Plainly(reply_in_batch(first, wait))
+        }
+        several if several.iter().any(|end| reply_in_batch(end, wait).is_final()) => Said::Contradictory,
+        _ => Said::Nothing,
     };
-    let reply = |l: &Letter| match end(l) {
-        Some("accepted") => Reply::Ended(Outcome::Served),
-        Some("deferred") => Reply::Ended(Outcome::Full { wait }),
-        Some("expired") => Reply::Over,
-        Some("no_more") => Reply::Spent,
-        Some("fault") => Reply::Ended(Outcome::Error),
+    letters.iter().map(said).collect()
+}
+
+fn reply_in_batch(end: &str, wait: Nanos) -> Reply {
+    match end {
+        "accepted" => Reply::Ended(Outcome::Served),
+        "deferred" => Reply::Ended(Outcome::Full { wait }),
+        "expired" => Reply::Over,
+        "no_more" => Reply::Spent,
+        "fault" => Reply::Ended(Outcome::Error),
         _ => Reply::Ended(Outcome::Spoilt),
-    };
-    letters.iter().map(|l| (l.attempt, reply(l))).collect()
+    }
 }
--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -54,7 +54,7 @@
 /// acknowledgements read alike, so each is waited for on a connection of its own, where no other can come.
 pub async fn post(net: &Net, agent: SocketAddr, lines: String) -> Result<(), Option<StatusCode>> {
     let told = async {
-        let mut line = Line::open(net, agent, PATIENCE, ANSWER_MOST).await.ok()?;
+        let mut line = Line::open(net, agent, PATIENCE, ANSWER_MOST, 0).await.ok()?;
         let body = Bytes::from(lines);
         let len = body.len();
         let request = Request::post("/v1/notices")
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -1,4 +1,4 @@
-//! One request to a next hop and its answer: what it means, and what may rest on it.
+//! One request to an endpoint and its answer: what follows from it for the messages of the call.
 
 use super::super::hook;
 use super::intake::BODY_MOST;
@@ -6,7 +6,10 @@
 use crate::catalog::Endpoint;
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter};
-use crate::routing::Reply;
+use crate::routing::{Attempt, Reply};
+use crate::settlement::{settle, Certainty, Said};
+use crate::transport::answer::Answer;
+use crate::transport::beginning::Beginning;
 use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN};
 use crate::transport::pool::Lease;
 use crate::transport::Pool;
@@ -22,13 +25,20 @@
 
 /// What came of one request.
 pub(super) struct Exchanged {
-    carried: Carried,
-    /// Whether it is the answer to this request; none where there is no answer.
-    verdict: Option<Verdict>,
-    status: Option<StatusCode>,
+    came: Came,
     rest: Rest,
 }
 
+/// What came in answer to a request.
+enum Came {
+    /// An answer that has come as far as it has to, and whether it is the one to this request.
+    Answer(Answer, Verdict),
+    /// No answer, or a part of one: what follows from that.
+    Cut(Carried),
+    /// The endpoint has no room for the new connection, by an answer that was judged so.
+    Crowded(Verdict),
+}
+
 /// What is left of an answer once it is known what it means.
 enum Rest {
     /// Nothing: it has come whole.
@@ -39,38 +49,51 @@
     Unusable,
 }
 
-/// What an answer says of a call that came whole.
-pub(super) fn meant(status: StatusCode, headers: &HeaderMap, body: &Bytes, letters: &[Letter]) -> Carried {
-    let each = |reply| letters.iter().map(|l| (l.attempt, reply)).collect();
+/// What an answer that came whole says of the call, as far as it can be believed.
+fn meant(answer: &Answer, letters: &[Letter], certainty: Certainty) -> Carried {
+    let Answer { status, headers, body } = answer;
+    let said = hook::said(*status, headers, body, letters);
     let several = letters.len() > 1;
-    let unread = matches!(status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
+    let is_proven = certainty == Certainty::Proven;
+    let otherwise = if is_proven { Outcome::Spoilt } else { Outcome::Doubtful };
+    let tells_wait = match status {
+        &StatusCode::OK => several,
+        // What is proven has the wait in its outcomes.
+        _ => !is_proven && matches!(hook::reply(*status, headers), Reply::Ended(Outcome::Full { .. })),
+    };
+    let unread = matches!(*status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
     Carried {
-        replies: match status {
-            StatusCode::OK if several => hook::replies(headers, body, letters),
-            status => each(hook::reply(status, headers)),
-        },
-        limit: hook::limit(headers),
-        wait: if status == StatusCode::OK && several { hook::wait(headers) } else { 0 },
-        refused: unread && several,
+        replies: settled(letters, &said, certainty, otherwise),
+        limit: hook::limit(headers).filter(|_| is_proven),
+        // A wait binds also where nothing else of an answer does.
+        wait: if tells_wait { hook::wait(headers) } else { 0 },
+        refused: is_proven && unread && several,
         ..Carried::default()
     }
 }
 
+/// What follows for each message of a call.
+fn settled(
+    letters: &[Letter],
+    said: &[Said],
+    certainty: Certainty,
+    otherwise: Outcome,
+) -> Vec<(Attempt, Reply)> {
+    let settled = said.iter().map(|said| settle(*said, certainty, otherwise));
+    letters.iter().map(|letter| letter.attempt).zip(settled).collect()
+}
+
+/// What follows from as much of an answer as has come. `otherwise`: what became of the call where that does not tell.
+pub(super) fn cut_off(beginning: &Beginning, otherwise: Outcome, letters: &[Letter]) -> Carried {
+    let said = hook::said_in_part(beginning, letters);
+    settled(letters, &said, Certainty::Cut, otherwise).into()
+}
+
 /// Whether it is anybody's guess where an answer ends: what is left of it would pass as the next one.
 fn ends_anywhere(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// What remains of an answer that may be another call's: the wait that it tells binds, and that is all.
-fn doubtful(carried: &Carried, letters: &[Letter]) -> Carried {
-    let waits = carried.replies.iter().map(|(_, reply)| match reply {
-        Reply::Ended(Outcome::Full { wait }) => *wait,
-        _ => 0,
-    });
-    let wait = waits.max().unwrap_or(0).max(carried.wait);
-    Carried { wait, ..Carried::each(letters, Reply::Ended(Outcome::Doubtful)) }
-}
-
 /// Sends one request and hears its answer.
 pub(super) async fn exchange(
     lease: &mut Lease,
@@ -89,27 +112,25 @@
     let read = async {
         let response = line.send(request, len).await?;
         let (head, body) = response.into_parts();
-        let (status, print) = (Some(head.status), Fingerprint::of_head(head.status, &head.headers));
+        let print = Fingerprint::of_head(head.status, &head.headers);
         let by_head = line.exchanges.judge_head(&print);
-        if letters.len() == 1 && head.status == StatusCode::OK && by_head.is_known() {
-            let carried = meant(head.status, &head.headers, &Bytes::new(), letters);
-            let rest = match ends_anywhere(&head.headers) {
-                true => Rest::Unusable,
-                false => Rest::Body(body, print),
-            };
-            return Ok(Exchanged { carried, verdict: Some(by_head), status, rest });
+        let ends_anywhere = ends_anywhere(&head.headers);
+        let (status, headers) = (head.status, head.headers);
+        if letters.len() == 1 && status == StatusCode::OK && by_head.is_known() {
+            let answer = Answer { status, headers, body: Bytes::new() };
+            let rest = if ends_anywhere { Rest::Unusable } else { Rest::Body(body, print) };
+            return Ok(Exchanged { came: Came::Answer(answer, by_head), rest });
         }
         // Only an answer that came whole can say that nothing has run.
         let body = read_body(body, BODY_MOST).await.ok_or(Unsent::Perhaps)?;
         let print = print.with_body(&body);
         let verdict = line.exchanges.judge_whole(&print);
-        let crowded = new && hook::no_room(head.status, &head.headers);
-        let carried = match crowded {
-            true => Carried::each(letters, Reply::Ended(Outcome::Crowded)),
-            false => meant(head.status, &head.headers, &body, letters),
+        let rest = if ends_anywhere { Rest::Unusable } else { Rest::Nothing(print) };
+        let came = match new && hook::no_room(status, &headers) {
+            true => Came::Crowded(verdict),
+            false => Came::Answer(Answer { status, headers, body }, verdict),
         };
-        let rest = if ends_anywhere(&head.headers) { Rest::Unusable } else { Rest::Nothing(print) };
-        Ok(Exchanged { carried, verdict: Some(verdict), status, rest })
+        Ok(Exchanged { came, rest })
     };
     let stuck = async {
         tap.begins().await;
@@ -121,25 +142,25 @@
     }
 }
 
-/// What is known of a call without an answer that could be read. The first line says enough where it says 200 and is
-/// known to be that of this call's answer. Any other answer that cannot be read leaves open what it meant: the message may have
-/// run.
+/// What is known of a call without a whole answer. The first line says enough where it says 200 and is known to be that
+/// of this call's answer.
 pub(super) fn unanswered(outcome: Outcome, lease: &mut Lease, letters: &[Letter]) -> Exchanged {
-    let heard = lease.line().map(|line| {
-        let status = line.status().and_then(|status| StatusCode::from_u16(status).ok());
-        let verdict = status.map(|status| line.exchanges.judge_status(status.as_u16()));
-        (status, verdict, line.heard())
-    });
-    let (status, verdict, heard) = heard.unwrap_or((None, None, false));
-    let is_success = letters.len() == 1 && status == Some(StatusCode::OK);
-    let (outcome, verdict) = match outcome {
-        _ if is_success && verdict.is_some_and(Verdict::is_known) => (Outcome::Served, verdict),
-        Outcome::NoConnection => (outcome, None),
-        _ if heard => (Outcome::Spoilt, None),
-        _ => (outcome, None),
+    let beginning = lease.line().map_or(Beginning::Nothing, |line| line.beginning());
+    let status = beginning.told_status();
+    let verdict = status.and_then(|status| Some(lease.line()?.exchanges.judge_status(status)));
+    let is_success = letters.len() == 1 && status == Some(StatusCode::OK.as_u16());
+    let came = match verdict.filter(|verdict| is_success && verdict.is_known()) {
+        Some(verdict) => {
+            let answer = Answer { status: StatusCode::OK, headers: HeaderMap::new(), body: Bytes::new() };
+            Came::Answer(answer, verdict)
+        }
+        None => {
+            let begun = beginning != Beginning::Nothing && outcome != Outcome::NoConnection;
+            let otherwise = if begun { Outcome::Spoilt } else { outcome };
+            Came::Cut(cut_off(&beginning, otherwise, letters))
+        }
     };
-    let carried = Carried::each(letters, Reply::Ended(outcome));
-    Exchanged { carried, verdict, status, rest: Rest::Unusable }
+    Exchanged { came, rest: Rest::Unusable }
 }
 
 /// Gives the line back where it can be used again, and returns what may rest on the answer.
@@ -150,22 +171,30 @@
     letters: &[Letter],
     pool: &Rc<Pool>,
 ) -> Carried {
-    let Exchanged { mut carried, verdict, status, rest } = exchanged;
+    let Exchanged { came, rest } = exchanged;
     let request = lease.line().map_or(0, |line| line.exchanges.requests());
-    // Where there is no verdict there is no answer, and only what the system says of the connection counts.
-    if let Some(verdict) = verdict {
-        carried = admitted(carried, verdict, request, endpoint, letters, pool);
-        if status == Some(StatusCode::OK) && !verdict.is_known() {
-            lease.doubtful_success();
+    let (mut carried, verdict) = match came {
+        Came::Answer(answer, verdict) => {
+            if answer.status == StatusCode::OK && !verdict.is_known() {
+                lease.doubtful_success();
+            }
+            (admitted(&answer, verdict, request, endpoint, letters, pool), Some(verdict))
         }
-    }
+        Came::Crowded(verdict) => {
+            let crowded = Carried::each(letters, Reply::Ended(Outcome::Crowded));
+            let carried = match is_admitted(&crowded, verdict, request, endpoint, pool) {
+                true => crowded,
+                false => Carried::each(letters, Reply::Ended(Outcome::Doubtful)),
+            };
+            pool.turned_away(endpoint.kind);
+            (carried, Some(verdict))
+        }
+        Came::Cut(carried) => (carried, None),
+    };
     carried.idle = Some(lease.waited().as_nanos() as Nanos);
     let connection = lease.line().map_or(0, |line| line.number());
     log_call(endpoint, letters, (connection, request), &carried, verdict);
-    let says = |outcome| carried.replies.iter().any(|(_, reply)| *reply == Reply::Ended(outcome));
-    if says(Outcome::Crowded) {
-        pool.turned_away(endpoint.kind);
-    }
+    let says = |outcome| carried.replies.iter().any(|(_, reply)| reply.outcome() == outcome);
     match rest {
         Rest::Body(body, print) => match body.is_end_stream() {
             true => give_back(lease, &print.with_body(&[])),
@@ -182,25 +211,37 @@
 
 /// What may rest on an answer that was judged so, to the `request`th request of its connection, from 1.
 pub(super) fn admitted(
-    carried: Carried,
+    answer: &Answer,
     verdict: Verdict,
     request: usize,
     endpoint: &Endpoint,
     letters: &[Letter],
     pool: &Pool,
 ) -> Carried {
+    let carried = meant(answer, letters, Certainty::Proven);
+    match is_admitted(&carried, verdict, request, endpoint, pool) {
+        true => carried,
+        false => meant(answer, letters, Certainty::Doubtful),
+    }
+}
+
+/// Whether this may rest on an answer that was judged so.
+fn is_admitted(
+    carried: &Carried,
+    verdict: Verdict,
+    request: usize,
+    endpoint: &Endpoint,
+    pool: &Pool,
+) -> bool {
     let mut audit = pool.audit.borrow_mut();
     audit.judged(verdict);
-    if !verdict.is_known() {
-        return doubtful(&carried, letters);
-    }
     let rests = carried.replies.iter().any(|(_, reply)| is_proof(reply));
-    if rests && !audit.admits(Some(verdict), request) {
+    let is_violated = verdict.is_known() && rests && !audit.admits(Some(verdict), request);
+    if is_violated {
         let hop = endpoint.name.as_str();
         tracing::error!(target: "routing", event = "attribution-violation", hop, ?verdict, request);
-        return doubtful(&carried, letters);
     }
-    carried
+    verdict.is_known() && !is_violated
 }
 
 /// Whether a reply says that nothing more is owed, or that the message never ran.
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -7,7 +7,7 @@
 pub use ends::tell_ends;
 pub use intake::answer;
 
-use call::{admitted, conclude, exchange, log_call, meant, unanswered};
+use call::{admitted, conclude, exchange, log_call, unanswered};
 
 use super::hook;
 use crate::batching::fate::{fate, Break, Fate};
@@ -15,6 +15,7 @@
 use crate::routing::core::{Carried, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
+use crate::transport::beginning::Beginning;
 use crate::transport::connection::Unsent;
 use crate::transport::network::Net;
 use crate::transport::pipeline::{Answered, Broken, Pipelines};
@@ -23,10 +24,13 @@
 use hyper::StatusCode;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::future::{ready, Future};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{watch, Notify};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// What holds for requests of a class that do not say it themselves.
@@ -120,7 +124,9 @@
             // The line was closed before the request was written whole, be it while it waited or when it was
             // new: another, twice at most.
             for _ in 0..2 {
+                let answered = lease.line().is_some_and(|line| line.beginning() != Beginning::Nothing);
                 if !matches!(sent, Err(Unsent::Never))
+                    || answered
                     || lease.renew().await.is_err()
                     || !passage.may_go_on(&letters)
                 {
@@ -130,13 +136,20 @@
             }
             sent
         };
-        let sent = tokio::select! {
-            sent = exchange => sent.map_err(|unsent| match unsent {
-                Unsent::Never => Outcome::NoConnection,
-                Unsent::Perhaps => Outcome::Broken,
-            }),
-            () = sleep(Duration::from_nanos(left)) => Err(Outcome::TimedOut),
-            () = passage.cancelled() => Err(Outcome::Cancelled),
+        let sent = {
+            let mut exchange = pin!(exchange);
+            let given_up = tokio::select! {
+                sent = &mut exchange => Err(sent),
+                () = sleep(Duration::from_nanos(left)) => Ok(Outcome::TimedOut),
+                () = passage.cancelled() => Ok(Outcome::Cancelled),
+            };
+            match given_up {
+                Err(sent) => sent.map_err(unsent),
+                Ok(outcome) => match last_look(exchange).await {
+                    Some(sent) => sent.map_err(unsent),
+                    None => Err(outcome),
+                },
+            }
         };
         let exchanged = sent.unwrap_or_else(|outcome| unanswered(outcome, &mut lease, &letters));
         conclude(exchanged, lease, hop, &letters, &self.pool)
@@ -166,6 +179,23 @@
     }
 }
 
+fn unsent(unsent: Unsent) -> Outcome {
+    match unsent {
+        Unsent::Never => Outcome::NoConnection,
+        Unsent::Perhaps => Outcome::Broken,
+    }
+}
+
+/// What a call that is being given up has come to after all: its answer may have come in this turn of the loop.
+async fn last_look<T>(call: impl Future<Output = T>) -> Option<T> {
+    yield_now().await;
+    tokio::select! {
+        biased;
+        done = call => Some(done),
+        () = ready(()) => None,
+    }
+}
+
 impl Platform {
     /// Carries a call on a connection that takes several behind one another.
     async fn pipe(&self, passage: Passage<'_, Self>, piping: Piping, longest: Nanos) -> Carried {
@@ -207,11 +237,10 @@
         };
         match answer {
             Ok(Answered { answer, verdict, connection, request }) => {
-                let carried = meant(answer.status, &answer.headers, &answer.body, &letters);
                 if answer.status == StatusCode::OK && !verdict.is_known() {
                     self.pool.doubtful_success(hop.id, false);
                 }
-                let carried = admitted(carried, verdict, request, hop, &letters, &self.pool);
+                let carried = admitted(&answer, verdict, request, hop, &letters, &self.pool);
                 log_call(hop, &letters, (connection, request), &carried, Some(verdict));
                 carried
             }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -240,7 +240,8 @@
         events.extend(limits);
         for (attempt, reply) in ended {
             let (id, attempt, over) = (attempt.transaction, attempt.number, reply.settles());
-            events.extend((*reply == Reply::Spent).then_some(Event::Spent { id }));
+            let is_spent = matches!(reply, Reply::Spent | Reply::MustEnd(_));
+            events.extend(is_spent.then_some(Event::Spent { id }));
             events.extend(idle.map(|idle| Event::Idled { id, attempt, idle }));
             events.extend(echo.then_some(Event::Echo { id, attempt }));
             events.push(Event::Ended { id, attempt, outcome: reply.outcome(), latency: took, over });
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -20,4 +20,4 @@
 pub use desk::{Desk, Front};
 pub use journal::Journal;
 pub use transactions::Transaction;
-pub use values::{Attempt, Call, End, Limit, Reply, TransactionNo};
+pub use values::{Attempt, Call, End, Limit, Reply, Standing, TransactionNo};
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -1,7 +1,9 @@
 //! What the parts of routing tell one another: attempts, calls, ends.
 
+pub use crate::settlement::{Reply, Standing};
+
 use crate::catalog::EndpointId;
-use crate::interface::{Nanos, Outcome};
+use crate::interface::Nanos;
 use serde::{Deserialize, Serialize};
 
 /// A transaction's place in the order taken, across restarts.
@@ -23,34 +25,6 @@
     pub attempts: Vec<Attempt>,
 }
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reply {
-    Ended(Outcome),
-    /// It was not let through, and nothing more is owed.
-    Over,
-    /// It was not let through, since its transaction has had all its attempts.
-    Spent,
-    /// The next hop will never take it, for a reason in the front's own terms.
-    Rejected {
-        reason: u32,
-    },
-}
-
-impl Reply {
-    pub fn outcome(self) -> Outcome {
-        match self {
-            Reply::Ended(outcome) => outcome,
-            Reply::Over | Reply::Spent | Reply::Rejected { .. } => Outcome::NotSent,
-        }
-    }
-
-    /// Nothing more is owed for the transaction.
-    pub fn settles(self) -> bool {
-        matches!(self, Reply::Over | Reply::Ended(Outcome::Served))
-    }
-}
-
 /// A next hop's own limit, as an answer told it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
--- a/src/transport/answer.rs
+++ b/src/transport/answer.rs
@@ -120,3 +120,19 @@
         at += size + 2;
     }
 }
+
+/// As much of a body in chunks as has come.
+pub(super) fn chunked_part(mut bytes: &[u8]) -> Bytes {
+    let mut body = BytesMut::new();
+    while let Ok(httparse::Status::Complete((head, size))) = httparse::parse_chunk_size(bytes) {
+        let chunk = &bytes[head..];
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if size == 0 {
+            break;
+        }
+        body.extend_from_slice(&chunk[..size.min(chunk.len())]);
+        let Some(rest) = size.checked_add(2).and_then(|end| chunk.get(end..)) else { break };
+        bytes = rest;
+    }
+    body.freeze()
+}
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection of ours to a next hop or to the platform.
 
+use super::beginning::Beginning;
 use super::network::{Net, Stream};
 use crate::attribution::Exchanges;
 use bytes::Bytes;
@@ -28,6 +29,8 @@
     /// Bytes that may still be read before the next `listen_anew`, and how many each time.
     left: Cell<u64>,
     most: u64,
+    /// How many of them are kept.
+    kept: usize,
     /// The first bytes read since then, and when they came.
     heard: RefCell<Vec<u8>>,
     heard_at: Cell<Option<Instant>>,
@@ -43,13 +46,11 @@
     tap: Rc<Tapped>,
 }
 
-/// So many bytes of an answer are kept: enough to find its first line behind some 1xx ones.
-const HEARD_MOST: usize = 1024;
-
 impl Tapped {
-    /// A tap that lets `most` bytes in for each thing listened to; what goes on longer breaks the stream.
-    pub fn new(stream: Stream, most: u64) -> (TappedStream, Rc<Tapped>) {
-        let tap = Rc::new(Tapped { left: Cell::new(most), most, ..Tapped::default() });
+    /// A tap that lets `most` bytes in for each thing listened to, and keeps the first `kept`; what goes on longer breaks the
+    /// stream.
+    pub fn new(stream: Stream, most: u64, kept: usize) -> (TappedStream, Rc<Tapped>) {
+        let tap = Rc::new(Tapped { left: Cell::new(most), most, kept, ..Tapped::default() });
         (TappedStream { stream, tap: tap.clone() }, tap)
     }
 
@@ -89,9 +90,9 @@
         }
     }
 
-    /// The status in the first line of the answer being heard, whatever follows that line.
-    pub fn status(&self) -> Option<u16> {
-        first_status(&self.heard.borrow())
+    /// What can be read of the answer being heard.
+    pub fn beginning(&self) -> Beginning {
+        Beginning::of(&self.heard.borrow())
     }
 
     fn hear(&self, bytes: &[u8]) -> bool {
@@ -104,7 +105,7 @@
             self.first.notify_one();
         }
         let mut heard = self.heard.borrow_mut();
-        let room = HEARD_MOST - heard.len();
+        let room = self.kept - heard.len();
         heard.extend_from_slice(&bytes[..bytes.len().min(room)]);
         let left = self.left.get().checked_sub(bytes.len() as u64);
         self.left.set(left.unwrap_or(0));
@@ -112,22 +113,6 @@
     }
 }
 
-/// The status of an answer, of which the first line must have come whole; 1xx before it are skipped.
-fn first_status(mut heard: &[u8]) -> Option<u16> {
-    loop {
-        let end = heard.iter().position(|b| *b == b'\n')?;
-        let line = heard[..end].strip_prefix(b"HTTP/1.")?;
-        let code = std::str::from_utf8(line.get(2..5)?).ok()?;
-        let set_apart = line[1] == b' ' && line.get(5).is_none_or(|b| matches!(b, b' ' | b'\r'));
-        let status = code.parse().ok().filter(|_| set_apart && code.bytes().all(|b| b.is_ascii_digit()))?;
-        if !(100..200).contains(&status) || status == 101 {
-            return Some(status);
-        }
-        let over = heard.windows(4).position(|w| w == b"\r\n\r\n")?;
-        heard = &heard[over + 4..];
-    }
-}
-
 impl AsyncRead for TappedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -219,10 +204,16 @@
 }
 
 impl Line {
-    /// Opens a line on which no answer may hold more than `most` bytes.
-    pub async fn open(net: &Net, dial: SocketAddr, within: Duration, most: usize) -> io::Result<Line> {
+    /// Opens a line on which no answer may hold more than `most` bytes, of which the first `kept` can be read again.
+    pub async fn open(
+        net: &Net,
+        dial: SocketAddr,
+        within: Duration,
+        most: usize,
+        kept: usize,
+    ) -> io::Result<Line> {
         let connect = async {
-            let (stream, tap) = Tapped::new(net.connect(dial).await?, most as u64);
+            let (stream, tap) = Tapped::new(net.connect(dial).await?, most as u64, kept);
             let mut builder = Builder::new();
             builder.max_buf_size(HEAD_MOST);
             let shaken = builder.handshake(TokioIo::new(stream)).await;
@@ -249,7 +240,7 @@
     /// Whether an answer came, or began to, while it waited, which reads as if it had been sent twice.
     pub fn had_surplus(&self) -> bool {
         let repeats = |status| !self.exchanges.is_new_status(status);
-        self.tap.surplus() && self.tap.status().is_some_and(repeats)
+        self.tap.surplus() && self.tap.beginning().told_status().is_some_and(repeats)
     }
 
     /// Whether the other side has left it open as far as is known, with no request out.
@@ -257,14 +248,9 @@
         self.sender.is_ready() && !self.sender.is_closed()
     }
 
-    /// The status in the first line of the answer that is coming, whatever follows that line.
-    pub fn status(&self) -> Option<u16> {
-        self.tap.status()
-    }
-
-    /// Whether any byte of that answer has come.
-    pub fn heard(&self) -> bool {
-        self.tap.heard_at().is_some()
+    /// What can be read of the answer that is coming.
+    pub fn beginning(&self) -> Beginning {
+        self.tap.beginning()
     }
 
     /// What goes on over the line, to be watched beside a request.
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -213,7 +213,7 @@
         F: Future<Output = Response<Full<Bytes>>> + 'static,
         G: Fn(&Rc<Leg>) + 'static,
     {
-        let (stream, tap) = Tapped::new(stream, u64::MAX);
+        let (stream, tap) = Tapped::new(stream, u64::MAX, 0);
         let leg = Rc::new(Leg {
             close: Notify::new(),
             entrant: entrant.clone(),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: listeners with their caller legs, connections, pools of connections to next hops.
 
 pub mod answer;
+pub mod beginning;
 pub mod connection;
 pub mod datagrams;
 pub mod door;
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -155,7 +155,7 @@
         (self.line, self.waited, self.is_last) = (None, Duration::ZERO, false);
         let pool = &self.pool;
         self.lives = pool.holding.borrow_mut().opened(pool.now());
-        match Line::open(&pool.net, self.dial, pool.connect_timeout.get(), ANSWER_MOST).await {
+        match Line::open(&pool.net, self.dial, pool.connect_timeout.get(), ANSWER_MOST, ANSWER_MOST).await {
             Ok(line) => {
                 let (connection, endpoint) = (line.number(), self.endpoint);
                 tracing::debug!(target: "routing", event = "connection-opened", connection, endpoint, dial = %self.dial);
