Let a connection that brought a final answer carry no other call

A copy of a 410 or 504 would end a message that is not over, and the second honest one on a connection would be doubtful, so that its message had a notice too many. Such a connection is not given back to the pool, and a pipeline takes nothing new.

--- a/src/attribution/mod.rs
+++ b/src/attribution/mod.rs
@@ -21,6 +21,9 @@
 
 /// Answers that a connection carries at most: each is remembered as long as it is open.
 const ANSWERS_MOST: usize = 512;
+/// Statuses of final answers that deliver nothing. A second one on a connection would read like the first, and a message that
+/// is not over would have to end for its copy.
+const FINAL: [u16; 2] = [410, 504];
 
 /// Why an answer is known to be the one to the call that is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -132,12 +135,12 @@
 
     /// Whether every request has had an answer that was known to be its own, so that another may be written.
     pub fn in_step(&self) -> bool {
-        self.answers == self.requests && self.has_room()
+        self.answers == self.requests && self.may_carry_more()
     }
 
-    /// Whether the answer to one more request could be remembered.
-    pub fn has_room(&self) -> bool {
-        self.requests < ANSWERS_MOST
+    /// Whether the answer to one more request could be remembered, and none so far was final.
+    pub fn may_carry_more(&self) -> bool {
+        self.requests < ANSWERS_MOST && FINAL.iter().all(|status| self.is_new_status(*status))
     }
 
     /// Whether every answer so far was a success: a refusal would be the first one and so known for certain.
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -84,7 +84,7 @@
 
     /// Whether calls may go on it, now or once others have their answers.
     pub(super) fn is_open(&self) -> bool {
-        self.pipe.borrow().is_open() && self.exchanges.borrow().has_room()
+        self.pipe.borrow().is_open() && self.exchanges.borrow().may_carry_more()
     }
 
     /// Whether a call may go on it now: its answer has to be known for its own, whatever it says, where it may not be
@@ -207,6 +207,9 @@
         let request = ticket as usize + 1;
         let answered = Answered::new(answer, verdict, Via { connection: self.number, request });
         if verdict.is_known() {
+            if !self.exchanges.borrow().may_carry_more() {
+                self.pipe.borrow_mut().drain();
+            }
             self.tell(ticket, Ok(answered));
         } else {
             self.withdraw();
@@ -334,7 +337,7 @@
     #[test]
     fn a_connection_takes_no_more_calls_than_answers_can_be_remembered() {
         let connection = connection(Pipe::new(4), &[]);
-        while connection.exchanges.borrow().has_room() {
+        while connection.exchanges.borrow().may_carry_more() {
             assert!(connection.may_take(true));
             connection.exchanges.borrow_mut().requested();
         }
--- a/tests/attribution_model.rs
+++ b/tests/attribution_model.rs
@@ -147,3 +147,14 @@
     audit.judged(Verdict::Doubtful(Doubt::Cut));
     assert_eq!(audit.counts().doubtful.get(&Doubt::Cut), Some(&1));
 }
+
+/// Guards messages that are not over from the copy of a final answer: a connection that brought one carries no other call.
+#[test]
+fn a_connection_that_brought_a_final_answer_carries_no_other_call() {
+    for status in [410, 504] {
+        let carried = connection(&[answer(200, "a"), answer(status, "")]);
+        assert!(!carried.in_step() && !carried.may_carry_more());
+        assert!(!Sources::default().may_carry(&carried, true));
+    }
+    assert!(connection(&[answer(200, "a"), answer(429, "")]).in_step());
+}
--- a/tests/final_answers/forms.rs
+++ b/tests/final_answers/forms.rs
@@ -38,6 +38,9 @@
     for (seen, nature) in seen {
         println!("{nature:?}");
         seen.judge();
+        // Alone and whole, each is known to be its call's own, so that nothing is left to be told.
+        let is_known = terms.per_call == 1 && terms.slots < 64 && nature.finals.unwrap().form == Form::Whole;
+        assert!(!is_known || seen.over_and_ended == 0, "{seen:?}");
     }
 }
 
--- a/tests/final_answers/rig.rs
+++ b/tests/final_answers/rig.rs
@@ -45,6 +45,8 @@
     pub taken: usize,
     pub delivered: usize,
     pub finals: usize,
+    /// Messages that were over by a 410, and were ended by a notice all the same.
+    pub over_and_ended: usize,
     pub batches: u32,
     pub calls: usize,
     pub connections: usize,
@@ -95,6 +97,7 @@
             taken: taken.len(),
             delivered: taken.iter().filter(|id| record.is_delivered(id)).count(),
             finals: record.finals(Says::Over).len() + record.finals(Says::NoMore).len(),
+            over_and_ended: record.finals(Says::Over).intersection(&ended).count(),
             batches: record.batches,
             calls: self.endpoint.calls.load(Ordering::SeqCst),
             connections: self.endpoint.connections.load(Ordering::SeqCst),
@@ -122,10 +125,22 @@
 impl Seen {
     /// Counts in place of ids.
     fn words(&self) -> String {
-        let Seen { taken, delivered, finals, batches, calls, connections, lost, violations, told, .. } = self;
+        let Seen {
+            taken,
+            delivered,
+            finals,
+            over_and_ended,
+            batches,
+            calls,
+            connections,
+            lost,
+            violations,
+            told,
+            ..
+        } = self;
         let Violations { run_again, out_twice, out_of_turn, called_after_final } = violations;
         format!(
-            "{taken} taken, {delivered} delivered, {finals} final, {} called after, {} lost, {} run again, {} out twice, \
+            "{taken} taken, {delivered} delivered, {finals} final, {over_and_ended} of them over and ended, {} called after, {} lost, {} run again, {} out twice, \
              {} out of turn, {calls} calls, {batches} batches, {connections} connections, {} lines told",
             called_after_final.len(),
             lost.len(),
