Write a final answer and the end of its attempt in one record

The end of the attempt and the message's end were two records. The first one now says that no other attempt begins, in the record, in copies and for the process that follows; a message that has it is given up at once and never begun.

--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -279,6 +279,7 @@
         if let Some(m) = self.messages.get_mut(&id) {
             m.attempts = m.attempts.max(m.rules.max_attempts);
             self.ends.change(id);
+            self.next_end = 0;
         }
     }
 
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -27,7 +27,7 @@
             let no = attempt.transaction;
             let in_time = self.facade.may_begin(no, call.endpoint, now);
             let Some(t) = self.transactions.get_mut(no) else { continue };
-            if t.ending.is_some() || t.dest != dest {
+            if t.ending.is_some() || t.is_spent || t.dest != dest {
                 message_log::not_begun(t, attempt, hop.name, NotBegun::HasItsEnd);
                 continue;
             }
@@ -108,11 +108,14 @@
             // Given up meanwhile: with an answer that settles it, it is over, whether its end was told or not.
             let ending = t.ending;
             // The outcome of another attempt says nothing of the one that is out now.
-            if let Some(out) = t.out.take_if(|_| was_out) {
-                t.may_have_run = t.may_have_run.or(Some(out).filter(|_| ran));
-                if !reply.settles() {
-                    self.note(now, no, &Record::Back { may_have_run: ran });
-                }
+            let out = t.out.take_if(|_| was_out);
+            t.may_have_run = t.may_have_run.or(out.filter(|_| ran));
+            let is_final = reply.is_final();
+            t.is_spent |= is_final;
+            if !reply.settles() && out.is_some() {
+                self.note(now, no, &Record::Back { may_have_run: ran, is_final });
+            } else if !reply.settles() && is_final {
+                self.note(now, no, &Record::Spent);
             }
             match reply {
                 Reply::Ended(Outcome::Served) if self.tells_delivery => self.end(now, no, Ending::Delivered),
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -44,6 +44,7 @@
                 past: Some((t.attempts.saturating_sub(u32::from(is_out)), ran)),
                 bytes: bytes_of(t),
                 ended,
+                spent: t.is_spent,
             });
         }
         if !self.transactions.is_empty() {
@@ -91,6 +92,7 @@
             out: None,
             ending: None,
             reason: 0,
+            is_spent: false,
         };
         if self.facade.full() || !self.journal.has_room(&t, &self.transactions) {
             return Taken::Refused { after: DOOR_ADVICE, full: true };
@@ -107,7 +109,17 @@
         self.next_no += 1;
         message_log::taken(no, &t, self.journal.classes().name(t.class));
         self.transactions.insert(no, t);
-        let ask = Ask { transaction: no, class, dest, key, time_left, past: None, bytes, ended: false };
+        let ask = Ask {
+            transaction: no,
+            class,
+            dest,
+            key,
+            time_left,
+            past: None,
+            bytes,
+            ended: false,
+            spent: false,
+        };
         let mut picked = self.facade.pick(now, ask);
         let at_once = picked.ends.iter().position(|(of, _)| *of == no).map(|i| picked.ends.remove(i).1);
         self.absorb(now, picked);
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -52,6 +52,8 @@
     pub bytes: usize,
     /// It has its end, of which its caller has not been told yet.
     pub ended: bool,
+    /// It has had a final answer: it is not sent any more.
+    pub spent: bool,
 }
 
 /// An endpoint that was in an outage when an earlier life ended.
@@ -199,7 +201,7 @@
     fn asked(&mut self, asks: Vec<Ask>) -> Vec<Event> {
         let mut events = Vec::new();
         for a in asks {
-            let Ask { transaction: id, class, dest, key, time_left, past, bytes, ended } = a;
+            let Ask { transaction: id, class, dest, key, time_left, past, bytes, ended, spent } = a;
             if ended {
                 let ordered = self.relay.is_in_order(class);
                 events.extend(key.filter(|_| ordered).map(|key| Event::Unsettled { id, key }));
@@ -212,6 +214,7 @@
                     Event::Restored { id, class, dest, key, time_left, attempts, may_have_run }
                 }
             });
+            events.extend(spent.then_some(Event::Spent { id }));
             events.push(Event::Travels { id, bytes, group: usize::MAX });
         }
         events
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -10,6 +10,13 @@
 /// Bytes of a record before its body: length and checksum.
 pub(super) const HEAD: usize = 8;
 
+/// The code of an attempt that has ended, and what follows it where a final answer has come, to it or to another.
+pub(super) const BACK: u8 = 3;
+pub(super) const BACK_FINAL: u8 = 1;
+pub(super) const FINAL_ELSEWHERE: u8 = 2;
+/// Attempts of a transaction that has had a final answer.
+pub(super) const SPENT: u32 = u32::MAX;
+
 /// The code of a transaction that is over, and what follows it where that was delivered.
 pub(super) const OVER: u8 = 5;
 pub(super) const DELIVERED: u8 = 1;
@@ -28,7 +35,11 @@
     /// The attempt that was out has ended.
     Back {
         may_have_run: bool,
+        /// With a final answer: no other attempt begins.
+        is_final: bool,
     },
+    /// A final answer has come for another attempt than the one that is out, if any is: no other begins.
+    Spent,
     /// The end is decided and owed.
     Ending(Ending, u32),
     /// Nothing more is owed.
@@ -94,7 +105,7 @@
             out.extend(t.dest.to_le_bytes());
             out.extend(t.taken_at.to_le_bytes());
             out.extend(t.deadline.to_le_bytes());
-            out.extend(t.attempts.to_le_bytes());
+            out.extend(if t.is_spent { SPENT } else { t.attempts }.to_le_bytes());
             put_moment(&mut out, t.may_have_run);
             put_moment(&mut out, t.out);
             put_ending(&mut out, t.ending, t.reason);
@@ -111,7 +122,12 @@
             out.push(2);
             put_moment(&mut out, Some((*at, *zone)));
         }
-        Record::Back { may_have_run } => out.extend([3, u8::from(*may_have_run)]),
+        // Versions that know of no final answers read the first two bytes alone.
+        Record::Back { may_have_run, is_final: false } => out.extend([BACK, u8::from(*may_have_run)]),
+        Record::Back { may_have_run, is_final: true } => {
+            out.extend([BACK, u8::from(*may_have_run), BACK_FINAL])
+        }
+        Record::Spent => out.extend([BACK, 1, FINAL_ELSEWHERE]),
         Record::Ending(e, reason) => {
             out.push(4);
             put_ending(&mut out, Some(*e), *reason);
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -3,7 +3,7 @@
 use super::super::classes::{Class, ClassKey, Classes, UNKNOWN};
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
-use super::record::{set_ailing, Ailing, CLASS, DELIVERED, HEAD, OVER};
+use super::record::{set_ailing, Ailing, BACK, CLASS, DELIVERED, FINAL_ELSEWHERE, HEAD, OVER, SPENT};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
@@ -147,10 +147,14 @@
                 into.last_out.insert(t.dest, at);
             }
         }
-        3 => {
+        BACK => {
             let ran = r.u8()? == 1;
-            t.may_have_run = t.may_have_run.or(t.out.filter(|_| ran));
-            t.out = None;
+            let final_answer = r.u8();
+            t.is_spent |= final_answer.is_some();
+            if final_answer != Some(FINAL_ELSEWHERE) {
+                t.may_have_run = t.may_have_run.or(t.out.filter(|_| ran));
+                t.out = None;
+            }
         }
         4 => (t.ending, t.reason) = r.ending()?,
         OVER => {
@@ -179,11 +183,12 @@
         dest,
         taken_at,
         deadline,
-        attempts,
+        attempts: if attempts == SPENT { 0 } else { attempts },
         may_have_run,
         out,
         ending,
         reason,
+        is_spent: attempts == SPENT,
     };
     // Versions that knew of no keys wrote none.
     t.class = r.u64().and_then(|key| classes.find(key)).unwrap_or(t.class);
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -31,6 +31,8 @@
     pub ending: Option<Ending>,
     /// Why a next hop rejected it for good, in the front's own terms; 0 where none did.
     pub reason: u32,
+    /// It has had a final answer, proven or not: no attempt begins any more, whether its end is decided or not.
+    pub is_spent: bool,
 }
 
 /// The final answer, once there is one.
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -39,7 +39,7 @@
     journal.write(1, &Record::Taken(&kept)).unwrap();
     journal.write(2, &Record::Taken(&transaction("m2", 10))).unwrap();
     journal.write(1, &Record::Out { at: 100, zone: 3 }).unwrap();
-    journal.write(1, &Record::Back { may_have_run: true }).unwrap();
+    journal.write(1, &Record::Back { may_have_run: true, is_final: false }).unwrap();
     journal.write(1, &Record::Out { at: 200, zone: 4 }).unwrap();
     journal.write(2, &Record::Over).unwrap();
     let ending = Ending::Undelivered(End::Returned { after: 77 });
@@ -78,7 +78,7 @@
     let (mut journal, replayed, _, _) = folder.open(3_000_000);
     let t = replayed.get(1).unwrap();
     assert_eq!((t.may_have_run, t.out, t.attempts), (Some((100, 3)), Some((200, 4)), 2));
-    journal.write(1, &Record::Back { may_have_run: false }).unwrap();
+    journal.write(1, &Record::Back { may_have_run: false, is_final: false }).unwrap();
     drop(journal);
     let t = folder.open(3_000_000).1.get(1).unwrap().clone();
     assert_eq!((t.may_have_run, t.out), (Some((100, 3)), None));
@@ -131,7 +131,7 @@
     for live in 1..no {
         for _ in 0..8 {
             journal.write(live, &Record::Out { at: 1, zone: 0 }).unwrap();
-            journal.write(live, &Record::Back { may_have_run: false }).unwrap();
+            journal.write(live, &Record::Back { may_have_run: false, is_final: false }).unwrap();
             most = most.max(folder.bytes());
         }
         journal.write(live, &Record::Ending(Ending::Delivered, 0)).unwrap();
@@ -223,3 +223,27 @@
     assert_eq!(folder.open(3_000_000).1.len(), 1);
     assert!(!copy.exists());
 }
+
+/// Guards final answers from a kill: what has had one comes back with it, from the record and from a copy, and the attempt
+/// that is out is not said to be back by the final answer to another.
+#[test]
+fn a_final_answer_comes_back_with_its_message() {
+    let folder = Folder::new("final");
+    let (mut journal, ..) = folder.open(3_000_000);
+    for no in 1..=3 {
+        journal.write(no, &Record::Taken(&transaction(&format!("m{no}"), 10))).unwrap();
+        journal.write(no, &Record::Out { at: 100, zone: 3 }).unwrap();
+    }
+    journal.write(1, &Record::Back { may_have_run: true, is_final: true }).unwrap();
+    journal.write(2, &Record::Spent).unwrap();
+    journal.write(3, &Record::Back { may_have_run: true, is_final: false }).unwrap();
+    drop(journal);
+    let state = |all: &Transactions| -> Vec<(bool, bool)> {
+        all.iter().map(|(_, t)| (t.is_spent, t.out.is_some())).collect()
+    };
+    let (mut journal, all, ..) = folder.open(3_000_000);
+    assert_eq!(state(&all), [(true, false), (true, true), (false, false)]);
+    journal.rewrite(&all).unwrap();
+    drop(journal);
+    assert_eq!(state(&folder.open(3_000_000).1), [(true, false), (true, true), (false, false)]);
+}
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -28,20 +28,25 @@
     path
 }
 
-/// What a partner saw of a message: when its attempts began, in which zone, and whether each may have run.
+/// What a partner saw of a message: when its attempts began, in which zone, and whether each may have run; and whether the relay
+/// has had a final answer for it, proven or not.
 #[derive(Clone, Debug, Default)]
 struct Seen {
     class: usize,
     begun: Vec<(u64, usize, bool)>,
+    has_final_answer: bool,
 }
 
-/// The rule on repeats, by what was seen and nothing that the relay says.
+/// The rules on repeats and on final answers, by what was seen and nothing that the relay says.
 #[derive(Clone, Debug, Default)]
 struct Oracle(BTreeMap<String, Seen>);
 
 impl Oracle {
     fn begins(&mut self, now: u64, zone: usize, id: &str) -> Result<(), String> {
         let seen = self.0.get_mut(id).expect("nobody handed it in");
+        if seen.has_final_answer {
+            return Err(format!("{id} is called after its final answer"));
+        }
         let first = seen.begun.iter().find(|b| b.2).copied();
         seen.begun.push((now, zone, true));
         let (Some((at, in_zone, _)), repeat) = (first, settings().classes[seen.class].repeat) else {
@@ -69,7 +74,7 @@
 enum Due {
     Take(usize),
     Begin(Call, usize),
-    End(Call, Vec<Letter>, Outcome, u64),
+    End(Call, Vec<Letter>, Reply, u64),
     Told(u64),
 }
 
@@ -182,22 +187,28 @@
                     self.report(&call, Vec::new(), 0);
                 } else {
                     let wait = if self.roll(3) == 0 { self.roll(3_000) * MS } else { 0 };
-                    let (outcome, takes) = match self.roll(20) {
-                        0..=2 => (Outcome::Served, 40 * MS),
-                        3..=7 => (Outcome::Broken, 30 * MS),
-                        8..=10 => (Outcome::Error, 30 * MS),
-                        11..=13 => (Outcome::TimedOut, call.attempts[0].timeout),
-                        14..=16 => (Outcome::Full { wait }, 10 * MS),
-                        _ => (Outcome::NoConnection, MS),
+                    let (reply, takes) = match self.roll(23) {
+                        0..=2 => (Reply::Ended(Outcome::Served), 40 * MS),
+                        3..=7 => (Reply::Ended(Outcome::Broken), 30 * MS),
+                        8..=10 => (Reply::Ended(Outcome::Error), 30 * MS),
+                        11..=13 => (Reply::Ended(Outcome::TimedOut), call.attempts[0].timeout),
+                        14..=16 => (Reply::Ended(Outcome::Full { wait }), 10 * MS),
+                        17..=19 => (Reply::Ended(Outcome::NoConnection), MS),
+                        20 => (Reply::Over, MS),
+                        21 => (Reply::Spent, MS),
+                        _ => (Reply::MustEnd(Outcome::Spoilt), MS),
                     };
-                    self.plan(self.now + takes, Due::End(call, letters, outcome, self.now));
+                    self.plan(self.now + takes, Due::End(call, letters, reply, self.now));
                 }
             }
-            Due::End(call, letters, outcome, from) => {
-                if outcome.never_ran() {
-                    letters.iter().for_each(|l| self.oracle.never_ran(&l.id));
+            Due::End(call, letters, reply, from) => {
+                for letter in &letters {
+                    if reply.outcome().never_ran() {
+                        self.oracle.never_ran(&letter.id);
+                    }
+                    self.oracle.0.get_mut(&letter.id).unwrap().has_final_answer |= reply.is_final();
                 }
-                let replies = letters.iter().map(|l| (l.attempt, Reply::Ended(outcome))).collect();
+                let replies = letters.iter().map(|l| (l.attempt, reply)).collect();
                 self.report(&call, replies, self.now - from);
             }
             Due::Told(no) => self.core.acknowledged(self.now, no),
