--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -13,9 +13,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// The end of a message in a batch that is over, and of one that has had all its attempts.
+/// Ends of messages in a batch: of one that is over, and of one that has had all its attempts.
 const EXPIRED: &str = "expired";
 const NO_MORE: &str = "no_more";
+/// Those that are not final.
+const ACCEPTED: &str = "accepted";
+const DEFERRED: &str = "deferred";
+const FAULT: &str = "fault";
+const NOT_FINAL: [&str; 3] = [ACCEPTED, DEFERRED, FAULT];
 
 /// The request of a call, and its body's length.
 pub fn request(
@@ -143,11 +148,11 @@
 
 /// What a line of a batch's answer says of a message where its end is missing.
 fn said_in_cut_line(line: &str, id: &str) -> Said {
-    let end = line.strip_prefix(id).and_then(|behind| behind.strip_prefix(' '));
+    let end = line.strip_prefix(id).and_then(|behind| behind.strip_prefix(' ')).map(str::trim);
     match end {
         None => Said::Nothing,
-        Some(end) if [EXPIRED, NO_MORE].iter().any(|word| word.starts_with(end)) => Said::MaybeFinal,
-        Some(_) => Said::NotFinal,
+        Some(end) if !end.is_empty() && NOT_FINAL.iter().any(|word| word.starts_with(end)) => Said::NotFinal,
+        Some(_) => Said::MaybeFinal,
     }
 }
 
@@ -179,11 +184,11 @@
 
 fn reply_in_batch(end: &str, wait: Nanos) -> Reply {
     match end {
-        "accepted" => Reply::Ended(Outcome::Served),
-        "deferred" => Reply::Ended(Outcome::Full { wait }),
+        ACCEPTED => Reply::Ended(Outcome::Served),
+        DEFERRED => Reply::Ended(Outcome::Full { wait }),
         EXPIRED => Reply::Over,
         NO_MORE => Reply::Spent,
-        "fault" => Reply::Ended(Outcome::Error),
+        FAULT => Reply::Ended(Outcome::Error),
         _ => Reply::Ended(Outcome::Spoilt),
     }
 }
@@ -212,7 +217,10 @@
         let said = in_part(&format!("{OK}a accepted\r\nb expired\r\nc no"), &["a", "b", "c", "d"]);
         assert_eq!(said, [accepted, Said::Plainly(Reply::Over), Said::MaybeFinal, Said::Nothing]);
         assert_eq!(in_part(&format!("{OK}a acc"), &["a", "b"]), [Said::NotFinal, Said::Nothing]);
-        assert_eq!(in_part(&format!("{OK}a "), &["a", "b"]), [Said::MaybeFinal, Said::Nothing]);
+        for line in ["a ", "a exp", "a expired", "a expired\r", "a no_more\r", "a ?"] {
+            let said = in_part(&format!("{OK}{line}"), &["a", "b"]);
+            assert_eq!(said, [Said::MaybeFinal, Said::Nothing], "{line:?}");
+        }
         assert_eq!(in_part("HTTP/1.1 2", &["a", "b"]), [Said::MaybeFinal; 2]);
         assert_eq!(
             in_part("HTTP/1.1 503 Full\r\n", &["a", "b"])[0].clone(),
