Tell the next process where a final answer could not be written

A 410 that came while the lasting folder took no writes was known to the process alone; killed before it could write, it was called again by the next one, and so after 504. The folder now says that records are missing: an empty file that is laid ready is renamed, which a full disk allows, and renamed back once all is written. A start that finds it so lets no attempt begin of what was out, and ends it by a notice; what another process hands over whole is not touched by it, what comes back from one that is gone is.

Where the folder refuses renames too, the mark cannot be set: an open risk.

--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -16,7 +16,7 @@
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::core::{Batching, First, Moved};
 use crate::routing::handover::{Endpoints, Handover};
-use crate::routing::journal::{OpenError, Replayed};
+use crate::routing::journal::{OpenError, Preread, Replayed};
 use crate::routing::{Classes, Clock, Core, Desk, EndpointUpdate, Journal};
 use crate::transport::gate::{Gate, Gated};
 use crate::transport::network::{Counted, Listen, Net};
@@ -78,7 +78,9 @@
         let configuration = self.in_force.borrow().clone();
         let budget = self.rooms.journal(&configuration);
         let classes = Classes::of(&configuration.classes, &configuration.settings);
-        let (mut journal, mut replayed) = Journal::open(&configuration.state, budget, classes)?;
+        let (mut journal, mut replayed) =
+            Journal::open_after(Preread::none(), &configuration.state, budget, &classes)?;
+        let lacks_records = journal.lacks_records();
         // Its calls are not waited for any more.
         handed.calls.clear();
         let unwritten = std::mem::take(&mut handed.unwritten);
@@ -86,6 +88,10 @@
         if journal.bytes() == handed.journal_bytes {
             journal.append_unwritten(unwritten, &mut replayed);
         }
+        // What the other could not write is gone with it.
+        if lacks_records {
+            journal.distrust_attempts(&mut replayed);
+        }
         Ok(self.of(journal, replayed, Some((handed, names))))
     }
 }
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -8,6 +8,7 @@
 //! Writes may fail for a while. What has to be on disk before something is done ([`Journal::write`]) is then refused; what
 //! has happened already ([`Journal::note`]) is kept back and written first as soon as that is possible.
 
+mod behind;
 mod lock;
 mod preread;
 mod record;
@@ -23,6 +24,7 @@
 use super::values::TransactionNo;
 use crate::interface::Settings;
 use crate::maintenance::Maintenance;
+use behind::BehindMark;
 use bytes::Bytes;
 use record::{encode, set_ailing, Ailing};
 use replay::replay;
@@ -57,6 +59,8 @@
     size: u64,
     /// Records of what has happened that could not be written yet.
     unwritten: Vec<u8>,
+    /// Tells the next process that there are such records.
+    mark: BehindMark,
     /// The file may hold part of a record behind its whole ones.
     has_torn_tail: bool,
     /// Bytes that the copy of each live transaction takes.
@@ -75,10 +79,28 @@
         budget: u64,
         classes: impl Into<Classes>,
     ) -> Result<(Journal, Replayed), OpenError> {
-        Journal::open_after(Preread::none(), dir, budget, &classes.into())
+        let (mut journal, mut replayed) = Journal::open_after(Preread::none(), dir, budget, &classes.into())?;
+        if journal.lacks_records() {
+            journal.distrust_attempts(&mut replayed);
+        }
+        Ok((journal, replayed))
+    }
+
+    /// Whether the process before could not write all that happened.
+    pub fn lacks_records(&self) -> bool {
+        self.mark.is_set()
+    }
+
+    /// Where it could not, any attempt that was out may have had a final answer: no other begins.
+    pub fn distrust_attempts(&mut self, replayed: &mut Replayed) {
+        for no in replayed.transactions.spend_all_out() {
+            let record = Record::Back { may_have_run: true, is_final: true };
+            self.unwritten.extend(encode(no, &record, &self.classes));
+        }
+        self.flush().ok();
     }
 
-    /// The same where most of it was read before, while another process still had it.
+    /// The same where most of it was read before, while another process still had it, which tells what it could not write.
     pub fn open_after(
         preread: Preread,
         dir: &Path,
@@ -99,6 +121,7 @@
             budget: budget.saturating_sub(MARGIN + ROOM_AILING),
             size: good,
             unwritten: Vec::new(),
+            mark: BehindMark::open(dir),
             has_torn_tail: replayed.torn > 0,
             live: HashMap::new(),
             live_bytes: 0,
@@ -193,18 +216,20 @@
         let bytes = self.encoded(no, record);
         self.unwritten.extend(bytes);
         self.account(no, record);
-        self.flush()
+        self.flush().inspect_err(|_| drop(self.mark.set()))
     }
 
     /// Writes what could not be written before.
     pub fn flush(&mut self) -> io::Result<()> {
         if self.unwritten.is_empty() {
+            self.mark.clear();
             return Ok(());
         }
         let bytes = std::mem::take(&mut self.unwritten);
         let written = self.append(&bytes);
-        if written.is_err() {
-            self.unwritten = bytes;
+        match written {
+            Ok(()) => self.mark.clear(),
+            Err(_) => self.unwritten = bytes,
         }
         written
     }
@@ -321,6 +346,7 @@
         self.written = written;
         // The copy is made of what is known, so it has these too.
         self.unwritten.clear();
+        self.mark.clear();
         Ok(())
     }
 
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -110,6 +110,19 @@
         self.by_id.get(id).copied()
     }
 
+    /// Has no attempt begin any more for those of which one is out: it counts as ended, and may have run. Returns which they
+    /// are.
+    pub fn spend_all_out(&mut self) -> Vec<TransactionNo> {
+        let mut spent = Vec::new();
+        for (no, t) in &mut self.by_no {
+            let Some(out) = t.out.take() else { continue };
+            t.may_have_run.get_or_insert(out);
+            t.is_spent = true;
+            spent.push(*no);
+        }
+        spent
+    }
+
     /// In the order taken.
     pub fn iter(&self) -> impl Iterator<Item = (TransactionNo, &Transaction)> {
         self.by_no.iter().map(|(no, t)| (*no, t))
--- a/tests/final_answers/main.rs
+++ b/tests/final_answers/main.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 #[path = "../attribution/finals.rs"]
 mod finals;
+mod folder;
 mod forms;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
--- a/tests/final_answers/rig.rs
+++ b/tests/final_answers/rig.rs
@@ -26,6 +26,15 @@
     platform.start_ready()
 }
 
+/// The same, by a line of the shell.
+pub fn start_by(platform: &Platform, line: &str) -> Process {
+    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    let operator = platform.dir.join("relay.conf");
+    let process = platform.start_by(line, |command| command.env("OPERATOR", operator));
+    assert!(process.ready().is_some(), "it never said yes: {:?}", process.log.tell(|lines| lines.clone()));
+    process
+}
+
 /// Tells each message's life in the log.
 pub const LOG: &str = "log {\ntarget messages debug\n}\n";
 
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -236,6 +236,12 @@
         kill_process(Pid::from_child(&self.child), signal).ok();
     }
 
+    /// Its number.
+    #[allow(dead_code)]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether it has ended, and how.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
