--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -15,6 +15,9 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
+/// A timer that is so late says that the process was held up.
+const HELD_UP: Nanos = 200_000_000;
+
 /// What stands before the core: it carries calls to next hops and tells ends to whoever is owed them.
 pub trait Front: Sized + 'static {
     /// Carries a call to its end.
@@ -343,9 +346,14 @@
     /// Wakes the core when it wants to be.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let due = self.see(Core::due);
+            let (due, since) = (self.see(Core::due), self.clock.now());
             tokio::select! {
                 () = sleep_until(self.clock.instant(due)), if due < Nanos::MAX => {
+                    let late = self.clock.now().saturating_sub(due.max(since));
+                    if late >= HELD_UP {
+                        let (front, ms) = (F::NAME, late / 1_000_000);
+                        tracing::warn!(target: "relay", event = "held-up", front, ms, "the process did not run when it was to");
+                    }
                     self.act(|core, now| core.tick(now));
                 }
                 () = self.sooner.notified() => {}
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -32,6 +32,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 const NAME: &str = "relay.journal";
 const COPY: &str = "relay.journal.new";
@@ -41,6 +42,8 @@
 const ROOM_AILING: u64 = 4_096;
 /// Below this size no copy is made for tidiness alone.
 const TIDY: u64 = 512 * 1024;
+/// A write that takes so long holds up all that the relay does.
+const SLOW_WRITE: Duration = Duration::from_millis(50);
 /// Kept free of the budget: sizes are counted in blocks, and other files lie beside the journal.
 const MARGIN: u64 = 16 * 1024;
 
@@ -268,7 +271,14 @@
             return Err(io::Error::other("the journal's budget is spent"));
         }
         self.repair()?;
-        if let Err(e) = self.file.write_all(bytes) {
+        let from = Instant::now();
+        let written = self.file.write_all(bytes);
+        let took = from.elapsed();
+        if took >= SLOW_WRITE {
+            let (ms, bytes) = (took.as_millis() as u64, bytes.len());
+            tracing::warn!(target: "journal", event = "journal-slow", ms, bytes, "a write held the relay up");
+        }
+        if let Err(e) = written {
             self.has_torn_tail = true;
             self.repair().ok();
             return Err(e);
--- a/tests/attribution/main.rs
+++ b/tests/attribution/main.rs
@@ -16,7 +16,7 @@
 use agent::Agent;
 use callers::{Callers, Traffic};
 use endpoint::{Copies, Endpoint, Nature, Violations};
-use platform::{free_address, Platform, Process, Terms};
+use platform::{free_address, Platform, Process, Terms, TELLS_LIVES};
 use stand_ins::{entry, folder, hop, Discovery};
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
@@ -30,7 +30,7 @@
 const SERVED_FOR: Duration = Duration::from_secs(8);
 
 /// Calls go behind one another.
-const PIPELINED: &str = "batching {\ndepth 4\n}";
+const PIPELINED: &str = "log {\ntarget messages debug\n}\nbatching {\ndepth 4\n}";
 
 /// Between two messages of one caller.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -62,7 +62,7 @@
     let known = entry("h", endpoint.address, "active");
     discovery.list(&known);
     let platform = Platform::new(&folder(), terms, discovery.address, &known);
-    let _process = start(&platform);
+    let process = start(&platform);
     let count = if classes.len() == 1 { 8 } else { 3 };
     let call = |class: &&'static str| {
         let traffic = Traffic { class, time_ms: TIME_MS, in_order: *class == "update", pause: PAUSE };
@@ -82,6 +82,12 @@
         violations: record.violations.clone(),
     });
     println!("{classes:?} {nature:?}: {seen:?}");
+    let Violations { run_again, out_twice, out_of_turn, .. } = &seen.violations;
+    let broken = seen.lost.iter().chain(run_again).chain(out_twice).chain(out_of_turn);
+    // Of messages in order, those of the same key too.
+    let of_interest: Vec<String> =
+        broken.take(2).map(|id| id.split_once('@').map_or(id.as_str(), |(_, key)| key).to_string()).collect();
+    process.lives_of(&of_interest).iter().for_each(|line| println!("{line}"));
     std::fs::remove_dir_all(&platform.dir).ok();
     seen
 }
@@ -93,7 +99,11 @@
     let runs: Vec<_> = classes
         .into_iter()
         .flat_map(|classes| [false, true].map(|receipts| (classes, Nature::new(copies, receipts, 1))))
-        .map(|(classes, nature)| std::thread::spawn(move || run(classes, &Terms::default(), nature)))
+        .map(|(classes, nature)| {
+            std::thread::spawn(move || {
+                run(classes, &Terms { operator: TELLS_LIVES, ..Terms::default() }, nature)
+            })
+        })
         .collect();
     runs.into_iter().for_each(|run| judge(&run.join().unwrap(), copies));
 }
@@ -145,7 +155,7 @@
 /// with it.
 #[test]
 fn a_copy_on_a_batch_does_not_have_it_called_again_beside_itself() {
-    let terms = Terms { slots: 3, per_call: 4, ..Terms::default() };
+    let terms = Terms { slots: 3, per_call: 4, operator: TELLS_LIVES, ..Terms::default() };
     let spans = [Copies::AtTheNextRequest(0, 12), Copies::Behind(1, 30), Copies::WithTheAnswer];
     std::thread::scope(|scope| {
         for copies in spans {
--- a/tests/final_answers/again.rs
+++ b/tests/final_answers/again.rs
@@ -2,8 +2,8 @@
 
 use crate::endpoint::{Copies, Nature};
 use crate::finals::{BatchForm, Finals, Form, Says};
-use crate::platform::Terms;
-use crate::rig::{start, Scene, LOG};
+use crate::platform::{Terms, TELLS_LIVES};
+use crate::rig::{start, Scene};
 use crate::stand_ins::message_within;
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
@@ -27,7 +27,7 @@
 fn scene(says: Says) -> Scene {
     let finals = Some(Finals { percent: 100, says, form: Form::Whole, batch: BatchForm::Whole });
     let nature = Nature { finals, ..Nature::new(Copies::Never, true, 1) };
-    Scene::new(&Terms { operator: LOG, ..Terms::default() }, nature)
+    Scene::new(&Terms { operator: TELLS_LIVES, ..Terms::default() }, nature)
 }
 
 fn handed_in_again(says: Says, between: Between) {
--- a/tests/final_answers/folder.rs
+++ b/tests/final_answers/folder.rs
@@ -1,15 +1,12 @@
 //! Final answers that come while the lasting folder takes no writes, and a kill behind them.
 
-use crate::finals::{single, Form, Says};
-use crate::platform::{Platform, Process, Terms};
-use crate::rig::{start_by, LOG};
-use crate::stand_ins::{entry, folder, message_within, request, Discovery, Told};
+use crate::finals::{Form, Says};
+use crate::held::Held;
+use crate::platform::{Platform, Process, Terms, TELLS_LIVES};
+use crate::rig::start_by;
+use crate::stand_ins::{entry, folder, message_within, Discovery};
 use rustix::process::{prlimit, Pid, Resource, Rlimit};
-use std::collections::BTreeMap;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -19,41 +16,6 @@
 /// A write that goes beyond the limit of the file's size raises a signal, which would end the process.
 const START: &str = "trap '' XFSZ; exec \"$0\" serve --operator \"$OPERATOR\" 3<&0 0</dev/null";
 
-/// An endpoint that gives each of its first calls a final answer once it is let, and counts the calls of each message.
-struct Held {
-    address: SocketAddr,
-    calls: Told<BTreeMap<String, u32>>,
-    answers: Arc<AtomicBool>,
-}
-
-impl Held {
-    fn start(says: Says, form: Form) -> Held {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let (calls, answers) = (Told::<BTreeMap<String, u32>>::default(), Arc::new(AtomicBool::new(false)));
-        let (counts, is_let) = (calls.clone(), answers.clone());
-        spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let (counts, is_let) = (counts.clone(), is_let.clone());
-                spawn(move || {
-                    let mut input = BufReader::new(stream.try_clone().unwrap());
-                    let Some((head, _)) = request(&mut input) else { return };
-                    let id = head.iter().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap();
-                    counts.tell(|counts| *counts.entry(id.to_string()).or_default() += 1);
-                    while !is_let.load(Ordering::SeqCst) {
-                        sleep(Duration::from_millis(2));
-                    }
-                    for (pause, part) in single(says, form, true).parts {
-                        sleep(pause);
-                        stream.write_all(&part).ok();
-                    }
-                });
-            }
-        });
-        Held { address, calls, answers }
-    }
-}
-
 /// Lets files that this process writes grow to so many bytes; more is refused by the system.
 fn files_hold(process: &Process, bytes: Option<u64>) {
     let pid = Pid::from_raw(process.id() as i32);
@@ -66,7 +28,7 @@
     let endpoint = Held::start(says, form);
     let known = entry("h", endpoint.address, "active");
     let discovery = Discovery::start(known.clone());
-    let terms = Terms { operator: LOG, ..Terms::default() };
+    let terms = Terms { operator: TELLS_LIVES, ..Terms::default() };
     let platform = Platform::new(&folder(), &terms, discovery.address, &known);
     let mut process = start_by(&platform, START);
     let id = "m1";
--- a/tests/final_answers/forms.rs
+++ b/tests/final_answers/forms.rs
@@ -2,8 +2,8 @@
 
 use crate::endpoint::{Copies, Nature};
 use crate::finals::{BatchForm, Finals, Form, Says};
-use crate::platform::Terms;
-use crate::rig::{Scene, Seen, LOG};
+use crate::platform::{Terms, TELLS_LIVES};
+use crate::rig::{Scene, Seen};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -57,25 +57,25 @@
     let mut runs = forms(Says::Over, &Form::WHOLE);
     runs.push(("status", nature(Says::Over, Form::Whole, BatchForm::Whole, false)));
     runs.push(("notice", nature(Says::Over, Form::Whole, BatchForm::Whole, true)));
-    all_hold(&Terms { operator: LOG, ..Terms::default() }, runs);
+    all_hold(&Terms { operator: TELLS_LIVES, ..Terms::default() }, runs);
 }
 
 /// Guards messages that have had all their attempts from another one.
 #[test]
 fn a_message_answered_504_is_not_called_again() {
-    all_hold(&Terms { operator: LOG, ..Terms::default() }, forms(Says::NoMore, &Form::WHOLE));
+    all_hold(&Terms { operator: TELLS_LIVES, ..Terms::default() }, forms(Says::NoMore, &Form::WHOLE));
 }
 
 /// Guards messages that may be over: an answer that was cut, however little of it came, is no leave to call again.
 #[test]
 fn a_410_that_is_cut_is_no_leave_to_call_again() {
-    all_hold(&Terms { operator: LOG, ..Terms::default() }, forms(Says::Over, &Form::CUT));
+    all_hold(&Terms { operator: TELLS_LIVES, ..Terms::default() }, forms(Says::Over, &Form::CUT));
 }
 
 /// The same, of messages that may have had all their attempts.
 #[test]
 fn a_504_that_is_cut_is_no_leave_to_call_again() {
-    all_hold(&Terms { operator: LOG, ..Terms::default() }, forms(Says::NoMore, &Form::CUT));
+    all_hold(&Terms { operator: TELLS_LIVES, ..Terms::default() }, forms(Says::NoMore, &Form::CUT));
 }
 
 /// Guards messages that are over from a process that follows one that was killed.
@@ -85,7 +85,7 @@
         for class in ["status", "update"] {
             scope.spawn(move || {
                 let nature = nature(Says::Over, Form::Whole, BatchForm::Whole, true);
-                let mut scene = Scene::new(&Terms { operator: LOG, ..Terms::default() }, nature);
+                let mut scene = Scene::new(&Terms { operator: TELLS_LIVES, ..Terms::default() }, nature);
                 let callers = scene.callers(class);
                 for _ in 0..3 {
                     sleep(SERVED_FOR / 3);
@@ -113,7 +113,7 @@
 /// Guards the messages of a batch, each with an end of its own, from an answer of which a part is missing.
 #[test]
 fn final_answers_in_a_batch_are_final() {
-    let terms = Terms { slots: 3, per_call: 5, operator: LOG, ..Terms::default() };
+    let terms = Terms { slots: 3, per_call: 5, operator: TELLS_LIVES, ..Terms::default() };
     let each = |form: BatchForm| {
         [Says::Over, Says::NoMore].map(|says| ("status", nature(says, Form::Whole, form, true)))
     };
--- a/tests/final_answers/main.rs
+++ b/tests/final_answers/main.rs
@@ -11,6 +11,7 @@
 mod finals;
 mod folder;
 mod forms;
+mod held;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
--- a/tests/final_answers/rig.rs
+++ b/tests/final_answers/rig.rs
@@ -35,9 +35,6 @@
     process
 }
 
-/// Tells each message's life in the log.
-pub const LOG: &str = "log {\ntarget messages debug\n}\n";
-
 /// A relay, its endpoint and discovery.
 pub struct Scene {
     pub platform: Platform,
@@ -115,22 +112,15 @@
             told: told.cloned().collect(),
             lives: Vec::new(),
         });
-        let of_interest: Vec<&String> =
-            seen.lost.iter().chain(&seen.violations.called_after_final).take(3).collect();
-        let lives = log.iter().filter(|line| of_interest.iter().any(|id| names(line, id)));
-        seen.lives = lives.cloned().collect();
+        let of_interest: Vec<String> =
+            seen.lost.iter().chain(&seen.violations.called_after_final).take(3).cloned().collect();
+        seen.lives = self.processes.iter().flat_map(|process| process.lives_of(&of_interest)).collect();
         println!("{:?}: {}", self.nature, seen.words());
         std::fs::remove_dir_all(&self.platform.dir).ok();
         seen
     }
 }
 
-/// Whether a line of the log names this id, and not one that begins like it.
-fn names(line: &str, id: &str) -> bool {
-    let behind = |at: usize| line[at + id.len()..].chars().next();
-    line.match_indices(id).any(|(at, _)| behind(at).is_none_or(|c| !c.is_ascii_alphanumeric()))
-}
-
 impl Seen {
     /// Counts in place of ids.
     fn words(&self) -> String {
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -31,6 +31,10 @@
     pub inherit: bool,
 }
 
+/// An operator's file that has each message's life told in the log.
+#[allow(dead_code)]
+pub const TELLS_LIVES: &str = "log {\ntarget messages debug\n}\n";
+
 /// `notice` may not be repeated, `update` is keyed and in order, `status` may be repeated.
 pub const SERVICES: &str = r#"
 {"name":"notice","aim":2000000000,"deadline":20000000000,"importance":3,"late_worth":0.5,"repeat":"side_effect",
@@ -194,6 +198,12 @@
     }
 }
 
+/// Whether a line of the log names this id, and not one that begins like it.
+fn names(line: &str, id: &str) -> bool {
+    let behind = |at: usize| line[at + id.len()..].chars().next();
+    line.match_indices(id).any(|(at, _)| behind(at).is_none_or(|c| !c.is_ascii_alphanumeric()))
+}
+
 impl Process {
     /// Asks at the console; the status of the answer.
     pub fn call(&self, method: &str, path: &str) -> Option<u16> {
@@ -232,6 +242,13 @@
         assert!(said.is_some(), "no {words:?}: {:?}", self.log.tell(|l| l.clone()));
     }
 
+    /// The lines of its log about these messages, where it tells each message's life.
+    #[allow(dead_code)]
+    pub fn lives_of(&self, ids: &[String]) -> Vec<String> {
+        let is_about = |line: &String| ids.iter().any(|id| names(line, id));
+        self.log.tell(|lines| lines.iter().filter(|line| is_about(line)).cloned().collect())
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).ok();
     }
