Heed a final answer that was told in vain to a process that had taken over

A process that has handed over reports the answers to its open calls to the other one. It keeps what it reported of answers after which no call may follow, and puts that before the core that it makes; so does an answer to a call of a core before, or of a call that nobody is known to wait for.

--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -6,7 +6,7 @@
 use crate::routing::journal::Record;
 use crate::routing::message_log;
 use crate::routing::transactions::{Ending, Transaction};
-use crate::routing::values::TransactionNo;
+use crate::routing::values::{Reply, Standing, TransactionNo};
 
 /// What could not be written is tried again after this time.
 const WRITE_AGAIN: Nanos = 50_000_000;
@@ -43,6 +43,28 @@
         self.absorb(now, picked);
     }
 
+    /// Answers that came to calls of an earlier core, or that another process made: those after which no call may follow
+    /// count for their messages all the same.
+    pub fn answered_before(&mut self, now: Nanos, answers: &[(TransactionNo, Reply)]) {
+        for (no, reply) in answers {
+            let Some(t) = self.transactions.get_mut(*no) else { continue };
+            let picked = match reply.standing() {
+                Standing::MayGoAgain => continue,
+                Standing::Settled => {
+                    let is_delivered = *reply != Reply::Over;
+                    self.close(now, *no, if is_delivered { Closed::Delivered } else { Closed::Over });
+                    self.facade.withdraw(now, *no)
+                }
+                Standing::Spent | Standing::MustEnd => {
+                    t.is_spent = true;
+                    self.note(now, *no, &Record::Spent);
+                    self.facade.spend(now, *no)
+                }
+            };
+            self.absorb(now, picked);
+        }
+    }
+
     /// The end is decided and owed until acknowledged; one that was told already stands.
     pub(super) fn end(&mut self, now: Nanos, no: TransactionNo, ending: Ending) {
         let Some(t) = self.transactions.get_mut(no) else { return };
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -3,7 +3,7 @@
 use super::core::{Carried, Core, Letter, Note, Offer, Released, Taken, Work};
 use super::handover::{CallOutcome, Operated, Operation, Roles, Successor, ToPredecessor, ToSuccessor};
 use super::message_log::Via;
-use super::values::{Call, Reply, TransactionNo};
+use super::values::{Call, Reply, Standing, TransactionNo};
 use super::Clock;
 use crate::catalog::{Endpoint, EndpointId};
 use crate::interface::{Nanos, Outcome};
@@ -48,6 +48,8 @@
     adopted: RefCell<Vec<Call>>,
     /// Whether this process decides, and its ways to the others of its relay.
     pub roles: Roles,
+    /// What the process that took over was told of answers after which no call may follow: it may be gone before it heard.
+    told: RefCell<Vec<(TransactionNo, Reply)>>,
     /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
     life: Cell<u32>,
 }
@@ -116,6 +118,7 @@
             out: RefCell::default(),
             adopted: RefCell::default(),
             roles: Roles::default(),
+            told: RefCell::default(),
             life: Cell::new(0),
         })
     }
@@ -175,6 +178,7 @@
     /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
     pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>) -> Released {
         let released = self.core.borrow_mut().release(self.clock.now(), seq);
+        self.told.borrow_mut().clear();
         self.roles.retire(successor);
         self.front.retire();
         let begun = |attempt: &(TransactionNo, u32)| {
@@ -200,7 +204,8 @@
         std::mem::take(&mut *self.out.borrow_mut()).values().for_each(|cancel| cancel.notify_one());
         self.core.replace(core);
         self.roles.resume();
-        self.act(|_, _| ());
+        let told = self.told.take();
+        self.act(|core, now| core.answered_before(now, &told));
         self.sooner.notify_one();
     }
 
@@ -215,7 +220,9 @@
         let is_of =
             |call: &Call| call.attempts.iter().any(|a| replies.iter().any(|(no, _)| *no == a.transaction));
         let place = self.adopted.borrow().iter().position(is_of);
-        let Some(call) = place.map(|place| self.adopted.borrow_mut().swap_remove(place)) else { return };
+        let Some(call) = place.map(|place| self.adopted.borrow_mut().swap_remove(place)) else {
+            return self.act(|core, now| core.answered_before(now, &replies));
+        };
         let attempt_of = |no: TransactionNo| call.attempts.iter().find(|a| a.transaction == no);
         let replies = replies.iter().filter_map(|(no, reply)| Some((*attempt_of(*no)?, *reply))).collect();
         self.ended(&call, Carried { replies, limit, idle, echo, wait, refused }, took, self.life.get());
@@ -328,7 +335,12 @@
 
     /// Has the outcome of a call decided on, here or where that is done now.
     fn ended(self: &Rc<Self>, call: &Call, carried: Carried, took: Nanos, life: u32) {
+        let answers = carried.replies.iter().map(|(attempt, reply)| (attempt.transaction, *reply));
+        let last: Vec<_> = answers.filter(|(_, reply)| reply.standing() != Standing::MayGoAgain).collect();
         if self.life.get() != life {
+            if self.roles.serves() {
+                self.act(|core, now| core.answered_before(now, &last));
+            }
             return;
         }
         for attempt in &call.attempts {
@@ -339,7 +351,10 @@
                 self.act(|core, now| core.report(now, call.endpoint, &carried, took));
             }
             None => {}
-            Some(successor) => successor.report(call, carried, took),
+            Some(successor) => {
+                self.told.borrow_mut().extend(last);
+                successor.report(call, carried, took);
+            }
         }
     }
 
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -311,6 +311,11 @@
         self.step(now, &[Event::Settled { id }])
     }
 
+    /// No attempt of this transaction may begin any more.
+    pub fn spend(&mut self, now: Nanos, id: TransactionNo) -> Picked {
+        self.step(now, &[Event::Spent { id }])
+    }
+
     /// Nobody waits for this transaction any more.
     pub fn withdraw(&mut self, now: Nanos, id: TransactionNo) -> Picked {
         self.attempts.remove(&id);
--- a/tests/final_answers/main.rs
+++ b/tests/final_answers/main.rs
@@ -18,3 +18,4 @@
 mod rig;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
+mod takeover;
--- /dev/null
+++ b/tests/final_answers/takeover.rs
@@ -0,0 +1,94 @@
+//! Final answers that come to a process while another one takes over from it, or has done so and is gone.
+
+use crate::finals::{Form, Says};
+use crate::held::Held;
+use crate::platform::{Platform, Process, Terms, TELLS_LIVES};
+use crate::rig::start;
+use crate::stand_ins::{entry, folder, message_within, Discovery};
+use rustix::process::Signal;
+use std::sync::atomic::Ordering;
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+/// The time of each message, and until when its end has been told.
+const TIME_MS: u64 = 4_000;
+const SETTLED_WITHIN: Duration = Duration::from_millis(TIME_MS + 300);
+/// In which an answer on loopback has been read.
+const READ_WITHIN: Duration = Duration::from_millis(150);
+
+/// A relay of which a message is out at an endpoint that has not answered yet.
+struct Out {
+    endpoint: Held,
+    discovery: Discovery,
+    platform: Platform,
+}
+
+impl Out {
+    fn new(class: &str, says: Says, form: Form) -> (Out, Process) {
+        let endpoint = Held::start(says, form);
+        let known = entry("h", endpoint.address, "active");
+        let discovery = Discovery::start(known.clone());
+        let terms = Terms { operator: TELLS_LIVES, ..Terms::default() };
+        let platform = Platform::new(&folder(), &terms, discovery.address, &known);
+        let process = start(&platform);
+        assert_eq!(platform.ask(&message_within(class, "m1", TIME_MS)), Some(202));
+        assert!(endpoint.calls.until(Duration::from_secs(2), |calls| calls.contains_key("m1")).is_some());
+        (Out { endpoint, discovery, platform }, process)
+    }
+
+    fn answer(&self) {
+        self.endpoint.answers.store(true, Ordering::SeqCst);
+        sleep(READ_WITHIN);
+    }
+
+    /// How often the message was called, and whether it is over by what was said or its end was told.
+    fn came(&self, says: Says, form: Form) -> (u32, bool) {
+        sleep(SETTLED_WITHIN);
+        std::fs::remove_dir_all(&self.platform.dir).ok();
+        let is_told = self.discovery.ended.tell(|ended| ended.contains("m1"));
+        let is_over = says == Says::Over && Form::WHOLE.contains(&form);
+        (self.endpoint.calls.tell(|calls| calls["m1"]), is_told || is_over)
+    }
+}
+
+const CASES: [(Says, Form); 3] =
+    [(Says::Over, Form::Whole), (Says::NoMore, Form::Whole), (Says::Over, Form::CutInBody)];
+
+fn all_hold(play: impl Fn(&str, Says, Form) -> (u32, bool) + Copy + Send + 'static) {
+    let cases =
+        ["status", "update"].into_iter().flat_map(|class| CASES.map(|(says, form)| (class, says, form)));
+    let runs: Vec<_> = cases
+        .map(|(class, says, form)| spawn(move || ((class, says, form), play(class, says, form))))
+        .collect();
+    for run in runs {
+        let (case, came) = run.join().unwrap();
+        assert_eq!(came, (1, true), "{case:?}: calls, and whether it is settled");
+    }
+}
+
+/// Guards a message whose final answer comes to the process that made the call, after another one has taken over.
+#[test]
+fn a_final_answer_at_the_process_before_counts_at_the_one_that_took_over() {
+    all_hold(|class, says, form| {
+        let (out, old) = Out::new(class, says, form);
+        let _new = start(&out.platform);
+        out.answer();
+        old.end();
+        out.came(says, form)
+    });
+}
+
+/// Guards a message whose final answer was told to a process that had taken over, and is killed before it hears of it: the
+/// process that takes back calls it no more.
+#[test]
+fn a_final_answer_told_in_vain_counts_at_the_process_that_takes_back() {
+    all_hold(|class, says, form| {
+        let (out, old) = Out::new(class, says, form);
+        let mut new = start(&out.platform);
+        new.signal(Signal::STOP);
+        out.answer();
+        new.kill();
+        old.says("taken-back");
+        out.came(says, form)
+    });
+}
