Heed final refusals of SMSCs that are cut, or that come late

A submit whose rejection was cut by the end of its bind was submitted again, seven times more, since whatever came of the answer was dropped; so was a rejection that came after the time-out, while the message was out once more or waited. The beginning of a frame is read as the answer to any submit that it fits: the message ends where it may be a rejection, and may go again where it cannot be. A late answer is waited for beside the next try, and counts where no call may follow it; a late delivery ends its message as delivered. A submit that is given up is not written where it has not begun, and ends its bind where it is half written.

tests/relay: an_answer_cut_within_a_rejection (after 16, 14, 12, 10 and 3 bytes), a_rejection_that_comes_late and an_answer_that_comes_late failed before and pass; an answer cut within another status still lets a message go again. The receipt of a message of which an earlier try may have run says UNKNOWN as before.

--- a/src/protocol/smpp/link.rs
+++ b/src/protocol/smpp/link.rs
@@ -1,5 +1,6 @@
 //! One SMPP session's plumbing, the same on both sides: frames in, frames out, answers to their requests.
 
+use super::cut::CutAnswer;
 use crate::routing::message_log::Via;
 use crate::transport::connection::next_number;
 use crate::transport::Stream;
@@ -33,25 +34,59 @@
 }
 
 /// Why a request has no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Unanswered {
     /// Its last byte was surely not written.
     Unwritten,
     /// The link ended; the request may have been read.
     Lost,
-    Late,
+    /// The link ended within what may have been its answer.
+    Cut(CutAnswer),
+    /// It has not come in time. It may come yet.
+    Late(LateAnswer),
+}
+
+/// What a request hears.
+type Answer = Result<Box<Command>, CutAnswer>;
+
+/// The answer to a request that nobody waits for any more.
+#[derive(Debug)]
+pub struct LateAnswer(oneshot::Receiver<Answer>);
+
+impl LateAnswer {
+    /// The answer, if it comes before the link ends.
+    pub async fn come(self) -> Option<Box<Command>> {
+        self.0.await.ok()?.ok()
+    }
 }
 
 struct Outgoing {
     bytes: Bytes,
+    /// Nobody waits for it where the receiver is gone: what has not begun by then is not written.
     written: oneshot::Sender<()>,
+    begun: Rc<Cell<bool>>,
+}
+
+/// Ends a link on which a request that was given up is half written: the rest of it would still go out.
+struct HalfWritten<'a> {
+    link: &'a Link,
+    begun: Rc<Cell<bool>>,
+    wrote: Cell<bool>,
+}
+
+impl Drop for HalfWritten<'_> {
+    fn drop(&mut self) {
+        if self.begun.get() && !self.wrote.get() {
+            self.link.close();
+        }
+    }
 }
 
 pub struct Link {
     /// Its number in the log.
     number: u64,
     out: mpsc::Sender<Outgoing>,
-    waiting: RefCell<HashMap<u32, oneshot::Sender<Box<Command>>>>,
+    waiting: RefCell<HashMap<u32, oneshot::Sender<Answer>>>,
     next: Cell<u32>,
     heard_at: Cell<Instant>,
     open: Cell<bool>,
@@ -70,7 +105,11 @@
     let (input, mut output) = split(stream);
     let (out, mut queue) = mpsc::channel::<Outgoing>(QUEUE);
     let writing = async move {
-        while let Some(Outgoing { bytes, written }) = queue.recv().await {
+        while let Some(Outgoing { bytes, written, begun }) = queue.recv().await {
+            if written.is_closed() {
+                continue;
+            }
+            begun.set(true);
             if output.write_all(&bytes).await.is_err() || output.flush().await.is_err() {
                 return;
             }
@@ -124,16 +163,16 @@
     }
 
     /// Puts a PDU in line; what comes back completes once it is written, and fails if it never is.
-    async fn put(&self, bytes: Bytes) -> Option<oneshot::Receiver<()>> {
+    async fn put(&self, bytes: Bytes, begun: Rc<Cell<bool>>) -> Option<oneshot::Receiver<()>> {
         let (written, done) = oneshot::channel();
-        let sent = self.is_open() && self.out.send(Outgoing { bytes, written }).await.is_ok();
+        let sent = self.is_open() && self.out.send(Outgoing { bytes, written, begun }).await.is_ok();
         sent.then_some(done)
     }
 
     /// Answers a request; true once the answer is written.
     pub async fn answer(&self, sequence: u32, status: CommandStatus, pdu: impl Into<Pdu>) -> bool {
         let bytes = encode(Command::new(status, sequence, pdu.into()));
-        match self.put(bytes).await {
+        match self.put(bytes, Rc::default()).await {
             Some(written) => written.await.is_ok(),
             None => false,
         }
@@ -141,42 +180,59 @@
 
     /// Sends a request and waits for its answer, whatever that says.
     pub async fn request(&self, pdu: impl Into<Pdu>, within: Duration) -> Result<Box<Command>, Unanswered> {
+        self.request_noted(pdu, within, &Cell::new(false)).await
+    }
+
+    /// The same; `is_written` tells meanwhile whether all of the request was passed to the system.
+    pub async fn request_noted(
+        &self,
+        pdu: impl Into<Pdu>,
+        within: Duration,
+        is_written: &Cell<bool>,
+    ) -> Result<Box<Command>, Unanswered> {
         let sequence = self.next.get();
         self.next.set(if sequence >= 0x7fff_fffe { 1 } else { sequence + 1 });
         let bytes = encode(Command::new(CommandStatus::EsmeRok, sequence, pdu.into()));
-        let (answered, answer) = oneshot::channel();
+        let (answered, mut answer) = oneshot::channel();
+        self.waiting.borrow_mut().retain(|_, waiting| !waiting.is_closed());
         self.waiting.borrow_mut().insert(sequence, answered);
-        let wrote = Cell::new(false);
+        let begun = Rc::default();
+        let guard = HalfWritten { link: self, begun: Rc::clone(&begun), wrote: Cell::new(false) };
         let exchange = async {
-            let Some(written) = self.put(bytes).await else { return Err(Unanswered::Unwritten) };
+            let Some(written) = self.put(bytes, begun).await else { return Err(Unanswered::Unwritten) };
             written.await.map_err(|_| Unanswered::Unwritten)?;
-            wrote.set(true);
-            answer.await.map_err(|_| Unanswered::Lost)
+            guard.wrote.set(true);
+            is_written.set(true);
+            match (&mut answer).await {
+                Ok(Ok(command)) => Ok(command),
+                Ok(Err(cut)) => Err(Unanswered::Cut(cut)),
+                Err(_) => Err(Unanswered::Lost),
+            }
         };
         let result = timeout(within, exchange).await;
-        self.waiting.borrow_mut().remove(&sequence);
-        result.unwrap_or_else(|_| {
-            // It may be half written: on such a link nothing can follow.
-            if !wrote.get() {
-                self.close();
-            }
-            Err(if wrote.get() { Unanswered::Late } else { Unanswered::Unwritten })
+        result.unwrap_or_else(|_| match guard.wrote.get() {
+            true => Err(Unanswered::Late(LateAnswer(answer))),
+            false => Err(Unanswered::Unwritten),
         })
     }
 
     /// The next request of the other side; answers go to whoever waits for them. None: the link has ended.
     pub async fn hear(&self, reader: &mut Reader) -> Option<Heard> {
         loop {
-            let heard = tokio::select! {
-                frame = reader.frame() => frame?,
+            let frame = tokio::select! {
+                frame = reader.frame() => frame,
                 () = self.ended() => return None,
             };
+            let Some(heard) = frame else {
+                self.hear_cut(reader);
+                return None;
+            };
             self.heard_at.set(Instant::now());
             match heard {
                 Heard::Request(command, _) if command.id().is_response() => {
                     // One that nobody waits for any more came too late.
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&command.sequence_number()) {
-                        waiting.send(command).ok();
+                        waiting.send(Ok(command)).ok();
                     }
                 }
                 other => return Some(other),
@@ -184,7 +240,17 @@
         }
     }
 
-    /// Asks whether the other side is there whenever it has been silent for `idle`; ends the link if not.
+    /// The link has ended within a frame, which may be the answer to any request that it fits.
+    fn hear_cut(&self, reader: &Reader) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        for (sequence, waiting) in waiting {
+            if let Some(cut) = CutAnswer::of(&reader.buffer, sequence) {
+                waiting.send(Err(cut)).ok();
+            }
+        }
+    }
+
+    /// Asks whether the other side whenever it has been silent for `idle`; ends the link if not.
     pub async fn watch(self: Rc<Self>, idle: Duration, within: Duration) {
         while self.is_open() {
             let due = self.heard_at.get() + idle;
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -2,6 +2,7 @@
 //! and the same journal remembers; the one final answer of a message is its delivery receipt.
 
 pub mod config;
+mod cut;
 mod esme;
 mod link;
 mod receipt;
@@ -15,19 +16,23 @@
 use crate::transport::Door;
 use bytes::{Bytes, BytesMut};
 use config::SmppConfig;
-use link::Link;
+use link::{LateAnswer, Link};
 use rusmpp::decode::DecodeWithLength;
 use rusmpp::pdus::SubmitSm;
 use rusmpp::values::{MCDeliveryReceipt, RegisteredDelivery};
-use smsc::Binds;
+use smsc::{Binds, Submitted};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+/// A late answer is waited for so long: by then most messages have their ends.
+const LATE_WITHIN: Duration = Duration::from_secs(60);
+
 /// Who may bind to us, and what we owe it.
 pub struct Account {
     config: config::Account,
@@ -132,9 +137,27 @@
             submit.validity_period = deadline.map(receipt::absolute).unwrap_or_default();
         }
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
-        let reply = tokio::select! {
-            reply = seat.submit(submit.into(), Duration::from_nanos(left)) => reply,
-            () = passage.cancelled() => Reply::Ended(Outcome::Cancelled),
+        let is_written = Cell::new(false);
+        let submitted = {
+            let mut submitting = pin!(seat.submit(submit.into(), Duration::from_nanos(left), &is_written));
+            loop {
+                tokio::select! {
+                    submitted = &mut submitting => break submitted,
+                    () = passage.cancelled() => break Submitted::Ended(Reply::Ended(Outcome::Cancelled)),
+                    () = passage.ended() => {
+                        if !is_written.get() {
+                            break Submitted::Ended(Reply::Ended(Outcome::NotSent));
+                        }
+                    }
+                }
+            }
+        };
+        let reply = match submitted {
+            Submitted::Ended(reply) => reply,
+            Submitted::Late(late) => {
+                spawn_local(heed_late(passage.desk.clone(), letter.attempt.transaction, late));
+                Reply::Ended(Outcome::TimedOut)
+            }
         };
         vec![(letter.attempt, reply)].into()
     }
@@ -166,6 +189,13 @@
     }
 }
 
+/// An answer that comes late counts where no call may follow it, whatever has become of its message meanwhile.
+async fn heed_late(desk: Rc<Desk<Smpp>>, no: TransactionNo, late: LateAnswer) {
+    if let Ok(Some(answer)) = timeout(LATE_WITHIN, late.come()).await {
+        desk.act(|core, now| core.answered_before(now, &[(no, smsc::reply(&answer))]));
+    }
+}
+
 /// Whether the ESME asked for a receipt of this end.
 fn wanted(submit: &SubmitSm, state: &str) -> bool {
     use MCDeliveryReceipt::*;
--- a/src/protocol/smpp/smsc.rs
+++ b/src/protocol/smpp/smsc.rs
@@ -1,10 +1,11 @@
 //! Our binds to SMSCs: the next hops of the SMPP front.
 
 use super::config::{Carrier, Times};
-use super::link::{self, Heard, Link, Reader, Unanswered};
+use super::link::{self, Heard, LateAnswer, Link, Reader, Unanswered};
 use crate::interface::Outcome;
 use crate::routing::message_log::Via;
 use crate::routing::Reply;
+use crate::settlement::{settle, Certainty, Said};
 use crate::transport::network::Net;
 use rusmpp::pdus::BindTransmitter;
 use rusmpp::types::COctetString;
@@ -57,13 +58,17 @@
         self.bind.link.next_via()
     }
 
-    /// Submits and says how that ended.
-    pub async fn submit(&self, pdu: Pdu, within: Duration) -> Reply {
-        match self.bind.link.request(pdu, within).await {
+    /// Submits and says how that ended; `is_written` tells meanwhile whether all of it was passed to the system.
+    pub async fn submit(&self, pdu: Pdu, within: Duration, is_written: &Cell<bool>) -> Submitted {
+        let reply = match self.bind.link.request_noted(pdu, within, is_written).await {
             Ok(answer) => reply(&answer),
             Err(Unanswered::Unwritten) => Reply::Ended(Outcome::NoConnection),
             Err(Unanswered::Lost) => Reply::Ended(Outcome::Broken),
-            Err(Unanswered::Late) => {
+            Err(Unanswered::Cut(cut)) => {
+                let said = cut.status.map_or(Said::MaybeFinal, |status| Said::Plainly(reply_to(status)));
+                settle(said, Certainty::Cut, Outcome::Broken)
+            }
+            Err(Unanswered::Late(late)) => {
                 // The bind stays for the others on it, if the SMSC is there at all.
                 let (link, within) = (self.bind.link.clone(), self.binds.times.response);
                 spawn_local(async move {
@@ -71,16 +76,30 @@
                         link.close();
                     }
                 });
-                Reply::Ended(Outcome::TimedOut)
+                return Submitted::Late(late);
             }
-        }
+        };
+        Submitted::Ended(reply)
     }
 }
 
-/// What the status of an answer to a submit means.
+/// What came of a submit.
+pub enum Submitted {
+    /// It ended like this.
+    Ended(Reply),
+    /// Its answer has not come in time.
+    Late(LateAnswer),
+}
+
+/// What an answer to a submit means.
 pub fn reply(answer: &Command) -> Reply {
+    reply_to(answer.status())
+}
+
+/// What the status of an answer to a submit means.
+fn reply_to(status: CommandStatus) -> Reply {
     use CommandStatus::*;
-    match answer.status() {
+    match status {
         EsmeRok => Reply::Ended(Outcome::Served),
         EsmeRthrottled | EsmeRmsgqful => Reply::Ended(Outcome::Full { wait: 0 }),
         // The bind is not what we took it for: it has not been looked at.
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -50,6 +50,10 @@
             let Some(t) = self.transactions.get_mut(*no) else { continue };
             let picked = match reply.standing() {
                 Standing::MayGoAgain => continue,
+                Standing::Settled if self.tells_delivery => {
+                    self.end(now, *no, Ending::Delivered);
+                    self.facade.withdraw(now, *no)
+                }
                 Standing::Settled => {
                     let is_delivered = *reply != Reply::Over;
                     self.close(now, *no, if is_delivered { Closed::Delivered } else { Closed::Over });
@@ -58,7 +62,7 @@
                 Standing::Spent | Standing::MustEnd => {
                     t.is_spent = true;
                     self.note(now, *no, &Record::Spent);
-                    self.facade.spend(now, *no)
+                    self.facade.spend(now, *no, *reply)
                 }
             };
             self.absorb(now, picked);
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -311,9 +311,13 @@
         self.step(now, &[Event::Settled { id }])
     }
 
-    /// No attempt of this transaction may begin any more.
-    pub fn spend(&mut self, now: Nanos, id: TransactionNo) -> Picked {
-        self.step(now, &[Event::Spent { id }])
+    /// No attempt of this transaction may begin any more, by a final answer that came to an earlier one.
+    pub fn spend(&mut self, now: Nanos, id: TransactionNo, reply: Reply) -> Picked {
+        let event = match reply {
+            Reply::Rejected { .. } => Event::Rejected { id },
+            _ => Event::Spent { id },
+        };
+        self.step(now, &[event])
     }
 
     /// Nobody waits for this transaction any more.
--- a/tests/relay/carriers.rs
+++ b/tests/relay/carriers.rs
@@ -135,6 +135,16 @@
         put(&self.out, status, self.sequence, SubmitSmResp::builder().message_id(c_string("x")).build());
     }
 
+    /// Writes so many bytes of an answer with this status, and ends the bind behind them.
+    pub async fn cut(&self, status: u32, bytes: usize) {
+        let (out, mut whole) = unbounded_channel();
+        put(&out, status, self.sequence, SubmitSmResp::builder().message_id(c_string("x")).build());
+        let answer = whole.recv().await.unwrap();
+        self.out.send(answer[..bytes].to_vec()).ok();
+        sleep(Duration::from_millis(1)).await;
+        self.kill_bind();
+    }
+
     /// Waits; true if the bind that it came on has ended by then.
     pub async fn ended(&self, within: Duration) -> bool {
         timeout(within, self.kill.notified()).await.is_ok()
@@ -184,6 +194,9 @@
             }
             ["send", status] => self.oldest(place).answer(status.parse().unwrap()),
             ["close"] => self.oldest(place).kill_bind(),
+            ["cut", status, bytes] => {
+                self.oldest(place).cut(status.parse().unwrap(), bytes.parse().unwrap()).await;
+            }
             ["refuse", status] => self.status.set(Some(status.parse().unwrap())),
             ["mute"] => self.status.set(None),
             ["unbind"] => self.binds.borrow().iter().for_each(|out| put(out, 0, 900, Pdu::Unbind)),
--- a/tests/relay/smpp.rs
+++ b/tests/relay/smpp.rs
@@ -132,6 +132,74 @@
     );
 }
 
+/// Guards a message that may be rejected for good: an answer of which a part is missing, be it the body, the sequence number
+/// or the status, is no leave to submit it again, and it ends.
+#[test]
+fn an_answer_cut_within_a_rejection_is_no_leave_to_submit_again() {
+    for bytes in [16, 14, 12, 10, 3] {
+        play(&format!(
+            "relay smpp
+             esme a bound
+             esme a take 1313 text=bad
+             smsc 1 expect bad
+             smsc 1 cut 11 {bytes}
+             esme a gets bad REJECTD in 0..50
+             smsc 1 expect nothing 20000"
+        ));
+    }
+}
+
+/// Guards what may be repeated: an answer that was cut, and cannot have been a rejection, lets it go again.
+#[test]
+fn an_answer_cut_within_another_status_lets_a_message_go_again() {
+    play(
+        "relay smpp
+         esme a bound
+         esme a take 1313 text=hi
+         smsc 1 expect hi
+         smsc 1 cut 8 14
+         smsc 1 expect hi
+         smsc 1 send 0
+         esme a gets hi DELIVRD
+         esme a expect nothing 60000",
+    );
+}
+
+/// Guards a message that is rejected for good by an answer that comes late, while it is out once more: it is not submitted
+/// a third time.
+#[test]
+fn a_rejection_that_comes_late_ends_a_message_that_is_out_again() {
+    play(
+        "relay smpp
+         esme a bound
+         esme a take 1313 text=slow
+         smsc 1 expect slow
+         smsc 1 expect slow in 500..10000
+         smsc 1 send 11
+         esme a gets slow UNKNOWN in 0..50
+         smsc 1 send 20
+         smsc 1 expect nothing 20000",
+    );
+}
+
+/// Guards the same where it waits for its next turn, and a delivery that is told late.
+#[test]
+fn an_answer_that_comes_late_ends_a_message_that_waits() {
+    for (status, state) in [(11, "UNKNOWN"), (0, "DELIVRD")] {
+        play(&format!(
+            "relay smpp
+             esme a bound
+             esme a take 1313 text=slow
+             smsc 1 expect slow
+             smsc 1 expect slow in 500..10000
+             smsc 1 expect slow in 500..10000
+             smsc 1 send {status}
+             esme a gets slow {state} in 0..50
+             smsc 1 expect nothing 20000"
+        ));
+    }
+}
+
 /// Guards deadlines: what never got through a bind ends with its validity period, and said so.
 #[test]
 fn a_message_that_finds_no_bind_expires_with_its_validity() {
