Check at run time that no call begins after a message's last word

An account of its own (src/settlement/audit.rs) keeps the last words of messages, from what was read of answers rather than from what was decided on it, from ends that the relay gave, and from what an earlier process left. A call that is about to begin after one is not made; it is counted and told with the id, both connections, requests and times (call-after-final-violation), and its message ends. final-answer-unproven tells of each message that ends for want of proof. What outcomes say of a message is a module of its own, in shorter functions.

--- a/src/attribution/mod.rs
+++ b/src/attribution/mod.rs
@@ -18,6 +18,7 @@
 pub use sources::{Reuse, Sources};
 
 use std::collections::HashSet;
+use std::fmt;
 
 /// Answers that a connection carries at most: each is remembered as long as it is open.
 const ANSWERS_MOST: usize = 512;
@@ -25,6 +26,21 @@
 /// is not over would have to end for its copy.
 const FINAL: [u16; 2] = [410, 504];
 
+/// The connection of a call, and its place among the requests on it, from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub struct Via {
+    /// The connection's number in the log.
+    pub connection: u64,
+    /// 1 for the first request that it carries.
+    pub request: usize,
+}
+
+impl fmt::Display for Via {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "connection {} request {}", self.connection, self.request)
+    }
+}
+
 /// Why an answer is known to be the one to the call that is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Proof {
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -2,12 +2,12 @@
 
 use super::super::hook;
 use super::intake::BODY_MOST;
+use crate::attribution::Via;
 use crate::attribution::{Fingerprint, Proof, Verdict};
 use crate::catalog::Endpoint;
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter};
-use crate::routing::message_log::Via;
-use crate::routing::{Attempt, Reply};
+use crate::routing::Reply;
 use crate::settlement::{settle, settle_among, Certainty, Said};
 use crate::transport::answer::Answer;
 use crate::transport::beginning::Beginning;
@@ -67,30 +67,27 @@
     };
     let unread = matches!(*status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
     Carried {
-        replies: settled(letters, &said, certainty, otherwise),
         limit: hook::limit(headers).filter(|_| is_proven),
         // A wait binds also where nothing else of an answer does.
         wait: if tells_wait { hook::wait(headers) } else { 0 },
         refused: is_proven && unread && several,
-        ..Carried::default()
+        ..settled(letters, &said, certainty, otherwise)
     }
 }
 
 /// What follows for each message of a call.
-fn settled(
-    letters: &[Letter],
-    said: &[Said],
-    certainty: Certainty,
-    otherwise: Outcome,
-) -> Vec<(Attempt, Reply)> {
-    let settled = said.iter().map(|said| settle(*said, certainty, otherwise));
-    letters.iter().map(|letter| letter.attempt).zip(settled).collect()
+fn settled(letters: &[Letter], said: &[Said], certainty: Certainty, otherwise: Outcome) -> Carried {
+    let attempts = letters.iter().map(|letter| letter.attempt);
+    let replies = said.iter().map(|said| settle(*said, certainty, otherwise));
+    let finals = attempts.clone().zip(said).filter(|(_, said)| said.may_be_final(certainty));
+    let finals = finals.map(|(attempt, _)| attempt).collect();
+    Carried { finals, ..Carried::from(attempts.zip(replies).collect::<Vec<_>>()) }
 }
 
 /// What follows from as much of an answer as has come. `otherwise`: what became of the call where that does not tell.
 pub(super) fn cut_off(beginning: &Beginning, otherwise: Outcome, letters: &[Letter]) -> Carried {
     let said = hook::said_in_part(beginning, letters);
-    settled(letters, &said, Certainty::Cut, otherwise).into()
+    settled(letters, &said, Certainty::Cut, otherwise)
 }
 
 /// Whether it is anybody's guess where an answer ends: what is left of it would pass as the next one.
@@ -250,8 +247,11 @@
         })
         .collect();
     candidates.push((hook::said_in_part(begun, letters), Certainty::Cut));
-    for (place, (_, reply)) in carried.replies.iter_mut().enumerate() {
+    for (place, (attempt, reply)) in carried.replies.iter_mut().enumerate() {
         let said = candidates.iter().map(|(said, certainty)| (said[place], *certainty));
+        if said.clone().any(|(said, certainty)| said.may_be_final(certainty)) {
+            carried.finals.push(*attempt);
+        }
         *reply = settle_among(said, Outcome::Doubtful);
     }
     carried
--- a/src/protocol/smpp/link.rs
+++ b/src/protocol/smpp/link.rs
@@ -1,7 +1,7 @@
 //! One SMPP session's plumbing, the same on both sides: frames in, frames out, answers to their requests.
 
 use super::cut::CutAnswer;
-use crate::routing::message_log::Via;
+use crate::attribution::Via;
 use crate::transport::connection::next_number;
 use crate::transport::Stream;
 use bytes::{Bytes, BytesMut};
--- a/src/protocol/smpp/smsc.rs
+++ b/src/protocol/smpp/smsc.rs
@@ -2,8 +2,8 @@
 
 use super::config::{Carrier, Times};
 use super::link::{self, Heard, LateAnswer, Link, Reader, Unanswered};
+use crate::attribution::Via;
 use crate::interface::Outcome;
-use crate::routing::message_log::Via;
 use crate::routing::Reply;
 use crate::settlement::{settle, Certainty, Said};
 use crate::transport::network::Net;
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -7,6 +7,7 @@
 use crate::routing::message_log;
 use crate::routing::transactions::{Ending, Transaction};
 use crate::routing::values::{Reply, Standing, TransactionNo};
+use crate::settlement::{Last, LastWord};
 
 /// What could not be written is tried again after this time.
 const WRITE_AGAIN: Nanos = 50_000_000;
@@ -47,7 +48,10 @@
     /// count for their messages all the same.
     pub fn answered_before(&mut self, now: Nanos, answers: &[(TransactionNo, Reply)]) {
         for (no, reply) in answers {
-            let Some(t) = self.transactions.get_mut(*no) else { continue };
+            let Some(t) = self.transactions.get(*no) else { continue };
+            if reply.is_final() {
+                self.last_words.note(&t.id, LastWord::without_answer(Last::Earlier, now));
+            }
             let picked = match reply.standing() {
                 Standing::MayGoAgain => continue,
                 Standing::Settled if self.tells_delivery => {
@@ -60,15 +64,26 @@
                     self.facade.withdraw(now, *no)
                 }
                 Standing::Spent | Standing::MustEnd => {
-                    t.is_spent = true;
-                    self.note(now, *no, &Record::Spent);
-                    self.facade.spend(now, *no, *reply)
+                    self.spend(now, *no, *reply);
+                    continue;
                 }
             };
             self.absorb(now, picked);
         }
     }
 
+    /// No attempt of this message begins any more, by a final answer that came to another one.
+    pub(super) fn spend(&mut self, now: Nanos, no: TransactionNo, reply: Reply) {
+        let Some(t) = self.transactions.get_mut(no) else { return };
+        t.is_spent = true;
+        if let Reply::Rejected { reason } = reply {
+            t.reason = reason;
+        }
+        self.note(now, no, &Record::Spent);
+        let picked = self.facade.spend(now, no, reply);
+        self.absorb(now, picked);
+    }
+
     /// The end is decided and owed until acknowledged; one that was told already stands.
     pub(super) fn end(&mut self, now: Nanos, no: TransactionNo, ending: Ending) {
         let Some(t) = self.transactions.get_mut(no) else { return };
@@ -76,6 +91,7 @@
             return;
         }
         t.ending = Some(ending);
+        self.last_words.note(&t.id, LastWord::without_answer(Last::Ended, now));
         let (reason, is_out) = (t.reason, t.out.is_some());
         if is_out {
             let out = self.begun.keys().filter(|(of, _)| *of == no);
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -1,6 +1,7 @@
 //! The core handed to another process of the relay, and taken over from one.
 
 use super::Core;
+use crate::attribution::Via;
 use crate::catalog::{EndpointId, EndpointView};
 use crate::decision::Knowledge;
 use crate::interface::Nanos;
@@ -11,7 +12,16 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Calls whose first byte went and that have no outcome yet, by attempt.
-pub(super) type Begun = HashMap<(TransactionNo, u32), (EndpointId, Nanos)>;
+pub(super) type Begun = HashMap<(TransactionNo, u32), BegunAttempt>;
+
+/// An attempt whose first byte went.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BegunAttempt {
+    pub endpoint: EndpointId,
+    pub at: Nanos,
+    /// The connection that it went on; of another process's none.
+    pub via: Via,
+}
 
 /// What a process stops deciding on.
 #[derive(Debug, Default)]
@@ -52,8 +62,8 @@
     /// Calls that go on at this process, and the attempts that do not: of messages that have their ends.
     fn open_calls(&self) -> (Vec<OpenCall>, Vec<(TransactionNo, u32)>) {
         let mut by_call: BTreeMap<(EndpointId, Nanos), Vec<(TransactionNo, u32)>> = BTreeMap::new();
-        for (attempt, call) in &self.begun {
-            by_call.entry(*call).or_default().push(*attempt);
+        for (attempt, BegunAttempt { endpoint, at, .. }) in &self.begun {
+            by_call.entry((*endpoint, *at)).or_default().push(*attempt);
         }
         let (mut open, mut given_up) = (Vec::new(), Vec::new());
         for ((endpoint, begun), mut attempts) in by_call {
@@ -119,7 +129,8 @@
         };
         let (picked, adopted) = self.facade.restore(now, left);
         for (call, (endpoint, begun, _)) in adopted.iter().zip(&calls) {
-            self.begins(call.attempts.iter(), *endpoint, *begun);
+            let begun = BegunAttempt { endpoint: *endpoint, at: *begun, via: Via::default() };
+            self.begins(call.attempts.iter(), begun);
         }
         self.work.adopted.extend(adopted);
         self.absorb(now, picked);
@@ -145,12 +156,7 @@
     }
 
     /// The first byte of these attempts went.
-    pub(super) fn begins<'a>(
-        &mut self,
-        attempts: impl Iterator<Item = &'a Attempt>,
-        endpoint: EndpointId,
-        at: Nanos,
-    ) {
-        self.begun.extend(attempts.map(|a| ((a.transaction, a.number), (endpoint, at))));
+    pub(super) fn begins<'a>(&mut self, attempts: impl Iterator<Item = &'a Attempt>, begun: BegunAttempt) {
+        self.begun.extend(attempts.map(|a| ((a.transaction, a.number), begun)));
     }
 }
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -8,6 +8,7 @@
 use crate::routing::message_log;
 use crate::routing::transactions::{Ending, Transaction};
 use crate::routing::values::{End, TransactionNo};
+use crate::settlement::{Last, LastWord};
 use std::collections::HashSet;
 
 impl Core {
@@ -28,6 +29,9 @@
             }
             message_log::restored(no, t, is_out);
             let ended = t.ending.is_some();
+            if ended || t.is_spent {
+                self.last_words.note(&t.id, LastWord::without_answer(Last::Earlier, now));
+            }
             if ended {
                 self.work.ended.push(no);
             } else if self.journal.classes().rules(t.class).is_none() {
@@ -77,6 +81,7 @@
             return Taken::Refused { after: DOOR_ADVICE, full: false };
         }
         let (key, time_left) = (offer.key.clone(), offer.time_left);
+        self.last_words.forget(&offer.id);
         let t = Transaction::new(offer, class, now);
         let bytes = bytes_of(&t);
         let no = match self.facade.full() {
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -7,6 +7,7 @@
 mod intake;
 mod listing;
 mod maintenance;
+mod outcomes;
 mod retune;
 mod values;
 
@@ -24,6 +25,7 @@
 use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
 use crate::interface::{Nanos, Outcome, Settings};
 use crate::maintenance::Maintenance;
+use crate::settlement::Audit;
 use ends::Withheld;
 use handover::Begun;
 
@@ -53,6 +55,8 @@
     maintenance: Maintenance,
     /// Calls that are out.
     begun: Begun,
+    /// Checks that none begins after a message's last word.
+    last_words: Audit,
 }
 
 /// The operator's terms for calls, with the names of the kinds that they speak of.
@@ -131,6 +135,7 @@
             withheld: Withheld::default(),
             maintenance,
             begun: Begun::default(),
+            last_words: Audit::default(),
         };
         if torn > 0 {
             core.work
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -86,6 +86,8 @@
     pub wait: Nanos,
     /// The call was refused as a whole, as one that cannot be read or is too large.
     pub refused: bool,
+    /// Attempts of which the answer may be final, whatever the replies say: for the run-time check.
+    pub finals: Vec<Attempt>,
 }
 
 impl Carried {
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -194,7 +194,8 @@
         };
         let attempt_of = |no: TransactionNo| call.attempts.iter().find(|a| a.transaction == no);
         let replies = replies.iter().filter_map(|(no, reply)| Some((*attempt_of(*no)?, *reply))).collect();
-        self.ended(&call, Carried { replies, limit, idle, echo, wait, refused }, took, self.life.get());
+        let carried = Carried { replies, limit, idle, echo, wait, refused, ..Carried::default() };
+        self.ended(&call, carried, took, self.life.get());
     }
 
     /// The process before this one is gone: its calls that had no outcome may have run.
--- a/src/routing/handover/roles.rs
+++ b/src/routing/handover/roles.rs
@@ -135,7 +135,7 @@
 
     /// Tells the outcome of a call that was handed over open.
     pub fn report(&self, call: &Call, carried: Carried, took: Nanos) {
-        let Carried { replies, limit, idle, echo, wait, refused } = carried;
+        let Carried { replies, limit, idle, echo, wait, refused, .. } = carried;
         let of_call = |no: &TransactionNo| call.attempts.iter().any(|a| a.transaction == *no);
         let replies = replies.into_iter().map(|(attempt, reply)| (attempt.transaction, reply));
         let replies = replies.filter(|(no, _)| of_call(no)).collect();
--- a/src/routing/message_log.rs
+++ b/src/routing/message_log.rs
@@ -3,20 +3,12 @@
 
 use super::transactions::{Ending, Transaction};
 use super::values::{Attempt, Reply};
+use crate::attribution::Via;
 use std::fmt;
 
 /// The target of these events.
 pub const TARGET: &str = "messages";
 
-/// The connection of a call, and its place among the requests on it, from 1.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
-pub struct Via {
-    /// The connection's number in the log.
-    pub connection: u64,
-    /// 1 for the first request that it carries.
-    pub request: usize,
-}
-
 /// Why an attempt that was released is not begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotBegun {
--- a/src/routing/passage.rs
+++ b/src/routing/passage.rs
@@ -2,8 +2,8 @@
 
 use super::core::{Carried, Letter};
 use super::desk::{Desk, Front};
-use super::message_log::Via;
 use super::values::{Call, Reply};
+use crate::attribution::Via;
 use crate::catalog::Endpoint;
 use crate::interface::Outcome;
 use std::rc::Rc;
--- a/src/settlement/mod.rs
+++ b/src/settlement/mod.rs
@@ -17,8 +17,10 @@
 //! Whether a message that may go out again does so is for its class to say.
 #![warn(missing_docs)]
 
+mod audit;
 mod reply;
 
+pub use audit::{Audit, Counts, Last, LastWord};
 pub use reply::{Reply, Standing};
 
 use crate::interface::Outcome;
@@ -38,6 +40,18 @@
     NotFinal,
 }
 
+impl Said {
+    /// Whether what was said may be a final answer, however far it can be believed: for the run-time check, beside [`settle`].
+    pub fn may_be_final(self, certainty: Certainty) -> bool {
+        match self {
+            Said::Plainly(reply) => reply.is_final(),
+            Said::Contradictory | Said::MaybeFinal => true,
+            Said::Nothing => certainty == Certainty::Cut,
+            Said::NotFinal => false,
+        }
+    }
+}
+
 /// How far an answer can be believed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Certainty {
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -6,10 +6,10 @@
 
 use super::held::{Answered, Broken, Heard, HeldAnswers};
 use super::pending::PendingCall;
+use crate::attribution::Via;
 use crate::attribution::{Exchanges, Fingerprint, Verdict};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
-use crate::routing::message_log::Via;
 use crate::transport::answer::{parse, Answer, Unreadable};
 use crate::transport::beginning::Beginning;
 use crate::transport::connection::{next_number, ANSWER_WITHIN};
--- a/src/transport/pipeline/held.rs
+++ b/src/transport/pipeline/held.rs
@@ -1,8 +1,8 @@
 //! Answers on a connection with several calls that may be other calls', and what calls hear of them.
 
 use crate::attribution::Verdict;
+use crate::attribution::Via;
 use crate::batching::fate::Break;
-use crate::routing::message_log::Via;
 use crate::transport::answer::Answer;
 use crate::transport::beginning::Beginning;
 use std::rc::Rc;
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -10,8 +10,8 @@
 
 use super::network::{out_of_room, Net};
 use super::pool::{NoLease, Pool};
+use crate::attribution::Via;
 use crate::batching::fate::Break;
-use crate::routing::message_log::Via;
 use crate::routing::EndpointId;
 use bytes::Bytes;
 use connection::Connection;
--- a/src/transport/pool/lease.rs
+++ b/src/transport/pool/lease.rs
@@ -1,9 +1,9 @@
 //! A connection taken out of the pool for one call.
 
 use super::{log_closed, Closed, Idle, NoLease, Pool, ANSWER_MOST};
+use crate::attribution::Via;
 use crate::attribution::{Fingerprint, Reuse};
 use crate::interface::Nanos;
-use crate::routing::message_log::Via;
 use crate::routing::EndpointId;
 use crate::transport::connection::Line;
 use crate::transport::network::out_of_room;
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -3,13 +3,13 @@
 
 mod fixture;
 
+use basaltloom::attribution::Via;
 use basaltloom::batching::Table;
 use basaltloom::catalog::{Endpoint, EndpointState, EndpointUpdate, MOST_IN_A_PIECE};
 use basaltloom::program::listing::{Feed, Listing};
 use basaltloom::protocol::discovery::ListReceiver;
 use basaltloom::routing::core::{Batching, Carried, First};
 use basaltloom::routing::desk::Passage;
-use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Clock, Core, Desk, EndpointId, Front, Journal, Offer, Reply, Taken, TransactionNo,
 };
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -3,8 +3,8 @@
 
 mod fixture;
 
+use basaltloom::attribution::Via;
 use basaltloom::routing::core::{Batching, Carried, First};
-use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
 };
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -4,9 +4,9 @@
 #[path = "fixture/journal.rs"]
 mod journal_fixture;
 
+use basaltloom::attribution::Via;
 use basaltloom::routing::core::{Batching, Carried, First, Moved, Retuning};
 use basaltloom::routing::journal::Record;
-use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Call, Classes, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken, Transaction,
 };
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -3,8 +3,8 @@
 
 mod fixture;
 
+use basaltloom::attribution::Via;
 use basaltloom::routing::core::{Batching, Carried, First, Letter};
-use basaltloom::routing::message_log::Via;
 use basaltloom::routing::{
     Attempt, Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply, Taken,
 };
