Play final answers in the soak of copies, with signals, drains and full folders

The soak knew no final answer. Judged by the endpoints' record: no call after a final answer, nothing lost, run again, out twice or out of turn; an answer written while its process was being killed may be unread.

--- a/tests/attribution/endpoint.rs
+++ b/tests/attribution/endpoint.rs
@@ -289,8 +289,12 @@
                         record.end(id, &stream, is_heard && written.delivers.contains(id));
                     }
                 });
+                let whole: Vec<u8> = written.parts.iter().flat_map(|(_, part)| part.clone()).collect();
                 match self.write_parts(written) {
-                    Ok(After::GoesOn) => continue,
+                    Ok(After::GoesOn) => {
+                        pending = self.copy_some(whole);
+                        continue;
+                    }
                     Ok(After::Closes) => drop(stream.shutdown(Shutdown::Both)),
                     Err(_) => {}
                 }
@@ -313,12 +317,17 @@
             if closes {
                 return;
             }
-            let copied = self.nature.copies != Copies::Never && chance(&mut self.rng, 20);
-            if copied {
-                self.record.tell(|record| record.copies_sent += 1);
-                pending = self.copy(answer);
-            }
+            pending = self.copy_some(answer);
+        }
+    }
+
+    /// Sends copies of some answers, or returns what of one comes with the next request.
+    fn copy_some(&mut self, answer: Vec<u8>) -> Option<Vec<u8>> {
+        if self.nature.copies == Copies::Never || !chance(&mut self.rng, 20) {
+            return None;
         }
+        self.record.tell(|record| record.copies_sent += 1);
+        self.copy(answer)
     }
 
     /// The answer to a call of which some messages have had their final answer.
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -126,7 +126,11 @@
         let inherited = if self.listener.is_some() { "3<&0" } else { "" };
         let operator = self.dir.join("relay.conf");
         let operator = operator.display();
-        self.start_by(&format!("exec \"$0\" serve --operator \"{operator}\" {inherited} 0</dev/null"), more)
+        // A write beyond a limit on file sizes is to fail, not to end the process.
+        self.start_by(
+            &format!("trap '' XFSZ; exec \"$0\" serve --operator \"{operator}\" {inherited} 0</dev/null"),
+            more,
+        )
     }
 
     /// Starts one by a line of the shell, to which the listening socket comes as standard input.
@@ -204,6 +208,18 @@
     line.match_indices(id).any(|(at, _)| behind(at).is_none_or(|c| !c.is_ascii_alphanumeric()))
 }
 
+/// The lines of a log about these messages, and those that tell that the process was held up.
+pub fn lives_of(log: &Told<Vec<String>>, ids: &[String]) -> Vec<String> {
+    let held_up = ["held-up", "journal-slow"];
+    let is_about = |line: &String| {
+        ids.iter().any(|id| names(line, id)) || held_up.iter().any(|event| line.contains(event))
+    };
+    match ids.is_empty() {
+        true => Vec::new(),
+        false => log.tell(|lines| lines.iter().filter(|line| is_about(line)).cloned().collect()),
+    }
+}
+
 impl Process {
     /// Asks at the console; the status of the answer.
     pub fn call(&self, method: &str, path: &str) -> Option<u16> {
@@ -245,8 +261,7 @@
     /// The lines of its log about these messages, where it tells each message's life.
     #[allow(dead_code)]
     pub fn lives_of(&self, ids: &[String]) -> Vec<String> {
-        let is_about = |line: &String| ids.iter().any(|id| names(line, id));
-        self.log.tell(|lines| lines.iter().filter(|line| is_about(line)).cloned().collect())
+        lives_of(&self.log, ids)
     }
 
     pub fn signal(&self, signal: Signal) {
