--- a/tests/final_answers/main.rs
+++ b/tests/final_answers/main.rs
@@ -19,4 +19,4 @@
 mod rig;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
-mod takeover;
+mod while_out;
--- a/tests/final_answers/takeover.rs
+++ b/tests/final_answers/while_out.rs
@@ -1,10 +1,10 @@
-//! Final answers that come to a process while another one takes over from it, or has done so and is gone.
+//! Final answers to calls that are out while something happens to the process: signals, a drain, another process that takes over.
 
 use crate::finals::{Form, Says};
 use crate::held::Held;
-use crate::platform::{Platform, Process, Terms, TELLS_LIVES};
+use crate::platform::{Platform, Process, Terms, KILLED_AFTER, TELLS_LIVES};
 use crate::rig::start;
-use crate::stand_ins::{entry, folder, message_within, Discovery};
+use crate::stand_ins::{entry, folder, hop, message_within, Discovery};
 use rustix::process::Signal;
 use std::sync::atomic::Ordering;
 use std::thread::{sleep, spawn};
@@ -16,6 +16,9 @@
 /// In which an answer on loopback has been read.
 const READ_WITHIN: Duration = Duration::from_millis(150);
 
+/// A process starts again so long after its end.
+const GONE_FOR: Duration = Duration::from_millis(600);
+
 /// A relay of which a message is out at an endpoint that has not answered yet.
 struct Out {
     endpoint: Held,
@@ -92,3 +95,47 @@
         out.came(says, form)
     });
 }
+
+/// Guards a message whose final answer comes behind a SIGHUP that read the configuration again.
+#[test]
+fn a_final_answer_behind_a_sighup_counts() {
+    all_hold(|class, says, form| {
+        let (out, process) = Out::new(class, says, form);
+        process.signal(Signal::HUP);
+        process.says("reread");
+        out.answer();
+        out.came(says, form)
+    });
+}
+
+/// Guards a message whose final answer comes from an endpoint that has left the list meanwhile: no other one is called.
+#[test]
+fn a_final_answer_from_an_endpoint_that_drains_counts() {
+    all_hold(|class, says, form| {
+        let (out, _process) = Out::new(class, says, form);
+        let (other, served) = hop("127.0.0.1:0");
+        let drains = entry("h", out.endpoint.address, "leaving");
+        out.discovery.next(&format!("{drains},{}", entry("other", other, "active")));
+        out.discovery.asked_again();
+        out.answer();
+        let came = out.came(says, form);
+        assert!(served.tell(|served| served.is_empty()), "another endpoint was called");
+        came
+    });
+}
+
+/// Guards a message whose final answer comes between SIGTERM and the kill: the process that follows calls it no more.
+#[test]
+fn a_final_answer_between_sigterm_and_the_kill_counts_after_the_next_start() {
+    all_hold(|class, says, form| {
+        let (out, mut process) = Out::new(class, says, form);
+        process.signal(Signal::TERM);
+        sleep(READ_WITHIN);
+        out.answer();
+        process.ends_within(KILLED_AFTER);
+        process.kill();
+        sleep(GONE_FOR);
+        let _next = start(&out.platform);
+        out.came(says, form)
+    });
+}
