Take a record that a kill left half written for the end that it may have been

A process killed while it wrote that a message was over, or that its last attempt had ended, left half a record, which the next one cut off: the message was called again after its 410 or 504. The beginning of that record is read now: where it may have ended a message or an attempt, that message, or all that were out where too little was written to tell, begin no attempt any more and end by a notice. A record of another kind that was cut changes nothing.

--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -10,14 +10,17 @@
 
 mod behind;
 mod lock;
+mod open;
 mod preread;
 mod record;
 mod replay;
+mod torn;
 
 pub use lock::{OpenError, WriterLock};
 pub use preread::Preread;
 pub use record::Record;
 pub use replay::{LastOut, Replayed};
+pub use torn::TornEnd;
 
 use super::classes::{ClassKey, Classes};
 use super::transactions::{Transaction, Transactions};
@@ -75,70 +78,6 @@
 }
 
 impl Journal {
-    /// Opens the journal in `dir`, which may hold `budget` bytes in all, and reads what it holds. Where another process
-    /// has it, nothing is changed.
-    pub fn open(
-        dir: &Path,
-        budget: u64,
-        classes: impl Into<Classes>,
-    ) -> Result<(Journal, Replayed), OpenError> {
-        let (mut journal, mut replayed) = Journal::open_after(Preread::none(), dir, budget, &classes.into())?;
-        if journal.lacks_records() {
-            journal.distrust_attempts(&mut replayed);
-        }
-        Ok((journal, replayed))
-    }
-
-    /// Whether the process before could not write all that happened.
-    pub fn lacks_records(&self) -> bool {
-        self.mark.is_set()
-    }
-
-    /// Where it could not, any attempt that was out may have had a final answer: no other begins.
-    pub fn distrust_attempts(&mut self, replayed: &mut Replayed) {
-        for no in replayed.transactions.spend_all_out() {
-            let record = Record::Back { may_have_run: true, is_final: true };
-            self.unwritten.extend(encode(no, &record, &self.classes));
-        }
-        self.flush().ok();
-    }
-
-    /// The same where most of it was read before, while another process still had it, which tells what it could not write.
-    pub fn open_after(
-        preread: Preread,
-        dir: &Path,
-        budget: u64,
-        classes: &Classes,
-    ) -> Result<(Journal, Replayed), OpenError> {
-        let lock = WriterLock::take(dir)?;
-        let path = dir.join(NAME);
-        remove_if_there(&dir.join(COPY))?;
-        let Preread { replayed, good, .. } = preread.go_on(&path, classes)?;
-        let file = OpenOptions::new().create(true).append(true).open(&path)?;
-        let mut journal = Journal {
-            dir: dir.to_path_buf(),
-            file,
-            lock: Some(lock),
-            classes: replayed.classes.clone(),
-            written: replayed.written.clone(),
-            budget: budget.saturating_sub(MARGIN + ROOM_AILING),
-            size: good,
-            unwritten: Vec::new(),
-            mark: BehindMark::open(dir),
-            has_torn_tail: replayed.torn > 0,
-            live: HashMap::new(),
-            live_bytes: 0,
-            ailing: replayed.ailing.clone(),
-            maintenance: replayed.maintenance.clone(),
-        };
-        for (no, t) in replayed.transactions.iter() {
-            journal.count_live(no, t);
-        }
-        // Where that fails now, it is done before the next record.
-        journal.repair().ok();
-        Ok((journal, replayed))
-    }
-
     pub fn bytes(&self) -> u64 {
         self.size
     }
--- a/src/routing/journal/preread.rs
+++ b/src/routing/journal/preread.rs
@@ -2,6 +2,7 @@
 
 use super::super::classes::Classes;
 use super::replay::{replay, Replayed};
+use super::torn::TornEnd;
 use super::NAME;
 use bytes::Bytes;
 use std::fs::File;
@@ -50,6 +51,7 @@
         let bytes = Bytes::from(bytes);
         let good = replay(&bytes, &mut read.replayed);
         read.replayed.torn = bytes.len() as u64 - good;
+        read.replayed.torn_end = TornEnd::of(&bytes[good as usize..]);
         read.good += good;
         read.file = is;
         Ok(read)
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -11,6 +11,12 @@
 /// Bytes of a record before its body: length and checksum.
 pub(super) const HEAD: usize = 8;
 
+/// Where a record's transaction stands, and behind it its code.
+pub(super) const NO_AT: usize = HEAD;
+pub(super) const CODE_AT: usize = NO_AT + 8;
+/// The code of an end that is decided, and the bytes of its record behind the head, the longest that ends anything.
+pub(super) const ENDING: u8 = 4;
+pub(super) const ENDING_LEN: usize = 8 + 1 + 1 + 8 + 4;
 /// The code of an attempt that has ended, and what follows it where a final answer has come, to it or to another.
 pub(super) const BACK: u8 = 3;
 pub(super) const BACK_FINAL: u8 = 1;
@@ -131,7 +137,7 @@
         }
         Record::Spent => out.extend([BACK, 1, FINAL_ELSEWHERE]),
         Record::Ending(e, reason) => {
-            out.push(4);
+            out.push(ENDING);
             put_ending(&mut out, Some(*e), *reason);
         }
         Record::Over => out.push(OVER),
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -4,7 +4,10 @@
 use super::super::closed::Closed;
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
-use super::record::{set_ailing, Ailing, BACK, CLASS, DELIVERED, ENDED, FINAL_ELSEWHERE, HEAD, OVER, SPENT};
+use super::record::{
+    set_ailing, Ailing, BACK, CLASS, DELIVERED, ENDED, ENDING, FINAL_ELSEWHERE, HEAD, OVER, SPENT,
+};
+use super::torn::TornEnd;
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
 use bytes::Bytes;
@@ -27,6 +30,8 @@
     pub maintenance: Maintenance,
     /// Bytes at the end that were no whole record.
     pub torn: u64,
+    /// What they may have said.
+    pub torn_end: TornEnd,
 }
 
 /// Reads fields off the front of a record.
@@ -157,7 +162,7 @@
                 t.out = None;
             }
         }
-        4 => (t.ending, t.reason) = r.ending()?,
+        ENDING => (t.ending, t.reason) = r.ending()?,
         OVER => {
             let told = t.ending.map_or(Closed::Over, Closed::Told);
             match r.u8() {
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -119,17 +119,20 @@
         self.by_id.get(id).copied()
     }
 
-    /// Has no attempt begin any more for those of which one is out: it counts as ended, and may have run. Returns which they
-    /// are.
+    /// Has no attempt begin any more for those of which one is out. Returns which they are.
     pub fn spend_all_out(&mut self) -> Vec<TransactionNo> {
-        let mut spent = Vec::new();
-        for (no, t) in &mut self.by_no {
-            let Some(out) = t.out.take() else { continue };
-            t.may_have_run.get_or_insert(out);
-            t.is_spent = true;
-            spent.push(*no);
-        }
-        spent
+        let out: Vec<TransactionNo> =
+            self.by_no.iter().filter(|(_, t)| t.out.is_some()).map(|(no, _)| *no).collect();
+        out.into_iter().filter_map(|no| self.spend(no)).collect()
+    }
+
+    /// Has no attempt of this one begin any more: one that is out counts as ended, and may have run. Returns it, where it is
+    /// open.
+    pub fn spend(&mut self, no: TransactionNo) -> Option<TransactionNo> {
+        let t = self.by_no.get_mut(&no)?;
+        t.may_have_run = t.may_have_run.or(t.out.take());
+        t.is_spent = true;
+        Some(no)
     }
 
     /// In the order taken.
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -276,20 +276,27 @@
             break;
         }
         let bytes = std::fs::read(&file).unwrap();
+        let mut begins = written;
         for end in ends(&bytes).into_iter().filter(|end| *end > written) {
-            // The last record of a step was followed by first bytes; what stands before it was not yet.
-            let mut known = life.oracle.clone();
-            if end < bytes.len() {
-                for (id, seen) in &mut known.0 {
-                    seen.begun.truncate(before.0.get(id).map_or(0, |s| s.begun.len()));
+            // Behind the record, and somewhere within it.
+            let within = begins + 1 + life.roll((end - begins) as u64 - 1) as usize;
+            for killed in [within, end] {
+                // The last record of a step was followed by first bytes; what stands before it was not yet.
+                let mut known = life.oracle.clone();
+                if killed < bytes.len() {
+                    for (id, seen) in &mut known.0 {
+                        seen.begun.truncate(before.0.get(id).map_or(0, |s| s.begun.len()));
+                    }
                 }
+                std::fs::write(side.join("relay.journal"), &bytes[..killed]).unwrap();
+                let again = life.now + 600 * MS;
+                let told = live_again(&side, again, seed ^ (killed as u64) << 8, known, killed as u64 % 3);
+                let at = life.now / MS;
+                begun +=
+                    told.map_err(|why| format!("seed {seed}, killed after byte {killed} at {at}: {why}"))?;
+                lives += 1;
             }
-            std::fs::write(side.join("relay.journal"), &bytes[..end]).unwrap();
-            let again = life.now + 600 * MS;
-            let told = live_again(&side, again, seed ^ (end as u64) << 8, known, end as u64 % 3);
-            let at = life.now / MS;
-            begun += told.map_err(|why| format!("seed {seed}, killed after byte {end} at {at}: {why}"))?;
-            lives += 1;
+            begins = end;
         }
         written = bytes.len();
     }
