Take a spoilt first line that names 410 or 504 for a possible final answer

A first line that is none by the letter (two spaces, another version) was taken for noise, and its message could go out again. If it names a status of a final answer the message ends. Unit tests; found by reading.

--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -126,7 +126,14 @@
 pub fn said_in_part(beginning: &Beginning, letters: &[Letter]) -> Vec<Said> {
     let each = |said| vec![said; letters.len()];
     match beginning {
-        Beginning::Nothing | Beginning::Unreadable => each(Said::NotFinal),
+        Beginning::Nothing => each(Said::NotFinal),
+        // Spoilt as it is, it may have been one of these.
+        Beginning::Unreadable(line) => {
+            let names =
+                |status: &StatusCode| line.windows(3).any(|digits| digits == status.as_str().as_bytes());
+            let may_be_final = final_statuses(letters.len()).iter().any(names);
+            each(if may_be_final { Said::MaybeFinal } else { Said::NotFinal })
+        }
         Beginning::Digits(digits) => {
             let may_be_final = final_statuses(letters.len())
                 .iter()
@@ -239,6 +246,10 @@
             ("HTTP/1.1 50", Said::MaybeFinal),
             ("HTTP/1.1 2", Said::NotFinal),
             ("noise", Said::NotFinal),
+            ("HTTP/1.1  410 Gone", Said::MaybeFinal),
+            ("HTTP/2 504\r\n", Said::MaybeFinal),
+            ("HTTP/1.x 503 Full, 410 calls\r\n", Said::MaybeFinal),
+            ("HTTP/1.x 503 Full\r\n410", Said::NotFinal),
             ("HTTP/1.1 410", Said::Plainly(Reply::Over)),
             ("HTTP/1.1 504 No", Said::Plainly(Reply::Spent)),
         ] {
--- a/src/transport/beginning.rs
+++ b/src/transport/beginning.rs
@@ -9,6 +9,8 @@
 const HEADERS_MOST: usize = 64;
 /// An answer begins with this, a digit, a space and its status.
 const VERSION: &[u8] = b"HTTP/1.";
+/// Bytes of a line that are kept where it is no first line of an answer.
+const LINE_MOST: usize = 256;
 /// Digits of a status.
 const STATUS_DIGITS: usize = 3;
 
@@ -21,8 +23,8 @@
     Digits(String),
     /// Its status is known.
     Told(Told),
-    /// No answer begins like this.
-    Unreadable,
+    /// No answer begins with this line, or with as much of one.
+    Unreadable(Bytes),
 }
 
 /// An answer of which at least the status has come.
@@ -42,7 +44,10 @@
     /// What these bytes are the beginning of.
     pub fn of(mut bytes: &[u8]) -> Beginning {
         loop {
-            let Some(status) = first_status(bytes) else { return Beginning::Unreadable };
+            let Some(status) = first_status(bytes) else {
+                let line = bytes.split(|byte| *byte == b'\n').next().unwrap_or_default();
+                return Beginning::Unreadable(Bytes::copy_from_slice(&line[..line.len().min(LINE_MOST)]));
+            };
             match status {
                 FirstStatus::None => return Beginning::Nothing,
                 FirstStatus::Digits(digits) => return Beginning::Digits(digits),
@@ -152,7 +157,7 @@
             assert_eq!(Beginning::of(bytes.as_bytes()), Beginning::Digits(digits.to_string()), "{bytes}");
         }
         for bytes in ["noise", "HTTP/2", "HTTP/1.1 4x", "HTTP/1.1 4100", "HTTP/1.x 410", "HTTP/1.1410"] {
-            assert_eq!(Beginning::of(bytes.as_bytes()), Beginning::Unreadable, "{bytes}");
+            assert_eq!(Beginning::of(bytes.as_bytes()), Beginning::Unreadable(Bytes::from(bytes)), "{bytes}");
         }
         assert_eq!(told_of(b"HTTP/1.1 410"), (410, false, false, Bytes::new()));
         assert_eq!(told_of(b"HTTP/1.1 504 No\r\nContent-Le"), (504, true, false, Bytes::new()));
