Name partial answers, notified ends and reported answers by the terms of the field

An answer of which only a part has come is a PartialAnswer, an end that its caller was notified of is Notified, what was reported to a process that took over is reported.

--- a/src/protocol/hook.rs
+++ b/src/protocol/hook.rs
@@ -5,7 +5,7 @@
 use crate::routing::core::Letter;
 use crate::routing::{Limit, Reply};
 use crate::settlement::Said;
-use crate::transport::beginning::{Beginning, Told};
+use crate::transport::beginning::{Beginning, PartialAnswer};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::header::CONNECTION;
@@ -140,7 +140,7 @@
                 .any(|status| status.as_str().starts_with(digits.as_str()));
             each(if may_be_final { Said::MaybeFinal } else { Said::NotFinal })
         }
-        Beginning::Told(Told { status, headers, body, .. }) => {
+        Beginning::Status(PartialAnswer { status, headers, body, .. }) => {
             let (lines, rest) =
                 body.split_at(body.iter().rposition(|b| *b == b'\n').map_or(0, |end| end + 1));
             let mut all = said(*status, headers.as_ref().unwrap_or(&HeaderMap::new()), lines, letters);
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -149,7 +149,7 @@
 /// of this call's answer.
 pub(super) fn unanswered(outcome: Outcome, lease: &mut Lease, letters: &[Letter]) -> Exchanged {
     let beginning = lease.line().map_or(Beginning::Nothing, |line| line.beginning());
-    let status = beginning.told_status();
+    let status = beginning.line_status();
     let verdict = status.and_then(|status| Some(lease.line()?.exchanges.judge_status(status)));
     let is_success = letters.len() == 1 && status == Some(StatusCode::OK.as_u16());
     let came = match verdict.filter(|verdict| is_success && verdict.is_known()) {
--- a/src/routing/closed.rs
+++ b/src/routing/closed.rs
@@ -13,8 +13,8 @@
     Delivered,
     /// An endpoint said that it is over, and nothing was owed.
     Over,
-    /// By an end that was told to whoever handed it in.
-    Told(Ending),
+    /// By an end of which whoever handed it in was notified.
+    Notified(Ending),
 }
 
 /// Messages that ended of late, the oldest first.
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -65,14 +65,14 @@
             not_begun(NotBegun::TooLate);
             let first = t.may_have_run.map_or(0, |(at, _)| now.saturating_sub(at) / 1_000_000);
             let left = t.deadline.saturating_sub(now) / 1_000_000;
-            let text = "a branch was ready too late to be begun";
+            let text = "an attempt was ready too late to be begun";
             let text = format!("{text}: {}, {first} ms after its first, {left} ms left", t.id);
             self.note_of("branch-late", hop, text);
             return None;
         }
         if let Err(e) = self.journal.write(no, &Record::Out { at: now, zone: hop.zone }) {
             not_begun(NotBegun::Unwritten);
-            let text = format!("cannot begin a branch: {e}");
+            let text = format!("cannot begin an attempt: {e}");
             self.work.notes.push(Note::new("journal-cannot-begin", text));
             return None;
         }
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -39,7 +39,7 @@
     /// The end of this transaction has reached whoever it was owed to.
     pub fn acknowledged(&mut self, now: Nanos, no: TransactionNo) {
         let ending = self.transactions.get(no).and_then(|t| t.ending);
-        self.close(now, no, ending.map_or(Closed::Over, Closed::Told));
+        self.close(now, no, ending.map_or(Closed::Over, Closed::Notified));
         let picked = self.facade.settled(now, no);
         self.absorb(now, picked);
     }
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -72,7 +72,7 @@
         match self.transactions.closed().get(&offer.id) {
             None => {}
             Some(Closed::Delivered | Closed::Over) => return Taken::Already,
-            Some(Closed::Told(ending)) => return self.tell_again(now, offer, ending),
+            Some(Closed::Notified(ending)) => return self.tell_again(now, offer, ending),
         }
         let Some(class) = self.journal.classes().named(&offer.class) else { return Taken::UnknownClass };
         // What no next hop serves could only be held until its time is up.
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -49,8 +49,8 @@
     adopted: RefCell<Vec<Call>>,
     /// Whether this process decides, and its ways to the others of its relay.
     pub roles: Roles,
-    /// What the process that took over was told of answers after which no call may follow: it may be gone before it heard.
-    told: RefCell<Vec<(TransactionNo, Reply)>>,
+    /// What was reported to the process that took over of answers after which no call may follow: it may be gone before it heard.
+    reported: RefCell<Vec<(TransactionNo, Reply)>>,
     /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
     life: Cell<u32>,
 }
@@ -83,7 +83,7 @@
             out: RefCell::default(),
             adopted: RefCell::default(),
             roles: Roles::default(),
-            told: RefCell::default(),
+            reported: RefCell::default(),
             life: Cell::new(0),
         })
     }
@@ -143,7 +143,7 @@
     /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
     pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>) -> Released {
         let released = self.core.borrow_mut().release(self.clock.now(), seq);
-        self.told.borrow_mut().clear();
+        self.reported.borrow_mut().clear();
         self.roles.retire(successor);
         self.front.retire();
         let begun = |attempt: &(TransactionNo, u32)| {
@@ -173,8 +173,8 @@
             .for_each(|signals| signals.cancelled.notify_one());
         self.core.replace(core);
         self.roles.resume();
-        let told = self.told.take();
-        self.act(|core, now| core.answered_before(now, &told));
+        let reported = self.reported.take();
+        self.act(|core, now| core.answered_before(now, &reported));
         self.sooner.notify_one();
     }
 
@@ -327,7 +327,7 @@
             }
             None => {}
             Some(successor) => {
-                self.told.borrow_mut().extend(last);
+                self.reported.borrow_mut().extend(last);
                 successor.report(call, carried, took);
             }
         }
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -143,7 +143,7 @@
         Record::Over => out.push(OVER),
         // Versions that know of no ends of this kind read the first byte alone.
         Record::Closed(Closed::Delivered) => out.extend([OVER, DELIVERED]),
-        Record::Closed(Closed::Over | Closed::Told(_)) => out.extend([OVER, ENDED]),
+        Record::Closed(Closed::Over | Closed::Notified(_)) => out.extend([OVER, ENDED]),
         Record::Ailing(name, ailing) => {
             out.extend([9, u8::from(ailing.is_some())]);
             out.extend(ailing.unwrap_or(0.0).to_le_bytes());
--- a/src/transport/beginning.rs
+++ b/src/transport/beginning.rs
@@ -22,14 +22,14 @@
     /// Its status begins with these digits, fewer than a status has.
     Digits(String),
     /// Its status is known.
-    Told(Told),
+    Status(PartialAnswer),
     /// No answer begins with this line, or with as much of one.
     Unreadable(Bytes),
 }
 
 /// An answer of which at least the status has come.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct PartialAnswer {
     /// The status.
     pub status: StatusCode,
     /// Its first line has come whole.
@@ -57,15 +57,15 @@
                     let Some(end) = head_end(bytes) else { return Beginning::Nothing };
                     bytes = &bytes[end..];
                 }
-                FirstStatus::Whole(status) => return Beginning::Told(told(status, bytes)),
+                FirstStatus::Whole(status) => return Beginning::Status(partial(status, bytes)),
             }
         }
     }
 
     /// The status, where the first line has come whole.
-    pub fn told_status(&self) -> Option<u16> {
+    pub fn line_status(&self) -> Option<u16> {
         match self {
-            Beginning::Told(told) => told.line_is_whole.then_some(told.status.as_u16()),
+            Beginning::Status(partial) => partial.line_is_whole.then_some(partial.status.as_u16()),
             _ => None,
         }
     }
@@ -114,12 +114,12 @@
     end(b"\r\n\r\n")
 }
 
-fn told(status: StatusCode, bytes: &[u8]) -> Told {
+fn partial(status: StatusCode, bytes: &[u8]) -> PartialAnswer {
     let line_is_whole = bytes.contains(&b'\n');
     let mut fields = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut head = httparse::Response::new(&mut fields);
     let Ok(httparse::Status::Complete(len)) = head.parse(bytes) else {
-        return Told { status, line_is_whole, headers: None, body: Bytes::new() };
+        return PartialAnswer { status, line_is_whole, headers: None, body: Bytes::new() };
     };
     let fields = head.headers.iter();
     let headers: HeaderMap = fields
@@ -132,17 +132,17 @@
         true => chunked_part(&bytes[len..]),
         false => Bytes::copy_from_slice(&bytes[len..]),
     };
-    Told { status, line_is_whole, headers: Some(headers), body }
+    PartialAnswer { status, line_is_whole, headers: Some(headers), body }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn told_of(bytes: &[u8]) -> (u16, bool, bool, Bytes) {
+    fn status_of(bytes: &[u8]) -> (u16, bool, bool, Bytes) {
         match Beginning::of(bytes) {
-            Beginning::Told(told) => {
-                (told.status.as_u16(), told.line_is_whole, told.headers.is_some(), told.body)
+            Beginning::Status(partial) => {
+                (partial.status.as_u16(), partial.line_is_whole, partial.headers.is_some(), partial.body)
             }
             other => panic!("{other:?}"),
         }
@@ -159,12 +159,12 @@
         for bytes in ["noise", "HTTP/2", "HTTP/1.1 4x", "HTTP/1.1 4100", "HTTP/1.x 410", "HTTP/1.1410"] {
             assert_eq!(Beginning::of(bytes.as_bytes()), Beginning::Unreadable(Bytes::from(bytes)), "{bytes}");
         }
-        assert_eq!(told_of(b"HTTP/1.1 410"), (410, false, false, Bytes::new()));
-        assert_eq!(told_of(b"HTTP/1.1 504 No\r\nContent-Le"), (504, true, false, Bytes::new()));
+        assert_eq!(status_of(b"HTTP/1.1 410"), (410, false, false, Bytes::new()));
+        assert_eq!(status_of(b"HTTP/1.1 504 No\r\nContent-Le"), (504, true, false, Bytes::new()));
         let head = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
-        assert_eq!(told_of(format!("{head}abc").as_bytes()), (200, true, true, Bytes::from("abc")));
+        assert_eq!(status_of(format!("{head}abc").as_bytes()), (200, true, true, Bytes::from("abc")));
         let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n4\r\ncd";
-        assert_eq!(told_of(chunked.as_bytes()), (200, true, true, Bytes::from("abcd")));
+        assert_eq!(status_of(chunked.as_bytes()), (200, true, true, Bytes::from("abcd")));
     }
 
     /// Guards the same behind informational answers, however many there are.
@@ -173,7 +173,7 @@
         let early = "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n".repeat(40);
         assert_eq!(Beginning::of(early.as_bytes()), Beginning::Nothing);
         assert_eq!(Beginning::of(b"HTTP/1.1 103 Early Hints\r\nX:"), Beginning::Nothing);
-        assert_eq!(told_of(format!("{early}HTTP/1.1 410 Gone\r\n").as_bytes()).0, 410);
+        assert_eq!(status_of(format!("{early}HTTP/1.1 410 Gone\r\n").as_bytes()).0, 410);
         assert_eq!(
             Beginning::of(format!("{early}HTTP/1.1 4").as_bytes()),
             Beginning::Digits("4".to_string())
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -278,7 +278,7 @@
     /// Whether an answer came, or began to, while it waited, which reads as if it had been sent twice.
     pub fn had_surplus(&self) -> bool {
         let repeats = |status| !self.exchanges.is_new_status(status);
-        self.tap.surplus() && self.tap.beginning().told_status().is_some_and(repeats)
+        self.tap.surplus() && self.tap.beginning().line_status().is_some_and(repeats)
     }
 
     /// Whether the other side has left it open as far as is known, with no request out.
