Reproduce calls after final answers that lie behind a copy or cross a give-up

The log has the answer before it as doubtful (a copy of an earlier one, 2 ms behind the request) and the next call 0.1 ms later; the final answer was right behind the copy.

Cause, by the code: on a doubtful answer, or when it stops waiting, the relay closes its connection at once and lets the message go out again; what lies behind the copy, or is on its way, is never read. An answer on its way is doubt as well.

The tests play both on real processes: 410, 504 and a cut 410, in one write with a copy, 2 ms behind it, and at the moment in which the relay stops waiting; for two classes, alone and on pipelines.

--- a/tests/final_answers/main.rs
+++ b/tests/final_answers/main.rs
@@ -2,6 +2,7 @@
 //! has had its attempts, no call of it begins, however that answer came; and nothing ends in silence.
 
 mod again;
+mod behind;
 #[path = "../upgrade/callers.rs"]
 mod callers;
 #[path = "../attribution/endpoint.rs"]
