Hear what is on its way when a call is given up, before its message goes out again

Cause: the relay closed a connection at the first answer that may be another's, and at a give-up, and let the message go out again at once. What lay there unread, or was on its way, could not end it.

Now a call is given up by ending our sending on its connection. What the endpoint has still said is read until it closes, for 50 ms at the most behind a doubtful answer and 20 ms where the relay stops waiting; each of those answers may be the call's, so a final one among them ends the message, and a wait that one tells binds. Pipelines do the same, and keep answers that come behind those of all calls. src/protocol/platform/meaning.rs says what several answers mean together, for both kinds of connection; the tap of a stream is a module of its own.

--- a/src/batching/pipe.rs
+++ b/src/batching/pipe.rs
@@ -92,6 +92,11 @@
         self.out.iter().find(|o| o.ticket == ticket).is_none_or(|o| o.ends_at <= self.written)
     }
 
+    /// Whether all of every call that is out was passed to the system.
+    pub fn is_all_written(&self) -> bool {
+        self.out.iter().all(|o| o.ends_at <= self.written)
+    }
+
     /// Nothing new goes; what is out may still be answered.
     pub fn drain(&mut self) {
         if self.state == State::Open {
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -2,18 +2,18 @@
 
 use super::super::hook;
 use super::intake::BODY_MOST;
+use super::meaning;
 use crate::attribution::Via;
 use crate::attribution::{Fingerprint, Proof, Verdict};
 use crate::catalog::Endpoint;
 use crate::interface::{Nanos, Outcome};
 use crate::routing::core::{Carried, Letter};
 use crate::routing::Reply;
-use crate::settlement::{settle, settle_among, Certainty, Said};
-use crate::transport::answer::Answer;
+use crate::transport::answer::{Answer, Answered};
 use crate::transport::beginning::Beginning;
-use crate::transport::connection::{read_body, Tapped, Unsent, ANSWER_WITHIN};
-use crate::transport::pipeline::Answered;
+use crate::transport::connection::{read_body, Unsent, ANSWER_WITHIN, HEARD_OUT_WITHIN};
 use crate::transport::pool::Lease;
+use crate::transport::tap::Tapped;
 use crate::transport::Pool;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,7 +21,6 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode};
 use std::cell::RefCell;
-use std::iter;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -36,7 +35,7 @@
 /// What came in answer to a request.
 enum Came {
     /// An answer that has come as far as it has to, and whether it is the one to this request.
-    Answer(Answer, Verdict),
+    Answer(Answered),
     /// No answer, or a part of one: what follows from that.
     Cut(Carried),
     /// The endpoint has no room for the new connection, by an answer that was judged so.
@@ -53,43 +52,6 @@
     Unusable,
 }
 
-/// What an answer that came whole says of the call, as far as it can be believed.
-fn meant(answer: &Answer, letters: &[Letter], certainty: Certainty) -> Carried {
-    let Answer { status, headers, body } = answer;
-    let said = hook::said(*status, headers, body, letters);
-    let several = letters.len() > 1;
-    let is_proven = certainty == Certainty::Proven;
-    let otherwise = if is_proven { Outcome::Spoilt } else { Outcome::Doubtful };
-    let tells_wait = match status {
-        &StatusCode::OK => several,
-        // What is proven has the wait in its outcomes.
-        _ => !is_proven && matches!(hook::reply(*status, headers), Reply::Ended(Outcome::Full { .. })),
-    };
-    let unread = matches!(*status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE);
-    Carried {
-        limit: hook::limit(headers).filter(|_| is_proven),
-        // A wait binds also where nothing else of an answer does.
-        wait: if tells_wait { hook::wait(headers) } else { 0 },
-        refused: is_proven && unread && several,
-        ..settled(letters, &said, certainty, otherwise)
-    }
-}
-
-/// What follows for each message of a call.
-fn settled(letters: &[Letter], said: &[Said], certainty: Certainty, otherwise: Outcome) -> Carried {
-    let attempts = letters.iter().map(|letter| letter.attempt);
-    let replies = said.iter().map(|said| settle(*said, certainty, otherwise));
-    let finals = attempts.clone().zip(said).filter(|(_, said)| said.may_be_final(certainty));
-    let finals = finals.map(|(attempt, _)| attempt).collect();
-    Carried { finals, ..Carried::from(attempts.zip(replies).collect::<Vec<_>>()) }
-}
-
-/// What follows from as much of an answer as has come. `otherwise`: what became of the call where that does not tell.
-pub(super) fn cut_off(beginning: &Beginning, otherwise: Outcome, letters: &[Letter]) -> Carried {
-    let said = hook::said_in_part(beginning, letters);
-    settled(letters, &said, Certainty::Cut, otherwise)
-}
-
 /// Whether it is anybody's guess where an answer ends: what is left of it would pass as the next one.
 fn ends_anywhere(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING)
@@ -103,7 +65,7 @@
     letters: &[Letter],
     writing: &RefCell<Option<Rc<Tapped>>>,
 ) -> Result<Exchanged, Unsent> {
-    let new = lease.waited().is_zero();
+    let (new, via) = (lease.waited().is_zero(), lease.via());
     if lease.is_last() {
         request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -122,7 +84,7 @@
         if letters.len() == 1 && status == StatusCode::OK && by_head.is_known() {
             let answer = Answer { status, headers, body: Bytes::new() };
             let rest = if ends_anywhere { Rest::Unusable } else { Rest::Body(body, print) };
-            return Ok(Exchanged { came: Came::Answer(answer, by_head), rest });
+            return Ok(Exchanged { came: Came::Answer(Answered::new(answer, by_head, via)), rest });
         }
         // Only an answer that came whole can say that nothing has run.
         let body = read_body(body, BODY_MOST).await.ok_or(Unsent::Perhaps)?;
@@ -131,7 +93,7 @@
         let rest = if ends_anywhere { Rest::Unusable } else { Rest::Nothing(print) };
         let came = match new && hook::no_room(status, &headers) {
             true => Came::Crowded(verdict),
-            false => Came::Answer(Answer { status, headers, body }, verdict),
+            false => Came::Answer(Answered::new(Answer { status, headers, body }, verdict, via)),
         };
         Ok(Exchanged { came, rest })
     };
@@ -145,6 +107,19 @@
     }
 }
 
+impl Exchanged {
+    /// Where the answer is not known to be the call's, that one may be on its way: the call is given up, and what has still
+    /// been said is heard first.
+    pub(super) async fn heard_out(mut self, lease: &mut Lease) -> Exchanged {
+        let Came::Answer(answered) = &mut self.came else { return self };
+        let Some(line) = lease.line().filter(|_| !answered.verdict.is_known()) else { return self };
+        line.hang_up(HEARD_OUT_WITHIN).await;
+        (answered.later, answered.begun) = line.behind();
+        self.rest = Rest::Unusable;
+        self
+    }
+}
+
 /// What is known of a call without a whole answer. The first line says enough where it says 200 and is known to be that
 /// of this call's answer.
 pub(super) fn unanswered(outcome: Outcome, lease: &mut Lease, letters: &[Letter]) -> Exchanged {
@@ -155,12 +130,13 @@
     let came = match verdict.filter(|verdict| is_success && verdict.is_known()) {
         Some(verdict) => {
             let answer = Answer { status: StatusCode::OK, headers: HeaderMap::new(), body: Bytes::new() };
-            Came::Answer(answer, verdict)
+            Came::Answer(Answered::new(answer, verdict, lease.via_out()))
         }
         None => {
             let begun = beginning != Beginning::Nothing && outcome != Outcome::NoConnection;
             let otherwise = if begun { Outcome::Spoilt } else { outcome };
-            Came::Cut(cut_off(&beginning, otherwise, letters))
+            let (later, rest) = lease.line().map_or((Vec::new(), Beginning::Nothing), |line| line.behind());
+            Came::Cut(meaning::cut_off(&beginning, &later, &rest, otherwise, letters))
         }
     };
     Exchanged { came, rest: Rest::Unusable }
@@ -169,23 +145,23 @@
 /// Gives the line back where it can be used again, and returns what may rest on the answer.
 pub(super) fn conclude(
     exchanged: Exchanged,
-    mut lease: Lease,
+    lease: Lease,
     endpoint: &Endpoint,
     letters: &[Letter],
     pool: &Rc<Pool>,
 ) -> Carried {
     let Exchanged { came, rest } = exchanged;
-    let request = lease.line().map_or(0, |line| line.exchanges.requests());
+    let via = lease.via_out();
     let (mut carried, verdict) = match came {
-        Came::Answer(answer, verdict) => {
-            if answer.status == StatusCode::OK && !verdict.is_known() {
+        Came::Answer(answered) => {
+            if answered.answer.status == StatusCode::OK && !answered.verdict.is_known() {
                 lease.doubtful_success();
             }
-            (admitted(&answer, verdict, request, endpoint, letters, pool), Some(verdict))
+            (admitted(&answered, endpoint, letters, pool), Some(answered.verdict))
         }
         Came::Crowded(verdict) => {
             let crowded = Carried::each(letters, Reply::Ended(Outcome::Crowded));
-            let carried = match is_admitted(&crowded, verdict, request, endpoint, pool) {
+            let carried = match is_admitted(&crowded, verdict, via.request, endpoint, pool) {
                 true => crowded,
                 false => Carried::each(letters, Reply::Ended(Outcome::Doubtful)),
             };
@@ -195,8 +171,7 @@
         Came::Cut(carried) => (carried, None),
     };
     carried.idle = Some(lease.waited().as_nanos() as Nanos);
-    let connection = lease.line().map_or(0, |line| line.number());
-    log_call(endpoint, letters, Via { connection, request }, &carried, verdict);
+    log_call(endpoint, letters, via, &carried, verdict);
     let says = |outcome| carried.replies.iter().any(|(_, reply)| reply.outcome() == outcome);
     match rest {
         Rest::Body(body, print) => match body.is_end_stream() {
@@ -212,51 +187,15 @@
     carried
 }
 
-/// What may rest on an answer that was judged so, to the `request`th request of its connection, from 1.
-pub(super) fn admitted(
-    answer: &Answer,
-    verdict: Verdict,
-    request: usize,
-    endpoint: &Endpoint,
-    letters: &[Letter],
-    pool: &Pool,
-) -> Carried {
-    let carried = meant(answer, letters, Certainty::Proven);
-    match is_admitted(&carried, verdict, request, endpoint, pool) {
-        true => carried,
-        false => meant(answer, letters, Certainty::Doubtful),
+/// What may rest on an answer: where it is not known to be the call's, one of those behind it may be.
+pub(super) fn admitted(answered: &Answered, endpoint: &Endpoint, letters: &[Letter], pool: &Pool) -> Carried {
+    let proven = meaning::proven(&answered.answer, letters);
+    match is_admitted(&proven, answered.verdict, answered.via.request, endpoint, pool) {
+        true => proven,
+        false => meaning::doubtful(answered, letters),
     }
 }
 
-/// The same of an answer on a connection with several calls, where it may be one of those behind it that is the call's.
-pub(super) fn admitted_in_line(
-    answered: &Answered,
-    endpoint: &Endpoint,
-    letters: &[Letter],
-    pool: &Pool,
-) -> Carried {
-    let Answered { answer, verdict, via, later, begun } = answered;
-    let mut carried = admitted(answer, *verdict, via.request, endpoint, letters, pool);
-    if verdict.is_known() {
-        return carried;
-    }
-    let mut candidates: Vec<(Vec<Said>, Certainty)> = iter::once(answer)
-        .chain(later)
-        .map(|answer| {
-            (hook::said(answer.status, &answer.headers, &answer.body, letters), Certainty::Doubtful)
-        })
-        .collect();
-    candidates.push((hook::said_in_part(begun, letters), Certainty::Cut));
-    for (place, (attempt, reply)) in carried.replies.iter_mut().enumerate() {
-        let said = candidates.iter().map(|(said, certainty)| (said[place], *certainty));
-        if said.clone().any(|(said, certainty)| said.may_be_final(certainty)) {
-            carried.finals.push(*attempt);
-        }
-        *reply = settle_among(said, Outcome::Doubtful);
-    }
-    carried
-}
-
 /// Whether this may rest on an answer that was judged so.
 fn is_admitted(
     carried: &Carried,
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -3,11 +3,13 @@
 mod call;
 mod ends;
 mod intake;
+mod meaning;
 
 pub use ends::tell_ends;
 pub use intake::answer;
 
-use call::{admitted_in_line, conclude, cut_off, exchange, log_call, unanswered};
+use call::{admitted, conclude, exchange, log_call, unanswered};
+use meaning::cut_off;
 
 use super::hook;
 use crate::batching::fate::{fate, Break, Fate};
@@ -16,10 +18,11 @@
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
 use crate::transport::beginning::Beginning;
-use crate::transport::connection::{Tapped, Unsent};
+use crate::transport::connection::{Unsent, GIVEN_UP_WITHIN};
 use crate::transport::network::Net;
 use crate::transport::pipeline::{Broken, Pipelines};
 use crate::transport::pool::NoLease;
+use crate::transport::tap::Tapped;
 use crate::transport::Pool;
 use hyper::StatusCode;
 use std::cell::RefCell;
@@ -160,7 +163,15 @@
                 },
             }
         };
-        let exchanged = sent.unwrap_or_else(|outcome| unanswered(outcome, &mut lease, &letters));
+        let exchanged = match sent {
+            Ok(exchanged) => exchanged.heard_out(&mut lease).await,
+            Err(outcome) => {
+                if let Some(line) = lease.line().filter(|line| line.tap().is_request_written()) {
+                    line.hang_up(GIVEN_UP_WITHIN).await;
+                }
+                unanswered(outcome, &mut lease, &letters)
+            }
+        };
         conclude(exchanged, lease, hop, &letters, &self.pool)
     }
 
@@ -269,7 +280,7 @@
                 if answered.answer.status == StatusCode::OK && answered.verdict.is_repeat() {
                     self.pool.doubtful_success(hop.id, false);
                 }
-                let carried = admitted_in_line(&answered, hop, &letters, &self.pool);
+                let carried = admitted(&answered, hop, &letters, &self.pool);
                 log_call(hop, &letters, answered.via, &carried, Some(answered.verdict));
                 carried
             }
@@ -281,7 +292,8 @@
                     (Fate::MayHaveRun, Break::AnswerCut | Break::Unreadable) => Outcome::Spoilt,
                     (Fate::MayHaveRun, _) => otherwise,
                 };
-                let carried = Carried { echo, ..cut_off(&beginning, outcome, &letters) };
+                let carried =
+                    Carried { echo, ..cut_off(&beginning, &[], &Beginning::Nothing, outcome, &letters) };
                 log_call(hop, &letters, via, &carried, None);
                 carried
             }
--- a/src/transport/answer.rs
+++ b/src/transport/answer.rs
@@ -1,9 +1,12 @@
-//! Answers cut out of what came on a connection that carries several calls.
+//! Answers that came whole, cut out of what came on a connection.
 
+use super::beginning::Beginning;
 use super::pool::ANSWER_MOST;
+use crate::attribution::{Verdict, Via};
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
+use std::rc::Rc;
 
 /// Most headers of an answer.
 const HEADERS_MOST: usize = 64;
@@ -16,6 +19,29 @@
     pub body: Bytes,
 }
 
+/// An answer, as the call hears it to which it came.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The answer.
+    pub answer: Rc<Answer>,
+    /// Whether it is known to be that of the call.
+    pub verdict: Verdict,
+    /// The call's connection, and the place of its request there.
+    pub via: Via,
+    /// Where it is not known for that: answers behind it, each of which may be the call's.
+    pub later: Vec<Rc<Answer>>,
+    /// The same of an answer that has not come whole.
+    pub begun: Beginning,
+}
+
+impl Answered {
+    /// With nothing behind it.
+    pub fn new(answer: Answer, verdict: Verdict, via: Via) -> Answered {
+        let answer = Rc::new(answer);
+        Answered { answer, verdict, via, later: Vec::new(), begun: Beginning::Nothing }
+    }
+}
+
 /// What came is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unreadable;
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,8 +1,8 @@
 //! Where callers connect, and the legs on which they talk.
 
-use super::connection::Tapped;
 use super::door::{Door, Entrant};
 use super::network::{Listen, Stream};
+use super::tap::{Tapped, TappedStream};
 use crate::admission::Deed;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -289,7 +289,7 @@
 }
 
 /// Ends our sending, and the connection once the caller has ended its own or had time to hear us.
-async fn part(mut stream: super::connection::TappedStream, within: Duration) {
+async fn part(mut stream: TappedStream, within: Duration) {
     if stream.shutdown().await.is_err() || within.is_zero() {
         return;
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -12,6 +12,7 @@
 pub mod pipeline;
 pub mod pool;
 pub mod proxy;
+pub mod tap;
 
 pub use connection::{Line, Unsent};
 pub use door::Door;
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -4,15 +4,15 @@
 //! takes nothing new then, reads on, and holds those answers back until it ends, so that each call hears its own with
 //! all that came behind it.
 
-use super::held::{Answered, Broken, Heard, HeldAnswers};
+use super::held::{Broken, Heard, HeldAnswers};
 use super::pending::PendingCall;
 use crate::attribution::Via;
 use crate::attribution::{Exchanges, Fingerprint, Verdict};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
-use crate::transport::answer::{parse, Answer, Unreadable};
+use crate::transport::answer::{parse, Answer, Answered, Unreadable};
 use crate::transport::beginning::Beginning;
-use crate::transport::connection::{next_number, ANSWER_WITHIN};
+use crate::transport::connection::{next_number, ANSWER_WITHIN, GIVEN_UP_WITHIN, HEARD_OUT_WITHIN};
 use crate::transport::network::Stream;
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
@@ -41,7 +41,10 @@
     next: Cell<u64>,
     taken_back: RefCell<Vec<u64>>,
     idle_since: Cell<Instant>,
-    writing_failed: Notify,
+    /// What is read on is read by then, once nothing more is written.
+    read_by: Cell<Option<Instant>>,
+    writing_ends: Notify,
+    reading_ends: Notify,
     tasks: RefCell<Vec<AbortHandle>>,
     /// Hears of an answer that came twice.
     on_surplus: Box<dyn Fn()>,
@@ -61,7 +64,9 @@
             next: Cell::new(0),
             taken_back: RefCell::default(),
             idle_since: Cell::new(Instant::now()),
-            writing_failed: Notify::new(),
+            read_by: Cell::new(None),
+            writing_ends: Notify::new(),
+            reading_ends: Notify::new(),
             tasks: RefCell::default(),
             on_surplus,
         }
@@ -84,6 +89,11 @@
         self.pipe.borrow().out()
     }
 
+    /// Whether nothing is out, and no answer is held back.
+    pub(super) fn is_idle(&self) -> bool {
+        self.out() == 0 && self.held.borrow().is_empty()
+    }
+
     /// Whether calls may go on it, now or once others have their answers.
     pub(super) fn is_open(&self) -> bool {
         self.pipe.borrow().is_open() && self.exchanges.borrow().may_carry_more()
@@ -151,8 +161,8 @@
         self.waiting.borrow_mut().clear();
     }
 
-    /// Nobody waits for this call's answer any more; the connection ends now where it is its turn, or where its answer is
-    /// one of those that are held back.
+    /// Nobody waits for this call's answer any more; the connection ends where it is its turn, or where its answer is one of
+    /// those that are held back.
     pub(super) fn give_up(&self, ticket: u64) {
         if self.take_back(ticket) {
             return;
@@ -164,8 +174,26 @@
         let given_up = self.pipe.borrow_mut().give_up(ticket);
         let is_held = given_up == GivenUp::Gone && self.waiting.borrow().contains_key(&ticket);
         if given_up == GivenUp::Now || is_held {
-            self.end(Break::Cancelled);
+            self.hang_up(GIVEN_UP_WITHIN);
+        }
+    }
+
+    /// Ends our sending, which gives up all that is out. What the other side has still said is heard until it closes, or for
+    /// so long.
+    fn hang_up(&self, within: Duration) {
+        self.withdraw();
+        if !self.pipe.borrow().is_all_written() {
+            return self.end(Break::Cancelled);
         }
+        self.read_until(within);
+        self.writing_ends.notify_one();
+    }
+
+    /// Reads on for so long at the most.
+    fn read_until(&self, within: Duration) {
+        let by = Instant::now() + within;
+        self.read_by.set(Some(self.read_by.get().map_or(by, |earlier| earlier.min(by))));
+        self.reading_ends.notify_one();
     }
 
     /// The same where nobody is there to hear of it.
@@ -212,6 +240,18 @@
         }
     }
 
+    /// Whether an answer may still be on its way where the connection has nothing more to do: behind one that may be another
+    /// call's, or to a call that was given up. The calls are given up then.
+    fn reads_on(&self) -> bool {
+        let is_doubtful = !self.held.borrow().is_empty();
+        if self.read_by.get().is_none() && is_doubtful {
+            self.hang_up(HEARD_OUT_WITHIN);
+        } else if self.read_by.get().is_none() && self.out() > 0 {
+            self.hang_up(GIVEN_UP_WITHIN);
+        }
+        !self.is_idle()
+    }
+
     /// The place of a call's request on the connection, from 1: those that were taken back have none.
     fn place_of(&self, ticket: u64) -> usize {
         let before = self.taken_back.borrow().iter().filter(|other| **other < ticket).count();
@@ -234,7 +274,11 @@
     fn take(&self, answer: Answer, closes: bool) -> bool {
         let Some((ticket, _)) = self.pipe.borrow_mut().answered(closes) else {
             self.note_surplus(&answer);
-            return false;
+            let is_held = !self.held.borrow().is_empty();
+            if is_held {
+                self.held.borrow_mut().hold_surplus(answer);
+            }
+            return is_held;
         };
         self.idle_since.set(Instant::now());
         let request = self.place_of(ticket);
@@ -255,15 +299,17 @@
     /// Nothing can be written any more. What the other side said before that lies there to be read.
     fn stop_writing(&self) {
         self.withdraw();
-        self.writing_failed.notify_one();
+        self.read_until(ANSWER_WITHIN);
     }
 
     async fn write(self: Rc<Self>, mut output: WriteHalf<Stream>) {
         loop {
             let next = self.queue.borrow_mut().pop_front();
             let Some((_, mut bytes)) = next else {
-                self.more.notified().await;
-                continue;
+                tokio::select! {
+                    () = self.more.notified() => continue,
+                    () = self.writing_ends.notified() => return drop(output.shutdown().await),
+                }
             };
             while !bytes.is_empty() {
                 match output.write(&bytes).await {
@@ -300,21 +346,17 @@
                 }
             }
             // All that has come is read first: it may have the answer of a call that was given up.
-            if self.pipe.borrow().is_spent() {
-                return self.end(if self.held.borrow().is_empty() {
-                    Break::CloseAnnounced
-                } else {
-                    Break::Cancelled
-                });
+            if self.pipe.borrow().is_spent() && !self.reads_on() {
+                return self.end(Break::CloseAnnounced);
             }
             let reading = async {
                 tokio::select! {
                     biased;
                     read = input.read_buf(&mut buffer) => Some(read),
-                    () = self.writing_failed.notified() => None,
+                    () = self.reading_ends.notified() => None,
                 }
             };
-            let read = match whole_by {
+            let read = match whole_by.into_iter().chain(self.read_by.get()).min() {
                 Some(by) => timeout_at(by, reading).await.ok(),
                 None => Some(reading.await),
             };
@@ -322,7 +364,7 @@
                 Some(Some(Ok(n))) if n > 0 => {
                     whole_by.get_or_insert(Instant::now() + ANSWER_WITHIN);
                 }
-                Some(None) => whole_by = Some(Instant::now() + ANSWER_WITHIN),
+                Some(None) => {}
                 _ if !buffer.is_empty() => return self.end(Break::AnswerCut),
                 _ if announced => return self.end(Break::CloseAnnounced),
                 _ => return self.end(Break::Written),
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -5,7 +5,7 @@
 mod held;
 mod pending;
 
-pub use held::{Answered, Broken, Heard};
+pub use held::{Broken, Heard};
 pub use pending::PendingCall;
 
 use super::network::{out_of_room, Net};
@@ -131,7 +131,7 @@
         connections.retain(|(at, connection)| {
             let is_usable =
                 connection.is_open() && *at == dial && connection.idle_for() < self.keepalive.get();
-            let keeps = is_usable || connection.out() > 0;
+            let keeps = is_usable || !connection.is_idle();
             if !keeps {
                 connection.end(Break::Cancelled);
             }
@@ -182,7 +182,7 @@
         let connections = self.connections.borrow_mut().remove(&endpoint).unwrap_or_default();
         for (_, connection) in connections {
             connection.withdraw();
-            if connection.out() == 0 {
+            if connection.is_idle() {
                 connection.end(Break::Cancelled);
             }
         }
--- a/src/transport/pool/lease.rs
+++ b/src/transport/pool/lease.rs
@@ -49,6 +49,15 @@
         })
     }
 
+    /// Its connection, and the place of the last request that was written on it.
+    pub fn via_out(&self) -> Via {
+        let line = self.line.as_ref();
+        line.map_or(Via::default(), |line| Via {
+            connection: line.number(),
+            request: line.exchanges.requests(),
+        })
+    }
+
     /// How long its line had waited in the pool, where the other side may have closed it; nothing for a new one.
     pub fn waited(&self) -> Duration {
         self.waited
