Give each console in tests an address that no socket held before

Traced to two causes: the address had been tried by listening at port 0 of 127.0.0.1, where the system may give that port to a connection before the process listens; and a process that another test starts in that moment holds the listener until its exec, which was seen on a loopback host of its own.

A soak that fails prints the lives of messages that were called out of turn, too, with all of their key.

--- a/tests/attribution/main.rs
+++ b/tests/attribution/main.rs
@@ -16,10 +16,9 @@
 use agent::Agent;
 use callers::{Callers, Traffic};
 use endpoint::{Copies, Endpoint, Nature, Violations};
-use platform::{free_address, Platform, Process, Terms, TELLS_LIVES};
+use platform::{free_address, Platform, Terms, TELLS_LIVES};
 use stand_ins::{entry, folder, hop, Discovery};
 use std::collections::BTreeSet;
-use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -35,14 +34,6 @@
 /// Between two messages of one caller.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// One process starts at a time: the address of its console was free a moment before.
-static STARTING: Mutex<()> = Mutex::new(());
-
-fn start(platform: &Platform) -> Process {
-    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
-    platform.start_ready()
-}
-
 /// What came of a run.
 #[derive(Debug)]
 #[allow(dead_code)]
@@ -55,6 +46,13 @@
     violations: Violations,
 }
 
+/// Messages to be looked up in the log where a rule was broken, the first two. Of messages in order all of their key are named.
+fn of_interest(lost: &BTreeSet<String>, violations: &Violations) -> Vec<String> {
+    let Violations { run_again, out_twice, out_of_turn, called_after_final } = violations;
+    let broken = lost.iter().chain(called_after_final).chain(run_again).chain(out_twice).chain(out_of_turn);
+    broken.take(2).map(|id| id.split_once('@').map_or(id.as_str(), |(_, key)| key).to_string()).collect()
+}
+
 /// Eight callers of one class, or three of each, before one relay with one endpoint.
 fn run(classes: &[&'static str], terms: &Terms, nature: Nature) -> Seen {
     let discovery = Discovery::start(String::new());
@@ -62,7 +60,7 @@
     let known = entry("h", endpoint.address, "active");
     discovery.list(&known);
     let platform = Platform::new(&folder(), terms, discovery.address, &known);
-    let process = start(&platform);
+    let process = platform.start_ready();
     let count = if classes.len() == 1 { 8 } else { 3 };
     let call = |class: &&'static str| {
         let traffic = Traffic { class, time_ms: TIME_MS, in_order: *class == "update", pause: PAUSE };
@@ -82,11 +80,7 @@
         violations: record.violations.clone(),
     });
     println!("{classes:?} {nature:?}: {seen:?}");
-    let Violations { run_again, out_twice, out_of_turn, .. } = &seen.violations;
-    let broken = seen.lost.iter().chain(run_again).chain(out_twice).chain(out_of_turn);
-    // Of messages in order, those of the same key too.
-    let of_interest: Vec<String> =
-        broken.take(2).map(|id| id.split_once('@').map_or(id.as_str(), |(_, key)| key).to_string()).collect();
+    let of_interest = of_interest(&seen.lost, &seen.violations);
     process.lives_of(&of_interest).iter().for_each(|line| println!("{line}"));
     std::fs::remove_dir_all(&platform.dir).ok();
     seen
@@ -194,7 +188,7 @@
     let known = entry("h", free_address(), "active");
     let agent = Agent::start(&known);
     let platform = Platform::new(&folder(), &Terms::default(), agent.address, &known);
-    let _process = start(&platform);
+    let _process = platform.start_ready();
     let traffic = Traffic { class: "notice", time_ms: 500, in_order: false, pause: PAUSE };
     let callers = Callers::start_with(8, platform.address, traffic);
     sleep(Duration::from_secs(3));
@@ -214,7 +208,7 @@
     let known = entry("old", old, "active");
     let agent = Agent::start(&known);
     let platform = Platform::new(&folder(), &Terms::default(), agent.address, &known);
-    let _process = start(&platform);
+    let _process = platform.start_ready();
     let traffic = Traffic { class: "status", time_ms: TIME_MS, in_order: false, pause: PAUSE };
     let callers = Callers::start_with(4, platform.address, traffic);
     sleep(Duration::from_secs(1));
--- a/tests/attribution/soak.rs
+++ b/tests/attribution/soak.rs
@@ -7,7 +7,7 @@
 use crate::finals::{BatchForm, Finals, Form, Says};
 use crate::platform::{lives_of, Platform, Process, Terms, KILLED_AFTER, TELLS_LIVES};
 use crate::stand_ins::{entry, folder, soak_seeds, Told};
-use crate::{start, PAUSE, PIPELINED, TIME_MS};
+use crate::{of_interest, PAUSE, PIPELINED, TIME_MS};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::{prlimit, Pid, Resource, Rlimit, Signal};
@@ -142,7 +142,7 @@
 impl Served {
     fn restart(&mut self) {
         sleep(GONE_FOR);
-        self.serve(start(&self.platform));
+        self.serve(self.platform.start_ready());
     }
 
     fn serve(&mut self, process: Process) -> Process {
@@ -188,7 +188,7 @@
                 self.restart();
             }
             Blow::Upgrade => {
-                let next = start(&self.platform);
+                let next = self.platform.start_ready();
                 let old = self.serve(next);
                 self.gone(|| old.end());
             }
@@ -230,7 +230,7 @@
     let Scenario { per_call, slots, operator, .. } = scenario;
     let terms = Terms { per_call, slots, operator, ..Terms::default() };
     let platform = Platform::new(&folder(), &terms, agent.address, &known);
-    let serving = start(&platform);
+    let serving = platform.start_ready();
     let logs = vec![serving.log.clone()];
     let crowd: Vec<TcpStream> =
         (0..scenario.crowd).filter_map(|_| TcpStream::connect(platform.address).ok()).collect();
@@ -251,7 +251,7 @@
     sleep(SETTLED_WITHIN);
     let ended = ended.tell(|ended| ended.clone());
     let (lost, violations) = record.tell(|record| {
-        let lost: Vec<String> =
+        let lost: BTreeSet<String> =
             taken.iter().filter(|id| !record.is_over(id) && !ended.contains(*id)).cloned().collect();
         (lost, record.violations.clone())
     });
@@ -263,9 +263,8 @@
     let mut wrong = Vec::new();
     if taken.len() < 50 || !lost.is_empty() || violations != Violations::default() {
         wrong.push(format!("{} taken, lost {lost:?}, {violations:?}", taken.len()));
-        let broken = lost.iter().chain(&violations.called_after_final).chain(&violations.run_again);
-        let of_interest: Vec<String> = broken.take(2).cloned().collect();
-        wrong.extend(served.logs.iter().flat_map(|log| lives_of(log, &of_interest)));
+        let ids = of_interest(&lost, &violations);
+        wrong.extend(served.logs.iter().flat_map(|log| lives_of(log, &ids)));
     }
     let said = served.logs.iter().flat_map(|log| log.tell(|lines| lines.clone()));
     wrong.extend(said.filter(|line| line.contains("-violation") || line.contains("panicked")));
--- a/tests/configuration/soak.rs
+++ b/tests/configuration/soak.rs
@@ -16,7 +16,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::thread::{sleep, spawn, Builder};
 use std::time::Duration;
 
@@ -35,14 +35,6 @@
 /// Idle connections of a crowd.
 const CROWD: usize = 60;
 
-/// One process starts at a time: the address of its console was free a moment before.
-static STARTING: Mutex<()> = Mutex::new(());
-
-fn start(platform: &Platform) -> Process {
-    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
-    platform.start_ready()
-}
-
 /// What is done.
 #[derive(Clone, Copy, Debug)]
 enum Action {
@@ -138,12 +130,12 @@
 
     fn start_again(&mut self) {
         sleep(GONE_FOR);
-        let process = start(&self.platform);
+        let process = self.platform.start_ready();
         self.serve(process);
     }
 
     fn upgrade(&mut self) {
-        let next = start(&self.platform);
+        let next = self.platform.start_ready();
         let old = std::mem::replace(&mut self.serving, next);
         self.logs.push(self.serving.log.clone());
         old.end();
@@ -232,7 +224,7 @@
     let platform = Platform::new(&folder(), &Terms::default(), discoveries[0].address, &known);
     let mut in_force = platform.document();
     set(&mut in_force, "/settings/rules/key_rest", json!(100_000_000));
-    let (serving, (poison, poisoned)) = (start(&platform), poison());
+    let (serving, (poison, poisoned)) = (platform.start_ready(), poison());
     let logs = vec![serving.log.clone()];
     let crowd = if rng.next_u32() % 3 == 0 { CROWD } else { 0 };
     let crowd: Vec<TcpStream> =
--- a/tests/final_answers/again.rs
+++ b/tests/final_answers/again.rs
@@ -3,7 +3,7 @@
 use crate::endpoint::{Copies, Nature};
 use crate::finals::{BatchForm, Finals, Form, Says};
 use crate::platform::{Terms, TELLS_LIVES};
-use crate::rig::{start, Scene};
+use crate::rig::Scene;
 use crate::stand_ins::message_within;
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
@@ -44,7 +44,7 @@
         Between::Nothing => {}
         Between::Kill => scene.kill(),
         Between::Upgrade => {
-            let next = start(&scene.platform);
+            let next = scene.platform.start_ready();
             std::mem::replace(scene.processes.last_mut().unwrap(), next).end();
         }
     }
--- a/tests/final_answers/ends.rs
+++ b/tests/final_answers/ends.rs
@@ -3,7 +3,6 @@
 use crate::finals::{Form, Says};
 use crate::held::Held;
 use crate::platform::{Platform, Terms, TELLS_LIVES};
-use crate::rig::start;
 use crate::stand_ins::{entry, folder, message_within, ok, serve_bodies, whole, Told};
 use std::collections::BTreeSet;
 use std::net::TcpListener;
@@ -35,13 +34,13 @@
     });
     let terms = Terms { operator: TELLS_LIVES, ..Terms::default() };
     let platform = Platform::new(&folder(), &terms, agent, &known);
-    let mut process = start(&platform);
+    let mut process = platform.start_ready();
     assert_eq!(platform.ask(&message_within("status", "m1", 4_000)), Some(202));
     process.says("message-ending");
     process.kill();
     sleep(Duration::from_millis(600));
     is_deaf.store(false, Ordering::SeqCst);
-    let _next = start(&platform);
+    let _next = platform.start_ready();
     let is_told = |ended: &BTreeSet<String>| ended.iter().any(|line| line.contains("m1"));
     assert!(ended.until(WITHIN, is_told).is_some(), "{:?}", ended.tell(|ended| ended.clone()));
     sleep(Duration::from_millis(300));
--- a/tests/final_answers/rig.rs
+++ b/tests/final_answers/rig.rs
@@ -7,7 +7,6 @@
 use crate::stand_ins::{entry, folder, Discovery};
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
-use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -18,17 +17,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 const CALLERS: usize = 8;
 
-/// One process starts at a time: the address of its console was free a moment before.
-static STARTING: Mutex<()> = Mutex::new(());
-
-pub fn start(platform: &Platform) -> Process {
-    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
-    platform.start_ready()
-}
-
-/// The same, by a line of the shell.
+/// The next process, once it has said yes, by a line of the shell.
 pub fn start_by(platform: &Platform, line: &str) -> Process {
-    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     let operator = platform.dir.join("relay.conf");
     let process = platform.start_by(line, |command| command.env("OPERATOR", operator));
     assert!(process.ready().is_some(), "it never said yes: {:?}", process.log.tell(|lines| lines.clone()));
@@ -72,7 +62,7 @@
         let known = entry("h", endpoint.address, "active");
         discovery.list(&known);
         let platform = Platform::new(&folder(), terms, discovery.address, &known);
-        let processes = vec![start(&platform)];
+        let processes = vec![platform.start_ready()];
         Scene { platform, endpoint, discovery, processes, nature }
     }
 
@@ -88,7 +78,7 @@
         self.processes.last_mut().unwrap().kill();
         self.endpoint.record.tell(|record| record.kills.push((from, Instant::now())));
         sleep(Duration::from_millis(600));
-        self.processes.push(start(&self.platform));
+        self.processes.push(self.platform.start_ready());
     }
 
     /// What came of it, once all that the callers handed in has had its time.
--- a/tests/final_answers/while_out.rs
+++ b/tests/final_answers/while_out.rs
@@ -3,7 +3,6 @@
 use crate::finals::{Form, Says};
 use crate::held::Held;
 use crate::platform::{Platform, Process, Terms, KILLED_AFTER, TELLS_LIVES};
-use crate::rig::start;
 use crate::stand_ins::{entry, folder, hop, message_within, Discovery};
 use rustix::process::Signal;
 use std::sync::atomic::Ordering;
@@ -33,7 +32,7 @@
         let discovery = Discovery::start(known.clone());
         let terms = Terms { operator: TELLS_LIVES, ..Terms::default() };
         let platform = Platform::new(&folder(), &terms, discovery.address, &known);
-        let process = start(&platform);
+        let process = platform.start_ready();
         assert_eq!(platform.ask(&message_within(class, "m1", TIME_MS)), Some(202));
         assert!(endpoint.calls.until(Duration::from_secs(2), |calls| calls.contains_key("m1")).is_some());
         (Out { endpoint, discovery, platform }, process)
@@ -74,7 +73,7 @@
 fn a_final_answer_at_the_process_before_counts_at_the_one_that_took_over() {
     all_hold(|class, says, form| {
         let (out, old) = Out::new(class, says, form);
-        let _new = start(&out.platform);
+        let _new = out.platform.start_ready();
         out.answer();
         old.end();
         out.came(says, form)
@@ -87,7 +86,7 @@
 fn a_final_answer_told_in_vain_counts_at_the_process_that_takes_back() {
     all_hold(|class, says, form| {
         let (out, old) = Out::new(class, says, form);
-        let mut new = start(&out.platform);
+        let mut new = out.platform.start_ready();
         new.signal(Signal::STOP);
         out.answer();
         new.kill();
@@ -135,7 +134,7 @@
         process.ends_within(KILLED_AFTER);
         process.kill();
         sleep(GONE_FOR);
-        let _next = start(&out.platform);
+        let _next = out.platform.start_ready();
         out.came(says, form)
     });
 }
--- a/tests/upgrade/platform.rs
+++ b/tests/upgrade/platform.rs
@@ -6,10 +6,11 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -65,9 +66,17 @@
     pub log: Told<Vec<String>>,
 }
 
-/// An address of its own that nobody listens at.
+/// The first port of addresses that nobody listens at.
+const FREE_PORTS: u16 = 20_000;
+
+/// An address that nobody listens at, on a loopback host that no other test uses. It is not tried by listening there: a process
+/// that another test starts in that moment would hold the listener too, for a while.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let [tens, ones] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let host = Ipv4Addr::new(127, high | 0x80, low, ones);
+    SocketAddr::from((host, FREE_PORTS + u16::from(tens)))
 }
 
 /// The program: a release build where one is named, as CI does, else the one built with the tests.
