Judge the calls at a stand-in when they come, not when it turns to them

Cause: the stand-in entered a call in its record, and judged it, when it began to serve it. Now a thread for each connection reads requests as they come and has them judged then, which is earlier, and so stricter, for calls behind others; a call whose connection the relay had ended before it was read is out no more and is not judged, as the check for calls that are out twice held already. Runs are counted when a call is served, as before. The record is a module of its own.

--- a/tests/attribution/endpoint.rs
+++ b/tests/attribution/endpoint.rs
@@ -1,13 +1,20 @@
 //! An endpoint on loopback that sends some of its answers twice, and a record of what truly ran there.
 
+#[path = "record.rs"]
+mod record;
+
+pub use record::{Record, Violations};
+
 use crate::finals::{self, After, Finals, Says, Written};
 use crate::stand_ins::{request, Told};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, BTreeSet};
+use record::is_open;
+use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -55,117 +62,6 @@
     }
 }
 
-/// One message's calls.
-#[derive(Default)]
-struct Calls {
-    /// Calls that ran, or that still run.
-    ran: u32,
-    delivered: bool,
-    /// What was said of it in the end, and when that was first written.
-    final_answer: Option<(Says, Instant)>,
-    out: Vec<TcpStream>,
-}
-
-/// What went against the rules, by message.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Violations {
-    pub run_again: BTreeSet<String>,
-    pub out_twice: BTreeSet<String>,
-    pub out_of_turn: BTreeSet<String>,
-    pub called_after_final: BTreeSet<String>,
-}
-
-/// All that came to the endpoint.
-#[derive(Default)]
-pub struct Record {
-    calls: BTreeMap<String, Calls>,
-    pub violations: Violations,
-    pub copies_sent: u32,
-    /// Calls with several messages.
-    pub batches: u32,
-    /// When processes of the relay were killed: from the call of the system on until they were gone.
-    pub kills: Vec<(Instant, Instant)>,
-}
-
-/// An answer written so shortly before its relay was killed may not have been read by it.
-const UNREAD_AT_A_KILL: Duration = Duration::from_millis(30);
-
-impl Record {
-    pub fn is_delivered(&self, id: &str) -> bool {
-        self.calls.get(id).is_some_and(|calls| calls.delivered)
-    }
-
-    /// Messages that have had a final answer which said so.
-    #[allow(dead_code)]
-    pub fn finals(&self, says: Says) -> BTreeSet<String> {
-        let said = |calls: &Calls| calls.final_answer.is_some_and(|(said, _)| said == says);
-        self.calls.iter().filter(|(_, calls)| said(calls)).map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Whether nothing more is owed for a message, by what it was answered.
-    pub fn is_over(&self, id: &str) -> bool {
-        let said = self.calls.get(id).and_then(|calls| calls.final_answer);
-        self.is_delivered(id) || said.is_some_and(|(said, _)| said == Says::Over)
-    }
-
-    /// Whether a process may have been killed before it read what was written then.
-    fn may_be_unread(&self, written: Instant) -> bool {
-        self.kills.iter().any(|(from, gone)| *from <= written + UNREAD_AT_A_KILL && written <= *gone)
-    }
-
-    /// A call begins: what may not be repeated has not run, no earlier attempt is out on an open connection, and all
-    /// messages of the key that were called before it are over.
-    fn begin(&mut self, id: &str, stream: &TcpStream, ended: &BTreeSet<String>) {
-        if let Some((_, key)) = id.split_once('@') {
-            let open = |(other, calls): (&String, &Calls)| {
-                other.ends_with(&format!("@{key}"))
-                    && other != id
-                    && !calls.delivered
-                    && calls.final_answer.is_none_or(|(said, _)| said != Says::Over)
-                    && !ended.contains(other)
-            };
-            if self.calls.iter().any(open) {
-                self.violations.out_of_turn.insert(id.to_string());
-            }
-        }
-        let final_answer = self.calls.get(id).and_then(|calls| calls.final_answer);
-        if final_answer.is_some_and(|(_, written)| !self.may_be_unread(written)) {
-            self.violations.called_after_final.insert(id.to_string());
-        }
-        let calls = self.calls.entry(id.to_string()).or_default();
-        if calls.ran > 0 && id.starts_with("notice") {
-            self.violations.run_again.insert(id.to_string());
-        }
-        // Beside load a thread may come to a request only after its connection was closed: that call is out no more.
-        if is_open(stream) && calls.out.iter().any(is_open) {
-            self.violations.out_twice.insert(id.to_string());
-        }
-        calls.out.push(stream.try_clone().unwrap());
-    }
-
-    fn end(&mut self, id: &str, stream: &TcpStream, delivered: bool) {
-        let calls = self.calls.get_mut(id).unwrap();
-        calls.delivered |= delivered;
-        let ends = |stream: &TcpStream| (stream.local_addr().ok(), stream.peer_addr().ok());
-        let gone = ends(stream);
-        calls.out.retain(|out| ends(out) != gone);
-    }
-
-    fn say(&mut self, id: &str, says: Says) {
-        let calls = self.calls.get_mut(id).unwrap();
-        calls.final_answer.get_or_insert((says, Instant::now()));
-    }
-}
-
-/// Whether the other side has neither closed nor ended its sending, whatever lies unread before that.
-fn is_open(stream: &TcpStream) -> bool {
-    use rustix::event::{poll, PollFd, PollFlags, Timespec};
-    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
-    poll(&mut polled, Some(&Timespec::default())).unwrap();
-    !polled[0].revents().intersects(ended)
-}
-
 /// The messages of a call, by their ids.
 fn ids(head: &[String], body: &[u8]) -> Vec<String> {
     if let Some(id) = head.iter().find_map(|line| line.strip_prefix("x-request-id: ")) {
@@ -254,39 +150,67 @@
     output: Arc<Mutex<TcpStream>>,
 }
 
+/// A call as it came.
+struct Arrived {
+    ids: Vec<String>,
+    /// The relay asked for the connection's end behind the answer.
+    closes: bool,
+}
+
 impl Connection {
-    fn serve(mut self, stream: TcpStream) {
+    /// Enters calls in the record as they come, also those that wait behind others on the connection.
+    fn arrivals(&self, stream: TcpStream) -> Receiver<Arrived> {
+        let (sender, arrivals) = channel();
+        let (record, ended) = (self.record.clone(), self.ended.clone());
+        spawn(move || {
+            let mut input = BufReader::new(stream.try_clone().unwrap());
+            while let Some((head, body)) = request(&mut input) {
+                let ids = ids(&head, &body);
+                record.tell(|record| {
+                    ended.tell(|ended| ids.iter().for_each(|id| record.begin(id, &stream, ended)));
+                });
+                let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
+                if sender.send(Arrived { ids, closes }).is_err() {
+                    return;
+                }
+            }
+        });
+        arrivals
+    }
+
+    fn serve(self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
-        let mut input = BufReader::new(stream.try_clone().unwrap());
+        let arrivals = self.arrivals(stream.try_clone().unwrap());
+        self.serve_each(&stream, &arrivals);
+        // Whoever waits for further calls hears that there are none.
+        stream.shutdown(Shutdown::Read).ok();
+    }
+
+    fn serve_each(mut self, stream: &TcpStream, arrivals: &Receiver<Arrived>) {
         let mut pending: Option<Vec<u8>> = None;
-        while let Some((head, body)) = request(&mut input) {
+        for Arrived { ids, closes } in arrivals {
             if let Some(copy) = pending.take() {
                 self.write_at_request(copy);
             }
             self.calls.fetch_add(1, Ordering::SeqCst);
-            let ids = ids(&head, &body);
-            let ended = self.ended.tell(|ended| ended.clone());
             let first_call = *self.first_call.get_or_init(Instant::now);
             let refuses = first_call.elapsed() > PLAIN_FOR && chance(&mut self.rng, 5);
             self.record.tell(|record| {
                 for id in &ids {
-                    record.begin(id, &stream, &ended);
-                    let runs = !refuses && self.nature.says_of(id).is_none();
-                    record.calls.get_mut(id).unwrap().ran += u32::from(runs);
+                    record.serve(id, !refuses && self.nature.says_of(id).is_none());
                 }
                 record.batches += u32::from(ids.len() > 1);
             });
-            let closes = head.iter().any(|line| line.eq_ignore_ascii_case("connection: close"));
             if let Some(written) = self.final_answer(&ids, closes) {
                 sleep(millis(&mut self.rng, 1, 4));
                 self.record.tell(|record| {
                     // Written to a connection that the relay has ended, it is no answer to the call.
-                    let is_heard = is_open(&stream);
+                    let is_heard = is_open(stream);
                     for id in &ids {
                         if let Some(says) = self.nature.says_of(id).filter(|_| is_heard) {
                             record.say(id, says);
                         }
-                        record.end(id, &stream, is_heard && written.delivers.contains(id));
+                        record.end(id, stream, is_heard && written.delivers.contains(id));
                     }
                 });
                 let whole: Vec<u8> = written.parts.iter().flat_map(|(_, part)| part.clone()).collect();
@@ -310,7 +234,7 @@
             }
             let answer = self.answer(&ids, refuses, closes);
             // Counted before it is written: what follows from it comes at once.
-            self.record.tell(|record| ids.iter().for_each(|id| record.end(id, &stream, !refuses)));
+            self.record.tell(|record| ids.iter().for_each(|id| record.end(id, stream, !refuses)));
             if self.write(&answer).is_err() {
                 return;
             }
