Read what open calls are answered before a process that takes back calls again

In its log the second call begins 30 to 90 us before the 410 or 504 of the first one is read.

Cause: a process that takes back dropped all calls that it had still out, and put their messages before the new core at once, as calls that may have run. What they were answered meanwhile could not end the messages any more, and the message was out twice for a moment.

Now such calls are given up first, as any call that is given up: our sending ends, what the endpoint has still said is read, and only then is the core made, which hears of it. Calls that have no outcome after 250 ms may have had their final answer, and their messages end by a notice. Calls that a process before this one made are waited for, too.

tests/final_answers, a_final_answer_at_any_step_of_a_takeover_that_is_cut_short_counts failed on the build of the commit before in 5 of 9 runs and passes, 8 of 8; the one without the kill passed before, too. tests/upgrade passed 1 of 1.

--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -189,6 +189,7 @@
     /// Decides again with the other gone; false where a third process does, or this one ends.
     async fn take_back(&self, (handed, names): Handed) -> bool {
         let front = &self.front;
+        front.desk.give_up_calls().await;
         let from = Instant::now();
         let core = loop {
             if self.ending.get() {
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -12,10 +12,13 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
+/// A call that is given up has its outcome in this time.
+const GIVEN_UP_WITHIN: Duration = Duration::from_millis(250);
 /// A timer that is so late says that the process was held up.
 const HELD_UP: Nanos = 200_000_000;
 
@@ -51,6 +54,8 @@
     pub roles: Roles,
     /// What was reported to the process that took over of answers after which no call may follow: it may be gone before it heard.
     reported: RefCell<Vec<(TransactionNo, Reply)>>,
+    /// A call has its outcome.
+    call_ended: Notify,
     /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
     life: Cell<u32>,
 }
@@ -84,6 +89,7 @@
             adopted: RefCell::default(),
             roles: Roles::default(),
             reported: RefCell::default(),
+            call_ended: Notify::new(),
             life: Cell::new(0),
         })
     }
@@ -163,14 +169,28 @@
         drop(self.core.borrow_mut().release(self.clock.now(), None));
     }
 
-    /// Decides again, by a core that was made of the journal: the process that had taken over is gone.
+    /// Gives up all calls that are out, since the process that had to hear of them is gone, and waits until what they were
+    /// answered has been read. A message whose call has no outcome by then may have had its final answer.
+    pub async fn give_up_calls(&self) {
+        let out: Vec<Rc<Signals>> = self.out.borrow().values().cloned().collect();
+        out.iter().for_each(|signals| signals.cancelled.notify_one());
+        self.cancel_adopted();
+        let all_ended = async {
+            while !self.out.borrow().is_empty() {
+                self.call_ended.notified().await;
+            }
+        };
+        if timeout(GIVEN_UP_WITHIN, all_ended).await.is_err() {
+            let unheard = self.out.take().into_keys();
+            let unknown = Reply::MustEnd(Outcome::Cancelled);
+            self.reported.borrow_mut().extend(unheard.map(|(no, _)| (no, unknown)));
+        }
+        self.adopted.take();
+    }
+
+    /// Decides again, by a core that was made of the journal, with no call out: the process that had taken over is gone.
     pub fn resume(self: &Rc<Self>, core: Core) {
         self.life.set(self.life.get() + 1);
-        self.cancel_adopted();
-        // Their outcomes are lost with the process that had to hear them.
-        std::mem::take(&mut *self.out.borrow_mut())
-            .values()
-            .for_each(|signals| signals.cancelled.notify_one());
         self.core.replace(core);
         self.roles.resume();
         let reported = self.reported.take();
@@ -209,8 +229,9 @@
     }
 
     fn cancel_adopted(&self) {
-        let calls = std::mem::take(&mut *self.adopted.borrow_mut());
-        let nos: Vec<TransactionNo> = calls.iter().flat_map(|c| &c.attempts).map(|a| a.transaction).collect();
+        let adopted = self.adopted.borrow();
+        let attempts = adopted.iter().flat_map(|call| &call.attempts);
+        let nos: Vec<TransactionNo> = attempts.map(|attempt| attempt.transaction).collect();
         if !nos.is_empty() {
             self.roles.tell_predecessor(ToPredecessor::Cancel(nos));
         }
@@ -321,6 +342,7 @@
         for attempt in &call.attempts {
             self.out.borrow_mut().remove(&(attempt.transaction, attempt.number));
         }
+        self.call_ended.notify_one();
         match self.roles.successor() {
             None if self.roles.serves() => {
                 self.act(|core, now| core.report(now, call.endpoint, &carried, took));
--- a/tests/final_answers/while_out.rs
+++ b/tests/final_answers/while_out.rs
@@ -15,6 +15,9 @@
 /// In which an answer on loopback has been read.
 const READ_WITHIN: Duration = Duration::from_millis(150);
 
+/// Answers come so many milliseconds after another process was started, which takes over within some ten.
+const STEPS_MS: [u64; 5] = [0, 3, 7, 14, 40];
+
 /// A process starts again so long after its end.
 const GONE_FOR: Duration = Duration::from_millis(600);
 
@@ -53,6 +56,8 @@
     }
 }
 
+/// What is to come: one call, and the message is settled.
+const ONE_CALL: (u32, bool) = (1, true);
 const CASES: [(Says, Form); 3] =
     [(Says::Over, Form::Whole), (Says::NoMore, Form::Whole), (Says::Over, Form::CutInBody)];
 
@@ -64,7 +69,7 @@
         .collect();
     for run in runs {
         let (case, came) = run.join().unwrap();
-        assert_eq!(came, (1, true), "{case:?}: calls, and whether it is settled");
+        assert_eq!(came, ONE_CALL, "{case:?}: calls, and whether it is settled");
     }
 }
 
@@ -95,6 +100,49 @@
     });
 }
 
+/// Plays an answer that comes at this step of a takeover by a process that lives on, or is killed right then.
+fn answered_at(step: Duration, is_killed: bool, class: &str, says: Says, form: Form) -> (u32, bool) {
+    let (out, mut old) = Out::new(class, says, form);
+    let mut new = out.platform.start();
+    sleep(step);
+    out.endpoint.answers.store(true, Ordering::SeqCst);
+    sleep(step / 2);
+    if !is_killed {
+        assert!(new.ready().is_some(), "it never said yes");
+        return out.came(says, form);
+    }
+    new.kill();
+    sleep(READ_WITHIN);
+    let next = old.ended().is_some().then(|| out.platform.start_ready());
+    let came = out.came(says, form);
+    if came != ONE_CALL {
+        let processes = [Some(&old), Some(&new), next.as_ref()].into_iter().flatten();
+        let logs: Vec<_> = processes.map(|process| process.log.tell(|log| log.clone())).collect();
+        eprintln!("{step:?} {class} {says:?} {form:?}: {logs:#?}");
+    }
+    came
+}
+
+fn all_hold_at_each_step(is_killed: bool) {
+    let steps = STEPS_MS.map(|step| {
+        let step = Duration::from_millis(step);
+        spawn(move || all_hold(move |class, says, form| answered_at(step, is_killed, class, says, form)))
+    });
+    steps.into_iter().for_each(|step| step.join().unwrap());
+}
+
+/// Guards a message whose final answer comes while another process is taking over.
+#[test]
+fn a_final_answer_at_any_step_of_a_takeover_counts() {
+    all_hold_at_each_step(false);
+}
+
+/// Guards a message whose final answer comes while a process that is taking over is killed.
+#[test]
+fn a_final_answer_at_any_step_of_a_takeover_that_is_cut_short_counts() {
+    all_hold_at_each_step(true);
+}
+
 /// Guards a message whose final answer comes behind a SIGHUP that read the configuration again.
 #[test]
 fn a_final_answer_behind_a_sighup_counts() {
