Keep a final answer that was reported to another process until that one has heard

What was seen: a process that had handed over was answered 410, 504 or a cut 410 by its last open call, reported that, was told to end, as the platform does after a takeover, and ended. The process that had taken over was killed before it read the report; the one started next called the message again, 2 calls.

Cause: what was reported was kept in memory for a take-back alone, an ending process did not take back, and it did not wait until it was heard.

Now a process that has handed over keeps such an answer until an operator's question that follows it on the same way is answered, which processes of earlier versions do, too, and does not end before. Nobody is asked any more once a process is gone: such a question could be put, by reading, where nobody would ever answer it.

What a desk does over takeovers is a module of its own.

--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -55,7 +55,7 @@
 fn platform_is_busy((desk, legs): &PlatformDesk) -> bool {
     let out = match desk.roles.serves() {
         true => desk.calls_out() + desk.see(Core::open),
-        false => desk.calls_here(),
+        false => desk.calls_here() + usize::from(desk.has_unheard()),
     };
     legs.open() > 0 || out > 0
 }
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -192,7 +192,7 @@
         front.desk.give_up_calls().await;
         let from = Instant::now();
         let core = loop {
-            if self.ending.get() {
+            if self.ending.get() && !front.desk.has_unheard() {
                 break None;
             }
             match front.cores.again(handed.clone(), names.clone()) {
@@ -201,9 +201,13 @@
                 Err(_) => sleep(LOOK_AGAIN).await,
             }
         };
-        let Some(core) = core else {
-            front.desk.roles.orphan();
-            return false;
+        let core = match core {
+            Some(core) if !self.ending.get() => core,
+            core => {
+                core.into_iter().for_each(|core| front.desk.record_unheard(core));
+                front.desk.roles.orphan();
+                return false;
+            }
         };
         front.desk.resume(core);
         // It may have been read again meanwhile.
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,7 +1,9 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
-use super::core::{Carried, Core, Note, Offer, Released, Taken, Work};
-use super::handover::{CallOutcome, Operated, Operation, Roles, Successor, ToPredecessor, ToSuccessor};
+mod takeover;
+
+use super::core::{Carried, Core, Note, Offer, Taken, Work};
+use super::handover::{Operated, Operation, Roles, ToPredecessor, ToSuccessor};
 pub use super::passage::Passage;
 use super::passage::Signals;
 use super::values::{Call, Reply, Standing, TransactionNo};
@@ -12,13 +14,10 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::sleep_until;
 
-/// A call that is given up has its outcome in this time.
-const GIVEN_UP_WITHIN: Duration = Duration::from_millis(250);
 /// A timer that is so late says that the process was held up.
 const HELD_UP: Nanos = 200_000_000;
 
@@ -52,7 +51,7 @@
     adopted: RefCell<Vec<Call>>,
     /// Whether this process decides, and its ways to the others of its relay.
     pub roles: Roles,
-    /// What was reported to the process that took over of answers after which no call may follow: it may be gone before it heard.
+    /// What was reported to the process that took over of answers after which no call may follow, until it has heard.
     reported: RefCell<Vec<(TransactionNo, Reply)>>,
     /// A call has its outcome.
     call_ended: Notify,
@@ -146,111 +145,6 @@
         }
     }
 
-    /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
-    pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>) -> Released {
-        let released = self.core.borrow_mut().release(self.clock.now(), seq);
-        self.reported.borrow_mut().clear();
-        self.roles.retire(successor);
-        self.front.retire();
-        let begun = |attempt: &(TransactionNo, u32)| {
-            let mut calls = released.handover.calls.iter();
-            calls.any(|call| call.transactions.contains(&attempt.0))
-        };
-        // What was not begun yet never will be here; what nobody waits for is given up.
-        let out = self.out.borrow();
-        out.iter()
-            .filter(|(attempt, _)| !begun(attempt))
-            .for_each(|(_, signals)| signals.cancelled.notify_one());
-        released
-    }
-
-    /// Gives the journal to another process without more: what is out here ends with this process.
-    pub fn give_journal_away(&self) {
-        drop(self.core.borrow_mut().release(self.clock.now(), None));
-    }
-
-    /// Gives up all calls that are out, since the process that had to hear of them is gone, and waits until what they were
-    /// answered has been read. A message whose call has no outcome by then may have had its final answer.
-    pub async fn give_up_calls(&self) {
-        let out: Vec<Rc<Signals>> = self.out.borrow().values().cloned().collect();
-        out.iter().for_each(|signals| signals.cancelled.notify_one());
-        self.cancel_adopted();
-        let all_ended = async {
-            while !self.out.borrow().is_empty() {
-                self.call_ended.notified().await;
-            }
-        };
-        if timeout(GIVEN_UP_WITHIN, all_ended).await.is_err() {
-            let unheard = self.out.take().into_keys();
-            let unknown = Reply::MustEnd(Outcome::Cancelled);
-            self.reported.borrow_mut().extend(unheard.map(|(no, _)| (no, unknown)));
-        }
-        self.adopted.take();
-    }
-
-    /// Decides again, by a core that was made of the journal, with no call out: the process that had taken over is gone.
-    pub fn resume(self: &Rc<Self>, core: Core) {
-        self.life.set(self.life.get() + 1);
-        self.core.replace(core);
-        self.roles.resume();
-        let reported = self.reported.take();
-        self.act(|core, now| core.answered_before(now, &reported));
-        self.sooner.notify_one();
-    }
-
-    /// Calls that this process made and that are still out.
-    pub fn calls_here(&self) -> usize {
-        self.calls_out() - self.adopted.borrow().iter().map(|call| call.attempts.len()).sum::<usize>()
-    }
-
-    /// A call has ended that the process before this one had made.
-    pub fn adopted_ended(self: &Rc<Self>, outcome: CallOutcome) {
-        let CallOutcome { replies, limit, idle, echo, wait, refused, took } = outcome;
-        let is_of =
-            |call: &Call| call.attempts.iter().any(|a| replies.iter().any(|(no, _)| *no == a.transaction));
-        let place = self.adopted.borrow().iter().position(is_of);
-        let Some(call) = place.map(|place| self.adopted.borrow_mut().swap_remove(place)) else {
-            return self.act(|core, now| core.answered_before(now, &replies));
-        };
-        let attempt_of = |no: TransactionNo| call.attempts.iter().find(|a| a.transaction == no);
-        let replies = replies.iter().filter_map(|(no, reply)| Some((*attempt_of(*no)?, *reply))).collect();
-        let carried = Carried { replies, limit, idle, echo, wait, refused, ..Carried::default() };
-        self.ended(&call, carried, took, self.life.get());
-    }
-
-    /// The process before this one is gone: its calls that had no outcome may have run.
-    pub fn predecessor_gone(self: &Rc<Self>) {
-        self.roles.follow(None);
-        for call in std::mem::take(&mut *self.adopted.borrow_mut()) {
-            let replies =
-                call.attempts.iter().map(|a| (*a, Reply::Ended(Outcome::Broken))).collect::<Vec<_>>();
-            self.ended(&call, Carried::from(replies), 0, self.life.get());
-        }
-    }
-
-    fn cancel_adopted(&self) {
-        let adopted = self.adopted.borrow();
-        let attempts = adopted.iter().flat_map(|call| &call.attempts);
-        let nos: Vec<TransactionNo> = attempts.map(|attempt| attempt.transaction).collect();
-        if !nos.is_empty() {
-            self.roles.tell_predecessor(ToPredecessor::Cancel(nos));
-        }
-    }
-
-    /// Gives up calls that were handed over open, as the process that took over wants.
-    pub fn cancel(&self, nos: &[TransactionNo]) {
-        let out = self.out.borrow();
-        let given_up = out.iter().filter(|((no, _), _)| nos.contains(no));
-        given_up.for_each(|(_, signals)| signals.cancelled.notify_one());
-        // Of them, those that the process before this one made.
-        let adopted = self.adopted.borrow();
-        let before = adopted.iter().flat_map(|c| &c.attempts).map(|a| a.transaction);
-        let before: Vec<TransactionNo> = before.filter(|no| nos.contains(no)).collect();
-        if !before.is_empty() {
-            self.roles.tell_predecessor(ToPredecessor::Cancel(before));
-        }
-    }
-
     /// Does something to the core and sets going what comes of it.
     pub fn act<R>(self: &Rc<Self>, f: impl FnOnce(&mut Core, Nanos) -> R) -> R {
         let (result, work, due) = {
@@ -349,8 +243,11 @@
             }
             None => {}
             Some(successor) => {
-                self.reported.borrow_mut().extend(last);
                 successor.report(call, carried, took);
+                if !last.is_empty() {
+                    self.reported.borrow_mut().extend(&last);
+                    spawn_local(self.clone().keep_until_heard(last, successor));
+                }
             }
         }
     }
--- a/src/routing/handover/roles.rs
+++ b/src/routing/handover/roles.rs
@@ -121,14 +121,14 @@
 
     /// Hands a message on; none where the other is gone before it answers.
     pub async fn take(&self, offer: Offer) -> Option<Taken> {
-        let (number, answer) = self.taken.next();
+        let (number, answer) = self.taken.next()?;
         self.to.send(ToSuccessor::Offered(number, offer)).ok()?;
         answer.await.ok()
     }
 
     /// The same with an operator's call.
     pub async fn operate(&self, operation: Operation) -> Option<Operated> {
-        let (number, answer) = self.operated.next();
+        let (number, answer) = self.operated.next()?;
         self.to.send(ToSuccessor::Operate(number, operation)).ok()?;
         answer.await.ok()
     }
@@ -142,6 +142,12 @@
         self.tell(ToSuccessor::Ended(CallOutcome { replies, limit, idle, echo, wait, refused, took }));
     }
 
+    /// Waits until it has heard of all that was told so far; false where it is gone before. An operation on an endpoint without
+    /// a name changes nothing, and processes of any version answer it in its turn.
+    pub async fn has_heard(&self) -> bool {
+        self.operate(Operation::Uncordon(String::new())).await.is_some()
+    }
+
     /// Takes in an answer of its.
     pub fn answered(&self, number: u64, taken: Taken) {
         self.taken.answer(number, taken);
@@ -154,29 +160,34 @@
 
     /// It is gone: nobody answers any more.
     pub fn gone(&self) {
-        self.taken.drop_all();
-        self.operated.drop_all();
+        self.taken.close();
+        self.operated.close();
     }
 }
 
 /// Questions that wait for their answers, by number.
 struct Answers<T> {
     next: Cell<u64>,
+    /// Nobody answers any more.
+    closed: Cell<bool>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<T>>>,
 }
 
 impl<T> Default for Answers<T> {
     fn default() -> Self {
-        Answers { next: Cell::new(0), waiting: RefCell::default() }
+        Answers { next: Cell::new(0), closed: Cell::new(false), waiting: RefCell::default() }
     }
 }
 
 impl<T> Answers<T> {
-    fn next(&self) -> (u64, oneshot::Receiver<T>) {
+    fn next(&self) -> Option<(u64, oneshot::Receiver<T>)> {
+        if self.closed.get() {
+            return None;
+        }
         let number = self.next.replace(self.next.get() + 1);
         let (tell, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, tell);
-        (number, answer)
+        Some((number, answer))
     }
 
     fn answer(&self, number: u64, answer: T) {
@@ -185,7 +196,26 @@
         }
     }
 
-    fn drop_all(&self) {
+    fn close(&self) {
+        self.closed.set(true);
         self.waiting.borrow_mut().clear();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    /// Guards whoever asks a process that is gone: nobody waits for its answer, though the question could still be sent.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_process_that_is_gone_answers_nothing() {
+        let (to, mut queue) = unbounded_channel();
+        let successor = Successor::new(to);
+        let asked = tokio::join!(successor.has_heard(), async { successor.gone() });
+        assert!(!asked.0);
+        assert!(matches!(queue.try_recv(), Ok(ToSuccessor::Operate(..))));
+        assert!(!successor.has_heard().await);
+        assert!(queue.try_recv().is_err());
+    }
+}
--- a/tests/final_answers/while_out.rs
+++ b/tests/final_answers/while_out.rs
@@ -100,6 +100,26 @@
     });
 }
 
+/// Guards a message whose final answer was told in vain by a process that was told to end meanwhile: the one that starts next
+/// calls it no more.
+#[test]
+fn a_final_answer_told_in_vain_by_a_process_that_ends_counts_after_the_next_start() {
+    all_hold(|class, says, form| {
+        let (out, mut old) = Out::new(class, says, form);
+        let mut new = out.platform.start_ready();
+        new.signal(Signal::STOP);
+        out.answer();
+        old.signal(Signal::TERM);
+        sleep(READ_WITHIN);
+        new.kill();
+        sleep(GONE_FOR);
+        assert!(old.ended().is_some(), "it goes on with nothing to do");
+        old.says("answers-recorded");
+        let _next = out.platform.start_ready();
+        out.came(says, form)
+    });
+}
+
 /// Plays an answer that comes at this step of a takeover by a process that lives on, or is killed right then.
 fn answered_at(step: Duration, is_killed: bool, class: &str, says: Says, form: Form) -> (u32, bool) {
     let (out, mut old) = Out::new(class, says, form);
