--- a/tests/attribution/soak.rs
+++ b/tests/attribution/soak.rs
@@ -39,6 +39,11 @@
     Restart,
     /// A new process beside it takes over.
     Upgrade,
+    /// A new process that is killed so many milliseconds after its start, while it takes over or soon after.
+    TakeoverCutShort(u64),
+    /// A new process has taken over, the one before is told to end, and the new one is killed so many milliseconds later; then
+    /// another start.
+    BothEnd(u64),
     /// SIGHUP, three times in a row.
     Hangups,
     /// The first endpoint drains, and is back after a second.
@@ -96,10 +101,13 @@
         let blow = |draw: &mut Draw| {
             let after = Duration::from_millis(u64::from(300 + draw.below(2_000)));
             let full_for = u64::from(100 + draw.below(700));
+            let killed_after = u64::from(draw.below(60));
             let blows = [
                 Blow::Kill,
                 Blow::Restart,
                 Blow::Upgrade,
+                Blow::TakeoverCutShort(killed_after),
+                Blow::BothEnd(killed_after),
                 Blow::Hangups,
                 Blow::Drain,
                 Blow::FullFolder(full_for),
@@ -192,6 +200,23 @@
                 let old = self.serve(next);
                 self.gone(|| old.end());
             }
+            Blow::TakeoverCutShort(ms) => {
+                let mut next = self.platform.start();
+                sleep(Duration::from_millis(ms));
+                let from = Instant::now();
+                next.kill();
+                self.record.tell(|record| record.kills.push((from, Instant::now())));
+                self.logs.push(next.log.clone());
+            }
+            Blow::BothEnd(ms) => {
+                let next = self.platform.start_ready();
+                let old = self.serve(next);
+                old.signal(Signal::TERM);
+                sleep(Duration::from_millis(ms));
+                self.kill();
+                self.gone(|| old.end());
+                self.restart();
+            }
             Blow::Hangups => (0..3).for_each(|_| {
                 self.serving.signal(Signal::HUP);
                 sleep(Duration::from_millis(3));
