Say once how calls are given up at a takeover, where a request stands, and how a test kills

Calls given up by the other process and all of them at a take-back went two ways through the same lists; a lease made the place of the last and of the next request by twin code; the pipeline asked twice whether it already reads on, in a function that sounded like a question; a take-back went over an optional core as over a list; three tests noted a kill by the same lines. Two constants of one name had different values (20 and 250 ms): the one at a take-back is OUTCOME_WITHIN. Some words of the house style are gone from new lines.

--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -53,11 +53,11 @@
 }
 
 fn platform_is_busy((desk, legs): &PlatformDesk) -> bool {
-    let out = match desk.roles.serves() {
-        true => desk.calls_out() + desk.see(Core::open),
-        false => desk.calls_here() + usize::from(desk.has_unheard()),
+    let is_owing = match desk.roles.serves() {
+        true => desk.calls_out() + desk.see(Core::open) > 0,
+        false => desk.calls_here() > 0 || desk.has_unheard(),
     };
-    legs.open() > 0 || out > 0
+    legs.open() > 0 || is_owing
 }
 
 fn smpp_is_busy(desk: &Rc<Desk<Smpp>>) -> bool {
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -201,14 +201,15 @@
                 Err(_) => sleep(LOOK_AGAIN).await,
             }
         };
-        let core = match core {
-            Some(core) if !self.ending.get() => core,
-            core => {
-                core.into_iter().for_each(|core| front.desk.record_unheard(core));
-                front.desk.roles.orphan();
-                return false;
-            }
+        let Some(core) = core else {
+            front.desk.roles.orphan();
+            return false;
         };
+        if self.ending.get() {
+            front.desk.record_unheard(core);
+            front.desk.roles.orphan();
+            return false;
+        }
         front.desk.resume(core);
         // It may have been read again meanwhile.
         front.keeper.keep_configuration(&front.in_force.borrow());
--- a/src/protocol/platform/call.rs
+++ b/src/protocol/platform/call.rs
@@ -261,18 +261,21 @@
     carried: &Carried,
     verdict: Option<Verdict>,
 ) {
-    let is_doubtful = matches!(verdict, Some(Verdict::Doubtful(doubt)) if doubt != Doubt::GivenUp);
-    if !is_doubtful && !tracing::enabled!(target: "messages", tracing::Level::DEBUG) {
+    let doubt = match verdict {
+        Some(Verdict::Doubtful(doubt)) => Some(doubt).filter(|doubt| *doubt != Doubt::GivenUp),
+        Some(Verdict::Known(_)) | None => None,
+    };
+    if doubt.is_none() && !tracing::enabled!(target: "messages", tracing::Level::DEBUG) {
         return;
     }
     let hop = endpoint.name.as_str();
     let ids: Vec<&str> = letters.iter().map(|l| l.id.as_str()).collect();
     let replies: Vec<&Reply> = carried.replies.iter().map(|(_, reply)| reply).collect();
-    match verdict {
-        Some(Verdict::Doubtful(doubt)) if is_doubtful => {
+    match doubt {
+        Some(doubt) => {
             tracing::warn!(target: "routing", event = "answer-doubtful", hop, ?ids, connection, request, ?doubt, "an answer may be another call's");
         }
-        _ => {
+        None => {
             tracing::debug!(target: "messages", event = "call-ended", hop, ?ids, connection, request, ?replies, ?verdict);
         }
     }
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -246,7 +246,7 @@
                 successor.report(call, carried, took);
                 if !last.is_empty() {
                     self.reported.borrow_mut().extend(&last);
-                    spawn_local(self.clone().keep_until_heard(last, successor));
+                    spawn_local(self.clone().forget_once_heard(last, successor));
                 }
             }
         }
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -3,14 +3,14 @@
 use super::super::core::{Carried, Core, Released};
 use super::super::handover::{CallOutcome, Successor, ToPredecessor};
 use super::super::values::{Call, Reply, TransactionNo};
-use super::{Desk, Front, Signals};
+use super::{Desk, Front};
 use crate::interface::Outcome;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
 
 /// A call that is given up has its outcome in this time.
-const GIVEN_UP_WITHIN: Duration = Duration::from_millis(250);
+const OUTCOME_WITHIN: Duration = Duration::from_millis(250);
 
 impl<F: Front> Desk<F> {
     /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
@@ -39,15 +39,13 @@
     /// Gives up all calls that are out, since the process that had to hear of them is gone, and waits until what they were
     /// answered has been read. A message whose call has no outcome by then may have had its final answer.
     pub async fn give_up_calls(&self) {
-        let out: Vec<Rc<Signals>> = self.out.borrow().values().cloned().collect();
-        out.iter().for_each(|signals| signals.cancelled.notify_one());
-        self.cancel_adopted();
+        self.cancel_each(|_| true);
         let all_ended = async {
             while !self.out.borrow().is_empty() {
                 self.call_ended.notified().await;
             }
         };
-        if timeout(GIVEN_UP_WITHIN, all_ended).await.is_err() {
+        if timeout(OUTCOME_WITHIN, all_ended).await.is_err() {
             let unheard = self.out.take().into_keys();
             let unknown = Reply::MustEnd(Outcome::Cancelled);
             self.reported.borrow_mut().extend(unheard.map(|(no, _)| (no, unknown)));
@@ -110,31 +108,26 @@
         }
     }
 
-    fn cancel_adopted(&self) {
-        let adopted = self.adopted.borrow();
-        let attempts = adopted.iter().flat_map(|call| &call.attempts);
-        let nos: Vec<TransactionNo> = attempts.map(|attempt| attempt.transaction).collect();
-        if !nos.is_empty() {
-            self.roles.tell_predecessor(ToPredecessor::Cancel(nos));
-        }
-    }
-
     /// Gives up calls that were handed over open, as the process that took over wants.
     pub fn cancel(&self, nos: &[TransactionNo]) {
+        self.cancel_each(|no| nos.contains(no));
+    }
+
+    fn cancel_each(&self, is_given_up: impl Fn(&TransactionNo) -> bool) {
         let out = self.out.borrow();
-        let given_up = out.iter().filter(|((no, _), _)| nos.contains(no));
+        let given_up = out.iter().filter(|((no, _), _)| is_given_up(no));
         given_up.for_each(|(_, signals)| signals.cancelled.notify_one());
         // Of them, those that the process before this one made.
         let adopted = self.adopted.borrow();
         let before = adopted.iter().flat_map(|c| &c.attempts).map(|a| a.transaction);
-        let before: Vec<TransactionNo> = before.filter(|no| nos.contains(no)).collect();
+        let before: Vec<TransactionNo> = before.filter(is_given_up).collect();
         if !before.is_empty() {
             self.roles.tell_predecessor(ToPredecessor::Cancel(before));
         }
     }
 
     /// Forgets what was reported once the process that took over has heard of it.
-    pub(super) async fn keep_until_heard(
+    pub(super) async fn forget_once_heard(
         self: Rc<Self>,
         reported: Vec<(TransactionNo, Reply)>,
         successor: Rc<Successor>,
--- a/src/routing/handover/roles.rs
+++ b/src/routing/handover/roles.rs
@@ -142,7 +142,7 @@
         self.tell(ToSuccessor::Ended(CallOutcome { replies, limit, idle, echo, wait, refused, took }));
     }
 
-    /// Waits until it has heard of all that was told so far; false where it is gone before. An operation on an endpoint without
+    /// Waits until it has heard of all that was said to it so far; false where it is gone before. An operation on an endpoint without
     /// a name changes nothing, and processes of any version answer it in its turn.
     pub async fn has_heard(&self) -> bool {
         self.operate(Operation::Uncordon(String::new())).await.is_some()
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -164,10 +164,10 @@
         }
         ENDING => (t.ending, t.reason) = r.ending()?,
         OVER => {
-            let told = t.ending.map_or(Closed::Over, Closed::Notified);
+            let closed = t.ending.map_or(Closed::Over, Closed::Notified);
             match r.u8() {
                 Some(DELIVERED) => drop(into.transactions.close(no, Closed::Delivered)),
-                Some(ENDED) => drop(into.transactions.close(no, told)),
+                Some(ENDED) => drop(into.transactions.close(no, closed)),
                 _ => drop(into.transactions.remove(no)),
             }
         }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -141,12 +141,12 @@
     pub async fn hang_up(&mut self, within: Duration) {
         let Some(running) = self.running.take() else { return };
         self.hung_up.notify_one();
-        let hearing = async {
+        let reading = async {
             if let Ok(Some(stream)) = running.await {
                 stream.hear_out().await;
             }
         };
-        timeout(within, hearing).await.ok();
+        timeout(within, reading).await.ok();
     }
 
     /// What goes on over the line, to be watched beside a request.
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -241,14 +241,12 @@
         }
     }
 
-    /// Whether an answer may still be on its way where the connection has nothing more to do: behind one that may be another
-    /// call's, or to a call that was given up. The calls are given up then.
-    fn reads_on(&self) -> bool {
-        let is_doubtful = !self.held.borrow().is_empty();
-        if self.read_by.get().is_none() && is_doubtful {
-            self.hang_up(HEARD_OUT_WITHIN);
-        } else if self.read_by.get().is_none() && self.out() > 0 {
-            self.hang_up(GIVEN_UP_WITHIN);
+    /// Gives up the calls of a connection that has nothing more to do, where an answer may still be on its way: behind one that
+    /// may be another call's, or to a call that was given up. Returns whether there is anything to wait for.
+    fn read_on(&self) -> bool {
+        if self.read_by.get().is_none() && !self.is_idle() {
+            let is_doubtful = !self.held.borrow().is_empty();
+            self.hang_up(if is_doubtful { HEARD_OUT_WITHIN } else { GIVEN_UP_WITHIN });
         }
         !self.is_idle()
     }
@@ -347,7 +345,7 @@
                 }
             }
             // All that has come is read first: it may have the answer of a call that was given up.
-            if self.pipe.borrow().is_spent() && !self.reads_on() {
+            if self.pipe.borrow().is_spent() && !self.read_on() {
                 return self.end(Break::CloseAnnounced);
             }
             let reading = async {
--- a/src/transport/pool/lease.rs
+++ b/src/transport/pool/lease.rs
@@ -42,19 +42,20 @@
 
     /// Its connection, and the place that a request on it would have now.
     pub fn via(&self) -> Via {
-        let line = self.line.as_ref();
-        line.map_or(Via::default(), |line| Via {
-            connection: line.number(),
-            request: line.exchanges.requests() + 1,
-        })
+        self.via_of(1)
     }
 
     /// Its connection, and the place of the last request that was written on it.
     pub fn via_out(&self) -> Via {
+        self.via_of(0)
+    }
+
+    /// Its connection, and the place of a request so many behind the last one that was written there.
+    fn via_of(&self, behind: usize) -> Via {
         let line = self.line.as_ref();
         line.map_or(Via::default(), |line| Via {
             connection: line.number(),
-            request: line.exchanges.requests(),
+            request: line.exchanges.requests() + behind,
         })
     }
 
--- a/src/transport/tap.rs
+++ b/src/transport/tap.rs
@@ -141,8 +141,8 @@
             self.first.notify_one();
         }
         let mut heard = self.heard.borrow_mut();
-        let room = self.kept - heard.len();
-        heard.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        let free = self.kept - heard.len();
+        heard.extend_from_slice(&bytes[..bytes.len().min(free)]);
         let left = self.left.get().checked_sub(bytes.len() as u64);
         self.left.set(left.unwrap_or(0));
         left.is_some()
--- a/tests/attribution/record.rs
+++ b/tests/attribution/record.rs
@@ -1,6 +1,8 @@
 //! What came to endpoints, and what of it went against the rules.
 
 use crate::finals::Says;
+use crate::platform::Process;
+use crate::stand_ins::Told;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -63,6 +65,14 @@
         self.kills.iter().any(|(from, gone)| *from <= written + UNREAD_AT_A_KILL && written <= *gone)
     }
 
+    /// Kills a process of the relay.
+    #[allow(dead_code)]
+    pub fn kill(record: &Told<Record>, process: &mut Process) {
+        let from = Instant::now();
+        process.kill();
+        record.tell(|record| record.kills.push((from, Instant::now())));
+    }
+
     /// A call has come: no earlier attempt is out on an open connection, its message has had no final answer, and all messages of
     /// the key that were called before it are over. Where its connection was ended before it was read, that call is out no more.
     pub fn begin(&mut self, id: &str, stream: &TcpStream, ended: &BTreeSet<String>) {
--- a/tests/attribution/soak.rs
+++ b/tests/attribution/soak.rs
@@ -166,9 +166,7 @@
     }
 
     fn kill(&mut self) {
-        let from = Instant::now();
-        self.serving.kill();
-        self.record.tell(|record| record.kills.push((from, Instant::now())));
+        Record::kill(&self.record, &mut self.serving);
     }
 
     /// Lets files of the process grow to so many bytes beyond what its journal has, or to any size.
@@ -203,9 +201,7 @@
             Blow::TakeoverCutShort(ms) => {
                 let mut next = self.platform.start();
                 sleep(Duration::from_millis(ms));
-                let from = Instant::now();
-                next.kill();
-                self.record.tell(|record| record.kills.push((from, Instant::now())));
+                Record::kill(&self.record, &mut next);
                 self.logs.push(next.log.clone());
             }
             Blow::BothEnd(ms) => {
--- a/tests/final_answers/rig.rs
+++ b/tests/final_answers/rig.rs
@@ -1,14 +1,14 @@
 //! One relay with one endpoint that has final answers for some messages, under callers.
 
 use crate::callers::{Callers, Traffic};
-use crate::endpoint::{Endpoint, Nature, Violations};
+use crate::endpoint::{Endpoint, Nature, Record, Violations};
 use crate::finals::Says;
 use crate::platform::{Platform, Process, Terms};
 use crate::stand_ins::{entry, folder, Discovery};
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The time of each message, and by when its end has been told: its time, the rule's slack, and that of a restart.
 const TIME_MS: u64 = 4_000;
@@ -74,9 +74,7 @@
 
     /// Kills the process that serves, and starts another when the platform would.
     pub fn kill(&mut self) {
-        let from = Instant::now();
-        self.processes.last_mut().unwrap().kill();
-        self.endpoint.record.tell(|record| record.kills.push((from, Instant::now())));
+        Record::kill(&self.endpoint.record, self.processes.last_mut().unwrap());
         sleep(Duration::from_millis(600));
         self.processes.push(self.platform.start_ready());
     }
