Let a process that nobody hears end at once, with what it had reported in vain

By reading: where a third process had the folder when the one that had taken over was gone, the one before both ended only after 3.6 s, since it went on waiting until its reports were heard, which nobody was left to do.

--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -202,12 +202,12 @@
             }
         };
         let Some(core) = core else {
-            front.desk.roles.orphan();
+            front.desk.orphan();
             return false;
         };
         if self.ending.get() {
             front.desk.record_unheard(core);
-            front.desk.roles.orphan();
+            front.desk.orphan();
             return false;
         }
         front.desk.resume(core);
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -68,6 +68,12 @@
         !self.reported.borrow().is_empty()
     }
 
+    /// The process that took over is gone, and this one decides no more: nothing is left to be heard of it.
+    pub fn orphan(&self) {
+        self.reported.take();
+        self.roles.orphan();
+    }
+
     /// Writes down what was reported in vain, by a core that was made of the journal, and gives the journal away again.
     pub fn record_unheard(&self, mut core: Core) {
         let now = self.clock.now();
