Tell memory, connections, bytes held and how a process ended in the log

Change: the line 'memory' with the limit beside resident and peak memory, files, bytes by holder (src/memory/) and connections; 'process-killed' where the process before ended without a word; 'ends-by-itself' and 'panicked' with their cause.

--- a/src/configuration/judge.rs
+++ b/src/configuration/judge.rs
@@ -130,6 +130,7 @@
         state: PathBuf::from(form.state.as_deref().unwrap_or(".")),
         seed: seed(&form.seed),
         peers: settings.limits.peers,
+        memory_bytes: (limits.memory_mb.get() * MEGABYTE) as u64,
         sockets: limits.sockets.size(),
         disk_bytes: (limits.disk_mb.get() * MEGABYTE) as u64,
         list: list_limits(&limits),
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -54,6 +54,8 @@
     pub seed: u64,
     /// Whether relays may send one another messages.
     pub peers: bool,
+    /// Memory that the relay may take, in bytes.
+    pub memory_bytes: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// What the lasting folder may hold, in bytes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod fleet;
 pub mod maintenance;
 pub mod membership;
+pub mod memory;
 pub mod operator;
 pub mod program;
 pub mod protocol;
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -230,4 +230,5 @@
         };
         wiring::run(plan, Rc::new(Tcp), clock, signals.told_to_end(read_again)).await
     })
+    .inspect_err(|why| tracing::error!(target: "relay", event = "ends-by-itself", "the process ends: {why}"))
 }
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -10,6 +10,7 @@
 use crate::batching::Table;
 use crate::configuration::Configuration;
 use crate::fleet::PollSchedule;
+use crate::memory::MemoryBudget;
 use crate::operator::Operator;
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::platform::{self, Platform};
@@ -55,6 +56,7 @@
     pub rooms: Rooms,
     batching: Table,
     clock: Clock,
+    memory: Rc<MemoryBudget>,
 }
 
 impl Cores {
@@ -70,7 +72,10 @@
         let batching = Batching { table: self.batching.clone(), kinds: configuration.names.kinds.clone() };
         let first = First { known, batching, tells_delivery: false };
         let (settings, seed) = (configuration.settings.clone(), configuration.seed);
-        Core::taking_over(settings, seed, journal, replayed, first, handover, self.clock.now())
+        let now = self.clock.now();
+        let mut core = Core::taking_over(settings, seed, journal, replayed, first, handover, now);
+        core.count_memory_in(self.memory.clone());
+        core
     }
 
     /// A core of what the folder holds now, and of what was handed over in vain, with endpoints by these names.
@@ -112,6 +117,7 @@
     pub handover: Option<(Handover, Names)>,
     pub inherited: Option<&'a Inherited>,
     pub clock: Clock,
+    pub memory: Rc<MemoryBudget>,
 }
 
 pub(super) async fn start_platform(
@@ -120,7 +126,7 @@
     door: Rc<Door>,
     said: &Operator,
 ) -> Result<PlatformFront, String> {
-    let PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock } = start;
+    let PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock, memory } = start;
     let configuration = Rc::new(configuration);
     let in_force: InForce = Rc::new(watch::Sender::new(configuration.clone()));
     let front = platform_front(&configuration, &net, &door);
@@ -130,7 +136,7 @@
     let handed =
         handover.as_ref().map(|(handover, _)| &handover.list).filter(|handed| list(handed).is_some());
     let seq = handed.map_or(known, |handed| handed.seq);
-    let cores = Cores { in_force: in_force.clone(), rooms, batching: said.batching.clone(), clock };
+    let cores = Cores { in_force: in_force.clone(), rooms, batching: said.batching.clone(), clock, memory };
     let core = cores.of(journal, replayed, handover);
     let keeper = Keeper::new(&configuration.state, configuration.disk_bytes);
     keeper.keep_configuration(&configuration);
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::fmt::Debug;
 use std::io::Write;
+use std::panic::PanicHookInfo;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tracing::field::{Field, Visit};
@@ -27,6 +28,7 @@
     "member-alive",
     "member-faulty",
     "member-left",
+    "memory",
     "message-end",
     "operator-faulty",
     "operator-reread",
@@ -68,6 +70,17 @@
     let json = fmt::layer().json().flatten_event(true).with_writer(std::io::stderr);
     let json = json.with_filter(Lets { shared, json: true });
     tracing_subscriber::registry().with(text).with(json).try_init().ok();
+    std::panic::set_hook(Box::new(tell_panic));
+}
+
+/// A fault of the program is a line of the log, with its place.
+fn tell_panic(panic: &PanicHookInfo<'_>) {
+    let at = panic.location().map(ToString::to_string).unwrap_or_default();
+    let payload = panic.payload();
+    let text = payload.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    let why = text.unwrap_or("it does not say why");
+    tracing::error!(target: "relay", event = "panicked", at, "panicked at {at}: {why}");
 }
 
 /// Other settings, from now on.
--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -38,6 +38,12 @@
     let serving = platform.filter(|(desk, _)| desk.roles.serves());
     let left =
         serving.map_or(0, |(desk, _)| desk.see(Core::open)) + smpp.map_or(0, |desk| desk.see(Core::open));
+    if let Some((desk, _)) = platform {
+        desk.see(Core::ends);
+    }
+    if let Some(desk) = beside.smpp() {
+        desk.see(Core::ends);
+    }
     tracing::info!(target: "relay", event = "ends", left, "ends with {left} transactions in the journal");
 }
 
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -5,6 +5,7 @@
 use super::fronts::{start_platform, PlatformStart};
 use super::inherited::Inherited;
 use super::last_good::Keeper;
+use super::memory_log::MemoryLog;
 use super::ownership::{own, Claim, Owned};
 use super::reload::{PlatformReload, Reload, Reread};
 use super::rooms::Rooms;
@@ -12,6 +13,7 @@
 use super::{admission_log, fleet, shutdown, terms};
 use crate::admission::ledger;
 use crate::configuration::{Configuration, Environment};
+use crate::memory::MemoryBudget;
 use crate::operator::Operator;
 use crate::protocol::console::{self, Asked};
 use crate::protocol::discovery::Names;
@@ -20,7 +22,7 @@
 use crate::routing::handover::{Hello, Operated, VERSION};
 use crate::routing::{Classes, Clock, Desk};
 use crate::transport::network::Net;
-use crate::transport::Legs;
+use crate::transport::{Door, Legs};
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -123,6 +125,8 @@
     start_console(plan.console, &net, &serving).await?;
     let rooms = Rooms { has_smpp: plan.smpp.is_some(), has_fleet: plan.operator.fleet.is_some() };
     let fleet = fleet_plan(&plan.operator, &plan)?;
+    let memory = Rc::new(MemoryBudget::default());
+    tell_memory(&plan, &door, &memory);
     let beside_plan = BesidePlan { fleet, smpp: plan.smpp.take(), net, door, clock };
     let platform = plan.platform.take();
     let keeper = operator_keeper(&plan, platform.as_ref());
@@ -133,11 +137,22 @@
         keeper,
     };
     match platform {
-        Some(platform) => start_with_platform(plan, platform, beside_plan, reload, rooms, &serving).await,
+        Some(platform) => {
+            start_with_platform(plan, platform, beside_plan, reload, rooms, &serving, memory).await
+        }
         None => start_without_platform(plan, beside_plan, reload).await,
     }
 }
 
+/// Has the log told what the process holds in memory.
+fn tell_memory(plan: &Plan, door: &Rc<Door>, budget: &Rc<MemoryBudget>) {
+    if let Some(PlatformPlan { configuration, .. }) = &plan.platform {
+        let (dir, limit) = (configuration.state.clone(), configuration.memory_bytes);
+        let log = MemoryLog { budget: budget.clone(), door: door.clone(), dir, limit };
+        spawn_local(log.run());
+    }
+}
+
 /// The SMPP front alone, or membership alone.
 async fn start_without_platform(
     plan: Plan,
@@ -159,6 +174,7 @@
     reload: Reload,
     rooms: Rooms,
     serving: &Serving,
+    memory: Rc<MemoryBudget>,
 ) -> Result<Started, String> {
     let PlatformPlan { configuration, environment, names_before } = platform;
     let own_hello = plan.inherited.as_ref().map(|_| hello(&configuration, &configuration.names));
@@ -186,7 +202,7 @@
     let after_takeover = handover.is_some();
     let dir = configuration.state.clone();
     let inherited = plan.inherited.as_ref();
-    let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock };
+    let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock, memory };
     let (net, door) = (beside_plan.net.clone(), beside_plan.door.clone());
     let front = start_platform(start, net, door, &plan.operator).await?;
     let platform_reload = Rc::new(PlatformReload::of(&front, environment, plan.descriptors));
--- a/src/routing/closed.rs
+++ b/src/routing/closed.rs
@@ -3,6 +3,8 @@
 use super::transactions::Ending;
 use std::collections::{HashMap, VecDeque};
 
+/// Bytes that an id takes beside its text, which stands twice.
+const ID_BYTES: usize = 128;
 /// So many of them are remembered.
 const REMEMBERED: usize = 2_048;
 
@@ -22,6 +24,12 @@
 pub struct ClosedIds {
     ends: HashMap<String, Closed>,
     order: VecDeque<String>,
+    bytes_held: u64,
+}
+
+/// Bytes of memory that a remembered id takes.
+fn bytes_of(id: &str) -> u64 {
+    (ID_BYTES + 2 * id.len()) as u64
 }
 
 impl ClosedIds {
@@ -36,11 +44,24 @@
             return;
         }
         if self.order.len() >= REMEMBERED {
-            self.order.pop_front().map(|oldest| self.ends.remove(&oldest));
+            self.forget_oldest();
         }
+        self.bytes_held += bytes_of(&id);
         self.order.push_back(id);
     }
 
+    fn forget_oldest(&mut self) {
+        if let Some(oldest) = self.order.pop_front() {
+            self.bytes_held -= bytes_of(&oldest);
+            self.ends.remove(&oldest);
+        }
+    }
+
+    /// Bytes of memory that they take.
+    pub fn bytes_held(&self) -> u64 {
+        self.bytes_held
+    }
+
     /// Ids of those that were delivered, the oldest first.
     pub fn delivered(&self) -> impl Iterator<Item = &String> {
         self.order.iter().filter(|id| self.get(id) == Some(Closed::Delivered))
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -25,9 +25,11 @@
 use crate::catalog::{EndpointCatalog, EndpointId, EndpointUpdate, EndpointView};
 use crate::interface::{Nanos, Outcome, Settings};
 use crate::maintenance::Maintenance;
+use crate::memory::{Holder, MemoryBudget};
 use crate::settlement::Audit;
 use ends::Withheld;
 use handover::Begun;
+use std::rc::Rc;
 
 /// Advice for those turned away before the module was asked.
 const DOOR_ADVICE: Nanos = 1_000_000_000;
@@ -57,6 +59,8 @@
     begun: Begun,
     /// Checks that none begins after a message's last word.
     last_words: Audit,
+    /// Counts what is held here.
+    memory: Rc<MemoryBudget>,
 }
 
 /// The operator's terms for calls, with the names of the kinds that they speak of.
@@ -136,6 +140,7 @@
             maintenance,
             begun: Begun::default(),
             last_words: Audit::default(),
+            memory: Rc::default(),
         };
         if torn > 0 {
             core.work
@@ -196,7 +201,25 @@
         self.transactions.len()
     }
 
+    /// The process ends as it should.
+    pub fn ends(&self) {
+        self.journal.clear_holder();
+    }
+
+    /// Counts what it holds there from now on.
+    pub fn count_memory_in(&mut self, memory: Rc<MemoryBudget>) {
+        self.memory = memory;
+        self.book_memory();
+    }
+
+    fn book_memory(&self) {
+        self.memory.book(Holder::Journal, self.journal.bytes_held());
+        self.memory.book(Holder::Messages, self.transactions.bytes_held());
+        self.memory.book(Holder::Ids, self.transactions.closed().bytes_held());
+    }
+
     pub fn work(&mut self) -> Work {
+        self.book_memory();
         std::mem::take(&mut self.work)
     }
 
--- a/src/routing/journal/lock.rs
+++ b/src/routing/journal/lock.rs
@@ -4,17 +4,25 @@
 use rustix::io::Errno;
 use std::fmt;
 use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Seek, Write};
 use std::path::Path;
 
 const NAME: &str = "relay.lock";
+/// Where nobody says who holds it.
+const UNKNOWN: &str = "unknown";
 /// Most bytes that are read of who holds a lock.
 const HOLDER_MOST: u64 = 256;
 
 /// Held by the one process that may write what a folder holds.
 #[derive(Debug)]
 pub struct WriterLock {
-    _file: File,
+    file: File,
+}
+
+impl Drop for WriterLock {
+    fn drop(&mut self) {
+        self.clear_holder();
+    }
 }
 
 /// Why a folder could not be opened for writing.
@@ -63,12 +71,21 @@
                 Err(e) => return Err(OpenError::Io(e.into())),
             }
         }
+        let before = holder(&mut file);
+        if before != UNKNOWN {
+            tracing::warn!(target: "journal", event = "process-killed", before, "the {before} that had the folder ended without a word: it was killed, or for want of memory, or by a fault");
+        }
         // Who holds it is for people to read: the lock holds without it.
         let me = format!("process {}\n", std::process::id());
-        if file.set_len(0).is_ok() {
+        if file.set_len(0).and_then(|()| file.rewind()).is_ok() {
             file.write_all(me.as_bytes()).ok();
         }
-        Ok(WriterLock { _file: file })
+        Ok(WriterLock { file })
+    }
+
+    /// The process that has it ends as it should, or gives it away: the next one does not find a holder named.
+    pub fn clear_holder(&self) {
+        self.file.set_len(0).ok();
     }
 }
 
@@ -76,7 +93,7 @@
     let mut text = String::new();
     file.take(HOLDER_MOST).read_to_string(&mut text).ok();
     match text.trim() {
-        "" => "unknown".to_string(),
+        "" => UNKNOWN.to_string(),
         holder => holder.to_string(),
     }
 }
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -82,6 +82,11 @@
         self.size
     }
 
+    /// Bytes that it takes of memory: its file, and what could not be written yet.
+    pub fn bytes_held(&self) -> u64 {
+        self.size + self.unwritten.len() as u64
+    }
+
     /// Whether one more transaction fits with its copy and its outcomes; makes room first where it can.
     pub fn has_room(&mut self, t: &Transaction, all: &Transactions) -> bool {
         let more = 2 * self.copy_len(t) + ROOM_EACH;
@@ -182,6 +187,11 @@
         std::mem::take(&mut self.unwritten)
     }
 
+    /// The process ends as it should: the next one finds nobody named who had the folder.
+    pub fn clear_holder(&self) {
+        self.lock.iter().for_each(WriterLock::clear_holder);
+    }
+
     /// Takes in records that the process before could not write.
     pub fn append_unwritten(&mut self, unwritten: Vec<u8>, replayed: &mut Replayed) {
         replay(&Bytes::from(unwritten.clone()), replayed);
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -62,6 +62,19 @@
     }
 }
 
+/// Bytes that a message takes beside its texts and its body, with what the decision module keeps of it.
+const MESSAGE_BYTES: usize = 1_024;
+
+impl Transaction {
+    /// Bytes of memory that it takes while it is open.
+    pub fn bytes_held(&self) -> u64 {
+        let optional = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        // The id stands in the index as well.
+        let texts = 2 * self.id.len() + self.owner.len() + optional(&self.key) + optional(&self.idempotency);
+        (MESSAGE_BYTES + texts + self.body.len()) as u64
+    }
+}
+
 /// The final answer, once there is one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -74,16 +87,26 @@
     by_no: BTreeMap<TransactionNo, Transaction>,
     by_id: HashMap<String, TransactionNo>,
     closed: ClosedIds,
+    bytes_held: u64,
 }
 
 impl Transactions {
     pub fn insert(&mut self, no: TransactionNo, t: Transaction) {
+        self.bytes_held += t.bytes_held();
         self.by_id.insert(t.id.clone(), no);
-        self.by_no.insert(no, t);
+        if let Some(before) = self.by_no.insert(no, t) {
+            self.bytes_held -= before.bytes_held();
+        }
+    }
+
+    /// Bytes of memory that open ones take.
+    pub fn bytes_held(&self) -> u64 {
+        self.bytes_held
     }
 
     pub fn remove(&mut self, no: TransactionNo) -> Option<Transaction> {
         let t = self.by_no.remove(&no)?;
+        self.bytes_held -= t.bytes_held();
         if self.by_id.get(&t.id) == Some(&no) {
             self.by_id.remove(&t.id);
         }
