Let no leg give way to an address that holds more than its own

What callers saw: beside a crowd whose address had become known by good messages, a client that asks little lost its open connection again and again, and waited up to 7 s for a new one. Cause: from the mark of easy closing on, room.rs took the heaviest idle leg without comparing it with the newcomer, and of a known newcomer only its known legs counted; with all of the crowd's legs busy, the one idle leg of the other client went each time. Change: the newcomer's weight counts there too, with all that its address holds. The unit test failed before.

--- a/src/admission/room.rs
+++ b/src/admission/room.rs
@@ -122,7 +122,7 @@
             let gives = self.own_least(address).filter(|(tier, ..)| *tier <= PROVEN as u8 && within);
             return gives.map(|(_, _, no)| Some(no)).ok_or(Why::AddressLegs);
         }
-        let weight = self.weight(now, address, usize::from(known)) + 1;
+        let weight = self.newcomer_weight(now, address, known);
         let in_prefix = prefix.and_then(|p| self.prefixes.get(&p)).map_or(0, |c| c.open);
         if above(terms.prefix_caps.legs, in_prefix) {
             return Err(Why::PrefixLegs);
@@ -146,11 +146,18 @@
             return self.heaviest(now, None, known, address, Some(weight)).map(Some).ok_or(Why::Room);
         }
         if self.open() >= self.settings.easy {
-            return Ok(self.heaviest(now, None, known, address, None));
+            return Ok(self.heaviest(now, None, known, address, Some(weight)));
         }
         Ok(None)
     }
 
+    /// How much an address would hold with one more leg. A known one may take the place of any other, so that all that it has
+    /// counts.
+    fn newcomer_weight(&self, now: Nanos, address: IpAddr, known: bool) -> u32 {
+        let others = self.holders.get(&address).filter(|_| known).map_or(0, |holder| holder.seats[0].open);
+        self.weight(now, address, usize::from(known)) + others + 1
+    }
+
     /// The leg that this address would give.
     pub(super) fn own_least(&self, address: IpAddr) -> Option<Rank> {
         let holder = self.holders.get(&address)?;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -331,3 +331,32 @@
     }
     assert_eq!(a.remembered(), 16_384);
 }
+
+/// Guards the leg of a client that asks little from an address that holds many: that became known by its good messages, all its
+/// legs had a request, and the one leg that waited was closed for each newcomer of its.
+#[test]
+fn a_leg_that_waits_does_not_give_way_to_an_address_that_holds_more() {
+    let mut a = Admission::new(Settings { reserve: 4, earns: 3.0, ..Settings::plain(40, 10) });
+    let (modest, crowd) = (address(0), address(1));
+    let enter = |a: &mut Admission, from| match a.arrive(0, from, true) {
+        Verdict::Admit(leg) => leg,
+        other => panic!("{other:?}"),
+    };
+    let serve = |a: &mut Admission, leg| {
+        a.asked(0, leg);
+        a.answered(0, leg, Deed::Good);
+    };
+    let kept = enter(&mut a, modest);
+    (0..5).for_each(|_| serve(&mut a, kept));
+    for _ in 0..20 {
+        let leg = enter(&mut a, crowd);
+        serve(&mut a, leg);
+        a.asked(0, leg);
+    }
+    for _ in 0..10 {
+        let leg = enter(&mut a, crowd);
+        a.asked(0, leg);
+    }
+    // Its own next one may still have it closed: nobody there holds more.
+    assert!(matches!(a.arrive(0, modest, true), Verdict::AdmitAndClose(_, closed) if closed == kept));
+}
