Keep no read buffer of a connection for each piece of a body

What callers saw: a process passed its memory limit beside clients that wrote slowly, and beside endpoints that answered slowly. Cause: read_body collected frames, each a slice of hyper's read buffer, so a byte kept 8 KiB; BODY_MOST counts the bytes that came. Change: pieces are copied into one buffer; calls, drains, notices and discovery's refusals go through the same function. The checks of tests/memory ask for answers in 400 ms now and their relay listens by itself.

--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -5,7 +5,7 @@
 use super::network::Net;
 use super::tap::{Tapped, TappedStream};
 use crate::attribution::Exchanges;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -189,12 +189,21 @@
     line + fields + field("content-length".len(), body.to_string().len()) + "\r\n".len()
 }
 
-/// Reads a body to its end, which must come before `most` bytes.
-pub async fn read_body<B>(body: B, most: usize) -> Option<Bytes>
+/// Reads a body to its end, which must come before `most` bytes. Each piece is copied: it is a slice of the connection's read
+/// buffer, and would keep all of that in memory.
+pub async fn read_body<B>(mut body: B, most: usize) -> Option<Bytes>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
-    B::Error: std::error::Error + Send + Sync + 'static,
 {
-    let collected = http_body_util::Limited::new(body, most).collect().await;
-    collected.ok().map(|c| c.to_bytes())
+    let announced = body.size_hint().exact().unwrap_or(0);
+    let announced = usize::try_from(announced).ok().filter(|len| *len <= most)?;
+    let mut whole = BytesMut::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame.ok()?.into_data() else { continue };
+        if whole.len() + piece.len() > most {
+            return None;
+        }
+        whole.extend_from_slice(&piece);
+    }
+    Some(whole.freeze())
 }
--- a/tests/memory/crowd.rs
+++ b/tests/memory/crowd.rs
@@ -267,9 +267,9 @@
         }
         answers.slowest = answers.slowest.max(took);
         match status {
-            Some(202) => answers.taken += 1,
-            Some(429 | 503) => answers.refused += 1,
-            other => answers.failed.push(format!("{id}: {other:?} after {took:?}")),
+            Some(202) if took <= PATIENCE => answers.taken += 1,
+            Some(429 | 503) if took <= PATIENCE => answers.refused += 1,
+            other => answers.failed.push(format!("{id}: {other:?} after {took:?}, connection new: {is_new}")),
         }
         if status.is_some() {
             *kept = Some(stream);
--- a/tests/memory/rig.rs
+++ b/tests/memory/rig.rs
@@ -53,7 +53,12 @@
     pub fn new(limits: Limits, endpoint: SocketAddr) -> Scene {
         let known = entry("h", endpoint, "active");
         let discovery = Discovery::start(known.clone());
-        let terms = Terms { descriptors: limits.sockets, slots: limits.calls_out, ..Terms::default() };
+        let terms = Terms {
+            descriptors: limits.sockets,
+            slots: limits.calls_out,
+            inherit: false,
+            ..Terms::default()
+        };
         let platform = Platform::new(&folder(), &terms, discovery.address, &known);
         let mut document = platform.document();
         set(&mut document, "/limits/memory_mb", limits.memory_mb);
