Tell in the log why a caller's connection was closed

Need: the eviction of a client that asks little could not be seen in any log. Change: the line leg-closed at level debug, with address, requests and reason; the log's targets know memory.

--- a/src/operator/logging.rs
+++ b/src/operator/logging.rs
@@ -21,8 +21,18 @@
 ];
 
 /// What an event may be about.
-pub const TARGETS: &[&str] =
-    &["relay", "admission", "routing", "messages", "platform", "journal", "smpp", "operator", "fleet"];
+pub const TARGETS: &[&str] = &[
+    "relay",
+    "admission",
+    "routing",
+    "messages",
+    "platform",
+    "journal",
+    "smpp",
+    "operator",
+    "fleet",
+    "memory",
+];
 
 impl Said {
     pub fn read(mut s: Section<'_>) -> Said {
--- a/src/transport/door.rs
+++ b/src/transport/door.rs
@@ -70,6 +70,11 @@
 }
 
 impl Entrant {
+    /// Where its connection comes from.
+    pub fn address(&self) -> IpAddr {
+        self.from
+    }
+
     /// A request begins.
     pub fn asked(&self) {
         self.door.decide(|a, now| a.asked(now, self.no.get()));
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -121,6 +121,19 @@
     }
 }
 
+/// Why a leg ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LegEnd {
+    /// Its last request is answered, or its client ended it.
+    Done,
+    /// What came could not be read, or the connection broke.
+    Broken,
+    /// It waited too long for a request, or for the rest of a head.
+    Overstayed,
+    /// Another one needs its room.
+    Evicted,
+}
+
 /// What an answer says of its request.
 fn deed(status: StatusCode) -> Deed {
     match status {
@@ -245,26 +258,26 @@
         builder.keep_alive(!self.closing.get());
         let mut connection = builder.serve_connection(TokioIo::new(stream), service);
         let (mut closing, mut parting) = (false, false);
-        // Until when it is read on after our last byte, and whether it broke.
-        let (within, broke) = loop {
+        // For how long it is read on after our last byte, and why it ends.
+        let (within, why) = loop {
             tokio::select! {
                 // What has come is looked at before the leg may be closed: a request that crossed the word
                 // to close is answered.
                 biased;
                 ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => {
-                    break (leg.lingers(ended.is_err()), ended.is_err());
+                    break (leg.lingers(ended.is_err()), if ended.is_err() { LegEnd::Broken } else { LegEnd::Done });
                 }
                 () = leg.overstays() => {
                     if leg.asked.get() == 0 {
                         entrant.deed(Deed::Junk);
                     }
-                    break (Duration::ZERO, false);
+                    break (Duration::ZERO, LegEnd::Overstayed);
                 }
                 () = entrant.evicted(), if !closing && !parting => parting = true,
                 // What a new leg says with its first packet is only known to the loop after a turn of it.
                 () = tokio::task::yield_now(), if parting => {
                     if leg.idle_since.get().is_some() {
-                        break (leg.lingers(false).min(LINGER_EVICTED), false);
+                        break (leg.lingers(false).min(LINGER_EVICTED), LegEnd::Evicted);
                     }
                     (closing, parting) = (true, false);
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
@@ -276,7 +289,9 @@
             }
         };
         gone(&leg);
-        if broke {
+        let (from, requests) = (entrant.address().to_string(), leg.asked.get());
+        tracing::debug!(target: "admission", event = "leg-closed", from, requests, ?why);
+        if why == LegEnd::Broken {
             entrant.deed(Deed::Junk);
         }
         // All else is over with its last byte: a leg that lingers holds room that others need.
