Bound what others make the process hold by one budget of bytes

What callers saw: a process passed its memory limit beside long messages that could not be delivered (524 MB of 96 with the folder). Cause, the class: what others can make the process hold was bounded in their units (bytes on the wire, messages, connections), each on its own, and never in memory as a whole; memory_mb reached only the size of lists. Change: src/memory/ has one typed budget from memory_mb. Bodies draw by their announced length before they are read, and are refused with 503 and a wait where nothing is left; messages and ids are counted and refused; answers beyond 8 KiB draw as they come, and end their connection where nothing is left; connections and the folder's files are planned into it. Known clients' bodies have a part that no other can take. Two processes of a relay count together: each looks at the other's resident memory. Over budget is memory-violation.

--- a/src/admission/ledger.rs
+++ b/src/admission/ledger.rs
@@ -5,6 +5,7 @@
 //! known clients, others. Each purse has a part that those after it can't draw: what is free beyond the parts of
 //! those before is for whoever comes.
 
+use crate::memory::{Held, Holder, MemoryBudget, CONNECTION_BYTES};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -33,6 +34,8 @@
     short: Notify,
     /// Something was given back.
     freed: Notify,
+    /// Connections hold buffers there.
+    memory: Rc<MemoryBudget>,
 }
 
 /// A descriptor drawn from the ledger; dropped, it is given back.
@@ -40,20 +43,32 @@
 pub struct Drawn {
     ledger: Rc<Ledger>,
     purse: Purse,
+    _buffers: Option<Held>,
 }
 
 impl Ledger {
     /// `total` descriptors in all, of which each purse has its part kept for it.
     pub fn new(total: usize, kept: [usize; 4]) -> Rc<Ledger> {
+        Ledger::beside(total, kept, Rc::default())
+    }
+
+    /// The same, with the buffers of connections counted there.
+    pub fn beside(total: usize, kept: [usize; 4], memory: Rc<MemoryBudget>) -> Rc<Ledger> {
         Rc::new(Ledger {
             total: Cell::new(total),
             kept: kept.map(Cell::new),
             drawn: Default::default(),
             short: Notify::new(),
             freed: Notify::new(),
+            memory,
         })
     }
 
+    /// Where the buffers of connections are counted.
+    pub fn memory(&self) -> &Rc<MemoryBudget> {
+        &self.memory
+    }
+
     pub fn total(&self) -> usize {
         self.total.get()
     }
@@ -89,7 +104,10 @@
         }
         let drawn = &self.drawn[purse as usize];
         drawn.set(drawn.get() + 1);
-        Some(Drawn { ledger: self.clone(), purse })
+        // There are no more of them than there is memory for: that bounds the descriptors.
+        let is_connection = purse != Purse::Records;
+        let buffers = is_connection.then(|| self.memory.hold(Holder::Connections, CONNECTION_BYTES));
+        Some(Drawn { ledger: self.clone(), purse, _buffers: buffers })
     }
 
     /// The system had none although the ledger had: something outside it holds descriptors, or the limit is lower
--- a/src/configuration/judge.rs
+++ b/src/configuration/judge.rs
@@ -9,6 +9,7 @@
 use super::{Configuration, Version};
 use crate::fleet;
 use crate::interface::Nanos;
+use crate::memory::{MemoryLimits, MemoryPlan};
 use crate::protocol::discovery::{self, ListLimits, Names};
 use crate::protocol::platform::Defaults;
 use serde_json::Value;
@@ -115,6 +116,8 @@
     let Form { limits, settings, .. } = form;
     let names = Names { kinds: settings.kinds.clone(), zones: settings.azs.clone() };
     let classes = settings.class_names();
+    let memory = memory(&limits);
+    let plan = MemoryPlan::within(memory, 0);
     let known = document.get("known").and_then(|known| discovery::decode_update(known, &names));
     let default_of = |class: &String| form.defaults.get(class).map_or_else(Defaults::default, defaults);
     let default_class = form.default_class.as_ref();
@@ -130,9 +133,9 @@
         state: PathBuf::from(form.state.as_deref().unwrap_or(".")),
         seed: seed(&form.seed),
         peers: settings.limits.peers,
-        memory_bytes: (limits.memory_mb.get() * MEGABYTE) as u64,
-        sockets: limits.sockets.size(),
-        disk_bytes: (limits.disk_mb.get() * MEGABYTE) as u64,
+        memory_bytes: memory.relay,
+        sockets: memory.sockets.min(plan.connections()),
+        disk_bytes: memory.files.min(plan.files()),
         list: list_limits(&limits),
         settings: settings.settings(),
         defaults: classes.iter().map(default_of).collect(),
@@ -159,6 +162,16 @@
     }
 }
 
+/// What a relay may take, of which two processes may run at a time.
+fn memory(limits: &LimitsForm) -> MemoryLimits {
+    MemoryLimits {
+        relay: (limits.memory_mb.get() * MEGABYTE) as u64,
+        files: (limits.disk_mb.get() * MEGABYTE) as u64,
+        sockets: limits.sockets.size(),
+        may_hand_over: true,
+    }
+}
+
 /// `limits.list_mb`, else what fits `limits.memory_mb`.
 fn list_limits(limits: &LimitsForm) -> ListLimits {
     let fitting = || ListLimits::within((limits.memory_mb.get() * MEGABYTE) as usize);
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::fleet;
 use crate::interface::{Nanos, Settings};
+use crate::memory::MemoryLimits;
 use crate::protocol::discovery::{ListLimits, Names};
 use crate::protocol::platform::Defaults;
 use crate::routing::EndpointUpdate;
@@ -56,9 +57,9 @@
     pub peers: bool,
     /// Memory that the relay may take, in bytes.
     pub memory_bytes: u64,
-    /// Descriptors that the process may hold.
+    /// Descriptors that the process may hold: no more than there is memory for.
     pub sockets: usize,
-    /// What the lasting folder may hold, in bytes.
+    /// What the lasting folder may hold, in bytes: its files count as memory.
     pub disk_bytes: u64,
     /// How much of discovery's list is taken in.
     pub list: ListLimits,
@@ -86,6 +87,16 @@
         self.document.to_string()
     }
 
+    /// What its processes may take of memory.
+    pub fn memory(&self, may_hand_over: bool) -> MemoryLimits {
+        MemoryLimits {
+            relay: self.memory_bytes,
+            files: self.disk_bytes,
+            sockets: self.sockets,
+            may_hand_over,
+        }
+    }
+
     /// What it is, in a line.
     pub fn summary(&self) -> String {
         let (classes, endpoints) = (self.classes.join(", "), self.known.endpoints.len());
--- a/src/memory/budget.rs
+++ b/src/memory/budget.rs
@@ -1,62 +1,43 @@
-//! Bytes held, by who holds them.
+//! The ledger of bytes held, by who holds them.
 
+use super::plan::MemoryPlan;
+use super::{Holder, HOLDERS};
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// What bytes are held for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Holder {
-    /// Files of the lasting folder, which count as memory, and records that could not be written yet.
-    Journal = 0,
-    /// Messages that were taken on and are not over.
-    Messages,
-    /// Ids of messages that are over.
-    Ids,
-    /// Buffers of connections to clients and endpoints.
-    Connections,
-    /// Answers of endpoints that are being read.
-    Answers,
-    /// Bodies that known clients are sending.
-    KnownBodies,
-    /// Bodies that other clients are sending.
-    OtherBodies,
+/// Counts the bytes that each holder holds, and says whether it may hold more.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    plan: Cell<MemoryPlan>,
+    held: [Cell<u64>; HOLDERS],
+    /// Draws that found nothing left, since the start.
+    refused: [Cell<u64>; HOLDERS],
 }
 
-impl Holder {
-    /// All of them, in the order of their numbers.
-    pub const ALL: [Holder; HOLDERS] = [
-        Holder::Journal,
-        Holder::Messages,
-        Holder::Ids,
-        Holder::Connections,
-        Holder::Answers,
-        Holder::KnownBodies,
-        Holder::OtherBodies,
-    ];
-
-    /// Its name in the log.
-    pub fn name(self) -> &'static str {
-        match self {
-            Holder::Journal => "journal",
-            Holder::Messages => "messages",
-            Holder::Ids => "ids",
-            Holder::Connections => "connections",
-            Holder::Answers => "answers",
-            Holder::KnownBodies => "known-bodies",
-            Holder::OtherBodies => "other-bodies",
-        }
+impl Default for MemoryBudget {
+    /// One without bounds.
+    fn default() -> MemoryBudget {
+        let unbounded = MemoryPlan { total: u64::MAX, reserved: [0; HOLDERS] };
+        MemoryBudget { plan: Cell::new(unbounded), held: Default::default(), refused: Default::default() }
     }
 }
 
-const HOLDERS: usize = 7;
+impl MemoryBudget {
+    /// One that goes by this plan.
+    pub fn new(plan: MemoryPlan) -> Rc<MemoryBudget> {
+        Rc::new(MemoryBudget { plan: Cell::new(plan), ..MemoryBudget::default() })
+    }
 
-/// Counts the bytes that each holder holds.
-#[derive(Debug, Default)]
-pub struct MemoryBudget {
-    held: [Cell<u64>; HOLDERS],
-}
+    /// Goes by another plan from now on. What is held beyond it is not taken away.
+    pub fn replan(&self, plan: MemoryPlan) {
+        self.plan.set(plan);
+    }
+
+    /// What it goes by.
+    pub fn plan(&self) -> MemoryPlan {
+        self.plan.get()
+    }
 
-impl MemoryBudget {
     /// Bytes that this holder holds.
     pub fn held(&self, holder: Holder) -> u64 {
         self.held[holder as usize].get()
@@ -67,20 +48,50 @@
         self.held.iter().map(Cell::get).sum()
     }
 
-    /// This holder holds so many bytes in all from now on, by its own count.
-    pub fn book(&self, holder: Holder, bytes: u64) {
-        self.held[holder as usize].set(bytes);
+    /// Draws of this holder that found nothing left, since the start.
+    pub fn refused(&self, holder: Holder) -> u64 {
+        self.refused[holder as usize].get()
     }
 
-    /// Counts some more bytes, until they are dropped.
-    pub fn hold(self: &Rc<Self>, holder: Holder, bytes: u64) -> Held {
-        self.add(holder, bytes);
-        Held { budget: self.clone(), holder, bytes }
+    /// Bytes that this holder may still draw: what is left of its own part, and of what is kept for nobody.
+    pub fn left(&self, holder: Holder) -> u64 {
+        let plan = self.plan.get();
+        let kept: u64 = plan.reserved.iter().sum();
+        let beyond = |h: &Holder| self.held(*h).saturating_sub(plan.reserved[*h as usize]);
+        let free = plan.total.saturating_sub(kept).saturating_sub(Holder::ALL.iter().map(beyond).sum());
+        plan.reserved[holder as usize].saturating_sub(self.held(holder)).saturating_add(free)
     }
 
-    fn add(&self, holder: Holder, bytes: u64) {
+    /// Whether this holder may hold so many bytes more; one that may not is counted as refused.
+    pub fn allows(&self, holder: Holder, bytes: u64) -> bool {
+        let allows = bytes <= self.left(holder);
+        if !allows {
+            let refused = &self.refused[holder as usize];
+            refused.set(refused.get() + 1);
+        }
+        allows
+    }
+
+    /// Draws so many bytes, until they are dropped; none where nothing is left for this holder.
+    pub fn draw(self: &Rc<Self>, holder: Holder, bytes: u64) -> Option<Held> {
+        self.allows(holder, bytes).then(|| self.hold(holder, bytes))
+    }
+
+    /// Counts bytes that are held in any case, until they are dropped.
+    pub fn hold(self: &Rc<Self>, holder: Holder, bytes: u64) -> Held {
         let held = &self.held[holder as usize];
         held.set(held.get() + bytes);
+        Held { budget: self.clone(), holder, bytes }
+    }
+
+    /// This holder holds so many bytes in all from now on, by its own count.
+    pub fn book(&self, holder: Holder, bytes: u64) {
+        self.held[holder as usize].set(bytes);
+    }
+
+    /// Whether all hold more than they may together.
+    pub fn is_exceeded(&self) -> bool {
+        self.held_in_all() > self.plan.get().total
     }
 }
 
@@ -92,6 +103,20 @@
     bytes: u64,
 }
 
+impl Held {
+    /// Draws more, up to so many bytes in all; false where nothing is left.
+    pub fn grow_to(&mut self, bytes: u64) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let grows = more == 0 || self.budget.allows(self.holder, more);
+        if grows {
+            let held = &self.budget.held[self.holder as usize];
+            held.set(held.get() + more);
+            self.bytes += more;
+        }
+        grows
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         let held = &self.budget.held[self.holder as usize];
--- a/src/program/descriptors.rs
+++ b/src/program/descriptors.rs
@@ -1,5 +1,6 @@
 //! Descriptors of a relay of one or two processes: those of both count together.
 
+use super::memory_share::MemoryShare;
 use super::wiring::{RECORDS, SPARE};
 use crate::admission::ledger::{self, Ledger};
 use crate::admission::Settings;
@@ -32,19 +33,27 @@
     other: Cell<usize>,
     admission: RefCell<Said>,
     door: Rc<Door>,
+    /// The same of memory.
+    pub memory: Rc<MemoryShare>,
 }
 
 impl Share {
     /// Of `allowed` in all; where another process may be started beside this one, there is always room for it.
-    pub fn new(allowed: usize, may_hand_over: bool, admission: Said, net: Net) -> Rc<Share> {
+    pub fn new(
+        allowed: usize,
+        may_hand_over: bool,
+        admission: Said,
+        net: Net,
+        memory: Rc<MemoryShare>,
+    ) -> Rc<Share> {
         let successor = if may_hand_over { SUCCESSOR } else { 0 };
         let total = allowed.min(MOST).saturating_sub(successor);
         let figures = Figures::new(total, true);
         let settings = admission.settings(figures.plain());
-        let ledger = Ledger::new(figures.ledger, figures.kept(&settings));
+        let ledger = Ledger::beside(figures.ledger, figures.kept(&settings), memory.budget().clone());
         let door = Door::new(settings, ledger, net);
         let (total, other) = (Cell::new(total), Cell::new(0));
-        Rc::new(Share { total, successor, other, admission: RefCell::new(admission), door })
+        Rc::new(Share { total, successor, other, admission: RefCell::new(admission), door, memory })
     }
 
     /// Who comes in, by these descriptors.
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -117,7 +117,6 @@
     pub handover: Option<(Handover, Names)>,
     pub inherited: Option<&'a Inherited>,
     pub clock: Clock,
-    pub memory: Rc<MemoryBudget>,
 }
 
 pub(super) async fn start_platform(
@@ -126,11 +125,11 @@
     door: Rc<Door>,
     said: &Operator,
 ) -> Result<PlatformFront, String> {
-    let PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock, memory } = start;
+    let PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock } = start;
     let configuration = Rc::new(configuration);
     let in_force: InForce = Rc::new(watch::Sender::new(configuration.clone()));
     let front = platform_front(&configuration, &net, &door);
-    let (pool, records) = (front.pool.clone(), front.net.clone());
+    let (pool, records, memory) = (front.pool.clone(), front.net.clone(), front.memory.clone());
     let known = &configuration.known;
     let known = (known.whole && !known.endpoints.is_empty()).then_some(known.seq);
     let handed =
@@ -179,7 +178,8 @@
     let pipelines =
         Pipelines::new(drawing(Purse::Calls), pool.clone(), terms.keepalive, terms.connect_timeout);
     let classes = terms::path_classes(configuration);
-    Platform::new(drawing(Purse::Records), pool, pipelines, classes, configuration.discovery)
+    let memory = door.ledger().memory().clone();
+    Platform::new(drawing(Purse::Records), pool, pipelines, classes, configuration.discovery, memory)
 }
 
 /// The socket that callers connect to: the platform's own, where it hands one over.
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -14,6 +14,7 @@
 pub mod listing;
 pub mod log;
 mod memory_log;
+mod memory_share;
 mod ownership;
 pub mod reload;
 mod resident;
--- a/src/program/ownership.rs
+++ b/src/program/ownership.rs
@@ -72,6 +72,8 @@
     pub writer: Writer<ToPredecessor>,
     /// Descriptors that it held when it stopped deciding.
     pub descriptors: usize,
+    /// Its number, where the system tells.
+    pub process: Option<i32>,
 }
 
 /// The folder, owned.
@@ -176,6 +178,7 @@
 
 async fn take_over_as(claim: &Claim<'_>, hello: &Hello) -> Result<TakenOver, Failed> {
     let stream = local_channel::connect(claim.dir).await.map_err(|_| Failed::Gone)?;
+    let process = local_channel::process_beyond(&stream);
     let (mut reader, mut writer) = local_channel::framed(stream);
     say(&mut writer, ToPredecessor::Hello(hello.clone())).await?;
     let anchor = match hear(&mut reader).await? {
@@ -192,7 +195,7 @@
     let opened = Journal::open_after(preread, claim.dir, claim.budget, claim.classes);
     let (mut journal, mut replayed) = opened.map_err(|_| Failed::Gone)?;
     journal.append_unwritten(std::mem::take(&mut handover.unwritten), &mut replayed);
-    let predecessor = Predecessor { reader, writer, descriptors };
+    let predecessor = Predecessor { reader, writer, descriptors, process };
     let (handover, clock) = (*handover, Clock::continued(anchor));
     let names = Names { kinds: hello.kinds.clone(), zones: hello.zones.clone() };
     Ok(TakenOver { journal, replayed, handover, names, predecessor, clock })
--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -56,11 +56,18 @@
     keeper: Rc<Keeper>,
     /// Descriptors that the process may have, whatever the configuration says.
     descriptors: usize,
+    /// Whether another process may be started beside this one.
+    may_hand_over: bool,
 }
 
 impl PlatformReload {
     /// For this front, in this environment, for a process that may have so many descriptors.
-    pub fn of(front: &PlatformFront, environment: Environment, descriptors: usize) -> PlatformReload {
+    pub fn of(
+        front: &PlatformFront,
+        environment: Environment,
+        descriptors: usize,
+        may_hand_over: bool,
+    ) -> PlatformReload {
         PlatformReload {
             desk: front.desk.clone(),
             legs: front.legs.clone(),
@@ -70,6 +77,7 @@
             rooms: front.cores.rooms,
             keeper: front.keeper.clone(),
             descriptors,
+            may_hand_over,
         }
     }
 
@@ -125,6 +133,7 @@
         let (front, share) = (&self.desk.front, &others.share);
         front.classes.replace(Rc::new(terms::path_classes(&configuration)));
         share.allow(configuration.sockets.min(self.descriptors));
+        share.memory.allow(configuration.memory(self.may_hand_over));
         let pool = terms::pool(&configuration, share.door());
         front.pool.retune(pool);
         front.pipelines.retune(pool.keepalive, pool.connect_timeout);
--- a/src/program/resident.rs
+++ b/src/program/resident.rs
@@ -14,10 +14,15 @@
 
 /// Memory of this process; nothing where the system does not tell.
 pub(super) fn own() -> Resident {
-    of("self")
+    by_name("self")
 }
 
-fn of(process: &str) -> Resident {
+/// Memory of another process; nothing where it is gone.
+pub(super) fn of(process: i32) -> Resident {
+    by_name(&process.to_string())
+}
+
+fn by_name(process: &str) -> Resident {
     let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let kibibytes = |name: &str| {
         let line = status.lines().find_map(|line| line.strip_prefix(name))?;
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -39,6 +39,7 @@
 /// What a process needs in order to hand over and to take back.
 pub(super) struct Takeover {
     pub front: PlatformFront,
+    pub share: Rc<Share>,
     pub hello: Hello,
     pub dir: PathBuf,
     pub beside: Rc<Beside>,
@@ -56,6 +57,8 @@
     queue: UnboundedReceiver<ToSuccessor>,
     successor: Rc<Successor>,
     handed: Handed,
+    /// Its number.
+    process: Option<i32>,
 }
 
 /// What was handed over, and the names by which it tells of endpoints.
@@ -98,6 +101,7 @@
             sleep(LOOK_AGAIN).await;
             return None;
         };
+        let process = local_channel::process_beyond(&stream);
         let (reader, writer) = self.prepared(stream).await?;
         let from = Instant::now();
         let (to, queue) = unbounded_channel();
@@ -107,7 +111,7 @@
         spawn_local(send_away(self.front.legs.clone()));
         let us = from.elapsed().as_micros() as u64;
         tracing::info!(target: "takeover", event = "handed-over", us, "another process decides from now on");
-        Some(TakenOver { reader, writer, queue, successor, handed })
+        Some(TakenOver { reader, writer, queue, successor, handed, process })
     }
 
     /// Who asks, once it has prepared all that it can.
@@ -169,7 +173,8 @@
 
     /// Carries what the two processes tell each other until the other is gone. Returns what it was handed.
     async fn accompany(&self, taken: TakenOver) -> Handed {
-        let TakenOver { mut reader, writer, queue, successor, handed } = taken;
+        let TakenOver { mut reader, writer, queue, successor, handed, process } = taken;
+        let _beside = self.share.memory.beside(process);
         let writing = spawn_local(write(writer, queue));
         let counting = spawn_local(tell_descriptors(successor.clone()));
         while let Ok(message) = reader.next().await {
@@ -252,7 +257,8 @@
 
 /// Goes on with what the process before this one still has to tell, until it is gone.
 pub(super) async fn follow(predecessor: Predecessor, desk: Rc<Desk<Platform>>, share: Rc<Share>) {
-    let Predecessor { mut reader, writer, .. } = predecessor;
+    let Predecessor { mut reader, writer, process, .. } = predecessor;
+    let beside = share.memory.beside(process);
     let (to, queue) = unbounded_channel();
     desk.roles.follow(Some(to.clone()));
     let writing = spawn_local(write(writer, queue));
@@ -280,6 +286,7 @@
     writing.abort();
     desk.predecessor_gone();
     share.other_holds(0);
+    drop(beside);
     tracing::info!(target: "takeover", event = "predecessor-gone", "the process before this one is gone");
 }
 
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -6,6 +6,7 @@
 use super::inherited::Inherited;
 use super::last_good::Keeper;
 use super::memory_log::MemoryLog;
+use super::memory_share::MemoryShare;
 use super::ownership::{own, Claim, Owned};
 use super::reload::{PlatformReload, Reload, Reread};
 use super::rooms::Rooms;
@@ -13,7 +14,7 @@
 use super::{admission_log, fleet, shutdown, terms};
 use crate::admission::ledger;
 use crate::configuration::{Configuration, Environment};
-use crate::memory::MemoryBudget;
+use crate::memory::MemoryLimits;
 use crate::operator::Operator;
 use crate::protocol::console::{self, Asked};
 use crate::protocol::discovery::Names;
@@ -22,7 +23,7 @@
 use crate::routing::handover::{Hello, Operated, VERSION};
 use crate::routing::{Classes, Clock, Desk};
 use crate::transport::network::Net;
-use crate::transport::{Door, Legs};
+use crate::transport::Legs;
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -117,7 +118,8 @@
 
 async fn start(mut plan: Plan, net: Net, clock: Clock) -> Result<Started, String> {
     let (caps, limit) = (plan.operator.admission.clone(), descriptors(&plan));
-    let share = Share::new(limit, plan.inherited.is_some(), caps, net.clone());
+    let memory = MemoryShare::new(memory_limits(&plan));
+    let share = Share::new(limit, plan.inherited.is_some(), caps, net.clone(), memory.clone());
     let door = share.door().clone();
     spawn_local(door.clone().give_way());
     spawn_local(admission_log::run(door.clone()));
@@ -125,8 +127,10 @@
     start_console(plan.console, &net, &serving).await?;
     let rooms = Rooms { has_smpp: plan.smpp.is_some(), has_fleet: plan.operator.fleet.is_some() };
     let fleet = fleet_plan(&plan.operator, &plan)?;
-    let memory = Rc::new(MemoryBudget::default());
-    tell_memory(&plan, &door, &memory);
+    if let Some(PlatformPlan { configuration, .. }) = &plan.platform {
+        let dir = configuration.state.clone();
+        spawn_local(MemoryLog { memory, door: door.clone(), dir }.run());
+    }
     let beside_plan = BesidePlan { fleet, smpp: plan.smpp.take(), net, door, clock };
     let platform = plan.platform.take();
     let keeper = operator_keeper(&plan, platform.as_ref());
@@ -137,22 +141,11 @@
         keeper,
     };
     match platform {
-        Some(platform) => {
-            start_with_platform(plan, platform, beside_plan, reload, rooms, &serving, memory).await
-        }
+        Some(platform) => start_with_platform(plan, platform, beside_plan, reload, rooms, &serving).await,
         None => start_without_platform(plan, beside_plan, reload).await,
     }
 }
 
-/// Has the log told what the process holds in memory.
-fn tell_memory(plan: &Plan, door: &Rc<Door>, budget: &Rc<MemoryBudget>) {
-    if let Some(PlatformPlan { configuration, .. }) = &plan.platform {
-        let (dir, limit) = (configuration.state.clone(), configuration.memory_bytes);
-        let log = MemoryLog { budget: budget.clone(), door: door.clone(), dir, limit };
-        spawn_local(log.run());
-    }
-}
-
 /// The SMPP front alone, or membership alone.
 async fn start_without_platform(
     plan: Plan,
@@ -174,7 +167,6 @@
     reload: Reload,
     rooms: Rooms,
     serving: &Serving,
-    memory: Rc<MemoryBudget>,
 ) -> Result<Started, String> {
     let PlatformPlan { configuration, environment, names_before } = platform;
     let own_hello = plan.inherited.as_ref().map(|_| hello(&configuration, &configuration.names));
@@ -202,10 +194,11 @@
     let after_takeover = handover.is_some();
     let dir = configuration.state.clone();
     let inherited = plan.inherited.as_ref();
-    let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock, memory };
+    let start = PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock };
     let (net, door) = (beside_plan.net.clone(), beside_plan.door.clone());
     let front = start_platform(start, net, door, &plan.operator).await?;
-    let platform_reload = Rc::new(PlatformReload::of(&front, environment, plan.descriptors));
+    let platform_reload =
+        Rc::new(PlatformReload::of(&front, environment, plan.descriptors, inherited.is_some()));
     spawn_local(platform_reload.clone().audit());
     follow(plan.rereads, reload, Some(platform_reload));
     let desk = front.desk.clone();
@@ -213,13 +206,13 @@
     serving.replace(Some(desk.clone()));
     drop(turn);
     if let Some(predecessor) = predecessor {
-        spawn_local(takeover::follow(predecessor, desk, share));
+        spawn_local(takeover::follow(predecessor, desk, share.clone()));
     }
     beside.start(&beside_plan, Some(&platform), after_takeover).await?;
     let (ending, superseded) = (Rc::new(Cell::new(false)), Rc::new(Notify::new()));
     if let Some(hello) = own_hello {
         let (beside, ending, superseded) = (beside.clone(), ending.clone(), superseded.clone());
-        let takeover = Takeover { front, hello, dir, beside, beside_plan, ending, superseded };
+        let takeover = Takeover { front, share, hello, dir, beside, beside_plan, ending, superseded };
         spawn_local(takeover.offer());
     }
     Ok(Started { platform: Some(platform), beside, ending, superseded })
@@ -305,6 +298,13 @@
     plan.platform.as_ref().map_or(usize::MAX, |p| p.configuration.sockets).min(plan.descriptors)
 }
 
+/// The memory that the relay may take; without a platform nobody says how much.
+fn memory_limits(plan: &Plan) -> MemoryLimits {
+    let may_hand_over = plan.inherited.is_some();
+    let none = MemoryLimits { relay: u64::MAX, files: u64::MAX, sockets: 0, may_hand_over };
+    plan.platform.as_ref().map_or(none, |platform| platform.configuration.memory(may_hand_over))
+}
+
 /// Starts a task without which the relay would stand still, and starts it again if it panics.
 pub(super) fn keep_up<F: Future<Output = ()> + 'static>(name: &'static str, task: impl Fn() -> F + 'static) {
     spawn_local(async move {
--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -3,6 +3,7 @@
 use super::super::fields;
 use super::{Defaults, Platform};
 use crate::interface::Nanos;
+use crate::memory::{Held, Holder, MemoryBudget, SMALL_BYTES};
 use crate::routing::{Desk, Offer, Taken};
 use crate::transport::connection::read_body;
 use crate::transport::listener::Leg;
@@ -19,6 +20,8 @@
 pub(super) const BODY_MOST: usize = 64 * 1024;
 /// Clients give up after 400 ms: a body that is not there by then will not be asked for.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
+/// There is memory for a body again once others have come or were given up.
+const BODY_ADVICE: Nanos = 500_000_000;
 
 /// Answers one request of a caller.
 pub async fn answer(
@@ -63,6 +66,10 @@
     if body.size_hint().lower() > BODY_MOST as u64 {
         return closing(plain(StatusCode::PAYLOAD_TOO_LARGE));
     }
+    // Held until the message is taken on, here or by another process.
+    let Some(_held) = hold_body(&desk.front.memory, &leg, body.size_hint().lower()) else {
+        return closing(refusal(BODY_ADVICE));
+    };
     offer.body = match timeout(BODY_WITHIN, read_body(body, BODY_MOST)).await {
         Ok(Some(body)) => body,
         Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
@@ -82,6 +89,14 @@
     }
 }
 
+/// Draws the memory for a body of this length; none where there is none left.
+fn hold_body(memory: &Rc<MemoryBudget>, leg: &Leg, length: u64) -> Option<Held> {
+    let holder = if leg.is_known() { Holder::KnownBodies } else { Holder::OtherBodies };
+    // A small one is part of its connection.
+    let drawn = if length > SMALL_BYTES as u64 { length } else { 0 };
+    memory.draw(holder, drawn)
+}
+
 /// What the head of a request says; `None` if anything is missing, said twice or can't be passed on.
 fn offer(class: &str, or: Defaults, query: Option<&str>, headers: &HeaderMap) -> Option<Offer> {
     let said = ["x-request-id", "idempotency-key", "x-consignee", "x-timeout"];
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -15,6 +15,7 @@
 use crate::attribution::{Doubt, Verdict};
 use crate::batching::fate::{fate, Break, Fate};
 use crate::interface::{Nanos, Outcome};
+use crate::memory::MemoryBudget;
 use crate::routing::core::{Carried, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
@@ -69,6 +70,8 @@
     pub pool: Rc<Pool>,
     /// For next hops that take calls behind one another.
     pub pipelines: Pipelines,
+    /// Bodies of requests draw on it.
+    pub memory: Rc<MemoryBudget>,
     /// The classes in force, which may change.
     pub classes: RefCell<Rc<PathClasses>>,
     /// Where discovery and notices are, which may change.
@@ -86,11 +89,12 @@
         pipelines: Pipelines,
         classes: PathClasses,
         agent: Option<SocketAddr>,
+        memory: Rc<MemoryBudget>,
     ) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
         let classes = RefCell::new(Rc::new(classes));
         let (agent, draining) = (watch::Sender::new(agent), watch::Sender::new(false));
-        Platform { net, pool, pipelines, classes, agent, draining, owed, more_owed }
+        Platform { net, pool, pipelines, memory, classes, agent, draining, owed, more_owed }
     }
 }
 
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -2,6 +2,7 @@
 
 use super::{bytes_of, Core, Note, Offer, Taken, DOOR_ADVICE};
 use crate::interface::Nanos;
+use crate::memory::Holder;
 use crate::routing::closed::Closed;
 use crate::routing::facade::Ask;
 use crate::routing::journal::Record;
@@ -138,7 +139,8 @@
 
     /// Has the journal keep a transaction; none where it cannot.
     fn write_taken(&mut self, t: Transaction) -> Option<TransactionNo> {
-        if !self.journal.has_room(&t, &self.transactions) {
+        let has_memory = self.memory.allows(Holder::Messages, t.bytes_held());
+        if !has_memory || !self.journal.has_room(&t, &self.transactions) {
             return None;
         }
         let no = self.next_no;
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -75,7 +75,7 @@
         kept: usize,
     ) -> io::Result<Line> {
         let connect = async {
-            let (stream, tap) = Tapped::new(net.connect(dial).await?, most as u64, kept);
+            let (stream, tap) = Tapped::drawing(net.connect(dial).await?, most as u64, kept, net.memory());
             let mut builder = Builder::new();
             builder.max_buf_size(HEAD_MOST);
             let shaken = builder.handshake(TokioIo::new(stream)).await;
--- a/src/transport/door.rs
+++ b/src/transport/door.rs
@@ -75,6 +75,11 @@
         self.from
     }
 
+    /// Whether its client is known.
+    pub fn is_known(&self) -> bool {
+        self.door.admission.borrow().is_known(self.no.get())
+    }
+
     /// A request begins.
     pub fn asked(&self) {
         self.door.decide(|a, now| a.asked(now, self.no.get()));
@@ -111,7 +116,7 @@
 
     /// The descriptor counts among those of known clients as soon as the client is one.
     fn pass_on(&self) {
-        let known = self.door.admission.borrow().is_known(self.no.get());
+        let known = self.is_known();
         self.drawn.borrow_mut().pass_to(purse(known));
     }
 }
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -61,6 +61,11 @@
         self.promise.set(Some((tag, self.tap.written())));
     }
 
+    /// Whether its client is known.
+    pub fn is_known(&self) -> bool {
+        self.entrant.is_known()
+    }
+
     /// The promise of which not a byte has been written.
     pub fn unheard(&self) -> Option<u64> {
         self.promise.get().filter(|(_, before)| *before == self.tap.written()).map(|(tag, _)| tag)
--- a/src/transport/local_channel.rs
+++ b/src/transport/local_channel.rs
@@ -45,6 +45,11 @@
     UnixStream::connect(path).await
 }
 
+/// The number of the process at the other end, where the system tells.
+pub fn process_beyond(stream: &UnixStream) -> Option<i32> {
+    stream.peer_cred().ok()?.pid()
+}
+
 /// Reads messages of one kind.
 pub struct Reader<T> {
     from: OwnedReadHalf,
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -1,6 +1,7 @@
 //! Where streams come from: the system's TCP, or whatever a test puts in its place.
 
 use crate::admission::ledger::{Drawn, Ledger, Purse};
+use crate::memory::MemoryBudget;
 use bytes::{Buf, Bytes};
 use std::any::Any;
 use std::fs::File;
@@ -54,6 +55,10 @@
     fn listen(&self, at: SocketAddr) -> Soon<'_, Box<dyn Listen>>;
     /// Opens a descriptor to be held in reserve.
     fn spare(&self) -> io::Result<Spare>;
+    /// What is read on its connections draws on this; without one it is not counted.
+    fn memory(&self) -> Option<Rc<MemoryBudget>> {
+        None
+    }
 }
 
 pub trait Listen {
@@ -160,6 +165,10 @@
     fn spare(&self) -> io::Result<Spare> {
         self.net.spare()
     }
+
+    fn memory(&self) -> Option<Rc<MemoryBudget>> {
+        Some(self.ledger.memory().clone())
+    }
 }
 
 /// A stream with what was read ahead of it, and what it was drawn on.
--- a/src/transport/pipeline/connection.rs
+++ b/src/transport/pipeline/connection.rs
@@ -10,10 +10,12 @@
 use crate::attribution::{Exchanges, Fingerprint, Verdict};
 use crate::batching::fate::Break;
 use crate::batching::pipe::{GivenUp, Pipe};
+use crate::memory::{Allowance, SMALL_BYTES};
 use crate::transport::answer::{parse, Answer, Answered, Unreadable};
 use crate::transport::beginning::Beginning;
 use crate::transport::connection::{next_number, ANSWER_WITHIN, GIVEN_UP_WITHIN, HEARD_OUT_WITHIN};
 use crate::transport::network::Stream;
+use crate::transport::tap::ANSWER_COPIES;
 use bytes::{Buf, Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -48,10 +50,12 @@
     tasks: RefCell<Vec<AbortHandle>>,
     /// Hears of an answer that came twice.
     on_surplus: Box<dyn Fn()>,
+    /// For answers that are being read or held back.
+    allowance: Allowance,
 }
 
 impl Connection {
-    fn new(depth: usize, on_surplus: Box<dyn Fn()>) -> Connection {
+    fn new(depth: usize, allowance: Allowance, on_surplus: Box<dyn Fn()>) -> Connection {
         Connection {
             number: next_number(),
             pipe: RefCell::new(Pipe::new(depth)),
@@ -69,13 +73,19 @@
             reading_ends: Notify::new(),
             tasks: RefCell::default(),
             on_surplus,
+            allowance,
         }
     }
 
     /// One that takes up to `depth` calls, on this stream; `on_surplus` is called for an answer that came twice.
-    pub(super) fn start(stream: Stream, depth: usize, on_surplus: Box<dyn Fn()>) -> Rc<Connection> {
+    pub(super) fn start(
+        stream: Stream,
+        depth: usize,
+        allowance: Allowance,
+        on_surplus: Box<dyn Fn()>,
+    ) -> Rc<Connection> {
         let (input, output) = split(stream);
-        let connection = Rc::new(Connection::new(depth, on_surplus));
+        let connection = Rc::new(Connection::new(depth, allowance, on_surplus));
         let tasks = [
             spawn_local(connection.clone().write(output)).abort_handle(),
             spawn_local(connection.clone().read(input)).abort_handle(),
@@ -295,6 +305,15 @@
         true
     }
 
+    /// Whether so much of an answer may be kept, beside those that are held back.
+    fn has_memory_for(&self, buffered: usize) -> bool {
+        let held = self.held.borrow().bytes();
+        if held == 0 && buffered <= SMALL_BYTES {
+            self.allowance.reset();
+        }
+        self.allowance.covers(held + buffered * ANSWER_COPIES)
+    }
+
     /// Nothing can be written any more. What the other side said before that lies there to be read.
     fn stop_writing(&self) {
         self.withdraw();
@@ -361,6 +380,9 @@
             };
             match read {
                 Some(Some(Ok(n))) if n > 0 => {
+                    if !self.has_memory_for(buffer.len()) {
+                        return self.end(Break::AnswerCut);
+                    }
                     whole_by.get_or_insert(Instant::now() + ANSWER_WITHIN);
                 }
                 Some(None) => {}
--- a/src/transport/pipeline/connection/tests.rs
+++ b/src/transport/pipeline/connection/tests.rs
@@ -12,7 +12,7 @@
 
 fn connection(pipe: Pipe<u64>, queued: &[(u64, &'static [u8])]) -> Connection {
     let queue = queued.iter().map(|(t, b)| (*t, Bytes::from_static(b))).collect();
-    let connection = Connection::new(4, Box::new(|| {}));
+    let connection = Connection::new(4, Allowance::default(), Box::new(|| {}));
     Connection { pipe: RefCell::new(pipe), queue: RefCell::new(queue), ..connection }
 }
 
--- a/src/transport/pipeline/held.rs
+++ b/src/transport/pipeline/held.rs
@@ -5,6 +5,9 @@
 use crate::transport::beginning::Beginning;
 use std::rc::Rc;
 
+/// Bytes that an answer takes beside its body.
+const ANSWER_BYTES: usize = 1_024;
+
 /// What a call hears in the end.
 pub type Heard = Result<Answered, Broken>;
 
@@ -33,6 +36,12 @@
         self.in_place.is_empty()
     }
 
+    /// Bytes that they take.
+    pub fn bytes(&self) -> usize {
+        let in_place = self.in_place.iter().map(|(_, answered)| &answered.answer);
+        in_place.chain(&self.surplus).map(|answer| ANSWER_BYTES + answer.body.len()).sum()
+    }
+
     /// Holds an answer that came in the place of this call.
     pub fn hold(&mut self, ticket: u64, answered: Answered) {
         self.in_place.push((ticket, answered));
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -12,6 +12,7 @@
 use super::pool::{NoLease, Pool};
 use crate::attribution::Via;
 use crate::batching::fate::Break;
+use crate::memory::Allowance;
 use crate::routing::EndpointId;
 use bytes::Bytes;
 use connection::Connection;
@@ -161,7 +162,9 @@
             _ => return Err(NoLease::NotUp),
         };
         let pool = self.pool.clone();
-        let connection = Connection::start(stream, depth, Box::new(move || pool.surplus(endpoint)));
+        let allowance = Allowance::for_answers(self.net.memory());
+        let connection =
+            Connection::start(stream, depth, allowance, Box::new(move || pool.surplus(endpoint)));
         self.connections.borrow_mut().entry(endpoint).or_default().push((dial, connection));
         Ok(())
     }
--- a/src/transport/tap.rs
+++ b/src/transport/tap.rs
@@ -3,6 +3,7 @@
 use super::answer::{parse, Answer};
 use super::beginning::Beginning;
 use super::network::Stream;
+use crate::memory::{Allowance, MemoryBudget, SMALL_BYTES};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -15,6 +16,8 @@
 
 /// Bytes that are read at once where nobody else reads on.
 const REST_AT_ONCE: usize = 4 * 1024;
+/// An answer is kept as it came, and its body once more.
+pub const ANSWER_COPIES: usize = 2;
 
 /// What passes over a stream, for what has to be known beyond what hyper tells.
 #[derive(Default)]
@@ -28,6 +31,8 @@
     most: u64,
     /// How many of them are kept.
     kept: usize,
+    /// For what is kept of an answer, and its body once more.
+    allowance: Allowance,
     /// The first bytes read since then, and when they came.
     heard: RefCell<Vec<u8>>,
     heard_at: Cell<Option<Instant>>,
@@ -47,7 +52,18 @@
     /// A tap that lets `most` bytes in for each thing listened to, and keeps the first `kept`; what goes on longer breaks the
     /// stream.
     pub fn new(stream: Stream, most: u64, kept: usize) -> (TappedStream, Rc<Tapped>) {
-        let tap = Rc::new(Tapped { left: Cell::new(most), most, kept, ..Tapped::default() });
+        Tapped::drawing(stream, most, kept, None)
+    }
+
+    /// The same, where what is kept and is more than small draws on a budget; what finds nothing there breaks the stream.
+    pub fn drawing(
+        stream: Stream,
+        most: u64,
+        kept: usize,
+        memory: Option<Rc<MemoryBudget>>,
+    ) -> (TappedStream, Rc<Tapped>) {
+        let allowance = Allowance::for_answers(memory);
+        let tap = Rc::new(Tapped { left: Cell::new(most), most, kept, allowance, ..Tapped::default() });
         (TappedStream { stream, tap: tap.clone() }, tap)
     }
 
@@ -80,7 +96,8 @@
 
     /// What comes from now on is another request or answer.
     pub fn listen_anew(&self) {
-        self.heard.borrow_mut().clear();
+        self.heard.take();
+        self.allowance.reset();
         self.heard_at.set(None);
         self.left.set(self.most);
         self.resting.set(false);
@@ -140,12 +157,21 @@
             self.heard_at.set(Some(Instant::now()));
             self.first.notify_one();
         }
-        let mut heard = self.heard.borrow_mut();
-        let free = self.kept - heard.len();
-        heard.extend_from_slice(&bytes[..bytes.len().min(free)]);
+        let is_held = self.keep(bytes);
         let left = self.left.get().checked_sub(bytes.len() as u64);
         self.left.set(left.unwrap_or(0));
-        left.is_some()
+        left.is_some() && is_held
+    }
+
+    /// Keeps the first bytes of what is heard; false where there is no memory for them.
+    fn keep(&self, bytes: &[u8]) -> bool {
+        let mut heard = self.heard.borrow_mut();
+        let more = bytes.len().min(self.kept - heard.len());
+        let is_held = self.allowance.covers((heard.len() + more) * ANSWER_COPIES);
+        // The first line says most: a small part is kept in any case.
+        let more = if is_held { more } else { more.min(SMALL_BYTES.saturating_sub(heard.len())) };
+        heard.extend_from_slice(&bytes[..more]);
+        is_held
     }
 }
 
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -81,14 +81,64 @@
     }
 }
 
-/// Guards memory from messages that are held while their endpoint is silent.
+/// The same of answers in other forms, with as many calls out as the descriptors allow.
+#[test]
+fn answers_in_odd_forms_pass_no_limit() {
+    let forms = [
+        Answer::DrippedBody { chunked: false, status: 500 },
+        Answer::Interim,
+        Answer::ManyFields,
+        Answer::LongBody { status: 500 },
+        Answer::LongBody { status: 200 },
+    ];
+    let limits = Limits { calls_out: 400, ..Limits::default() };
+    for form in forms {
+        crowded(
+            limits,
+            endpoint(form),
+            100,
+            Habit::Drips { good: 40, piece: 1, pause: Duration::from_secs(1) },
+        );
+    }
+}
+
+/// Guards memory from long requests that stop half way, and from heads of many fields with a long body behind them.
+#[test]
+fn requests_that_stop_half_way_pass_no_limit() {
+    let habits = [
+        Habit::StopsHalfWay,
+        Habit::ManyFields { fields: 90, bytes: 150 },
+        Habit::ManyFields { fields: 90, bytes: 8 },
+    ];
+    for habit in habits {
+        crowded(Limits::default(), hop("127.0.0.1:0").0, 900, habit);
+    }
+}
+
+/// Guards memory, and the answers of others, from clients that write without reading.
+#[test]
+fn requests_without_end_on_few_connections_pass_no_limit() {
+    let limits = Limits { max_open: 20_000, ..Limits::default() };
+    crowded(limits, hop("127.0.0.1:0").0, 30, Habit::Unread);
+}
+
+/// Guards memory from messages that are held while their endpoint is silent, at once and when they are read back.
 #[test]
 fn messages_that_cannot_be_delivered_pass_no_limit() {
-    let limits = Limits { max_open: 5_000, disk_mb: 512, ..Limits::default() };
-    let scene = Scene::new(limits, endpoint(Answer::Silence));
-    let mut process = scene.platform.start_ready();
-    let crowd = Crowd::start(60, scene.platform.address, Habit::Long);
-    let most = scene.watch(&[&process], STAYS * 2);
-    crowd.stop();
-    scene.judge(&mut process, most, "long messages that cannot be delivered");
+    for disk_mb in [3, 512] {
+        let limits = Limits { max_open: 50_000, disk_mb, ..Limits::default() };
+        let scene = Scene::new(limits, endpoint(Answer::Silence));
+        let mut process = scene.platform.start_ready();
+        let long = Crowd::start(60, scene.platform.address, Habit::Long);
+        let most = scene.watch(&[&process], STAYS);
+        scene.judge(&mut process, most, "long messages that cannot be delivered");
+        // A series of kills, each start into the crowd.
+        for _ in 0..3 {
+            process.kill();
+            process = scene.platform.start_ready();
+            let most = scene.watch(&[&process], STAYS / 4);
+            scene.judge(&mut process, most, "the same, read back");
+        }
+        long.stop();
+    }
 }
