Let no client address fill the room for messages beside others

What callers saw: while one client handed in small messages at full speed, others had 503 for two of three requests. Change: src/admission/messages.rs: while more than one address is active, each may hold at most four times what is free (dynamic thresholds) of whatever is scarcest; one address alone may have all. What comes under the id of an open or ended message is never refused for it.

--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -4,6 +4,7 @@
 use super::{Defaults, Platform};
 use crate::interface::Nanos;
 use crate::memory::{Held, Holder, MemoryBudget, SMALL_BYTES};
+use crate::routing::core::Room;
 use crate::routing::{Desk, Offer, Taken};
 use crate::transport::connection::read_body;
 use crate::transport::listener::Leg;
@@ -22,6 +23,8 @@
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 /// There is memory for a body again once others have come or were given up.
 const BODY_ADVICE: Nanos = 500_000_000;
+/// Advice for a client that holds too much of the room for messages.
+const FULL_ADVICE: Nanos = 1_000_000_000;
 
 /// Answers one request of a caller.
 pub async fn answer(
@@ -75,8 +78,13 @@
         Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
         Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
     };
+    let room = desk.see(|core| core.room(offer.body.len()));
+    if !admits(&desk, &leg, &offer.id, room) {
+        return refusal(FULL_ADVICE);
+    }
     match desk.take(offer).await {
         Taken::On(no) => {
+            desk.front.shares.borrow_mut().taken(no, leg.address(), room.part);
             leg.promises(no);
             plain(StatusCode::ACCEPTED)
         }
@@ -89,6 +97,13 @@
     }
 }
 
+/// Whether this client leaves enough room to others to hand in one more. What is no new message takes none.
+fn admits(desk: &Desk<Platform>, leg: &Leg, id: &str, room: Room) -> bool {
+    let now = desk.clock.now();
+    let decides = desk.roles.serves() && !desk.see(|core| core.knows(id));
+    !decides || desk.front.shares.borrow_mut().admits(now, leg.address(), room.part, room.free)
+}
+
 /// Draws the memory for a body of this length; none where there is none left.
 fn hold_body(memory: &Rc<MemoryBudget>, leg: &Leg, length: u64) -> Option<Held> {
     let holder = if leg.is_known() { Holder::KnownBodies } else { Holder::OtherBodies };
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -12,6 +12,7 @@
 use meaning::cut_off;
 
 use super::hook;
+use crate::admission::messages::MessageShares;
 use crate::attribution::{Doubt, Verdict};
 use crate::batching::fate::{fate, Break, Fate};
 use crate::interface::{Nanos, Outcome};
@@ -78,6 +79,8 @@
     pub agent: watch::Sender<Option<SocketAddr>>,
     /// Whether callers are sent away.
     pub draining: watch::Sender<bool>,
+    /// Who holds how much of the room for messages.
+    shares: RefCell<MessageShares>,
     owed: RefCell<VecDeque<TransactionNo>>,
     more_owed: Notify,
 }
@@ -94,7 +97,8 @@
         let (owed, more_owed) = (RefCell::default(), Notify::new());
         let classes = RefCell::new(Rc::new(classes));
         let (agent, draining) = (watch::Sender::new(agent), watch::Sender::new(false));
-        Platform { net, pool, pipelines, memory, classes, agent, draining, owed, more_owed }
+        let shares = RefCell::default();
+        Platform { net, pool, pipelines, memory, classes, agent, draining, shares, owed, more_owed }
     }
 }
 
@@ -180,12 +184,18 @@
         self.more_owed.notify_one();
     }
 
+    fn over(&self, nos: &[TransactionNo]) {
+        let mut shares = self.shares.borrow_mut();
+        nos.iter().for_each(|no| shares.over(*no));
+    }
+
     fn drain(&self, draining: bool) {
         self.draining.send_replace(draining);
     }
 
     fn retire(&self) {
         self.owed.borrow_mut().clear();
+        self.shares.borrow_mut().clear();
         self.pool.close_all_idle();
     }
 
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -128,6 +128,7 @@
     ) -> bool {
         let Some(t) = removed else { return true };
         message_log::over(&t.id, record);
+        self.work.over.push(no);
         let written = self.note(now, no, record);
         self.journal.tidy(&self.transactions);
         written
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -20,6 +20,15 @@
     pub owner: String,
 }
 
+/// The room for messages, as parts of the whole of whatever is scarcest: their number, the journal or memory.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    /// What one more message takes.
+    pub part: f64,
+    /// What is free.
+    pub free: f64,
+}
+
 /// The answer to an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Taken {
@@ -62,6 +71,8 @@
     pub draining: Option<bool>,
     /// Transactions whose end is now owed to whoever handed them in.
     pub ended: Vec<TransactionNo>,
+    /// Transactions of which nothing is owed any more.
+    pub over: Vec<TransactionNo>,
     pub dropped: Vec<(TransactionNo, u32)>,
     /// Attempts that are out of messages that have their end now: what is not written yet of them does not go on.
     pub ended_out: Vec<(TransactionNo, u32)>,
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -27,6 +27,8 @@
     fn carry(&self, passage: Passage<'_, Self>) -> impl Future<Output = Carried>;
     /// These transactions have their end, which is to be told until it is acknowledged.
     fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
+    /// Nothing is owed of these transactions any more.
+    fn over(&self, _nos: &[TransactionNo]) {}
     /// Idle connections to this next hop are not to be used any more.
     fn distrust(&self, endpoint: EndpointId);
     /// Callers are sent away from now on, or may come again.
@@ -204,6 +206,7 @@
             out.extend(call.attempts.iter().map(|b| ((b.transaction, b.number), signals.clone())));
             spawn_local(self.clone().carry(call, hop, signals));
         }
+        self.front.over(&work.over);
         if !work.ended.is_empty() {
             self.front.ended(self, work.ended);
         }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -117,9 +117,15 @@
         facade
     }
 
+    /// Messages that the module holds, and how many it may.
+    pub fn held(&self) -> (usize, usize) {
+        (self.relay.held(), self.relay.settings().max_held)
+    }
+
     /// Whether the module holds all that it may.
     pub fn full(&self) -> bool {
-        self.relay.held() >= self.relay.settings().max_held
+        let (held, most) = self.held();
+        held >= most
     }
 
     /// When `tick` is wanted next.
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -96,6 +96,14 @@
         self.fits(more)
     }
 
+    /// The part of the budget that one more transaction with a body of so many bytes takes, and the part that is free once what
+    /// is dead is left out.
+    pub fn room(&self, body: usize) -> (f64, f64) {
+        let (each, budget) = (ROOM_EACH as f64, self.budget.max(1) as f64);
+        let owed = 2.0 * self.live_bytes as f64 + self.live.len() as f64 * each;
+        ((2.0 * body as f64 + each) / budget, 1.0 - owed / budget)
+    }
+
     fn fits(&self, more: u64) -> bool {
         let owed = self.live.len() as u64 * ROOM_EACH;
         self.size + self.live_bytes + owed + more <= self.budget
--- a/src/transport/door.rs
+++ b/src/transport/door.rs
@@ -59,6 +59,7 @@
     door: Rc<Door>,
     no: Cell<LegNo>,
     from: IpAddr,
+    client: Cell<IpAddr>,
     evicted: Notify,
     drawn: RefCell<Drawn>,
 }
@@ -70,9 +71,9 @@
 }
 
 impl Entrant {
-    /// Where its connection comes from.
+    /// The address that its client counts by: behind a front the one that the front has told.
     pub fn address(&self) -> IpAddr {
-        self.from
+        self.door.admission.borrow().counts_as(self.client.get())
     }
 
     /// Whether its client is known.
@@ -284,7 +285,8 @@
             return Err(Why::Room);
         };
         let (no, evicted, drawn) = (Cell::new(leg), Notify::new(), RefCell::new(drawn));
-        let entrant = Rc::new(Entrant { door: self.clone(), no, from, evicted, drawn });
+        let client = Cell::new(from);
+        let entrant = Rc::new(Entrant { door: self.clone(), no, from, client, evicted, drawn });
         self.entrants.borrow_mut().insert(leg, Rc::downgrade(&entrant));
         self.tally.borrow_mut().admitted += 1;
         Ok(entrant)
@@ -303,6 +305,7 @@
             return None;
         };
         let Introduced::Client(client) = introduced else { return Some(stream) };
+        entrant.client.set(client);
         let before = entrant.no.get();
         match self.decide(|a, now| a.introduce(now, before, client)) {
             Verdict::Refuse(why) => {
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
+use std::net::IpAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -61,6 +62,11 @@
         self.promise.set(Some((tag, self.tap.written())));
     }
 
+    /// Where its client is.
+    pub fn address(&self) -> IpAddr {
+        self.entrant.address()
+    }
+
     /// Whether its client is known.
     pub fn is_known(&self) -> bool {
         self.entrant.is_known()
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,6 +2,7 @@
 
 mod seed;
 
+use basaltloom::admission::messages::MessageShares;
 use basaltloom::admission::{Admission, Caps, Deed, LegNo, Rate, Settings, Terms, Verdict, Why};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -360,3 +361,37 @@
     // Its own next one may still have it closed: nobody there holds more.
     assert!(matches!(a.arrive(0, modest, true), Verdict::AdmitAndClose(_, closed) if closed == kept));
 }
+
+/// Guards the room for messages from a client that hands in without end: one alone may have all of it, and leaves a part as soon
+/// as another is active.
+#[test]
+fn a_client_that_fills_the_room_for_messages_leaves_a_part_to_others() {
+    let (mut shares, mut held, mut next) = (MessageShares::default(), BTreeMap::new(), 0);
+    let part = 0.001;
+    let mut hand_in = |shares: &mut MessageShares, held: &mut BTreeMap<IpAddr, u32>, now, from, times| {
+        for _ in 0..times {
+            let free = 1.0 - part * f64::from(held.values().sum::<u32>());
+            if free >= part && shares.admits(now, from, part, free) {
+                shares.taken(next, from, part);
+                (next, *held.entry(from).or_default()) = (next + 1, held.get(&from).unwrap_or(&0) + 1);
+            }
+        }
+    };
+    let (greedy, modest, other) = (address(0), address(1), address(2));
+    hand_in(&mut shares, &mut held, 0, greedy, 900);
+    assert_eq!(held[&greedy], 900, "alone it may have what there is");
+    hand_in(&mut shares, &mut held, SECOND, modest, 1);
+    hand_in(&mut shares, &mut held, SECOND, greedy, 500);
+    assert_eq!((held[&modest], held[&greedy]), (1, 900), "beside another it gets no more");
+    // Half of what it holds is over: it may fill up to four fifths of the room again.
+    (0..450).for_each(|no| shares.over(no));
+    held.insert(greedy, 450);
+    hand_in(&mut shares, &mut held, SECOND, greedy, 1_000);
+    assert!((790..=800).contains(&held[&greedy]), "{held:?}");
+    hand_in(&mut shares, &mut held, SECOND, modest, 100);
+    hand_in(&mut shares, &mut held, SECOND, other, 40);
+    assert_eq!((held[&modest], held[&other]), (101, 40), "{held:?}");
+    // The others are gone for long.
+    hand_in(&mut shares, &mut held, 30 * SECOND, greedy, 1_000);
+    assert_eq!(held.values().sum::<u32>(), 1_000);
+}
