--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -2,6 +2,7 @@
 
 use super::{Core, Note};
 use crate::interface::Nanos;
+use crate::memory::Holder;
 use crate::routing::closed::Closed;
 use crate::routing::journal::Record;
 use crate::routing::message_log;
@@ -115,7 +116,9 @@
 
     /// Nothing more is owed, and what comes under its id is no new message; whether that is written.
     pub(super) fn close(&mut self, now: Nanos, no: TransactionNo, closed: Closed) -> bool {
-        let removed = self.transactions.close(no, closed);
+        let removed = self.transactions.close(now, no, closed);
+        let bytes_most = self.memory.held(Holder::Ids).saturating_add(self.memory.left(Holder::Ids));
+        self.transactions.closed_mut().forget(now, bytes_most);
         self.write_over(now, no, removed, &Record::Closed(closed))
     }
 
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -99,7 +99,7 @@
     pub(super) fn take_over(&mut self, now: Nanos, handover: Option<Handover>, last_out: &LastOut) {
         let continues = handover.is_some();
         let handover = handover.unwrap_or_default();
-        self.transactions.remember_delivered(&handover.delivered);
+        self.transactions.remember_delivered(now, &handover.delivered);
         let mut calls = Vec::new();
         for call in &handover.calls {
             let Some(endpoint) = self.catalog.find(&call.endpoint) else { continue };
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -3,7 +3,7 @@
 use super::{bytes_of, Core, Note, Offer, Room, Taken, DOOR_ADVICE};
 use crate::interface::Nanos;
 use crate::memory::Holder;
-use crate::routing::closed::Closed;
+use crate::routing::closed::{self, Closed};
 use crate::routing::facade::Ask;
 use crate::routing::journal::Record;
 use crate::routing::message_log;
@@ -156,7 +156,8 @@
 
     /// Has the journal keep a transaction; none where it cannot.
     fn write_taken(&mut self, t: Transaction) -> Option<TransactionNo> {
-        let has_memory = self.memory.allows(Holder::Messages, t.bytes_held());
+        let has_memory = self.memory.allows(Holder::Messages, t.bytes_held())
+            && self.memory.allows(Holder::Ids, closed::bytes_of(&t.id));
         if !has_memory || !self.journal.has_room(&t, &self.transactions) {
             return None;
         }
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -152,6 +152,7 @@
             let picked = core.facade.retune(now, settings, in_force);
             core.absorb(now, picked);
         }
+        core.transactions.closed_mut().ended_at(now);
         core.work.draining = Some(core.maintenance.is_draining()).filter(|draining| *draining);
         core.learn(now, known);
         core.take_over(now, handover, &last_out);
--- a/src/routing/journal/lock.rs
+++ b/src/routing/journal/lock.rs
@@ -19,12 +19,6 @@
     file: File,
 }
 
-impl Drop for WriterLock {
-    fn drop(&mut self) {
-        self.clear_holder();
-    }
-}
-
 /// Why a folder could not be opened for writing.
 #[derive(Debug)]
 pub enum OpenError {
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -23,13 +23,14 @@
 pub use torn::TornEnd;
 
 use super::classes::{ClassKey, Classes};
+use super::closed::Closed;
 use super::transactions::{Transaction, Transactions};
 use super::values::TransactionNo;
 use crate::interface::Settings;
 use crate::maintenance::Maintenance;
 use behind::BehindMark;
 use bytes::Bytes;
-use record::{encode, set_ailing, Ailing};
+use record::{closed_len, encode, set_ailing, Ailing};
 use replay::replay;
 use std::collections::{BTreeSet, HashMap};
 use std::fs::{self, File, OpenOptions};
@@ -43,6 +44,8 @@
 const ROOM_EACH: u64 = 1_024;
 /// For what is written of endpoints.
 const ROOM_AILING: u64 = 4_096;
+/// The part of the budget that is for ids of transactions that are over.
+const CLOSED_PART: u64 = 32;
 /// Below this size no copy is made for tidiness alone.
 const TIDY: u64 = 512 * 1024;
 /// A write that takes so long holds up all that the relay does.
@@ -106,7 +109,7 @@
 
     fn fits(&self, more: u64) -> bool {
         let owed = self.live.len() as u64 * ROOM_EACH;
-        self.size + self.live_bytes + owed + more <= self.budget
+        self.size + self.live_bytes + owed + more + self.closed_room() <= self.budget
     }
 
     /// Writes a record of what is done only once it is written. On an error nothing of it stays.
@@ -191,6 +194,7 @@
 
     /// Gives the journal to another process: nothing is written here any more. Returns the records that could not be.
     pub fn release(&mut self) -> Vec<u8> {
+        self.clear_holder();
         self.lock = None;
         std::mem::take(&mut self.unwritten)
     }
@@ -294,6 +298,7 @@
         if self.maintenance != Maintenance::default() {
             bytes.extend(self.encoded(0, &Record::Maintenance(&self.maintenance)));
         }
+        bytes.extend(self.encoded(0, &Record::AllClosed(&self.newest_closed(all))));
         let mut written = BTreeSet::new();
         for (no, t) in all.iter().filter(|(no, _)| self.live.contains_key(no)) {
             if let Some(key) = self.classes.key(t.class).filter(|key| written.insert(*key)) {
@@ -317,6 +322,25 @@
         Ok(())
     }
 
+    /// The ids of transactions that are over for which a copy has room, the oldest first: a client may send one of them again
+    /// behind a kill.
+    fn newest_closed<'a>(&self, all: &'a Transactions) -> Vec<(&'a String, Closed)> {
+        let mut room = self.closed_room();
+        let fits = |id: &String| {
+            room = room.saturating_sub(closed_len(id));
+            room > 0
+        };
+        let mut fits = fits;
+        let mut newest: Vec<_> = all.closed().newest().take_while(|(id, _)| fits(id)).collect();
+        newest.reverse();
+        newest
+    }
+
+    /// Bytes of the budget that are for ids of transactions that are over.
+    fn closed_room(&self) -> u64 {
+        self.budget / CLOSED_PART
+    }
+
     fn copy_len(&self, t: &Transaction) -> u64 {
         let class = self.classes.name(t.class).len();
         let texts = [class, t.id.len(), t.owner.len(), t.body.len()].iter().sum::<usize>();
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -31,6 +31,9 @@
 /// The code of a class.
 pub(super) const CLASS: u8 = 11;
 
+/// The code of ids of transactions that are over.
+pub(super) const ALL_CLOSED: u8 = 12;
+
 /// What happens to a transaction, as the journal keeps it.
 #[derive(Debug)]
 pub enum Record<'a> {
@@ -61,6 +64,8 @@
     AllAiling(&'a Ailing),
     /// All that operators have taken out of service.
     Maintenance(&'a Maintenance),
+    /// Ids of transactions that were over when the file was copied, the oldest first.
+    AllClosed(&'a [(&'a String, Closed)]),
     /// A class that transactions name by its key from now on.
     Class(&'a Class),
 }
@@ -97,6 +102,11 @@
 /// Endpoints in an outage by name, and the rates at which they had served calls before; 0: not known.
 pub type Ailing = BTreeMap<String, f64>;
 
+/// Bytes that an id takes in a record of closed ones.
+pub(super) fn closed_len(id: &str) -> u64 {
+    (1 + 13 + 4 + id.len()) as u64
+}
+
 pub(super) fn set_ailing(all: &mut Ailing, name: &str, ailing: Option<f64>) {
     match ailing {
         Some(rate) => drop(all.insert(name.to_string(), rate)),
@@ -153,6 +163,15 @@
             out.extend([8, u8::from(maintenance.is_draining())]);
             maintenance.cordoned().for_each(|name| put(&mut out, name.as_bytes()));
         }
+        Record::AllClosed(all) => {
+            out.push(ALL_CLOSED);
+            for (id, closed) in all.iter() {
+                let ending = if let Closed::Notified(ending) = closed { Some(*ending) } else { None };
+                out.push(if *closed == Closed::Delivered { DELIVERED } else { ENDED });
+                put_ending(&mut out, ending, 0);
+                put(&mut out, id.as_bytes());
+            }
+        }
         // Under the number 0 versions that do not know it pass it over.
         Record::Class(class) => {
             out.push(CLASS);
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -5,7 +5,7 @@
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
 use super::record::{
-    set_ailing, Ailing, BACK, CLASS, DELIVERED, ENDED, ENDING, FINAL_ELSEWHERE, HEAD, OVER, SPENT,
+    set_ailing, Ailing, ALL_CLOSED, BACK, CLASS, DELIVERED, ENDED, ENDING, FINAL_ELSEWHERE, HEAD, OVER, SPENT,
 };
 use super::torn::TornEnd;
 use crate::interface::Nanos;
@@ -75,6 +75,16 @@
         Some(some.then_some(moment))
     }
 
+    fn closed(&mut self) -> Option<(String, Closed)> {
+        let kind = self.u8()?;
+        let ending = self.ending()?.0;
+        let closed = match kind {
+            DELIVERED => Closed::Delivered,
+            _ => ending.map_or(Closed::Over, Closed::Notified),
+        };
+        Some((self.text()?, closed))
+    }
+
     fn ending(&mut self) -> Option<(Option<Ending>, u32)> {
         let (code, after, reason) = (self.u8()?, self.u64()?, self.u32()?);
         let ending = match code {
@@ -131,6 +141,12 @@
         set_ailing(&mut into.ailing, &name, ailing.then_some(0.0));
         return Some(());
     }
+    if code == ALL_CLOSED {
+        while let Some((id, closed)) = r.closed() {
+            into.transactions.closed_mut().note(0, id, closed);
+        }
+        return Some(());
+    }
     if code == CLASS {
         let class: Class = postcard::from_bytes(&r.0).ok()?;
         into.written.insert(class.encoded().0);
@@ -166,8 +182,8 @@
         OVER => {
             let closed = t.ending.map_or(Closed::Over, Closed::Notified);
             match r.u8() {
-                Some(DELIVERED) => drop(into.transactions.close(no, Closed::Delivered)),
-                Some(ENDED) => drop(into.transactions.close(no, closed)),
+                Some(DELIVERED) => drop(into.transactions.close(0, no, Closed::Delivered)),
+                Some(ENDED) => drop(into.transactions.close(0, no, closed)),
                 _ => drop(into.transactions.remove(no)),
             }
         }
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -114,9 +114,9 @@
     }
 
     /// Nothing more is owed for a transaction, which ended like this: what comes under its id again is no new one.
-    pub fn close(&mut self, no: TransactionNo, closed: Closed) -> Option<Transaction> {
+    pub fn close(&mut self, now: Nanos, no: TransactionNo, closed: Closed) -> Option<Transaction> {
         let t = self.remove(no)?;
-        self.closed.note(t.id.clone(), closed);
+        self.closed.note(now, t.id.clone(), closed);
         Some(t)
     }
 
@@ -125,9 +125,14 @@
         &self.closed
     }
 
+    /// The same, to be changed.
+    pub fn closed_mut(&mut self) -> &mut ClosedIds {
+        &mut self.closed
+    }
+
     /// Takes in those that another process delivered.
-    pub fn remember_delivered(&mut self, all: &[String]) {
-        all.iter().for_each(|id| self.closed.note(id.clone(), Closed::Delivered));
+    pub fn remember_delivered(&mut self, now: Nanos, all: &[String]) {
+        all.iter().for_each(|id| self.closed.note(now, id.clone(), Closed::Delivered));
     }
 
     pub fn get(&self, no: TransactionNo) -> Option<&Transaction> {
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -1,6 +1,7 @@
 //! What others can make the relay hold, on real processes under a bound on memory. Each picture is that of a crowd or an
 //! endpoint on loopback sockets; the kernel's count of the process and the files of its folder together are judged.
 
+mod again;
 mod crowd;
 mod endpoint;
 #[path = "../upgrade/platform.rs"]
--- a/tests/memory/rig.rs
+++ b/tests/memory/rig.rs
@@ -26,7 +26,7 @@
 /// A relay with one endpoint.
 pub struct Scene {
     pub platform: Platform,
-    pub discovery: Discovery,
+    _discovery: Discovery,
     limits: Limits,
 }
 
@@ -51,21 +51,26 @@
 impl Scene {
     /// With an endpoint at this address.
     pub fn new(limits: Limits, endpoint: SocketAddr) -> Scene {
+        Scene::with(limits, endpoint, false)
+    }
+
+    /// The same where processes inherit the listening socket, and may take over from one another.
+    pub fn inheriting(limits: Limits, endpoint: SocketAddr) -> Scene {
+        Scene::with(limits, endpoint, true)
+    }
+
+    fn with(limits: Limits, endpoint: SocketAddr, inherit: bool) -> Scene {
         let known = entry("h", endpoint, "active");
         let discovery = Discovery::start(known.clone());
-        let terms = Terms {
-            descriptors: limits.sockets,
-            slots: limits.calls_out,
-            inherit: false,
-            ..Terms::default()
-        };
+        let terms =
+            Terms { descriptors: limits.sockets, slots: limits.calls_out, inherit, ..Terms::default() };
         let platform = Platform::new(&folder(), &terms, discovery.address, &known);
         let mut document = platform.document();
         set(&mut document, "/limits/memory_mb", limits.memory_mb);
         set(&mut document, "/limits/disk_mb", limits.disk_mb);
         set(&mut document, "/settings/limits/max_open", limits.max_open);
         platform.write(&document.to_string());
-        Scene { platform, discovery, limits }
+        Scene { platform, _discovery: discovery, limits }
     }
 
     /// Bytes of the files in the lasting folder.
