Test new processes at the address of one that has gone

Tried on real processes: the only endpoint of a destination is replaced by one of another name at the same address, at once and listed 0.3 s before the old process resets its connections; and by one of another destination. Not seen: all messages of 3 s after the change were served by the new one, none ran twice, none went to the other destination once the change counted as told. The tests stay.

--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -1,6 +1,7 @@
 //! The program itself on loopback sockets, at instants in which something ends and something is still owed. Each crossing
 //! is forced: a stand-in holds its bytes until it has seen what they are to cross.
 
+mod replaced;
 mod rig;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
