Give operators the figures of memory at the console, and bound its heads

Change: GET /admin/memory has limit, resident and peak memory, and of each holder what it holds, what is kept for it and how often it was refused; a call's head may have 16 KiB, where hyper's default was some 400 for each of 16 connections. Crowds run one at a time, since each takes all processors.

--- a/src/program/memory_share.rs
+++ b/src/program/memory_share.rs
@@ -1,7 +1,7 @@
 //! Memory of a relay of one or two processes: what both take counts together.
 
-use super::resident;
-use crate::memory::{MemoryBudget, MemoryLimits, MemoryPlan};
+use super::resident::{self, Resident};
+use crate::memory::{Holder, MemoryBudget, MemoryLimits, MemoryPlan};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +54,25 @@
         self.other.get()
     }
 
+    /// All figures, a line each: of each holder what it holds, what is kept for it, and how often it was refused; all but the
+    /// last in bytes.
+    pub fn figures(&self) -> String {
+        let (plan, Resident { now, peak }) = (self.budget.plan(), resident::own());
+        let mut text = format!(
+            "limit {}\nresident {now}\npeak {peak}\nother {}\nmay-hold {}\nheld {}\n",
+            self.limit(),
+            self.other(),
+            plan.total,
+            self.budget.held_in_all()
+        );
+        for holder in Holder::ALL {
+            let (held, refused) = (self.budget.held(holder), self.budget.refused(holder));
+            let (name, kept) = (holder.name(), plan.reserved[holder as usize]);
+            text.push_str(&format!("{name} held {held} kept {kept} refused {refused}\n"));
+        }
+        text
+    }
+
     /// Other limits from now on.
     pub fn allow(&self, limits: MemoryLimits) {
         self.limits.set(limits);
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -16,7 +16,7 @@
 use crate::configuration::{Configuration, Environment};
 use crate::memory::MemoryLimits;
 use crate::operator::Operator;
-use crate::protocol::console::{self, Asked};
+use crate::protocol::console::{self, Answer, Asked};
 use crate::protocol::discovery::Names;
 use crate::protocol::platform::Platform;
 use crate::protocol::smpp::config::SmppConfig;
@@ -124,7 +124,7 @@
     spawn_local(door.clone().give_way());
     spawn_local(admission_log::run(door.clone()));
     let serving = Serving::default();
-    start_console(plan.console, &net, &serving).await?;
+    start_console(plan.console, &net, &serving, &memory).await?;
     let rooms = Rooms { has_smpp: plan.smpp.is_some(), has_fleet: plan.operator.fleet.is_some() };
     let fleet = fleet_plan(&plan.operator, &plan)?;
     if let Some(PlatformPlan { configuration, .. }) = &plan.platform {
@@ -219,12 +219,17 @@
 }
 
 /// Listens to operators, where the platform says at which address.
-async fn start_console(address: Option<SocketAddr>, net: &Net, serving: &Serving) -> Result<(), String> {
+async fn start_console(
+    address: Option<SocketAddr>,
+    net: &Net,
+    serving: &Serving,
+    memory: &Rc<MemoryShare>,
+) -> Result<(), String> {
     let Some(address) = address else { return Ok(()) };
     let listener = net.listen(address).await;
     let listener = listener.map_err(|e| format!("console: cannot listen on {address}: {e}"))?;
-    let serving = serving.clone();
-    spawn_local(console::serve(listener, move |asked| answer(serving.clone(), asked)));
+    let (serving, memory) = (serving.clone(), memory.clone());
+    spawn_local(console::serve(listener, move |asked| answer(serving.clone(), memory.clone(), asked)));
     Ok(())
 }
 
@@ -247,22 +252,25 @@
     }
 }
 
-/// What the console answers: whether this process takes clients, and whether an operation is in force.
-async fn answer(serving: Serving, asked: Asked) -> StatusCode {
+/// What the console answers: whether this process takes clients, whether an operation is in force, what is held.
+async fn answer(serving: Serving, memory: Rc<MemoryShare>, asked: Asked) -> Answer {
     let desk = serving.borrow().clone();
     let yes = match (asked, desk) {
+        (Asked::Memory, _) => {
+            return Answer { status: StatusCode::OK, text: Some(memory.figures()) };
+        }
         (_, None) => false,
         (Asked::Health, Some(desk)) => desk.roles.serves(),
         (Asked::Operate(operation), Some(desk)) => match desk.operate(&operation).await {
-            Some(Operated::Unknown) => return StatusCode::NOT_FOUND,
+            Some(Operated::Unknown) => return StatusCode::NOT_FOUND.into(),
             Some(Operated::Done) => true,
             None => false,
         },
     };
     if yes {
-        StatusCode::OK
+        StatusCode::OK.into()
     } else {
-        StatusCode::SERVICE_UNAVAILABLE
+        StatusCode::SERVICE_UNAVAILABLE.into()
     }
 }
 
--- a/src/protocol/console.rs
+++ b/src/protocol/console.rs
@@ -21,6 +21,8 @@
 
 /// Connections at once; a further one closes the oldest, which has had its time.
 const CONNECTIONS_MOST: usize = 16;
+/// Most bytes of a call's head.
+const HEAD_MOST: usize = 16 * 1024;
 /// A caller waits a second for its answer; one that finishes no call is closed.
 const CONNECTION_WITHIN: Duration = Duration::from_secs(5);
 /// An operation that is not in force by then is answered with no.
@@ -31,10 +33,27 @@
 pub enum Asked {
     /// Whether this process takes clients.
     Health,
+    /// What it holds in memory.
+    Memory,
     /// To put an operation in force.
     Operate(Operation),
 }
 
+/// An answer to an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Yes or no.
+    pub status: StatusCode,
+    /// The figures that were asked for; yes or no in a word where there are none.
+    pub text: Option<String>,
+}
+
+impl From<StatusCode> for Answer {
+    fn from(status: StatusCode) -> Answer {
+        Answer { status, text: None }
+    }
+}
+
 /// Why a call asks nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unasked {
@@ -47,9 +66,14 @@
 /// What a call asks.
 pub fn asked(method: &Method, path: &str) -> Result<Asked, Unasked> {
     let call = path.strip_prefix("/admin/").ok_or(Unasked::Unknown)?;
-    if call == "health" {
+    let question = match call {
+        "health" => Some(Asked::Health),
+        "memory" => Some(Asked::Memory),
+        _ => None,
+    };
+    if let Some(question) = question {
         return match *method {
-            Method::GET | Method::HEAD => Ok(Asked::Health),
+            Method::GET | Method::HEAD => Ok(question),
             _ => Err(Unasked::Method("GET, HEAD")),
         };
     }
@@ -74,7 +98,7 @@
 /// Serves operators for good; `answer` says yes or no.
 pub async fn serve<F, A>(listener: Box<dyn Listen>, answer: A)
 where
-    F: Future<Output = StatusCode> + 'static,
+    F: Future<Output = Answer> + 'static,
     A: Fn(Asked) -> F + Clone + 'static,
 {
     let mut open: VecDeque<AbortHandle> = VecDeque::new();
@@ -97,7 +121,7 @@
 
 async fn serve_one<F, A>(stream: Stream, answer: A)
 where
-    F: Future<Output = StatusCode>,
+    F: Future<Output = Answer>,
     A: Fn(Asked) -> F,
 {
     let service = service_fn(|request: Request<Incoming>| {
@@ -106,12 +130,12 @@
         async move {
             Ok::<_, Infallible>(match answered {
                 Ok(answer) => {
-                    let status = timeout(ANSWER_WITHIN, answer).await;
-                    plain(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE))
+                    let answer = timeout(ANSWER_WITHIN, answer).await;
+                    said(answer.unwrap_or(StatusCode::SERVICE_UNAVAILABLE.into()))
                 }
-                Err(Unasked::Unknown) => plain(StatusCode::NOT_FOUND),
+                Err(Unasked::Unknown) => said(StatusCode::NOT_FOUND.into()),
                 Err(Unasked::Method(allowed)) => {
-                    let mut response = plain(StatusCode::METHOD_NOT_ALLOWED);
+                    let mut response = said(StatusCode::METHOD_NOT_ALLOWED.into());
                     response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
                     response
                 }
@@ -119,13 +143,15 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.header_read_timeout(None).keep_alive(false);
+    builder.header_read_timeout(None).keep_alive(false).max_buf_size(HEAD_MOST);
     builder.serve_connection(TokioIo::new(stream), service).await.ok();
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let word: &'static str = if status.is_success() { "yes\n" } else { "no\n" };
-    let mut response = Response::new(Full::new(Bytes::from_static(word.as_bytes())));
+fn said(answer: Answer) -> Response<Full<Bytes>> {
+    let Answer { status, text } = answer;
+    let word = if status.is_success() { "yes\n" } else { "no\n" };
+    let text = text.map_or(Bytes::from_static(word.as_bytes()), Bytes::from);
+    let mut response = Response::new(Full::new(text));
     *response.status_mut() = status;
     response
 }
--- a/tests/memory/crowd.rs
+++ b/tests/memory/crowd.rs
@@ -28,6 +28,8 @@
     Long,
     /// Whole small messages, written without waiting for answers, which are not read.
     Unread,
+    /// The same, with the answers read: as fast as the relay takes them.
+    FullSpeed { class: &'static str },
 }
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -75,10 +77,10 @@
                 (vec![[head, vec![b'x'; LONGEST_BODY - 1]].concat()], Duration::from_millis(50))
             }
             Habit::Long => (vec![[long(), vec![b'x'; LONGEST_BODY]].concat()], Duration::from_millis(20)),
-            Habit::Unread => {
-                let many: String =
-                    (0..50).map(|_| message_within("status", &fresh_id("unread"), 8_000)).collect();
-                (vec![many.into_bytes()], Duration::from_millis(5))
+            Habit::Unread | Habit::FullSpeed { .. } => {
+                let class = if let Habit::FullSpeed { class } = self { class } else { "status" };
+                let many: String = (0..50).map(|_| message_within(class, &fresh_id("many"), 8_000)).collect();
+                (vec![many.into_bytes()], Duration::ZERO)
             }
         };
         Script { parts, pause }
@@ -90,7 +92,12 @@
 
     /// Whether a client says something more once all is written and answered.
     fn goes_on(self) -> bool {
-        matches!(self, Habit::Long | Habit::Unread)
+        matches!(self, Habit::Long | Habit::Unread | Habit::FullSpeed { .. })
+    }
+
+    /// Whether it waits for an answer before that.
+    fn waits(self) -> bool {
+        matches!(self, Habit::Long)
     }
 }
 
@@ -141,7 +148,7 @@
         if broke {
             self.stream = None;
             self.begin_anew(habit, Duration::ZERO);
-        } else if self.part >= self.script.parts.len() && habit.goes_on() && (answered || !habit.reads()) {
+        } else if self.part >= self.script.parts.len() && habit.goes_on() && (answered || !habit.waits()) {
             let pause = self.script.pause;
             self.begin_anew(habit, pause);
         }
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -16,13 +16,22 @@
 use rig::{Limits, Scene};
 use stand_ins::hop;
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// How long a crowd stays.
 const STAYS: Duration = Duration::from_secs(4);
 
+/// Crowds take all that the machine has: one at a time.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A crowd of clients beside one that asks little.
 fn crowded(limits: Limits, endpoint: SocketAddr, count: usize, habit: Habit) {
+    let _turn = turn();
     let scene = Scene::new(limits, endpoint);
     let mut process = scene.platform.start_ready();
     let modest = Modest::start(scene.platform.address);
@@ -126,6 +135,7 @@
 /// Guards memory from messages that are held while their endpoint is silent, at once and when they are read back.
 #[test]
 fn messages_that_cannot_be_delivered_pass_no_limit() {
+    let _turn = turn();
     for disk_mb in [3, 512] {
         let limits = Limits { max_open: 50_000, disk_mb, ..Limits::default() };
         let scene = Scene::new(limits, endpoint(Answer::Silence));
@@ -143,3 +153,42 @@
         long.stop();
     }
 }
+
+/// Guards the answers of others from one client at full speed, under ever new ids, with and without delivery, and memory from the
+/// ids.
+#[test]
+fn a_client_at_full_speed_keeps_nobody_waiting() {
+    let limits = Limits { max_open: 100_000, disk_mb: 64, memory_mb: 192, ..Limits::default() };
+    crowded(limits, hop("127.0.0.1:0").0, 6, Habit::FullSpeed { class: "status" });
+    crowded(limits, endpoint(Answer::Silence), 6, Habit::FullSpeed { class: "status" });
+    crowded(limits, hop("127.0.0.1:0").0, 6, Habit::FullSpeed { class: "unheard-of" });
+}
+
+/// Guards the limit, which is one relay's, while another process takes over in the midst of a crowd.
+#[test]
+fn two_processes_of_an_upgrade_pass_no_limit_together() {
+    let habits = [Habit::Drips { good: 2, piece: 100, pause: MILLISECOND }, Habit::Long, Habit::StopsHalfWay];
+    let _turn = turn();
+    for habit in habits {
+        let scene = Scene::inheriting(Limits { disk_mb: 64, ..Limits::default() }, endpoint(Answer::Silence));
+        let old = scene.platform.start_ready();
+        let crowd = Crowd::start(900, scene.platform.address, habit);
+        std::thread::sleep(STAYS / 2);
+        let mut new = scene.platform.start_ready();
+        let most = scene.watch(&[&old, &new], STAYS / 2);
+        old.end();
+        crowd.stop();
+        scene.judge(&mut new, most, &format!("an upgrade beside {habit:?}"));
+    }
+}
+
+/// Guards the check itself: a process that takes more than it may says so, and the console has the figures.
+#[test]
+fn more_memory_than_may_be_is_told_as_a_violation() {
+    // Less than any process takes.
+    let scene = Scene::new(Limits { memory_mb: 2, ..Limits::default() }, hop("127.0.0.1:0").0);
+    let process = scene.platform.start_ready();
+    process.says("memory-violation");
+    assert_eq!(process.call("GET", "/admin/memory"), Some(200));
+    assert_eq!(process.call("POST", "/admin/memory"), Some(405));
+}
