--- a/tests/memory/endpoint.rs
+++ b/tests/memory/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints whose answers take long to come whole.
 
-use crate::stand_ins::request;
+use crate::stand_ins::{ok, receipt, request, Served};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::thread::{sleep, spawn};
@@ -9,6 +9,8 @@
 /// How an endpoint answers.
 #[derive(Clone, Copy, Debug)]
 pub enum Answer {
+    /// 200, with a body that no other answer has.
+    Served,
     /// 200, a long body behind it byte by byte.
     DrippedBody { chunked: bool, status: u16 },
     /// Informational answers without end.
@@ -34,6 +36,7 @@
     /// Says it; none where the other side is gone.
     fn say(self, output: &mut impl Write) -> Option<()> {
         match self {
+            Answer::Served => output.write_all(ok(&receipt()).as_bytes()).ok(),
             Answer::DrippedBody { chunked, status } => {
                 let framing = match chunked {
                     true => "Transfer-Encoding: chunked".to_string(),
@@ -71,15 +74,27 @@
 
 /// Starts an endpoint that answers so.
 pub fn endpoint(answer: Answer) -> SocketAddr {
+    counting_endpoint(answer).0
+}
+
+/// The same, with the calls that it has taken by the ids of their messages, unless it is silent.
+pub fn counting_endpoint(answer: Answer) -> (SocketAddr, Served) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
+    let served = Served::default();
+    let told = served.clone();
     spawn(move || {
         for stream in listener.incoming().flatten() {
+            let told = told.clone();
             spawn(move || {
                 stream.set_nodelay(true).ok();
                 let mut output = stream.try_clone().unwrap();
                 let mut input = BufReader::new(stream);
-                while request(&mut input).is_some() {
+                while let Some((head, _)) = request(&mut input) {
+                    let id = head.iter().find_map(|line| line.strip_prefix("x-request-id: "));
+                    if let Some(id) = id.filter(|_| !matches!(answer, Answer::Silence)) {
+                        told.tell(|told| *told.entry(id.to_string()).or_default() += 1);
+                    }
                     if answer.say(&mut output).is_none() {
                         return;
                     }
@@ -87,5 +102,5 @@
             });
         }
     });
-    address
+    (address, served)
 }
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -2,12 +2,15 @@
 //! endpoint on loopback sockets; the kernel's count of the process and the files of its folder together are judged.
 
 mod again;
+#[path = "../upgrade/callers.rs"]
+mod callers;
 mod crowd;
 mod endpoint;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
 mod rig;
+mod soak;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 
--- a/tests/memory/rig.rs
+++ b/tests/memory/rig.rs
@@ -2,7 +2,8 @@
 
 use crate::platform::{Platform, Process, Terms};
 use crate::stand_ins::page_form::set;
-use crate::stand_ins::{entry, folder, Discovery};
+use crate::stand_ins::{entry, folder, Discovery, Told};
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -26,7 +27,7 @@
 /// A relay with one endpoint.
 pub struct Scene {
     pub platform: Platform,
-    _discovery: Discovery,
+    discovery: Discovery,
     limits: Limits,
 }
 
@@ -38,8 +39,8 @@
 }
 
 /// Memory of a process as the kernel counts it.
-pub fn memory_of(process: &Process) -> Memory {
-    let status = fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
+pub fn memory_of(process: u32) -> Memory {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let of = |name: &str| {
         let line = status.lines().find_map(|line| line.strip_prefix(name));
         let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
@@ -70,17 +71,26 @@
         set(&mut document, "/limits/disk_mb", limits.disk_mb);
         set(&mut document, "/settings/limits/max_open", limits.max_open);
         platform.write(&document.to_string());
-        Scene { platform, _discovery: discovery, limits }
+        Scene { platform, discovery, limits }
+    }
+
+    /// Reads the bytes of the files in the lasting folder.
+    pub fn files_of(&self) -> impl Fn() -> u64 + Send + 'static {
+        let state = self.platform.state();
+        move || {
+            let entries = fs::read_dir(&state).into_iter().flatten().flatten();
+            let files = entries.filter_map(|entry| entry.metadata().ok()).filter(fs::Metadata::is_file);
+            files.map(|file| file.len()).sum()
+        }
     }
 
-    /// Bytes of the files in the lasting folder.
     pub fn files(&self) -> u64 {
-        let entries = fs::read_dir(self.platform.state()).into_iter().flatten().flatten();
-        entries
-            .filter_map(|entry| entry.metadata().ok())
-            .filter(fs::Metadata::is_file)
-            .map(|file| file.len())
-            .sum()
+        self.files_of()()
+    }
+
+    /// Ids of messages whose ends were told by notices.
+    pub fn ended(&self) -> Told<BTreeSet<String>> {
+        self.discovery.ended.clone()
     }
 
     pub fn limit(&self) -> u64 {
@@ -92,12 +102,12 @@
         let from = std::time::Instant::now();
         let mut most = 0;
         while from.elapsed() < during {
-            let resident: u64 = processes.iter().map(|process| memory_of(process).now).sum();
+            let resident: u64 = processes.iter().map(|process| memory_of(process.id()).now).sum();
             most = most.max(resident + self.files());
             std::thread::sleep(Duration::from_millis(10));
         }
         // What no look has met.
-        let peak: u64 = processes.iter().map(|process| memory_of(process).peak).sum();
+        let peak: u64 = processes.iter().map(|process| memory_of(process.id()).peak).sum();
         most.max(if processes.len() == 1 { peak + self.files() } else { 0 })
     }
 
