Let a relay with very little memory still take messages on

Change: at least a quarter of the limit may be held. The unit test on plans failed before (files of 0 bytes at 16 MB); passes now.

--- a/src/memory/plan.rs
+++ b/src/memory/plan.rs
@@ -8,6 +8,8 @@
 pub const CONNECTION_BYTES: u64 = 28 * 1_024;
 /// Bodies and answers of so many bytes are part of their connection, and draw nothing.
 pub const SMALL_BYTES: usize = 8 * 1_024;
+/// The part of the limit that may be held at least.
+const LEAST_PART: u64 = 4;
 /// However little memory there is, so many connections are planned with.
 const CONNECTIONS_LEAST: u64 = 64;
 
@@ -39,6 +41,8 @@
         let other = if limits.may_hand_over { other.max(PROCESS_BYTES) } else { other };
         // A quarter is left to what the allocator cannot give back.
         let total = limits.relay.saturating_sub(PROCESS_BYTES + other) / 4 * 3;
+        // With very little memory a relay still takes messages on.
+        let total = total.max(limits.relay / LEAST_PART);
         let sockets = limits.sockets as u64 * CONNECTION_BYTES;
         let connections = sockets.min((total / 2).max(CONNECTIONS_LEAST * CONNECTION_BYTES));
         let mut reserved = [0; HOLDERS];
