--- a/src/admission/messages.rs
+++ b/src/admission/messages.rs
@@ -1,4 +1,4 @@
-//! Whose messages may fill the room for messages. Free of I/O.
+//! Whose messages may fill what there is for messages. Free of I/O.
 //!
 //! While more than one client address is active each may hold at most a multiple of what is still free (dynamic thresholds):
 //! one that hands in without end leaves a part to the others, and several that do share what there is.
@@ -17,12 +17,12 @@
 /// What one address holds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Client {
-    /// Parts of the room, summed.
+    /// Parts of the capacity, summed.
     share: f64,
     asked_at: Nanos,
 }
 
-/// What each client address holds of the room for messages, as parts of the whole.
+/// What each client address holds of the capacity for messages, as parts of the whole.
 #[derive(Debug, Default)]
 pub struct MessageShares {
     clients: HashMap<IpAddr, Client>,
@@ -34,7 +34,7 @@
 }
 
 impl MessageShares {
-    /// Whether a client may hand in a message that takes this part of the room, of which so much is free.
+    /// Whether a client may hand in a message that takes this part of the capacity, of which so much is free.
     pub fn admits(&mut self, now: Nanos, from: IpAddr, part: f64, free: f64) -> bool {
         let is_new = !self.clients.contains_key(&from);
         if is_new && self.clients.len() >= CLIENTS {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -240,11 +240,6 @@
         self.legs.get(&leg).is_some_and(|l| l.known)
     }
 
-    /// The address by which a client counts: IPv6 by its /64.
-    pub fn counts_as(&self, address: IpAddr) -> IpAddr {
-        self.networks.place(address).0
-    }
-
     /// Whether each leg from this address has to begin with a PROXY header.
     pub fn is_front(&self, address: IpAddr) -> bool {
         self.networks.terms(self.networks.place(address).1).front
--- a/src/admission/room.rs
+++ b/src/admission/room.rs
@@ -103,6 +103,11 @@
         Verdict::Refuse(why)
     }
 
+    /// The address by which a client counts: IPv6 by its /64.
+    pub fn counts_as(&self, address: IpAddr) -> IpAddr {
+        self.networks.place(address).0
+    }
+
     /// What has to go for a newcomer, or why nothing does.
     pub(super) fn make_room(
         &mut self,
--- a/src/program/memory_log.rs
+++ b/src/program/memory_log.rs
@@ -51,15 +51,17 @@
 impl MemoryLog {
     /// Tells, for good, where it has changed or was not told for a while.
     pub async fn run(self) {
-        let mut told = self.look();
-        self.tell(&told);
+        let mut reported = self.look();
+        self.tell(&reported);
         let mut violations = 0;
         loop {
             sleep(LOOK_EACH).await;
             let look = self.look();
-            if look.refused != told.refused {
-                let (count, by) =
-                    (look.refused - told.refused, by_holder(|holder| self.memory.budget().refused(holder)));
+            if look.refused != reported.refused {
+                let (count, by) = (
+                    look.refused - reported.refused,
+                    by_holder(|holder| self.memory.budget().refused(holder)),
+                );
                 tracing::warn!(target: "memory", event = "memory-refused", count, by, "there was no memory for what was to be held");
             }
             if let Some(of) = self.exceeded(&look) {
@@ -69,9 +71,9 @@
                 let by = by_holder(|holder| self.memory.budget().held(holder));
                 tracing::error!(target: "memory", event = "memory-violation", of, limit, resident, files, other, held, by, violations, "more memory is taken than may be");
             }
-            if self.is_notable(&look, &told) {
+            if self.is_notable(&look, &reported) {
                 self.tell(&look);
-                told = look;
+                reported = look;
             }
         }
     }
@@ -94,16 +96,16 @@
         }
     }
 
-    fn is_notable(&self, look: &Look, told: &Look) -> bool {
+    fn is_notable(&self, look: &Look, reported: &Look) -> bool {
         let part = self.memory.limit() / NOTABLE_PART;
         let pairs = [
-            (look.resident.now, told.resident.now),
-            (look.resident.peak, told.resident.peak),
-            (look.held, told.held),
-            (look.files, told.files),
+            (look.resident.now, reported.resident.now),
+            (look.resident.peak, reported.resident.peak),
+            (look.held, reported.held),
+            (look.files, reported.files),
         ];
-        let is_late = told.at.elapsed() >= TELL_EACH;
-        is_late || look.refused != told.refused || pairs.iter().any(|(is, was)| is.abs_diff(*was) > part)
+        let is_late = reported.at.elapsed() >= TELL_EACH;
+        is_late || look.refused != reported.refused || pairs.iter().any(|(is, was)| is.abs_diff(*was) > part)
     }
 
     fn tell(&self, look: &Look) {
--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -4,7 +4,7 @@
 use super::{Defaults, Platform};
 use crate::interface::Nanos;
 use crate::memory::{Held, Holder, MemoryBudget, SMALL_BYTES};
-use crate::routing::core::Room;
+use crate::routing::core::MessageCapacity;
 use crate::routing::{Desk, Offer, Taken};
 use crate::transport::connection::read_body;
 use crate::transport::listener::Leg;
@@ -23,7 +23,7 @@
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 /// There is memory for a body again once others have come or were given up.
 const BODY_ADVICE: Nanos = 500_000_000;
-/// Advice for a client that holds too much of the room for messages.
+/// Advice for a client that holds too much of the capacity for messages.
 const FULL_ADVICE: Nanos = 1_000_000_000;
 
 /// Answers one request of a caller.
@@ -78,13 +78,13 @@
         Ok(None) => return closing(plain(StatusCode::BAD_REQUEST)),
         Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
     };
-    let room = desk.see(|core| core.room(offer.body.len()));
-    if !admits(&desk, &leg, &offer.id, room) {
+    let capacity = desk.see(|core| core.capacity_for(offer.body.len()));
+    if !admits(&desk, &leg, &offer.id, capacity) {
         return refusal(FULL_ADVICE);
     }
     match desk.take(offer).await {
         Taken::On(no) => {
-            desk.front.shares.borrow_mut().taken(no, leg.address(), room.part);
+            desk.front.shares.borrow_mut().taken(no, leg.address(), capacity.part);
             leg.promises(no);
             plain(StatusCode::ACCEPTED)
         }
@@ -97,11 +97,11 @@
     }
 }
 
-/// Whether this client leaves enough room to others to hand in one more. What is no new message takes none.
-fn admits(desk: &Desk<Platform>, leg: &Leg, id: &str, room: Room) -> bool {
+/// Whether this client leaves enough to others to hand in one more. What is no new message takes none.
+fn admits(desk: &Desk<Platform>, leg: &Leg, id: &str, capacity: MessageCapacity) -> bool {
     let now = desk.clock.now();
     let decides = desk.roles.serves() && !desk.see(|core| core.knows(id));
-    !decides || desk.front.shares.borrow_mut().admits(now, leg.address(), room.part, room.free)
+    !decides || desk.front.shares.borrow_mut().admits(now, leg.address(), capacity.part, capacity.free)
 }
 
 /// Draws the memory for a body of this length; none where there is none left.
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -1,6 +1,6 @@
 //! Taking requests on: from callers, and from what an earlier life left.
 
-use super::{bytes_of, Core, Note, Offer, Room, Taken, DOOR_ADVICE};
+use super::{bytes_of, Core, MessageCapacity, Note, Offer, Taken, DOOR_ADVICE};
 use crate::interface::Nanos;
 use crate::memory::Holder;
 use crate::routing::closed::{self, Closed};
@@ -124,16 +124,16 @@
         }
     }
 
-    /// The room for one more message with a body of so many bytes.
-    pub fn room(&self, body: usize) -> Room {
+    /// What is left for one more message with a body of so many bytes.
+    pub fn capacity_for(&self, body: usize) -> MessageCapacity {
         let (held, most) = self.facade.held();
         let most = most.max(1) as f64;
-        let (of_journal, free_of_journal) = self.journal.room(body);
+        let (of_journal, free_of_journal) = self.journal.capacity_for(body);
         let left = self.memory.left(Holder::Messages) as f64;
         let memory = (left + self.memory.held(Holder::Messages) as f64).max(1.0);
         let part = (1.0 / most).max(of_journal).max(body as f64 / memory);
         let free = (1.0 - held as f64 / most).min(free_of_journal).min(left / memory);
-        Room { part, free }
+        MessageCapacity { part, free }
     }
 
     /// Whether what comes under this id is no new message.
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -20,9 +20,9 @@
     pub owner: String,
 }
 
-/// The room for messages, as parts of the whole of whatever is scarcest: their number, the journal or memory.
+/// What is left for messages, as parts of the whole of whatever is scarcest: their number, the journal or memory.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Room {
+pub struct MessageCapacity {
     /// What one more message takes.
     pub part: f64,
     /// What is free.
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -101,7 +101,7 @@
 
     /// The part of the budget that one more transaction with a body of so many bytes takes, and the part that is free once what
     /// is dead is left out.
-    pub fn room(&self, body: usize) -> (f64, f64) {
+    pub fn capacity_for(&self, body: usize) -> (f64, f64) {
         let (each, budget) = (ROOM_EACH as f64, self.budget.max(1) as f64);
         let owed = 2.0 * self.live_bytes as f64 + self.live.len() as f64 * each;
         ((2.0 * body as f64 + each) / budget, 1.0 - owed / budget)
@@ -109,7 +109,7 @@
 
     fn fits(&self, more: u64) -> bool {
         let owed = self.live.len() as u64 * ROOM_EACH;
-        self.size + self.live_bytes + owed + more + self.closed_room() <= self.budget
+        self.size + self.live_bytes + owed + more + self.closed_budget() <= self.budget
     }
 
     /// Writes a record of what is done only once it is written. On an error nothing of it stays.
@@ -322,22 +322,21 @@
         Ok(())
     }
 
-    /// The ids of transactions that are over for which a copy has room, the oldest first: a client may send one of them again
+    /// The ids of transactions that are over that fit a copy, the oldest first: a client may send one of them again
     /// behind a kill.
     fn newest_closed<'a>(&self, all: &'a Transactions) -> Vec<(&'a String, Closed)> {
-        let mut room = self.closed_room();
-        let fits = |id: &String| {
-            room = room.saturating_sub(closed_len(id));
-            room > 0
+        let mut left = self.closed_budget();
+        let mut fits = |id: &String| {
+            left = left.saturating_sub(closed_len(id));
+            left > 0
         };
-        let mut fits = fits;
         let mut newest: Vec<_> = all.closed().newest().take_while(|(id, _)| fits(id)).collect();
         newest.reverse();
         newest
     }
 
     /// Bytes of the budget that are for ids of transactions that are over.
-    fn closed_room(&self) -> u64 {
+    fn closed_budget(&self) -> u64 {
         self.budget / CLOSED_PART
     }
 
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -132,9 +132,9 @@
     }
 }
 
-/// Why a leg ends.
+/// Why a client connection ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LegEnd {
+enum ClientEnd {
     /// Its last request is answered, or its client ended it.
     Done,
     /// What came could not be read, or the connection broke.
@@ -276,19 +276,19 @@
                 // to close is answered.
                 biased;
                 ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => {
-                    break (leg.lingers(ended.is_err()), if ended.is_err() { LegEnd::Broken } else { LegEnd::Done });
+                    break (leg.lingers(ended.is_err()), if ended.is_err() { ClientEnd::Broken } else { ClientEnd::Done });
                 }
                 () = leg.overstays() => {
                     if leg.asked.get() == 0 {
                         entrant.deed(Deed::Junk);
                     }
-                    break (Duration::ZERO, LegEnd::Overstayed);
+                    break (Duration::ZERO, ClientEnd::Overstayed);
                 }
                 () = entrant.evicted(), if !closing && !parting => parting = true,
                 // What a new leg says with its first packet is only known to the loop after a turn of it.
                 () = tokio::task::yield_now(), if parting => {
                     if leg.idle_since.get().is_some() {
-                        break (leg.lingers(false).min(LINGER_EVICTED), LegEnd::Evicted);
+                        break (leg.lingers(false).min(LINGER_EVICTED), ClientEnd::Evicted);
                     }
                     (closing, parting) = (true, false);
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
@@ -301,8 +301,8 @@
         };
         gone(&leg);
         let (from, requests) = (entrant.address().to_string(), leg.asked.get());
-        tracing::debug!(target: "admission", event = "leg-closed", from, requests, ?why);
-        if why == LegEnd::Broken {
+        tracing::debug!(target: "admission", event = "client-closed", from, requests, ?why);
+        if why == ClientEnd::Broken {
             entrant.deed(Deed::Junk);
         }
         // All else is over with its last byte: a leg that lingers holds room that others need.
