Leave the least that may be held out of what another process has taken

What could happen: beside a large process of the same relay, in an upgrade, the new one planned with a quarter of the limit in any case, and the two could pass it together. Cause: the floor for very little memory was put on top of the plan that takes the other process off. Change: the floor has the other's bytes taken off as well. Test: the plan and the other process fit the limit, seen to fail before at other processes of 20 and 90 MB; that files have half a megabyte is asked where no other process is there, since with one that holds all of it nothing can be left.

--- a/src/memory/plan.rs
+++ b/src/memory/plan.rs
@@ -38,11 +38,11 @@
 impl MemoryPlan {
     /// Of these limits, while another process of the relay takes so many bytes.
     pub fn within(limits: MemoryLimits, other: u64) -> MemoryPlan {
+        // With very little memory a relay still takes messages on, but for what another process has taken.
+        let least = (limits.relay / LEAST_PART).saturating_sub(other);
         let other = if limits.may_hand_over { other.max(PROCESS_BYTES) } else { other };
         // A quarter is left to what the allocator cannot give back.
-        let total = limits.relay.saturating_sub(PROCESS_BYTES + other) / 4 * 3;
-        // With very little memory a relay still takes messages on.
-        let total = total.max(limits.relay / LEAST_PART);
+        let total = (limits.relay.saturating_sub(PROCESS_BYTES + other) / 4 * 3).max(least);
         let sockets = limits.sockets as u64 * CONNECTION_BYTES;
         let connections = sockets.min((total / 2).max(CONNECTIONS_LEAST * CONNECTION_BYTES));
         let mut reserved = [0; HOLDERS];
