--- a/src/protocol/platform/ends.rs
+++ b/src/protocol/platform/ends.rs
@@ -36,6 +36,7 @@
 async fn tell_agent(desk: &Rc<Desk<Platform>>, agent: SocketAddr) {
     let front = &desk.front;
     let (mut most, mut failing) = (notices::MOST, false);
+    let mut tries = 0u32;
     loop {
         let batch: Vec<TransactionNo> = front.owed.borrow().iter().take(most).copied().collect();
         if batch.is_empty() {
@@ -55,11 +56,13 @@
         };
         match told {
             Ok(()) => {
-                (most, failing) = (notices::MOST, false);
+                (most, failing, tries) = (notices::MOST, false, 0);
                 front.owed.borrow_mut().drain(..batch.len());
                 desk.act(|core, now| batch.into_iter().for_each(|no| core.acknowledged(now, no)));
             }
             Err(status) => {
+                tries += 1;
+                log_owed(desk, batch.len(), tries, status);
                 // What cannot be read must not hold up the rest: one by one until one is taken.
                 if status == Some(StatusCode::BAD_REQUEST) {
                     most = 1;
@@ -86,6 +89,18 @@
     }
 }
 
+/// Tells how many ends are owed and how late the first is, and why a try failed.
+fn log_owed(desk: &Rc<Desk<Platform>>, sent: usize, tries: u32, status: Option<StatusCode>) {
+    let (count, first) = {
+        let owed = desk.front.owed.borrow();
+        (owed.len(), owed.front().copied())
+    };
+    let deadline = first.and_then(|no| desk.see(|core| core.transaction(no).map(|t| t.deadline)));
+    let overdue_ms = deadline.map_or(0, |at| desk.clock.now().saturating_sub(at) / 1_000_000);
+    let status = status.map(|status| status.as_u16());
+    tracing::info!(target: "platform", event = "ends-owed", count, overdue_ms, sent, tries, status, "ends wait for the platform's acknowledgement");
+}
+
 async fn log_ends(desk: &Rc<Desk<Platform>>) {
     loop {
         let owed = std::mem::take(&mut *desk.front.owed.borrow_mut());
