--- /dev/null
+++ b/tests/owed_ends/agent.rs
@@ -0,0 +1,218 @@
+//! A stand-in of the platform's agent behind a way that may be late, silent, slow or lossy: it serves lists and reads notices.
+
+use crate::stand_ins::{entry, ok, request, whole, Told};
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::{park, sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// How the way to the agent treats connections from now on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Way {
+    /// A connection comes up after a time between these.
+    pub up_after: (Duration, Duration),
+    /// The answer to a notice is written so much later.
+    pub answer_after: Duration,
+    /// The same of the answer to a question for the list.
+    pub list_after: Duration,
+    /// Parts of the connections that say nothing at all, of requests that are answered 503, of connections that are closed
+    /// unread, and of answers that are lost.
+    pub silent: f64,
+    pub refused: f64,
+    pub closed: f64,
+    pub unanswered: f64,
+    /// Bytes of a request that pass in a second; 0: any.
+    pub rate: u64,
+}
+
+impl Way {
+    pub fn late(millis: u64) -> Way {
+        Way::between(millis, millis)
+    }
+
+    pub fn between(least: u64, most: u64) -> Way {
+        let up_after = (Duration::from_millis(least), Duration::from_millis(most));
+        Way { up_after, ..Way::default() }
+    }
+}
+
+/// What the agent has read.
+#[derive(Clone, Debug, Default)]
+pub struct Read {
+    /// When the end of each message was read first, and how often.
+    pub ends: BTreeMap<String, (Instant, u32)>,
+    pub requests: u32,
+    /// Connections that their other side closed before they had come up.
+    pub given_up: u32,
+    /// Versions of lists whose answers were written.
+    pub lists: Vec<u64>,
+    /// Most connections at once.
+    pub most_open: usize,
+    open: usize,
+}
+
+/// The agent and the way to it.
+pub struct Agent {
+    pub address: SocketAddr,
+    pub read: Told<Read>,
+    way: Arc<Mutex<Way>>,
+    list: Arc<Mutex<(u64, String)>>,
+}
+
+#[derive(Clone)]
+struct Serving {
+    read: Told<Read>,
+    way: Arc<Mutex<Way>>,
+    list: Arc<Mutex<(u64, String)>>,
+    chance: Arc<Mutex<ChaCha8Rng>>,
+}
+
+impl Agent {
+    pub fn start(hosts: String, seed: u64) -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let chance = Arc::new(Mutex::new(ChaCha8Rng::seed_from_u64(seed)));
+        let list = Arc::new(Mutex::new((1, hosts)));
+        let serving = Serving { read: Told::default(), way: Arc::default(), list, chance };
+        let agent = Agent {
+            address,
+            read: serving.read.clone(),
+            way: serving.way.clone(),
+            list: serving.list.clone(),
+        };
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let serving = serving.clone();
+                spawn(move || {
+                    serving.read.tell(|read| {
+                        read.open += 1;
+                        read.most_open = read.most_open.max(read.open);
+                    });
+                    serving.serve(stream);
+                    serving.read.tell(|read| read.open -= 1);
+                });
+            }
+        });
+        agent
+    }
+
+    /// The way from now on, for connections that begin.
+    pub fn way(&self, way: Way) {
+        *self.way.lock().unwrap() = way;
+    }
+
+    /// The next version of the list: this endpoint alone.
+    pub fn next_list(&self, name: &str, dial: SocketAddr) {
+        let mut list = self.list.lock().unwrap();
+        *list = (list.0 + 1, entry(name, dial, "active"));
+    }
+}
+
+impl Serving {
+    fn chance(&self) -> f64 {
+        f64::from(self.chance.lock().unwrap().next_u32()) / f64::from(u32::MAX)
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let way = *self.way.lock().unwrap();
+        let (least, most) = way.up_after;
+        sleep(least + (most - least).mul_f64(self.chance()));
+        if is_closed(&stream) {
+            self.read.tell(|read| read.given_up += 1);
+            return;
+        }
+        if self.chance() < way.silent {
+            wait_for_close(&stream);
+            return;
+        }
+        if self.chance() < way.closed {
+            return;
+        }
+        let mut output = stream.try_clone().unwrap();
+        let mut input = BufReader::new(stream);
+        while let Some((head, body)) = request(&mut input) {
+            let answered = match head[0].starts_with("POST") {
+                true => self.notices(way, &head, &body, input.get_ref()),
+                false => self.list(way, &head[0]),
+            };
+            let Some(text) = answered else { return };
+            if output.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn notices(&self, way: Way, head: &[String], body: &[u8], stream: &TcpStream) -> Option<String> {
+        let bytes = head.iter().map(String::len).sum::<usize>() + body.len();
+        if let Some(millis) = (bytes as u64 * 1_000).checked_div(way.rate) {
+            sleep(Duration::from_millis(millis));
+            if is_closed(stream) {
+                self.read.tell(|read| read.given_up += 1);
+                return None;
+            }
+        }
+        if self.chance() < way.refused {
+            return Some("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string());
+        }
+        let at = Instant::now();
+        let ids = body.split(|b| *b == b'\n').filter(|line| !line.is_empty()).map(|line| {
+            let notice: serde_json::Value = serde_json::from_slice(line).unwrap();
+            notice["id"].as_str().unwrap().to_string()
+        });
+        self.read.tell(|read| {
+            read.requests += 1;
+            ids.for_each(|id| read.ends.entry(id).or_insert((at, 0)).1 += 1);
+        });
+        if self.chance() < way.unanswered {
+            wait_for_close(stream);
+            return None;
+        }
+        sleep(way.answer_after);
+        Some("HTTP/1.1 204 No Content\r\n\r\n".to_string())
+    }
+
+    fn list(&self, way: Way, line: &str) -> Option<String> {
+        let from = line.split("from=").nth(1).and_then(|rest| rest.split('&').next()?.parse::<u64>().ok());
+        let since = Instant::now();
+        while from.is_some_and(|from| from >= self.list.lock().unwrap().0)
+            && since.elapsed().as_millis() < 900
+        {
+            sleep(Duration::from_millis(5));
+        }
+        sleep(way.list_after);
+        let list = self.list.lock().unwrap().clone();
+        self.read.tell(|read| read.lists.push(list.0));
+        Some(ok(&whole(&list)))
+    }
+}
+
+/// Whether the other side has closed, whatever it has sent before.
+fn is_closed(stream: &TcpStream) -> bool {
+    use rustix::event::{poll, PollFd, PollFlags, Timespec};
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut polled, Some(&at_once)).unwrap();
+    polled[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
+fn wait_for_close(stream: &TcpStream) {
+    let from = Instant::now();
+    while !is_closed(stream) && from.elapsed() < Duration::from_secs(60) {
+        sleep(Duration::from_millis(10));
+    }
+}
+
+/// An endpoint that takes connections and never says a word.
+pub fn silent_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        let _open: Vec<TcpStream> = listener.incoming().flatten().collect();
+        park();
+    });
+    address
+}
