Tell ends by requests beside one another, in the order in which they are due

Cause: src/protocol/notices.rs gave each try up after 100 ms, connection and answer together, and src/protocol/platform/ends.rs then sent the same 200 ends again with the same bound, one request at a time. A way that takes longer never succeeds, and what stands behind the first 200 is never sent. Class: a try is given up by a fixed bound and begun anew with the same bound.

src/notices/ now decides, without I/O: up to eight requests are open beside one another, an end is told again while earlier requests that hold it stay open, ends not told yet and those told again take turns, each in the order in which they are due; a request is given up only where all places are taken and another is wanted, the first place after three times what acknowledgements took, each further place twice as late. Where acknowledgements or connections are slow, ends are decided earlier (a quarter of a message's time and 1 s at most). Connections are opened ahead of ends that fall due. An end that cannot be read is found by halves and holds up no other. The log tells what is owed each second (ends-owed), GET /admin/notices the figures, notice-violation an end that is acknowledged after its limit; the life of each message has its notices.

--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -293,6 +293,8 @@
     Travels { id: MsgId, bytes: usize, group: usize },
     /// The relay may be killed from then on, and comes back later.
     Closing { at: Nanos },
+    /// Final answers take so long to arrive that they have to be decided so much earlier.
+    Lead { time: Nanos },
     /// A wake-up asked for falls due.
     Woken,
 }
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -46,7 +46,8 @@
                 h.next = at;
             }
         }
-        self.book.next_end = self.book.next_end.min(deadline.saturating_sub(ANSWER_MARGIN));
+        let ends_at = deadline.saturating_sub(ANSWER_MARGIN + self.book.lead);
+        self.book.next_end = self.book.next_end.min(ends_at);
         self.hold(id, dest);
     }
 
@@ -203,7 +204,7 @@
             (Some(_), Repeat::Unsafe) => false,
             (Some((_, zone)), Repeat::Keyed { zone_only, .. }) => !zone_only || zone == h.zone(),
         };
-        repeats && m.dest == h.dest && at.saturating_add(ANSWER_MARGIN) < self.end(m)
+        repeats && m.dest == h.dest && at.saturating_add(self.end_margin(m)) < self.end(m)
     }
 
     /// Listed as ready (to a draining one nothing is sent at all), not within a wait, not within a cold gap.
@@ -263,7 +264,7 @@
     /// keyed one while half of its memory is left, to ask for a lost answer again; an unsafe one at the end.
     fn timeout(&self, id: MsgId, host: HostId) -> Nanos {
         let m = &self.book.messages[&id];
-        let left = m.deadline - self.now - ANSWER_MARGIN.min(m.deadline - self.now);
+        let left = (m.deadline - self.now).saturating_sub(self.end_margin(m));
         let twice = f64::from(1 << m.attempts.min(4));
         let patience = (self.overdue_after(host) as f64 * TIMEOUT * twice) as Nanos;
         match m.rules.class.repeat {
--- a/src/decision/turns.rs
+++ b/src/decision/turns.rs
@@ -171,6 +171,11 @@
     pub fn first(&self) -> Option<Nanos> {
         self.by_time.first().map(|(at, _)| *at)
     }
+
+    /// The first time behind this one.
+    pub fn first_behind(&self, time: Nanos) -> Option<Nanos> {
+        self.by_time.range((time.saturating_add(1), MsgId::MIN)..).next().map(|(at, _)| *at)
+    }
 }
 
 #[cfg(test)]
--- a/src/decision/views.rs
+++ b/src/decision/views.rs
@@ -31,6 +31,11 @@
         self.book.messages.len()
     }
 
+    /// When the first message comes to its end.
+    pub fn first_end(&self) -> Option<Nanos> {
+        self.book.ends.first()
+    }
+
     /// Whether there is a record of this host.
     pub fn knows(&self, host: HostId) -> bool {
         self.book.hosts.contains_key(&host)
--- a/src/decision/worth.rs
+++ b/src/decision/worth.rs
@@ -7,6 +7,7 @@
 
 const RESERVE: f64 = 0.2; // share of its life that an unsafe message keeps when it waits for a sick host
 const LOSS_STEPS: f64 = 1e9; // of a worth: a smaller difference is rounding, and the older aim goes first
+const LEAD_PART: Nanos = 4; // of a message's whole time: its end is decided earlier by no more
 const ROOM: f64 = 0.05; // places of those held that are kept free for newcomers
 
 impl Relay {
@@ -76,21 +77,35 @@
         self.book.hosts_of(dest).iter().filter(ready).map(|h| self.fee(*h)).fold(f64::INFINITY, f64::min)
     }
 
+    /// How long before a message's end its final answer is decided: longer where that takes time to arrive, by a part of its
+    /// whole time at most.
+    pub(super) fn end_margin(&self, m: &Message) -> Nanos {
+        ANSWER_MARGIN + self.book.lead.min(m.deadline.saturating_sub(m.taken) / LEAD_PART)
+    }
+
     /// Final answers for messages that no allowed attempt can still serve.
     pub(super) fn end_hopeless(&mut self) {
         if self.now < self.book.next_end {
             return;
         }
-        let mut over = self.book.ends.take(self.now + ANSWER_MARGIN);
-        let hopeless = |m: &Message| {
+        let until = self.now + ANSWER_MARGIN + self.book.lead;
+        let (mut over, mut next_end) = (Vec::new(), Nanos::MAX);
+        for id in self.book.ends.take(until) {
+            let Some(m) = self.book.messages.get(&id) else { continue };
+            let ends_at = self.end(m).saturating_sub(self.end_margin(m));
             let spent = m.attempts >= m.rules.max_attempts;
-            let ran_out = self.now + ANSWER_MARGIN >= self.end(m);
             let lost = m.may_have_run.is_some() && m.rules.class.repeat == Repeat::Unsafe;
-            (!m.out && (spent || ran_out || lost)) || self.now + ANSWER_MARGIN >= m.deadline
-        };
-        over.retain(|id| self.book.messages.get(id).is_some_and(hopeless));
+            let is_hopeless = !m.out && (spent || self.now >= ends_at || lost);
+            let must_end_at = m.deadline.saturating_sub(self.end_margin(m));
+            match is_hopeless || self.now >= must_end_at {
+                true => over.push(id),
+                false => next_end = next_end.min(if m.out { must_end_at } else { ends_at }),
+            }
+        }
         over.into_iter().for_each(|id| self.give_up(id));
-        self.book.next_end = self.book.ends.first().map_or(Nanos::MAX, |t| t.saturating_sub(ANSWER_MARGIN));
+        let behind = self.book.ends.first_behind(until);
+        let behind = behind.map_or(Nanos::MAX, |t| t.saturating_sub(ANSWER_MARGIN + self.book.lead));
+        self.book.next_end = next_end.min(behind);
     }
 
     /// Refused where no effect can be repeated by it, with advice on when to come back; else failed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod maintenance;
 pub mod membership;
 pub mod memory;
+pub mod notices;
 pub mod operator;
 pub mod program;
 pub mod protocol;
--- /dev/null
+++ b/src/notices/mod.rs
@@ -0,0 +1,15 @@
+//! Notices to the platform, without I/O: which ends of messages go in which request and when, how many requests may be open
+//! beside one another, and how much earlier ends have to be decided where the way to the platform is slow.
+//!
+//! An end is told again, in a further request, while earlier ones that hold it stay open and may still be acknowledged. Ends that
+//! were not told yet and those that are told again take turns, each in the order in which they are due, so that none waits for
+//! the acknowledgement of another.
+#![warn(missing_docs)]
+
+mod attempts;
+mod schedule;
+mod way;
+
+pub use attempts::{AttemptNo, Attempts};
+pub use schedule::{Begin, Failure, Figures, Schedule, ENDS_MOST};
+pub use way::Way;
--- /dev/null
+++ b/src/notices/schedule.rs
@@ -0,0 +1,407 @@
+//! The ends that are owed, and the requests that tell them.
+
+use super::attempts::{AttemptNo, Attempts};
+use super::way::Way;
+use crate::interface::Nanos;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+const MS: Nanos = 1_000_000;
+/// Ends in one request at most.
+pub const ENDS_MOST: usize = 256;
+/// The same where the way is slow or not known, of ends that are told the first time: many go side by side, since a request may
+/// take its time by its length.
+const ENDS_SIDE_BY_SIDE: usize = 10;
+/// Requests that are open at once at most: descriptors are kept for these and for discovery.
+const OPEN_MOST: usize = 8;
+/// Of them, those that tell ends again where the way is slow: they may be as slow as the first.
+const AGAIN_MOST: usize = 3;
+/// For each request that is open the next one begins so much later, so that a platform that is slow because it is crowded is
+/// asked less often. One that is full does not wait.
+const GAP_EACH: Nanos = 10 * MS;
+/// So many tries of one end follow one another at the same interval; each further interval is twice as long.
+const TRIES_AT_ONCE: u32 = 6;
+/// The longest time between two tries of one end.
+const TRY_AGAIN_MOST: Nanos = 1_000 * MS;
+/// The next request behind one that was refused or closed, and behind many of those.
+const FAILED_GAP: (Nanos, Nanos) = (50 * MS, 200 * MS);
+/// So many failures in a row are many.
+const FAILURES_MANY: u32 = 10;
+
+/// The number of a message.
+type MessageNo = u64;
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The platform answered that it cannot read it.
+    Unreadable,
+    /// The platform gave another answer, with this status.
+    Refused(u16),
+    /// The connection did not come up, or ended before an answer.
+    Unanswered,
+}
+
+/// A request that is to be made now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Begin {
+    /// Its number.
+    pub request: AttemptNo,
+    /// The messages whose ends it tells.
+    pub ends: Vec<MessageNo>,
+    /// A request that is given up for it.
+    pub given_up: Option<AttemptNo>,
+}
+
+/// What is owed, for the log and the console. Times are nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Ends that are not acknowledged.
+    pub owed: usize,
+    /// How long the oldest of them has waited.
+    pub oldest: Nanos,
+    /// By when the first of them must have been read.
+    pub first_limit: Option<Nanos>,
+    /// Requests that are open.
+    pub open: usize,
+    /// Requests that were begun, that were given up for others, and that failed, since the start.
+    pub begun: u64,
+    /// See above.
+    pub given_up: u64,
+    /// See above.
+    pub failed: u64,
+    /// What acknowledgements take.
+    pub acknowledged_in: Nanos,
+    /// How much earlier ends are decided.
+    pub lead: Nanos,
+    /// Ends that were acknowledged after their limits.
+    pub violations: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OwedEnd {
+    decided: Nanos,
+    /// By when the platform must have read it.
+    limit: Nanos,
+    tries: u32,
+    /// When it may be told again; it is told at once where it is 0.
+    rests_until: Nanos,
+    /// How many ends its next request may hold: one that could not be read is looked for by halves.
+    share: usize,
+}
+
+impl OwedEnd {
+    fn rank(&self, no: MessageNo) -> (u32, Nanos, MessageNo) {
+        (self.tries, self.limit, no)
+    }
+}
+
+/// Ends that are owed, and the requests that are open for them.
+#[derive(Debug)]
+pub struct Schedule {
+    ends: HashMap<MessageNo, OwedEnd>,
+    /// Those that were not told yet, by limit.
+    fresh: BTreeSet<(Nanos, MessageNo)>,
+    /// Those that may be told again now, by number of tries and limit.
+    again: BTreeSet<(u32, Nanos, MessageNo)>,
+    /// Whether the last request told ends again: the two take turns, so that neither holds up the other.
+    told_again: bool,
+    resting: BTreeSet<(Nanos, MessageNo)>,
+    by_age: BTreeSet<(Nanos, MessageNo)>,
+    by_limit: BTreeSet<(Nanos, MessageNo)>,
+    attempts: Attempts,
+    requests: HashMap<AttemptNo, Vec<MessageNo>>,
+    /// Those of them that tell ends again alone, and when they began.
+    repeats: BTreeMap<AttemptNo, Nanos>,
+    way: Way,
+    last_begun: Nanos,
+    /// No request begins before this, behind one that failed.
+    pause_until: Nanos,
+    failures: u32,
+    counts: Figures,
+}
+
+impl Default for Schedule {
+    fn default() -> Schedule {
+        Schedule {
+            ends: HashMap::new(),
+            fresh: BTreeSet::new(),
+            again: BTreeSet::new(),
+            told_again: false,
+            resting: BTreeSet::new(),
+            by_age: BTreeSet::new(),
+            by_limit: BTreeSet::new(),
+            attempts: Attempts::new(OPEN_MOST),
+            requests: HashMap::new(),
+            repeats: BTreeMap::new(),
+            way: Way::default(),
+            last_begun: 0,
+            pause_until: 0,
+            failures: 0,
+            counts: Figures::default(),
+        }
+    }
+}
+
+impl Schedule {
+    /// The end of a message is owed from now on, and must have been read at `limit`.
+    pub fn owe(&mut self, now: Nanos, no: MessageNo, limit: Nanos) {
+        self.settle(no);
+        let end = OwedEnd { decided: now, limit, tries: 0, rests_until: 0, share: ENDS_MOST };
+        self.ends.insert(no, end);
+        self.fresh.insert((limit, no));
+        self.by_age.insert((now, no));
+        self.by_limit.insert((limit, no));
+    }
+
+    /// Whether nothing is owed.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// The request that is to be made now, if any.
+    pub fn begin(&mut self, now: Nanos) -> Option<Begin> {
+        self.wake(now);
+        if !self.is_ready() || self.begins_at() > now {
+            return None;
+        }
+        let (request, given_up) = self.attempts.begin(now, self.way.patience())?;
+        if let Some(given_up) = given_up {
+            self.close(given_up);
+            self.counts.given_up += 1;
+        }
+        let ends = self.pick(now);
+        if self.told_again {
+            self.repeats.insert(request, now);
+        }
+        for no in &ends {
+            self.tried(now, *no);
+        }
+        self.requests.insert(request, ends.clone());
+        self.last_begun = now;
+        self.counts.begun += 1;
+        Some(Begin { request, ends, given_up })
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.fresh.is_empty() || !self.again.is_empty()
+    }
+
+    /// When ends may be told again that are ready for it: on a slow way not before most of the latest repeats had their time.
+    fn repeats_at(&self) -> Nanos {
+        let latest = self.repeats.values().rev().nth(AGAIN_MOST - 1);
+        match (self.again.is_empty(), self.way.is_fast()) {
+            (true, _) => Nanos::MAX,
+            (false, true) => 0,
+            (false, false) => latest.map_or(0, |begun| begun + self.way.patience()),
+        }
+    }
+
+    fn close(&mut self, request: AttemptNo) -> Option<Vec<MessageNo>> {
+        self.repeats.remove(&request);
+        self.requests.remove(&request)
+    }
+
+    /// Those that are due first, as many as may share a request. Where the way is slow those to be told again do not make a
+    /// request longer that tells others the first time.
+    fn pick(&mut self, now: Nanos) -> Vec<MessageNo> {
+        let most = self.ends_in_one();
+        let fresh = self.fresh.iter().map(|(_, no)| *no);
+        let again = self.again.iter().map(|(.., no)| *no);
+        if self.way.is_fast() {
+            self.told_again = false;
+            return self.share(fresh.chain(again), most);
+        }
+        let tells_again = self.fresh.is_empty() || (!self.told_again && self.repeats_at() <= now);
+        let ends = match tells_again {
+            true => self.share(again, ENDS_MOST),
+            false => self.share(fresh, most),
+        };
+        self.told_again = tells_again;
+        ends
+    }
+
+    /// How many ends go in one request.
+    fn ends_in_one(&self) -> usize {
+        match self.way.is_fast() {
+            true => ENDS_MOST,
+            false => (self.fresh.len() / OPEN_MOST).clamp(ENDS_SIDE_BY_SIDE, ENDS_MOST),
+        }
+    }
+
+    /// The first of these, as many as may share a request.
+    fn share(&self, candidates: impl Iterator<Item = MessageNo>, most: usize) -> Vec<MessageNo> {
+        let mut ends = Vec::new();
+        let mut most = most;
+        for no in candidates {
+            most = most.min(self.ends[&no].share);
+            if ends.len() >= most {
+                break;
+            }
+            ends.push(no);
+        }
+        ends
+    }
+
+    fn tried(&mut self, now: Nanos, no: MessageNo) {
+        let Some(end) = self.ends.get_mut(&no) else { return };
+        self.fresh.remove(&(end.limit, no));
+        self.again.remove(&end.rank(no));
+        end.tries += 1;
+        let longer = end.tries.saturating_sub(TRIES_AT_ONCE).min(8);
+        end.rests_until = now + (self.way.try_again_after() << longer).min(TRY_AGAIN_MOST);
+        self.resting.insert((end.rests_until, no));
+    }
+
+    fn wake(&mut self, now: Nanos) {
+        while let Some((until, no)) = self.resting.first().copied().filter(|(until, _)| *until <= now) {
+            self.resting.remove(&(until, no));
+            if let Some(end) = self.ends.get(&no) {
+                self.again.insert(end.rank(no));
+            }
+        }
+        if let Some((decided, _)) = self.by_age.first() {
+            self.way.delayed(now, now.saturating_sub(*decided));
+        }
+    }
+
+    /// When a request may begin for what is ready.
+    fn begins_at(&self) -> Nanos {
+        let is_full = self.fresh.len() >= self.ends_in_one();
+        let gap = if is_full { 0 } else { GAP_EACH * self.attempts.open() as Nanos };
+        let free = self.attempts.free_at(self.way.patience());
+        let ready = if self.fresh.is_empty() { self.repeats_at() } else { 0 };
+        (self.last_begun + gap).max(self.pause_until).max(free).max(ready)
+    }
+
+    /// When `begin` is wanted next.
+    pub fn due(&self) -> Nanos {
+        let woken = self.resting.first().map_or(Nanos::MAX, |(until, _)| *until);
+        match self.is_ready() {
+            true => self.begins_at(),
+            false => woken,
+        }
+    }
+
+    /// A request was acknowledged. Returns the messages whose ends were still owed, and the requests that nothing is waited
+    /// for any more.
+    pub fn acknowledged(&mut self, now: Nanos, request: AttemptNo) -> (Vec<MessageNo>, Vec<AttemptNo>) {
+        let begun = self.attempts.end(request);
+        if let Some(begun) = begun {
+            self.way.acknowledged(now.saturating_sub(begun));
+        }
+        self.failures = 0;
+        let told = self.close(request).unwrap_or_default();
+        let mut settled = Vec::new();
+        for no in told {
+            if let Some(end) = self.settle(no) {
+                self.way.delayed(now, now.saturating_sub(end.decided));
+                self.counts.violations += u64::from(now > end.limit);
+                settled.push(no);
+            }
+        }
+        (settled, self.close_needless())
+    }
+
+    /// Closes the requests all of whose ends are acknowledged.
+    fn close_needless(&mut self) -> Vec<AttemptNo> {
+        let ends = &self.ends;
+        let is_needless = |members: &[MessageNo]| members.iter().all(|no| !ends.contains_key(no));
+        let needless = self.requests.iter().filter(|(_, members)| is_needless(members));
+        let needless: Vec<AttemptNo> = needless.map(|(request, _)| *request).collect();
+        for request in &needless {
+            self.close(*request);
+            self.attempts.end(*request);
+        }
+        needless
+    }
+
+    /// A request failed: its ends may be told again.
+    pub fn failed(&mut self, now: Nanos, request: AttemptNo, failure: Failure) {
+        self.attempts.end(request);
+        let Some(members) = self.close(request) else { return };
+        self.counts.failed += 1;
+        self.failures += 1;
+        let (few, many) = FAILED_GAP;
+        let pause = if self.failures > FAILURES_MANY { many } else { few };
+        if failure != Failure::Unreadable {
+            self.pause_until = now + pause;
+        }
+        let share = (members.len() / 2).max(1);
+        for no in members {
+            let Some(end) = self.ends.get_mut(&no) else { continue };
+            if failure == Failure::Unreadable {
+                end.share = end.share.min(share);
+            }
+            // One that cannot be read even alone rests as one that is not acknowledged.
+            if failure != Failure::Unreadable || share > 1 || end.tries <= TRIES_AT_ONCE {
+                self.resting.remove(&(end.rests_until, no));
+                self.again.insert(end.rank(no));
+            }
+        }
+    }
+
+    /// Nothing is owed of this message any more.
+    fn settle(&mut self, no: MessageNo) -> Option<OwedEnd> {
+        let end = self.ends.remove(&no)?;
+        self.fresh.remove(&(end.limit, no));
+        self.again.remove(&end.rank(no));
+        self.resting.remove(&(end.rests_until, no));
+        self.by_age.remove(&(end.decided, no));
+        self.by_limit.remove(&(end.limit, no));
+        Some(end)
+    }
+
+    /// The same, where that was heard otherwise.
+    pub fn forget(&mut self, no: MessageNo) {
+        self.settle(no);
+    }
+
+    /// All that are owed, the first due first; nothing is owed from now on.
+    pub fn take_all(&mut self) -> Vec<MessageNo> {
+        let all = self.by_limit.iter().map(|(_, no)| *no).collect();
+        self.clear();
+        all
+    }
+
+    /// The platform is somewhere else: what is owed has been told to nobody there.
+    pub fn moved(&mut self) {
+        self.attempts.clear();
+        self.requests.clear();
+        self.repeats.clear();
+        self.resting.clear();
+        self.again.clear();
+        (self.pause_until, self.failures, self.way) = (0, 0, Way::default());
+        for (no, end) in &mut self.ends {
+            (end.tries, end.rests_until, end.share) = (0, 0, ENDS_MOST);
+            self.fresh.insert((end.limit, *no));
+        }
+    }
+
+    /// Nothing is owed here any more.
+    pub fn clear(&mut self) {
+        *self = Schedule { way: self.way, counts: self.counts, ..Schedule::default() };
+    }
+
+    /// The platform answered something else so much later than it was to.
+    pub fn answered_late(&mut self, now: Nanos, late: Nanos) {
+        self.way.answered_late(now, late);
+    }
+
+    /// How much earlier ends have to be decided now.
+    pub fn lead(&self, now: Nanos) -> Nanos {
+        self.way.lead(now)
+    }
+
+    /// What is owed now.
+    pub fn figures(&self, now: Nanos) -> Figures {
+        Figures {
+            owed: self.ends.len(),
+            oldest: self.by_age.first().map_or(0, |(decided, _)| now.saturating_sub(*decided)),
+            first_limit: self.by_limit.first().map(|(limit, _)| *limit),
+            open: self.attempts.open(),
+            acknowledged_in: self.way.acknowledged_in(),
+            lead: self.way.lead(now),
+            ..self.counts
+        }
+    }
+}
--- /dev/null
+++ b/src/notices/way.rs
@@ -0,0 +1,96 @@
+//! What is known of the way to the platform: how long acknowledgements take, and how long ends took to be acknowledged.
+
+use crate::interface::Nanos;
+
+const MS: Nanos = 1_000_000;
+/// The part of a new observation in the smoothed time of acknowledgements.
+const SMOOTHING: f64 = 0.25;
+/// The longest delay of late counts half as much after this time.
+const DELAY_HALVES: Nanos = 10_000 * MS;
+/// A delay up to this is within the slack of the platform's rule, and takes no lead.
+const DELAY_USUAL: Nanos = 100 * MS;
+/// The most that ends are decided earlier.
+const LEAD_MOST: Nanos = 1_000 * MS;
+/// Other answers that are later tell nothing of the way.
+const ANSWER_LATE_MOST: Nanos = 1_500 * MS;
+/// Between two tries of one end, where acknowledgements are fast and where they are slow.
+const TRY_AGAIN: (Nanos, Nanos) = (50 * MS, 250 * MS);
+/// An open request is kept at least and at most so long where another is wanted in its place.
+const PATIENCE: (Nanos, Nanos) = (300 * MS, 5_000 * MS);
+/// By how many times the usual time of an acknowledgement a request is kept.
+const PATIENCE_FACTOR: f64 = 3.0;
+const TRY_AGAIN_FACTOR: f64 = 1.5;
+/// A way on which acknowledgements take less is fast.
+const FAST: f64 = 20.0 * MS as f64;
+
+/// What acknowledgements took of late. Times are nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// From the beginning of a request to its acknowledgement, smoothed; 0: none came yet.
+    acknowledged_in: f64,
+    /// The longest time between an end and its acknowledgement, and when it was seen.
+    delay: (Nanos, Nanos),
+}
+
+impl Way {
+    /// A request was acknowledged after so long.
+    pub fn acknowledged(&mut self, took: Nanos) {
+        let took = took as f64;
+        self.acknowledged_in = match self.acknowledged_in {
+            0.0 => took,
+            usual => usual + SMOOTHING * (took - usual),
+        };
+    }
+
+    /// An end has waited so long for its acknowledgement, or still does.
+    pub fn delayed(&mut self, now: Nanos, delay: Nanos) {
+        if delay >= self.longest_delay(now) {
+            self.delay = (delay, now);
+        }
+    }
+
+    /// Something else came so late from there. What is later than a way can be tells of the one who answers.
+    pub fn answered_late(&mut self, now: Nanos, late: Nanos) {
+        if late <= ANSWER_LATE_MOST {
+            self.delayed(now, late);
+        }
+    }
+
+    fn longest_delay(&self, now: Nanos) -> Nanos {
+        let (delay, seen) = self.delay;
+        let halvings = now.saturating_sub(seen) as f64 / DELAY_HALVES as f64;
+        (delay as f64 * 0.5f64.powf(halvings)) as Nanos
+    }
+
+    /// What an acknowledgement takes, in nanoseconds; 0 where none came yet.
+    pub fn acknowledged_in(&self) -> Nanos {
+        self.acknowledged_in as Nanos
+    }
+
+    /// How much earlier ends have to be decided, so that they arrive in their time.
+    pub fn lead(&self, now: Nanos) -> Nanos {
+        match self.longest_delay(now) {
+            delay if delay > DELAY_USUAL => delay.min(LEAD_MOST),
+            _ => 0,
+        }
+    }
+
+    /// Whether acknowledgements are known to come at once.
+    pub fn is_fast(&self) -> bool {
+        self.acknowledged_in > 0.0 && self.acknowledged_in < FAST
+    }
+
+    /// Between two tries of one end.
+    pub fn try_again_after(&self) -> Nanos {
+        bounded(self.acknowledged_in * TRY_AGAIN_FACTOR, TRY_AGAIN)
+    }
+
+    /// How long an open request is kept at least where another is wanted.
+    pub fn patience(&self) -> Nanos {
+        bounded(self.acknowledged_in * PATIENCE_FACTOR, PATIENCE)
+    }
+}
+
+fn bounded(time: f64, (least, most): (Nanos, Nanos)) -> Nanos {
+    (time as Nanos).clamp(least, most)
+}
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -18,7 +18,7 @@
 use crate::operator::Operator;
 use crate::protocol::console::{self, Answer, Asked};
 use crate::protocol::discovery::Names;
-use crate::protocol::platform::Platform;
+use crate::protocol::platform::{notice_figures, Platform};
 use crate::protocol::smpp::config::SmppConfig;
 use crate::routing::handover::{Hello, Operated, VERSION};
 use crate::routing::{Classes, Clock, Desk};
@@ -260,6 +260,11 @@
             return Answer { status: StatusCode::OK, text: Some(memory.figures()) };
         }
         (_, None) => false,
+        (Asked::Notices, Some(desk)) => {
+            let now = desk.clock.now();
+            let text = notice_figures(now, &desk.front.owed(now));
+            return Answer { status: StatusCode::OK, text: Some(text) };
+        }
         (Asked::Health, Some(desk)) => desk.roles.serves(),
         (Asked::Operate(operation), Some(desk)) => match desk.operate(&operation).await {
             Some(Operated::Unknown) => return StatusCode::NOT_FOUND.into(),
--- a/src/protocol/console.rs
+++ b/src/protocol/console.rs
@@ -35,6 +35,8 @@
     Health,
     /// What it holds in memory.
     Memory,
+    /// Which ends it owes to the platform.
+    Notices,
     /// To put an operation in force.
     Operate(Operation),
 }
@@ -69,6 +71,7 @@
     let question = match call {
         "health" => Some(Asked::Health),
         "memory" => Some(Asked::Memory),
+        "notices" => Some(Asked::Notices),
         _ => None,
     };
     if let Some(question) = question {
--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -1,6 +1,7 @@
 //! Notices to the platform: how transactions ended that were not delivered. Each is told until the platform
 //! has acknowledged it.
 
+use crate::notices::Failure;
 use crate::routing::transactions::Ending;
 use crate::routing::End;
 use crate::transport::connection::read_body;
@@ -11,16 +12,15 @@
 use hyper::header::CONNECTION;
 use hyper::{Request, StatusCode};
 use std::fmt::Write;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// The platform answers at once: a connection that does not has fallen silent, and an end that is told late is
-/// an end that is not told.
-const PATIENCE: Duration = Duration::from_millis(100);
+/// Neither the connection nor the answer is waited for longer. Before that a request is given up for another, where one is
+/// wanted in its place.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(120);
 const ANSWER_MOST: usize = 64 * 1024;
-/// Notices in one request at most.
-pub const MOST: usize = 200;
 
 /// One line of the request.
 pub fn line(id: &str, ending: Ending, into: &mut String) {
@@ -50,11 +50,19 @@
     })
 }
 
-/// Posts lines; `Ok` once the platform has acknowledged them, else the answer that it gave, if any. All
-/// acknowledgements read alike, so each is waited for on a connection of its own, where no other can come.
-pub async fn post(net: &Net, agent: SocketAddr, lines: String) -> Result<(), Option<StatusCode>> {
-    let told = async {
-        let mut line = Line::open(net, agent, PATIENCE, ANSWER_MOST, 0).await.ok()?;
+/// A connection for one request.
+pub async fn open(net: &Net, agent: SocketAddr) -> io::Result<Line> {
+    Line::open(net, agent, ANSWERED_WITHIN, ANSWER_MOST, 0).await
+}
+
+/// Posts lines, on this connection where one is given; `Ok` once the platform has acknowledged them. All acknowledgements read alike, so each is waited for on a
+/// connection of its own, where no other can come.
+pub async fn post(net: &Net, agent: SocketAddr, opened: Option<Line>, lines: String) -> Result<(), Failure> {
+    let answered = async {
+        let mut line = match opened {
+            Some(line) => line,
+            None => open(net, agent).await.ok()?,
+        };
         let body = Bytes::from(lines);
         let len = body.len();
         let request = Request::post("/v1/notices")
@@ -68,8 +76,10 @@
         read_body(response.into_body(), ANSWER_MOST).await?;
         Some(status)
     };
-    match timeout(PATIENCE, told).await.ok().flatten() {
+    match timeout(ANSWERED_WITHIN, answered).await.ok().flatten() {
         Some(StatusCode::NO_CONTENT) => Ok(()),
-        other => Err(other),
+        Some(StatusCode::BAD_REQUEST) => Err(Failure::Unreadable),
+        Some(status) => Err(Failure::Refused(status.as_u16())),
+        None => Err(Failure::Unanswered),
     }
 }
--- a/src/protocol/platform/ends.rs
+++ b/src/protocol/platform/ends.rs
@@ -1,26 +1,40 @@
-//! Ends on their way to the platform: each is sent again until it is acknowledged.
+//! Ends on their way to the platform: each is sent until it is acknowledged, as [`Schedule`] says.
 
 use super::super::notices;
+use super::notice_log::NoticeLog;
+use super::standby::Standby;
 use super::Platform;
-use crate::routing::{Desk, TransactionNo};
-use hyper::StatusCode;
+use crate::interface::Nanos;
+use crate::notices::{AttemptNo, Begin, Failure, Figures, Schedule};
+use crate::routing::{message_log, Core, Desk, TransactionNo};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::sleep;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::sleep_until;
 
-/// Between two tries to tell the platform.
-const NOTICE_RETRY: Duration = Duration::from_millis(50);
+/// The platform has to read an end so long behind its message's deadline.
+const SLACK: Nanos = 300_000_000;
+/// No end is overdue before this time behind a start.
+const START_SLACK: Nanos = 1_500_000_000;
+/// A lead that differs by less from the one in force changes nothing.
+const LEAD_STEP: Nanos = 20_000_000;
+/// What is owed, and what will be, is looked at so often.
+const LOOK_EACH: Nanos = 100_000_000;
+
+/// A request that has come to its end, and what it came to.
+type Ended = (AttemptNo, Result<(), Failure>);
 
 /// Tells the platform of ends, wherever it moves, until each is acknowledged. Where there is no platform, the
 /// log is told.
 pub async fn tell_ends(desk: Rc<Desk<Platform>>) {
     let mut agent = desk.front.agent.subscribe();
+    desk.front.started.get_or_init(|| desk.clock.now());
     loop {
         let at = *agent.borrow_and_update();
         let telling = async {
             match at {
-                Some(at) => tell_agent(&desk, at).await,
+                Some(at) => Telling::new(&desk, at).run().await,
                 None => log_ends(&desk).await,
             }
         };
@@ -28,82 +42,133 @@
             () = telling => {}
             _ = agent.changed() => {}
         }
+        desk.front.owed.borrow_mut().moved();
     }
 }
 
-/// Tells ends at one address, those that come meanwhile together. What is owed stays in line until it is
-/// acknowledged: the address may change at any moment.
-async fn tell_agent(desk: &Rc<Desk<Platform>>, agent: SocketAddr) {
-    let front = &desk.front;
-    let (mut most, mut failing) = (notices::MOST, false);
-    let mut tries = 0u32;
-    loop {
-        let batch: Vec<TransactionNo> = front.owed.borrow().iter().take(most).copied().collect();
-        if batch.is_empty() {
-            front.more_owed.notified().await;
-            continue;
+impl Platform {
+    /// These ends are owed from now on.
+    pub(super) fn owe(&self, desk: &Rc<Desk<Self>>, nos: &[TransactionNo]) {
+        let now = desk.clock.now();
+        let not_before = *self.started.get_or_init(|| now) + START_SLACK;
+        for no in nos {
+            let Some(deadline) = desk.see(|core| core.transaction(*no).map(|t| t.deadline)) else { continue };
+            self.owed.borrow_mut().owe(now, *no, (deadline + SLACK).max(not_before));
         }
-        let mut text = String::new();
-        for no in &batch {
-            let owed = desk.see(|core| core.transaction(*no).and_then(|t| Some((t.id.clone(), t.ending?))));
-            if let Some((id, ending)) = owed {
-                notices::line(&id, ending, &mut text);
-            }
-        }
-        let told = match text.is_empty() {
-            true => Ok(()),
-            false => notices::post(&front.net, agent, text).await,
-        };
-        match told {
-            Ok(()) => {
-                (most, failing, tries) = (notices::MOST, false, 0);
-                front.owed.borrow_mut().drain(..batch.len());
-                desk.act(|core, now| batch.into_iter().for_each(|no| core.acknowledged(now, no)));
+        self.more_owed.notify_one();
+    }
+
+    /// What is owed to the platform at this time.
+    pub fn owed(&self, now: Nanos) -> Figures {
+        self.owed.borrow().figures(now)
+    }
+}
+
+/// Tells ends at one address.
+struct Telling<'a> {
+    desk: &'a Rc<Desk<Platform>>,
+    agent: SocketAddr,
+    open: JoinSet<Ended>,
+    handles: HashMap<AttemptNo, AbortHandle>,
+    standby: Standby,
+    log: NoticeLog,
+    lead: Nanos,
+}
+
+impl Telling<'_> {
+    fn new(desk: &Rc<Desk<Platform>>, agent: SocketAddr) -> Telling<'_> {
+        let (open, handles) = (JoinSet::new(), HashMap::new());
+        let standby = Standby::new(desk.front.net.clone(), agent);
+        Telling { desk, agent, open, handles, standby, log: NoticeLog::default(), lead: 0 }
+    }
+
+    fn schedule<R>(&self, f: impl FnOnce(&mut Schedule) -> R) -> R {
+        f(&mut self.desk.front.owed.borrow_mut())
+    }
+
+    async fn run(mut self) {
+        loop {
+            let now = self.desk.clock.now();
+            while let Some(begin) = self.schedule(|schedule| schedule.begin(now)) {
+                self.begin(begin);
             }
-            Err(status) => {
-                tries += 1;
-                log_owed(desk, batch.len(), tries, status);
-                // What cannot be read must not hold up the rest: one by one until one is taken.
-                if status == Some(StatusCode::BAD_REQUEST) {
-                    most = 1;
-                }
-                if most == 1 {
-                    front.owed.borrow_mut().rotate_left(1);
-                }
-                match status {
-                    Some(status) => {
-                        let status = status.as_u16();
-                        tracing::warn!(target: "platform", event = "notices-refused", status, "notices: not taken, told again");
-                    }
-                    None if failing => {}
-                    // One connection that has fallen silent or was closed: the next try is on a new one.
-                    None => {
-                        tracing::warn!(target: "platform", event = "notices-unanswered", "notices: no answer, told again");
-                        failing = true;
-                        continue;
+            let connected_in = self.standby.take_slowest().as_nanos() as Nanos;
+            self.schedule(|schedule| schedule.answered_late(now, connected_in));
+            self.decide_earlier(now);
+            self.standby.keep(now, self.desk.see(Core::first_end), self.lead);
+            self.log.look(now, self.schedule(|schedule| schedule.figures(now)));
+            let due = self.schedule(|schedule| schedule.due()).min(now + LOOK_EACH);
+            tokio::select! {
+                Some(ended) = self.open.join_next() => {
+                    if let Ok((request, told)) = ended {
+                        self.ended(request, told);
                     }
                 }
-                sleep(NOTICE_RETRY).await;
+                () = sleep_until(self.desk.clock.instant(due)) => {}
+                () = self.desk.front.more_owed.notified() => {}
             }
         }
     }
-}
 
-/// Tells how many ends are owed and how late the first is, and why a try failed.
-fn log_owed(desk: &Rc<Desk<Platform>>, sent: usize, tries: u32, status: Option<StatusCode>) {
-    let (count, first) = {
-        let owed = desk.front.owed.borrow();
-        (owed.len(), owed.front().copied())
-    };
-    let deadline = first.and_then(|no| desk.see(|core| core.transaction(no).map(|t| t.deadline)));
-    let overdue_ms = deadline.map_or(0, |at| desk.clock.now().saturating_sub(at) / 1_000_000);
-    let status = status.map(|status| status.as_u16());
-    tracing::info!(target: "platform", event = "ends-owed", count, overdue_ms, sent, tries, status, "ends wait for the platform's acknowledgement");
+    fn begin(&mut self, begin: Begin) {
+        let Begin { request, ends, given_up } = begin;
+        if let Some(handle) = given_up.and_then(|given_up| self.handles.remove(&given_up)) {
+            handle.abort();
+        }
+        let mut text = String::new();
+        self.desk.see(|core| {
+            for no in &ends {
+                let Some((t, ending)) = core.transaction(*no).and_then(|t| Some((t, t.ending?))) else {
+                    continue;
+                };
+                notices::line(&t.id, ending, &mut text);
+                message_log::notice_sent(t, request);
+            }
+        });
+        let (net, agent, opened) = (self.desk.front.net.clone(), self.agent, self.standby.take());
+        let post = async move {
+            let line = match opened {
+                Some(opened) => opened.line().await,
+                None => None,
+            };
+            let told = match text.is_empty() {
+                true => Ok(()),
+                false => notices::post(&net, agent, line, text).await,
+            };
+            (request, told)
+        };
+        self.handles.insert(request, self.open.spawn_local(post));
+    }
+
+    fn ended(&mut self, request: AttemptNo, told: Result<(), Failure>) {
+        self.handles.remove(&request);
+        let now = self.desk.clock.now();
+        if let Err(failure) = told {
+            self.log.failed(failure);
+            return self.schedule(|schedule| schedule.failed(now, request, failure));
+        }
+        let (settled, needless) = self.schedule(|schedule| schedule.acknowledged(now, request));
+        needless.iter().filter_map(|request| self.handles.remove(request)).for_each(|handle| handle.abort());
+        self.desk.see(|core| {
+            settled.iter().filter_map(|no| core.transaction(*no)).for_each(message_log::notice_acknowledged)
+        });
+        self.desk.act(|core, now| settled.into_iter().for_each(|no| core.acknowledged(now, no)));
+    }
+
+    /// Has ends be decided earlier, or not so early any more, as the way to the platform is.
+    fn decide_earlier(&mut self, now: Nanos) {
+        let lead = self.schedule(|schedule| schedule.lead(now));
+        let is_new = lead.abs_diff(self.lead) >= LEAD_STEP || (lead == 0) != (self.lead == 0);
+        if is_new {
+            self.lead = lead;
+            self.desk.act(|core, now| core.decide_earlier(now, lead));
+        }
+    }
 }
 
 async fn log_ends(desk: &Rc<Desk<Platform>>) {
     loop {
-        let owed = std::mem::take(&mut *desk.front.owed.borrow_mut());
+        let owed = desk.front.owed.borrow_mut().take_all();
         for no in owed {
             let mut text = String::new();
             let told = desk.see(|core| core.transaction(no).and_then(|t| Some((t.id.clone(), t.ending?))));
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -4,9 +4,12 @@
 mod ends;
 mod intake;
 mod meaning;
+mod notice_log;
+mod standby;
 
 pub use ends::tell_ends;
 pub use intake::answer;
+pub use notice_log::text as notice_figures;
 
 use call::{admitted, conclude, exchange, log_call, unanswered};
 use meaning::cut_off;
@@ -17,6 +20,7 @@
 use crate::batching::fate::{fate, Break, Fate};
 use crate::interface::{Nanos, Outcome};
 use crate::memory::MemoryBudget;
+use crate::notices::Schedule;
 use crate::routing::core::{Carried, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
@@ -28,8 +32,7 @@
 use crate::transport::tap::Tapped;
 use crate::transport::Pool;
 use hyper::StatusCode;
-use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::cell::{OnceCell, RefCell};
 use std::future::{ready, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -81,7 +84,10 @@
     pub draining: watch::Sender<bool>,
     /// Who holds how much of the room for messages.
     shares: RefCell<MessageShares>,
-    owed: RefCell<VecDeque<TransactionNo>>,
+    /// Ends that the platform has not acknowledged.
+    owed: RefCell<Schedule>,
+    /// When the first end was owed, or the platform was told the first time.
+    started: OnceCell<Nanos>,
     more_owed: Notify,
 }
 
@@ -95,10 +101,11 @@
         memory: Rc<MemoryBudget>,
     ) -> Self {
         let (owed, more_owed) = (RefCell::default(), Notify::new());
+        let started = OnceCell::new();
         let classes = RefCell::new(Rc::new(classes));
         let (agent, draining) = (watch::Sender::new(agent), watch::Sender::new(false));
         let shares = RefCell::default();
-        Platform { net, pool, pipelines, memory, classes, agent, draining, shares, owed, more_owed }
+        Platform { net, pool, pipelines, memory, classes, agent, draining, shares, owed, started, more_owed }
     }
 }
 
@@ -179,14 +186,21 @@
         conclude(exchanged, lease, hop, &letters, &self.pool)
     }
 
-    fn ended(&self, _: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
-        self.owed.borrow_mut().extend(nos);
-        self.more_owed.notify_one();
+    fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
+        self.owe(desk, &nos);
     }
 
     fn over(&self, nos: &[TransactionNo]) {
         let mut shares = self.shares.borrow_mut();
-        nos.iter().for_each(|no| shares.over(*no));
+        let mut owed = self.owed.borrow_mut();
+        for no in nos {
+            shares.over(*no);
+            owed.forget(*no);
+        }
+    }
+
+    fn way_is_late(&self, now: Nanos, late: Duration) {
+        self.owed.borrow_mut().answered_late(now, late.as_nanos() as Nanos);
     }
 
     fn drain(&self, draining: bool) {
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -45,6 +45,17 @@
         self.absorb(now, picked);
     }
 
+    /// When the first message that has no end yet comes to it.
+    pub fn first_end(&self) -> Option<Nanos> {
+        self.facade.first_end()
+    }
+
+    /// Ends take so long to arrive that they are decided so much earlier from now on.
+    pub fn decide_earlier(&mut self, now: Nanos, lead: Nanos) {
+        let picked = self.facade.decide_earlier(now, lead);
+        self.absorb(now, picked);
+    }
+
     /// Answers that came to calls of an earlier core, or that another process made: those after which no call may follow
     /// count for their messages all the same.
     pub fn answered_before(&mut self, now: Nanos, answers: &[(TransactionNo, Reply)]) {
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -14,6 +14,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
@@ -31,6 +32,8 @@
     fn over(&self, _nos: &[TransactionNo]) {}
     /// Idle connections to this next hop are not to be used any more.
     fn distrust(&self, endpoint: EndpointId);
+    /// The way to where ends are told is so slow, as something else that came from there shows.
+    fn way_is_late(&self, _now: Nanos, _late: Duration) {}
     /// Callers are sent away from now on, or may come again.
     fn drain(&self, _draining: bool) {}
     /// Another process decides from now on, and tells what ends are owed.
--- a/src/routing/message_log.rs
+++ b/src/routing/message_log.rs
@@ -52,6 +52,16 @@
     tracing::debug!(target: TARGET, event = "message-ending", id = %t.id, ?ending, written);
 }
 
+/// The end of a message goes to the platform, with this request.
+pub fn notice_sent(t: &Transaction, request: u64) {
+    tracing::debug!(target: TARGET, event = "message-notice-sent", id = %t.id, request);
+}
+
+/// The platform has acknowledged the end of a message.
+pub fn notice_acknowledged(t: &Transaction) {
+    tracing::debug!(target: TARGET, event = "message-notice-acknowledged", id = %t.id);
+}
+
 /// Nothing more is owed for a message.
 pub fn over(id: &str, how: impl fmt::Debug) {
     tracing::debug!(target: TARGET, event = "message-over", id, ?how);
--- a/tests/owed_ends/agent.rs
+++ b/tests/owed_ends/agent.rs
@@ -10,6 +10,11 @@
 use std::thread::{park, sleep, spawn};
 use std::time::{Duration, Instant};
 
+/// A connection that says nothing stays so, at most for so long.
+const SILENT_FOR: Duration = Duration::from_secs(60);
+/// Whether the other side has closed is looked at so often.
+const LOOK_EACH: Duration = Duration::from_millis(10);
+
 /// How the way to the agent treats connections from now on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Way {
@@ -120,13 +125,12 @@
     fn serve(&self, stream: TcpStream) {
         let way = *self.way.lock().unwrap();
         let (least, most) = way.up_after;
-        sleep(least + (most - least).mul_f64(self.chance()));
-        if is_closed(&stream) {
+        if closes_within(&stream, least + (most - least).mul_f64(self.chance())) {
             self.read.tell(|read| read.given_up += 1);
             return;
         }
         if self.chance() < way.silent {
-            wait_for_close(&stream);
+            closes_within(&stream, SILENT_FOR);
             return;
         }
         if self.chance() < way.closed {
@@ -137,7 +141,7 @@
         while let Some((head, body)) = request(&mut input) {
             let answered = match head[0].starts_with("POST") {
                 true => self.notices(way, &head, &body, input.get_ref()),
-                false => self.list(way, &head[0]),
+                false => self.list(way, &head[0], input.get_ref()),
             };
             let Some(text) = answered else { return };
             if output.write_all(text.as_bytes()).is_err() {
@@ -149,8 +153,7 @@
     fn notices(&self, way: Way, head: &[String], body: &[u8], stream: &TcpStream) -> Option<String> {
         let bytes = head.iter().map(String::len).sum::<usize>() + body.len();
         if let Some(millis) = (bytes as u64 * 1_000).checked_div(way.rate) {
-            sleep(Duration::from_millis(millis));
-            if is_closed(stream) {
+            if closes_within(stream, Duration::from_millis(millis)) {
                 self.read.tell(|read| read.given_up += 1);
                 return None;
             }
@@ -168,14 +171,16 @@
             ids.for_each(|id| read.ends.entry(id).or_insert((at, 0)).1 += 1);
         });
         if self.chance() < way.unanswered {
-            wait_for_close(stream);
+            closes_within(stream, SILENT_FOR);
+            return None;
+        }
+        if closes_within(stream, way.answer_after) {
             return None;
         }
-        sleep(way.answer_after);
         Some("HTTP/1.1 204 No Content\r\n\r\n".to_string())
     }
 
-    fn list(&self, way: Way, line: &str) -> Option<String> {
+    fn list(&self, way: Way, line: &str, stream: &TcpStream) -> Option<String> {
         let from = line.split("from=").nth(1).and_then(|rest| rest.split('&').next()?.parse::<u64>().ok());
         let since = Instant::now();
         while from.is_some_and(|from| from >= self.list.lock().unwrap().0)
@@ -183,7 +188,9 @@
         {
             sleep(Duration::from_millis(5));
         }
-        sleep(way.list_after);
+        if closes_within(stream, way.list_after) {
+            return None;
+        }
         let list = self.list.lock().unwrap().clone();
         self.read.tell(|read| read.lists.push(list.0));
         Some(ok(&whole(&list)))
@@ -199,10 +206,15 @@
     polled[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
 }
 
-fn wait_for_close(stream: &TcpStream) {
-    let from = Instant::now();
-    while !is_closed(stream) && from.elapsed() < Duration::from_secs(60) {
-        sleep(Duration::from_millis(10));
+/// Whether the other side closes within so long; else that time has passed.
+fn closes_within(stream: &TcpStream, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || is_closed(stream) {
+            return is_closed(stream);
+        }
+        sleep(left.min(LOOK_EACH));
     }
 }
 
--- a/tests/owed_ends/rig.rs
+++ b/tests/owed_ends/rig.rs
@@ -163,5 +163,8 @@
     let handed = rig.hand_in(240, Duration::from_secs(1));
     let outcome = rig.outcome(&handed, Duration::from_secs(4));
     println!("{way:?}: {outcome:?}");
+    rig.process
+        .log
+        .tell(|lines| lines.iter().filter(|line| line.contains("ends-owed")).for_each(|l| println!("{l}")));
     outcome
 }
--- a/tests/owed_ends/ways.rs
+++ b/tests/owed_ends/ways.rs
@@ -7,8 +7,8 @@
 
 /// Tries for one end at most, of all that may be needed on the worst of these ways.
 const TOLD_MOST: u32 = 12;
-/// Connections to the agent at once at most.
-const OPEN_MOST: usize = 14;
+/// Connections to the agent at once at most: the descriptors that the program keeps for them.
+const OPEN_MOST: usize = 16;
 
 /// Each of these, at the same time: none is late, and none is told without bound.
 fn all_in_time(ways: &[Way]) {
