Take a list however late it is answered, beside the questions after it

Cause: src/protocol/discovery/request.rs closed the connection of a question when its patience was over, and asked anew with the same patience.

--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -8,6 +8,7 @@
 use crate::routing::{Desk, Front};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 
@@ -143,4 +144,9 @@
         self.0.settled().await;
         self.0.in_force.set(Some(seq));
     }
+
+    fn answered(&self, late: Duration) {
+        let desk = &self.0.desk;
+        desk.front.way_is_late(desk.clock.now(), late);
+    }
 }
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -12,6 +12,7 @@
 mod known;
 mod limits;
 mod patience;
+mod questions;
 mod receiver;
 mod request;
 mod trouble;
@@ -27,11 +28,12 @@
 use crate::fleet::{PollOutcome, PollSchedule};
 use crate::transport::network::Net;
 use backoff::Backoff;
-use request::{ask, Unheard};
+use questions::{Heard, Questions};
+use request::{Terms, Unheard};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use trouble::Trouble;
 
 /// Follows the list for good, wherever discovery moves: what the address left behind had still to say does
@@ -83,41 +85,70 @@
 
 impl<R: ListReceiver> Follower<R> {
     /// Follows the list at one address: the whole of it first, unless it is known, then its changes,
-    /// or where that is too much for discovery the whole of it again and again.
+    /// or where that is too much for discovery the whole of it again and again. A question that is not answered in time is
+    /// asked again, and its answer is taken all the same when it comes.
     async fn follow(&self, agent: SocketAddr, schedule: &mut PollSchedule, mut seq: Option<u64>) {
         let mut trouble = Trouble::default();
         let mut backoff = Backoff::new(schedule.chances_apart());
+        let mut questions = Questions::new(self.net.clone(), agent);
+        let mut ask_at = Some(Instant::now());
         loop {
-            let from = Instant::now();
-            let pause = match self.update(agent, schedule, seq).await {
+            if ask_at.is_some_and(|at| at <= Instant::now()) {
+                ask_at = questions.ask(terms(schedule, seq)).err();
+            }
+            let wake = ask_at.into_iter().chain(questions.overdue_at()).min();
+            let heard = tokio::select! {
+                heard = questions.heard() => heard,
+                () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => {
+                    if let Some(took) = questions.overdue() {
+                        trouble.tell(Unheard::Silent, self.limits.bytes);
+                        ask_at = Some(Instant::now() + pause_after(Unheard::Silent, took, schedule, &mut backoff));
+                    }
+                    continue;
+                }
+            };
+            let (asked, is_latest, no) = (heard.asked, heard.is_latest, heard.no);
+            let taken = self.take(heard, schedule, seq).await;
+            let took = asked.elapsed();
+            match taken {
                 Ok(version) => {
                     trouble.over();
                     backoff.reset();
                     seq = Some(version);
-                    schedule.pause(PollOutcome::List, from.elapsed())
+                    questions.forget_before(no);
+                    let pause = schedule.pause(PollOutcome::List, took);
+                    if is_latest {
+                        ask_at = Some(Instant::now() + pause);
+                    }
                 }
-                Err(unheard) => {
+                Err(unheard) if is_latest => {
                     trouble.tell(unheard, self.limits.bytes);
-                    pause_after(unheard, from.elapsed(), schedule, &mut backoff)
+                    let pause = pause_after(unheard, took, schedule, &mut backoff);
+                    ask_at = Some(Instant::now() + pause);
                 }
-            };
-            pass(pause).await;
+                // It was asked again already.
+                Err(_) => {}
+            }
         }
     }
 
-    /// Asks once, and puts in force what is new. Returns the version that is known from then on.
-    async fn update(
-        &self,
-        agent: SocketAddr,
-        schedule: &PollSchedule,
-        seq: Option<u64>,
-    ) -> Result<u64, Unheard> {
-        let mut answer = ask(&self.net, agent, seq, schedule).await?;
+    /// Puts in force what is new in an answer. Returns the version that is known from then on.
+    async fn take(&self, heard: Heard, schedule: &PollSchedule, seq: Option<u64>) -> Result<u64, Unheard> {
+        let mut answer = heard.answer?;
+        self.receiver.answered(heard.late);
         let asked = Instant::now();
         let mut draft = self.receiver.begin().await;
         answer.patience.excuse(asked.elapsed());
         let entry = |endpoint| self.receiver.entry(&mut draft, endpoint);
         let heading = answer.read(Decoder::new(&self.names), self.limits.bytes, entry).await?;
+        // Changes since another version than the one in force, or a list that is older: a later answer was faster.
+        let is_outdated = match heading.whole {
+            true => !heard.is_latest && seq.is_some_and(|seq| heading.seq < seq),
+            false => heard.from != seq,
+        };
+        if is_outdated {
+            return Ok(seq.unwrap_or(heading.seq));
+        }
         if seq != Some(heading.seq) || (heading.whole && schedule.watches()) {
             heading.skipped.tell();
             self.receiver.commit(draft, heading.seq, heading.whole).await;
@@ -126,6 +157,12 @@
     }
 }
 
+/// What is asked for next.
+fn terms(schedule: &PollSchedule, seq: Option<u64>) -> Terms {
+    let watch = seq.filter(|_| schedule.watches()).map(|seq| (seq, schedule.hold()));
+    Terms { watch, patience: schedule.patience() }
+}
+
 /// Before the next question, after one that was waited for so long.
 fn pause_after(
     unheard: Unheard,
--- a/src/protocol/discovery/receiver.rs
+++ b/src/protocol/discovery/receiver.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::Endpoint;
 use std::future::Future;
+use std::time::Duration;
 
 /// Takes lists in as they are decoded.
 pub trait ListReceiver {
@@ -13,4 +14,6 @@
     fn entry(&self, draft: &mut Self::Draft, endpoint: Endpoint);
     /// The list came whole: puts it in force, and returns once it is (goes on even if the caller stops waiting).
     fn commit(&self, draft: Self::Draft, seq: u64, whole: bool) -> impl Future<Output = ()>;
+    /// Discovery began to answer a question so much later than it was to.
+    fn answered(&self, _late: Duration) {}
 }
--- a/src/protocol/discovery/request.rs
+++ b/src/protocol/discovery/request.rs
@@ -4,7 +4,6 @@
 use super::fault::ListFault;
 use super::patience::Patience;
 use crate::catalog::Endpoint;
-use crate::fleet::PollSchedule;
 use crate::transport::connection::read_body;
 use crate::transport::network::Net;
 use crate::transport::Line;
@@ -12,13 +11,15 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::yield_now;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at, Instant};
 
-/// A connection to the agent is up at once, or it is down.
-const CONNECTED: Duration = Duration::from_millis(500);
+/// An answer that does not begin by then never will.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(60);
 /// Most bytes of the body of a refusal.
 const REFUSAL_MOST: usize = 64 * 1024;
 /// After so many bytes parsed the event loop has its turn: well under a millisecond.
@@ -49,28 +50,34 @@
     _line: Line,
 }
 
-/// Asks for the list, or for its changes since `seq`, on a connection of its own: an earlier list that came again would
-/// pass as the newer one.
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// The version from which only changes are asked for, and for how long discovery may wait for one; none: the whole list.
+    pub watch: Option<(u64, Duration)>,
+    /// How long the pieces of the answer are waited for.
+    pub patience: Duration,
+}
+
+/// Asks for the list, or for its changes, on a connection of its own: an earlier list that came again would pass as the newer
+/// one. `connected` is set once the connection is up.
 pub async fn ask(
-    net: &Net,
+    net: Net,
     agent: SocketAddr,
-    seq: Option<u64>,
-    schedule: &PollSchedule,
+    terms: Terms,
+    connected: Rc<Cell<Option<Instant>>>,
 ) -> Result<Answer, Unheard> {
-    let (path, hold) = match seq.filter(|_| schedule.watches()) {
-        None => ("/v1/endpoints".to_string(), Duration::ZERO),
-        Some(seq) => {
-            let hold = schedule.hold();
-            (format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis()), hold)
-        }
+    let path = match terms.watch {
+        None => "/v1/endpoints".to_string(),
+        Some((seq, hold)) => format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis()),
     };
     // The body is counted as it is read, so that its size can be told.
-    let opened = Line::open(net, agent, CONNECTED, usize::MAX, 0).await;
+    let opened = Line::open(&net, agent, ANSWERED_WITHIN, usize::MAX, 0).await;
     let mut line = opened.map_err(|_| Unheard::Silent)?;
+    connected.set(Some(Instant::now()));
     let request = Request::get(path).header("host", agent.to_string()).body(Full::new(Bytes::new()));
     let request = request.map_err(|_| Unheard::Silent)?;
-    let patience = Patience::new(hold, schedule.patience());
-    let answered = timeout_at(patience.head(), async {
+    let answered = timeout(ANSWERED_WITHIN, async {
         let response = line.send(request, 0).await.map_err(|_| Unheard::Silent)?;
         if response.status() == StatusCode::OK {
             return Ok(response.into_body());
@@ -79,7 +86,7 @@
         Err(refusal.map_or(Unheard::Silent, |_| Unheard::Refused))
     });
     let body = answered.await.unwrap_or(Err(Unheard::Silent))?;
-    Ok(Answer { body, patience, _line: line })
+    Ok(Answer { body, patience: Patience::new(Duration::ZERO, terms.patience), _line: line })
 }
 
 impl Answer {
