Write a turn's records in one write on another thread, and rest nothing on the loop

Class: a slow system call on the loop's thread stops every deadline.

What rests on a record waits for it: a 202, a call's first byte, an end (which is told in any case once its message's time is up). A failed write gives up what was only to be done and keeps what has happened for the next write, as before. A client that leaves before its 202 has its message withdrawn; an answer that waits longer than 300 ms is 504, since a process that follows could deliver the message. Nothing is taken on while a write takes over 150 ms. Tests that drive the core alone write at once, as before; tests/listing.rs awaits what is now a wait.

--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -145,7 +145,8 @@
 
     let listener = listen(&configuration, &net, inherited).await?;
     let address = listener.address().unwrap_or(configuration.listen);
-    let (timed, telling) = (desk.clone(), desk.clone());
+    let (timed, telling, writing) = (desk.clone(), desk.clone(), desk.clone());
+    keep_serving("the journal", &desk, move || writing.clone().write_records());
     keep_serving("the timer", &desk, move || timed.clone().keep_time());
     keep_serving("the notices", &desk, move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
@@ -281,7 +282,8 @@
     let calls = Counted::over(net, door.ledger().clone(), Purse::Calls);
     let desk = Desk::new(core, clock, Smpp::new(config, calls, clock.now()));
     desk.act(|_, _| ());
-    let timed = desk.clone();
+    let (timed, writing) = (desk.clone(), desk.clone());
+    keep_up("the SMPP journal", move || writing.clone().write_records());
     keep_up("the SMPP timer", move || timed.clone().keep_time());
     spawn_local(smpp::accept(desk.clone(), door, listener));
     tracing::info!(target: "relay", event = "serves", front = "smpp", %address, "smpp: serves on {address}");
--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -39,10 +39,10 @@
     let left =
         serving.map_or(0, |(desk, _)| desk.see(Core::open)) + smpp.map_or(0, |desk| desk.see(Core::open));
     if let Some((desk, _)) = platform {
-        desk.see(Core::ends);
+        desk.act(|core, _| core.ends());
     }
     if let Some(desk) = beside.smpp() {
-        desk.see(Core::ends);
+        desk.act(|core, _| core.ends());
     }
     tracing::info!(target: "relay", event = "ends", left, "ends with {left} transactions in the journal");
 }
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -131,7 +131,7 @@
             Err(NoLease::NotUp) => return passage.all(Outcome::NoConnection),
             Err(NoLease::OutOfRoom) => return passage.all(Outcome::NotSent),
         };
-        let letters = passage.begin(lease.via());
+        let letters = passage.begin(lease.via()).await;
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
         let Some((request, len)) = hook::request(hop.address, &letters, left).filter(|_| !letters.is_empty())
         else {
@@ -269,7 +269,7 @@
             return passage.all(Outcome::NotSent);
         };
         let via = place.via();
-        let letters = passage.begin(via);
+        let letters = passage.begin(via).await;
         let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
         let Some(request) = hook::wire(hop.address, &letters, left).filter(|_| !letters.is_empty()) else {
             return Carried::default();
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -125,7 +125,9 @@
         };
         let Some(seat) = seat else { return passage.all(Outcome::NoConnection) };
         // One submit a call: each message is a call of its own here.
-        let Some(letter) = passage.begin(seat.via()).into_iter().next() else { return Carried::default() };
+        let Some(letter) = passage.begin(seat.via()).await.into_iter().next() else {
+            return Carried::default();
+        };
         let Some(mut submit) = submit_of(&letter.body) else {
             return vec![(letter.attempt, Reply::Ended(Outcome::NotSent))].into();
         };
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -13,18 +13,29 @@
 /// What could not be written is tried again after this time.
 const WRITE_AGAIN: Nanos = 50_000_000;
 
+/// An end that is not told yet.
+#[derive(Debug)]
+struct WithheldEnd {
+    no: TransactionNo,
+    deadline: Nanos,
+    /// The number of its record; none where that could not be queued.
+    record: Option<u64>,
+}
+
 /// Ends that are not told yet since they are not written: a process that follows would know nothing of them, and could
 /// deliver what was handed back.
 #[derive(Debug, Default)]
 pub(super) struct Withheld {
-    ends: Vec<TransactionNo>,
+    ends: Vec<WithheldEnd>,
+    /// When the time of the first of them is up.
+    first: Option<Nanos>,
     /// When the journal is tried again, where it is behind.
     write_at: Option<Nanos>,
 }
 
 impl Withheld {
     pub fn due(&self) -> Nanos {
-        self.write_at.unwrap_or(Nanos::MAX)
+        self.write_at.unwrap_or(Nanos::MAX).min(self.first.unwrap_or(Nanos::MAX))
     }
 
     /// Plans another try where a record could not be written; whether it was.
@@ -113,9 +124,14 @@
         if let Some(t) = self.transactions.get(no) {
             message_log::ending(t, ending, written);
         }
-        match written {
+        let record = written.then(|| self.journal.queued());
+        match record.is_some_and(|record| record <= self.journal.complete()) {
             true => self.work.ended.push(no),
-            false => self.withheld.ends.push(no),
+            false => {
+                let deadline = self.transactions.get(no).map_or(now, |t| t.deadline);
+                self.withheld.first = Some(self.withheld.first.map_or(deadline, |first| first.min(deadline)));
+                self.withheld.ends.push(WithheldEnd { no, deadline, record });
+            }
         }
     }
 
@@ -161,15 +177,29 @@
         if self.withheld.due() > now {
             return;
         }
-        let written = self.journal.flush().is_ok();
-        self.withheld.write_at = (!written).then_some(now + WRITE_AGAIN);
-        let is_up = |no: &TransactionNo| self.transactions.get(*no).is_none_or(|t| t.deadline <= now);
-        let (told, kept) =
-            std::mem::take(&mut self.withheld.ends).into_iter().partition(|no| written || is_up(no));
-        self.withheld.ends = kept;
-        self.work.ended.extend::<Vec<TransactionNo>>(told);
-        if written {
-            self.work.notes.push(Note::new("journal-caught-up", "what has happened is written".to_string()));
+        if self.withheld.write_at.is_some_and(|at| at <= now) {
+            let written = self.journal.flush().is_ok();
+            self.withheld.write_at = (!written).then_some(now + WRITE_AGAIN);
+            if written {
+                self.work
+                    .notes
+                    .push(Note::new("journal-caught-up", "what has happened is written".to_string()));
+            }
         }
+        self.tell_written(now);
+    }
+
+    /// Tells the ends whose records are written, or whose time is up.
+    pub(super) fn tell_written(&mut self, now: Nanos) {
+        let (complete, is_behind) = (self.journal.complete(), self.journal.is_behind());
+        let is_told = |end: &WithheldEnd| match end.record {
+            _ if end.deadline <= now => true,
+            Some(record) => record <= complete,
+            None => !is_behind,
+        };
+        let (told, kept) = std::mem::take(&mut self.withheld.ends).into_iter().partition(is_told);
+        self.withheld.ends = kept;
+        self.withheld.first = self.withheld.ends.iter().map(|end| end.deadline).min();
+        self.work.ended.extend(Vec::into_iter(told).map(|end: WithheldEnd| end.no));
     }
 }
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -85,7 +85,7 @@
         self.last_words.forget(&offer.id);
         let t = Transaction::new(offer, class, now);
         let bytes = bytes_of(&t);
-        let no = match self.facade.full() {
+        let no = match self.facade.full() || self.is_folder_slow() {
             true => None,
             false => self.write_taken(t),
         };
@@ -136,6 +136,11 @@
         MessageCapacity { part, free }
     }
 
+    /// Messages that may be held at most.
+    pub fn held_most(&self) -> usize {
+        self.facade.held().1
+    }
+
     /// Whether what comes under this id is no new message.
     pub fn knows(&self, id: &str) -> bool {
         self.transactions.find(id).is_some() || self.transactions.closed().get(id).is_some()
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -8,6 +8,7 @@
 mod listing;
 mod maintenance;
 mod outcomes;
+mod records;
 mod retune;
 mod values;
 
@@ -32,7 +33,7 @@
 use std::rc::Rc;
 
 /// Advice for those turned away before the module was asked.
-const DOOR_ADVICE: Nanos = 1_000_000_000;
+pub(in crate::routing) const DOOR_ADVICE: Nanos = 1_000_000_000;
 
 pub struct Core {
     facade: Facade,
@@ -203,7 +204,8 @@
     }
 
     /// The process ends as it should.
-    pub fn ends(&self) {
+    pub fn ends(&mut self) {
+        self.journal.settle();
         self.journal.clear_holder();
     }
 
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,5 +1,6 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
+mod records;
 mod takeover;
 
 use super::core::{Carried, Core, Note, Offer, Taken, Work};
@@ -60,6 +61,10 @@
     reported: RefCell<Vec<(TransactionNo, Reply)>>,
     /// A call has its outcome.
     call_ended: Notify,
+    /// Records wait to be written.
+    to_write: Notify,
+    /// Records were written, or given up.
+    written: Notify,
     /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
     life: Cell<u32>,
 }
@@ -94,6 +99,8 @@
             roles: Roles::default(),
             reported: RefCell::default(),
             call_ended: Notify::new(),
+            to_write: Notify::new(),
+            written: Notify::new(),
             life: Cell::new(0),
         })
     }
@@ -110,7 +117,8 @@
             let time_left = deadline.saturating_sub(self.clock.now());
             let offer = Offer { time_left, ..offer.clone() };
             if self.roles.serves() {
-                return self.act(|core, now| core.take(now, offer));
+                let (taken, record) = self.act(|core, now| (core.take(now, offer), core.records_queued()));
+                return self.once_written(taken, record).await;
             }
             if let Some(successor) = self.roles.successor() {
                 if let Some(taken) = successor.take(offer).await {
@@ -152,12 +160,15 @@
 
     /// Does something to the core and sets going what comes of it.
     pub fn act<R>(self: &Rc<Self>, f: impl FnOnce(&mut Core, Nanos) -> R) -> R {
-        let (result, work, due) = {
+        let (result, work, due, wants_write) = {
             let mut core = self.core.borrow_mut();
             let before = core.due();
             let result = f(&mut core, self.clock.now());
-            (result, core.work(), core.due() < before)
+            (result, core.work(), core.due() < before, core.wants_write())
         };
+        if wants_write {
+            self.to_write.notify_one();
+        }
         if due {
             self.sooner.notify_one();
         }
--- /dev/null
+++ b/src/routing/desk/records.rs
@@ -0,0 +1,97 @@
+//! Waits of the desk for records of the journal, and the task that has them written beside the event loop.
+
+use super::{Desk, Front, Taken, TransactionNo};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_blocking, yield_now};
+use tokio::time::{sleep, timeout};
+
+/// An answer to a client waits so long for its record: the client gives up soon after.
+const ANSWER_WITHIN: Duration = Duration::from_millis(300);
+/// A write that failed is tried again after this time.
+const WRITE_AGAIN: Duration = Duration::from_millis(50);
+
+/// Has records be written on this thread again, whatever ends the task.
+struct Deferring<'a, F: Front>(&'a Rc<Desk<F>>);
+
+impl<F: Front> Drop for Deferring<'_, F> {
+    fn drop(&mut self) {
+        self.0.core.borrow_mut().defer_records(false);
+        self.0.written.notify_waiters();
+    }
+}
+
+/// Withdraws a message whose client is gone before it is answered.
+struct Unanswered<'a, F: Front> {
+    desk: &'a Rc<Desk<F>>,
+    no: Option<TransactionNo>,
+}
+
+impl<F: Front> Drop for Unanswered<'_, F> {
+    fn drop(&mut self) {
+        if let Some(no) = self.no.take() {
+            self.desk.withdraw(no);
+        }
+    }
+}
+
+impl<F: Front> Desk<F> {
+    /// Has the records of each turn written in one go, on another thread, for good.
+    pub async fn write_records(self: Rc<Self>) {
+        self.core.borrow_mut().defer_records(true);
+        let _deferring = Deferring(&self);
+        loop {
+            if !self.see(|core| core.wants_write()) {
+                self.to_write.notified().await;
+                // What else this turn has to write goes with it.
+                yield_now().await;
+                continue;
+            }
+            let Some(write) = self.core.borrow_mut().next_write() else { continue };
+            spawn_blocking(move || write.run()).await.ok();
+            let is_written = self.act(|core, now| core.records_written(now));
+            self.written.notify_waiters();
+            if !is_written {
+                sleep(WRITE_AGAIN).await;
+            }
+        }
+    }
+
+    /// Completes when this record is written, or given up.
+    pub(in crate::routing) async fn until_resolved(&self, record: u64) {
+        loop {
+            let written = self.written.notified();
+            if self.see(|core| core.is_resolved(record)) {
+                return;
+            }
+            written.await;
+        }
+    }
+
+    /// The answer to an offer, once what it says is written.
+    pub(super) async fn once_written(self: &Rc<Self>, taken: Taken, record: u64) -> Taken {
+        if self.see(|core| core.is_resolved(record)) && !self.is_given_up(taken) {
+            return taken;
+        }
+        let no = match taken {
+            Taken::On(no) => Some(no),
+            _ => None,
+        };
+        let mut unanswered = Unanswered { desk: self, no };
+        let in_time = timeout(ANSWER_WITHIN, self.until_resolved(record)).await.is_ok();
+        match taken {
+            _ if in_time && !self.is_given_up(taken) => {
+                unanswered.no = None;
+                taken
+            }
+            // It is withdrawn, and nothing of it is in the journal.
+            Taken::On(_) if in_time => Taken::Refused { after: super::super::core::DOOR_ADVICE, full: true },
+            // It may be in the journal, and a process that follows could deliver it: no promise can be made.
+            _ => Taken::Failed,
+        }
+    }
+
+    fn is_given_up(&self, taken: Taken) -> bool {
+        matches!(taken, Taken::On(no) if self.see(|core| core.has_unwritten(no)))
+    }
+}
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -9,13 +9,17 @@
 //! has happened already ([`Journal::note`]) is kept back and written first as soon as that is possible.
 
 mod behind;
+mod deferred;
+mod file;
 mod lock;
 mod open;
 mod preread;
+mod queue;
 mod record;
 mod replay;
 mod torn;
 
+pub use file::PendingWrite;
 pub use lock::{OpenError, WriterLock};
 pub use preread::Preread;
 pub use record::Record;
@@ -30,13 +34,14 @@
 use crate::maintenance::Maintenance;
 use behind::BehindMark;
 use bytes::Bytes;
+use file::SharedFile;
+use queue::Queue;
 use record::{closed_len, encode, set_ailing, Ailing};
 use replay::replay;
 use std::collections::{BTreeSet, HashMap};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
 
 const NAME: &str = "relay.journal";
 const COPY: &str = "relay.journal.new";
@@ -48,8 +53,6 @@
 const CLOSED_PART: u64 = 32;
 /// Below this size no copy is made for tidiness alone.
 const TIDY: u64 = 512 * 1024;
-/// A write that takes so long holds up all that the relay does.
-const SLOW_WRITE: Duration = Duration::from_millis(50);
 /// Kept free of the budget: sizes are counted in blocks, and other files lie beside the journal.
 const MARGIN: u64 = 16 * 1024;
 
@@ -57,7 +60,7 @@
 #[derive(Debug)]
 pub struct Journal {
     dir: PathBuf,
-    file: File,
+    file: SharedFile,
     /// None once the journal is another process's.
     lock: Option<WriterLock>,
     classes: Classes,
@@ -70,8 +73,13 @@
     unwritten: Vec<u8>,
     /// Tells the next process that there are such records.
     mark: BehindMark,
-    /// The file may hold part of a record behind its whole ones.
-    has_torn_tail: bool,
+    /// So many bytes of those are on their way.
+    unwritten_in_flight: usize,
+    /// Records are written by another thread.
+    is_deferred: bool,
+    queue: Queue,
+    /// A copy is to be made when no write is on its way.
+    wants_copy: bool,
     /// Bytes that the copy of each live transaction takes.
     live: HashMap<TransactionNo, u64>,
     live_bytes: u64,
@@ -87,14 +95,17 @@
 
     /// Bytes that it takes of memory: its file, and what could not be written yet.
     pub fn bytes_held(&self) -> u64 {
-        self.size + self.unwritten.len() as u64
+        self.size + self.unwritten.len() as u64 + self.queue.bytes()
     }
 
     /// Whether one more transaction fits with its copy and its outcomes; makes room first where it can.
     pub fn has_room(&mut self, t: &Transaction, all: &Transactions) -> bool {
         let more = 2 * self.copy_len(t) + ROOM_EACH;
         if !self.fits(more) && self.size > self.live_bytes + TIDY / 8 {
-            self.copy(all).ok();
+            match self.queue.in_flight_since() {
+                None => drop(self.copy(all)),
+                Some(_) => self.wants_copy = true,
+            }
         }
         self.fits(more)
     }
@@ -109,12 +120,15 @@
 
     fn fits(&self, more: u64) -> bool {
         let owed = self.live.len() as u64 * ROOM_EACH;
-        self.size + self.live_bytes + owed + more + self.closed_budget() <= self.budget
+        let size = self.size + self.queue.bytes();
+        size + self.live_bytes + owed + more + self.closed_budget() <= self.budget
     }
 
-    /// Writes a record of what is done only once it is written. On an error nothing of it stays.
+    /// Writes a record of what is done only once it is written, or queues it. On an error nothing of it stays.
     pub fn write(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
-        self.flush()?;
+        if !self.is_deferred {
+            self.flush()?;
+        }
         let class = match record {
             Record::Taken(t) => self.classes.key(t.class).filter(|key| !self.written.contains(key)),
             _ => None,
@@ -122,7 +136,10 @@
         // In one write: a transaction without its class would go by other rules.
         let mut bytes = class.map_or(Vec::new(), |key| self.encoded_class(key));
         bytes.extend(self.encoded(no, record));
-        self.append(&bytes)?;
+        match self.is_deferred {
+            true => self.queue_intent(no, class, bytes)?,
+            false => self.append(&bytes)?,
+        }
         self.written.extend(class);
         self.account(no, record);
         Ok(())
@@ -171,6 +188,9 @@
 
     /// Writes a record of what has happened already. An error is told, and the record kept until it can be written.
     pub fn note(&mut self, no: TransactionNo, record: &Record) -> io::Result<()> {
+        if self.is_deferred {
+            return self.queue_note(no, record);
+        }
         let bytes = self.encoded(no, record);
         self.unwritten.extend(bytes);
         self.account(no, record);
@@ -183,6 +203,9 @@
             self.mark.clear();
             return Ok(());
         }
+        if self.is_deferred {
+            return Err(io::Error::other("it is to be written by another thread"));
+        }
         let bytes = std::mem::take(&mut self.unwritten);
         let written = self.append(&bytes);
         match written {
@@ -194,6 +217,7 @@
 
     /// Gives the journal to another process: nothing is written here any more. Returns the records that could not be.
     pub fn release(&mut self) -> Vec<u8> {
+        self.settle();
         self.clear_holder();
         self.lock = None;
         std::mem::take(&mut self.unwritten)
@@ -224,37 +248,23 @@
         !self.unwritten.is_empty()
     }
 
-    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// Whether so many bytes more may be written.
+    fn check(&self, bytes: usize) -> io::Result<()> {
         if self.lock.is_none() {
             return Err(io::Error::other("the journal is another process's"));
         }
-        if self.size + self.live_bytes + bytes.len() as u64 > self.budget {
+        if self.size + self.queue.bytes() + self.live_bytes + bytes as u64 > self.budget {
             return Err(io::Error::other("the journal's budget is spent"));
         }
-        self.repair()?;
-        let from = Instant::now();
-        let written = self.file.write_all(bytes);
-        let took = from.elapsed();
-        if took >= SLOW_WRITE {
-            let (ms, bytes) = (took.as_millis() as u64, bytes.len());
-            tracing::warn!(target: "journal", event = "journal-slow", ms, bytes, "a write held the relay up");
-        }
-        if let Err(e) = written {
-            self.has_torn_tail = true;
-            self.repair().ok();
-            return Err(e);
-        }
-        self.size += bytes.len() as u64;
         Ok(())
     }
 
-    /// Cuts off what a failed write left behind the last whole record.
-    fn repair(&mut self) -> io::Result<()> {
-        if self.has_torn_tail {
-            self.file.set_len(self.size)?;
-            self.has_torn_tail = false;
-        }
-        Ok(())
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.check(bytes.len())?;
+        let mut file = self.file.lock();
+        let appended = file.append(bytes);
+        self.size = file.size;
+        appended
     }
 
     fn account(&mut self, no: TransactionNo, record: &Record) {
@@ -288,12 +298,17 @@
     /// Copies what is live into a new file when most of the present one is dead.
     pub fn tidy(&mut self, all: &Transactions) {
         if self.size > TIDY && self.size > 4 * self.live_bytes {
-            self.copy(all).ok();
+            match self.is_deferred {
+                true => self.wants_copy = true,
+                false => drop(self.copy(all)),
+            }
         }
     }
 
     /// Replaces the file by one of what is live. Where that fails, the present one goes on.
     fn copy(&mut self, all: &Transactions) -> io::Result<()> {
+        self.end_write().ok();
+        self.wants_copy = false;
         let mut bytes = self.encoded(0, &Record::AllAiling(&self.ailing));
         if self.maintenance != Maintenance::default() {
             bytes.extend(self.encoded(0, &Record::Maintenance(&self.maintenance)));
@@ -312,12 +327,12 @@
         let (path, copy) = (self.dir.join(NAME), self.dir.join(COPY));
         let replaced = write_new(&copy, &bytes).and_then(|file| fs::rename(&copy, &path).map(|()| file));
         let file = replaced.inspect_err(|_| drop(fs::remove_file(&copy)))?;
-        self.file = file;
         self.size = bytes.len() as u64;
-        self.has_torn_tail = false;
+        self.file.replace(file, self.size);
         self.written = written;
         // The copy is made of what is known, so it has these too.
         self.unwritten.clear();
+        self.queue.covered();
         self.mark.clear();
         Ok(())
     }
--- a/src/routing/journal/open.rs
+++ b/src/routing/journal/open.rs
@@ -1,6 +1,8 @@
 //! Opening a journal: what it holds is read, and what the process before may have known beyond that is allowed for.
 
 use super::behind::BehindMark;
+use super::file::SharedFile;
+use super::queue::Queue;
 use super::record::{encode, Record};
 use super::{
     remove_if_there, Journal, OpenError, Preread, Replayed, TornEnd, WriterLock, COPY, MARGIN, NAME,
@@ -65,6 +67,7 @@
         remove_if_there(&dir.join(COPY))?;
         let Preread { replayed, good, .. } = preread.go_on(&path, classes)?;
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        let file = SharedFile::new(file, good, replayed.torn > 0);
         let mut journal = Journal {
             dir: dir.to_path_buf(),
             file,
@@ -75,7 +78,10 @@
             size: good,
             unwritten: Vec::new(),
             mark: BehindMark::open(dir),
-            has_torn_tail: replayed.torn > 0,
+            unwritten_in_flight: 0,
+            is_deferred: false,
+            queue: Queue::default(),
+            wants_copy: false,
             live: HashMap::new(),
             live_bytes: 0,
             ailing: replayed.ailing.clone(),
@@ -85,7 +91,7 @@
             journal.count_live(no, t);
         }
         // Where that fails now, it is done before the next record.
-        journal.repair().ok();
+        journal.file.lock().repair().ok();
         Ok((journal, replayed))
     }
 }
--- a/src/routing/passage.rs
+++ b/src/routing/passage.rs
@@ -28,12 +28,29 @@
 }
 
 impl<F: Front> Passage<'_, F> {
-    /// Right before the first byte: the attempts that may still go, journaled as out.
-    pub fn begin(&self, via: Via) -> Vec<Letter> {
+    /// Right before the first byte: the attempts that may still go, journaled as out. None where the call is given up while
+    /// their records are written.
+    pub async fn begin(&self, via: Via) -> Vec<Letter> {
         if !self.desk.decides(self.life) {
             return Vec::new();
         }
-        self.desk.act(|core, now| core.begin(now, self.call, via))
+        let (letters, record) =
+            self.desk.act(|core, now| (core.begin(now, self.call, via), core.records_queued()));
+        if letters.is_empty() || self.desk.see(|core| core.is_resolved(record)) {
+            return self.written(letters);
+        }
+        tokio::select! {
+            () = self.desk.until_resolved(record) => {}
+            () = self.cancelled() => return Vec::new(),
+        }
+        // Time has passed, and another process may decide.
+        Some(self.written(letters)).filter(|letters| self.may_go_on(letters)).unwrap_or_default()
+    }
+
+    /// Those whose records could be written.
+    fn written(&self, mut letters: Vec<Letter>) -> Vec<Letter> {
+        self.desk.see(|core| letters.retain(|letter| !core.has_unwritten(letter.attempt.transaction)));
+        letters
     }
 
     /// All its attempts ended alike, before any was begun.
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -37,7 +37,7 @@
 
 impl Front for StandIn {
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
-        let letters = passage.begin(Via::default());
+        let letters = passage.begin(Via::default()).await;
         let Some(first) = letters.first() else { return passage.all(Outcome::NotSent) };
         self.begun.borrow_mut().push((passage.hop.name.clone(), first.id.clone()));
         while self.held.get() {
