Write the log on a thread of its own, so that one that nobody reads holds nothing up

Cause: src/program/log.rs gave tracing the plain standard error. The well-kept crate tracing-appender writes it on a thread of its own now; up to 4,096 lines wait, what comes beyond is lost and counted (log-lost), what waits is written before the process ends.

--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -91,7 +91,11 @@
             Ok(())
         }
         Command::CheckConfig(c) => check(c),
-        Command::Serve(s) => serve(s),
+        Command::Serve(s) => {
+            let served = serve(s);
+            log::finish();
+            served
+        }
         Command::Import(i) => print_import(&i.nginx),
         Command::Members(m) => fleet::members(&m.dir).map(|text| print!("{text}")),
     };
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 use tracing::field::{Field, Visit};
 use tracing::{Event, Level, Metadata};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{fmt, Layer};
@@ -57,6 +58,19 @@
     untold: u64,
 }
 
+/// Lines that wait to be written; beyond that they are lost, and counted.
+const LINES_MOST: usize = 4_096;
+
+/// The thread that writes the log: standard error may be a pipe that nobody reads.
+struct Writer {
+    lost: ErrorCounter,
+    lost_told: usize,
+    /// Dropped, it writes what waits.
+    _guard: WorkerGuard,
+}
+
+static WRITER: Mutex<Option<Writer>> = Mutex::new(None);
+
 static SHARED: OnceLock<Arc<Shared>> = OnceLock::new();
 
 /// Sets the log up for this process; a second call only changes its settings.
@@ -65,14 +79,22 @@
     if SHARED.set(shared.clone()).is_err() {
         return heed(said);
     }
+    let (writer, guard) =
+        NonBlockingBuilder::default().buffered_lines_limit(LINES_MOST).finish(std::io::stderr());
+    lock(&WRITER).replace(Writer { lost: writer.error_counter(), lost_told: 0, _guard: guard });
     let text =
-        fmt::layer().with_writer(std::io::stderr).with_filter(Lets { shared: shared.clone(), json: false });
-    let json = fmt::layer().json().flatten_event(true).with_writer(std::io::stderr);
+        fmt::layer().with_writer(writer.clone()).with_filter(Lets { shared: shared.clone(), json: false });
+    let json = fmt::layer().json().flatten_event(true).with_writer(writer);
     let json = json.with_filter(Lets { shared, json: true });
     tracing_subscriber::registry().with(text).with(json).try_init().ok();
     std::panic::set_hook(Box::new(tell_panic));
 }
 
+/// Writes what waits, before the process ends. What comes later is lost.
+pub fn finish() {
+    drop(lock(&WRITER).take());
+}
+
 /// A fault of the program is a line of the log, with its place.
 fn tell_panic(panic: &PanicHookInfo<'_>) {
     let at = panic.location().map(ToString::to_string).unwrap_or_default();
@@ -93,6 +115,7 @@
 /// Tells what was summed up, once it is a second old. Wanted about once a second.
 pub fn sum_up() {
     let Some(shared) = SHARED.get() else { return };
+    tell_lost();
     let mut summed = Vec::new();
     lock(&shared.kinds).retain(|kind, seen| {
         if seen.told.elapsed() < EACH {
@@ -108,6 +131,17 @@
     }
 }
 
+/// Tells how many lines could not be written, since nobody read those before.
+fn tell_lost() {
+    let mut writer = lock(&WRITER);
+    let Some(writer) = writer.as_mut() else { return };
+    let lost = writer.lost.dropped_lines();
+    let count = lost - std::mem::replace(&mut writer.lost_told, lost);
+    if count > 0 {
+        tracing::warn!(target: "relay", event = "log-lost", count, "lines of the log were lost");
+    }
+}
+
 /// A panic elsewhere does not make the log unusable.
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/tests/owed_ends/rig.rs
+++ b/tests/owed_ends/rig.rs
@@ -1,7 +1,7 @@
 //! One relay with an endpoint that never answers: whatever is taken on has to end by a notice in its time.
 
 use crate::agent::{silent_endpoint, Agent, Way};
-use crate::platform::{Platform, Process, Terms};
+use crate::platform::{Platform, Process, Terms, TELLS_LIVES};
 use crate::slow_folder::SlowFolder;
 use crate::stand_ins::{entry, folder, message_within, status, Told};
 use std::collections::BTreeMap;
@@ -57,14 +57,34 @@
 
 impl Rig {
     pub fn start(seed: u64) -> Rig {
+        let (agent, platform, folder) = Rig::scene(seed, Terms::default());
+        let process = platform.start_with(|command| folder.preload(command));
+        assert!(process.ready().is_some(), "{:?}", process.log.tell(|lines| lines.clone()));
+        Rig { agent, platform, process, folder }
+    }
+
+    /// The same with a log that tells much, and that nobody reads.
+    pub fn start_unread(seed: u64) -> Rig {
+        let (agent, platform, folder) = Rig::scene(seed, Terms { operator: TELLS_LIVES, ..Terms::default() });
+        let (pipe, operator) = (platform.dir.join("log"), platform.dir.join("relay.conf"));
+        // Both ends are open at the same process, so that it is neither closed nor read.
+        let line = format!(
+            "mkfifo \"{0}\"; exec 4<>\"{0}\"; exec \"$0\" serve --operator \"{1}\" 3<&0 0</dev/null 2>&4",
+            pipe.display(),
+            operator.display()
+        );
+        let process = platform.start_by(&line, |command| folder.preload(command));
+        assert!(process.ready().is_some());
+        Rig { agent, platform, process, folder }
+    }
+
+    fn scene(seed: u64, terms: Terms) -> (Agent, Platform, SlowFolder) {
         let known = entry("h", silent_endpoint(), "active");
         let agent = Agent::start(known.clone(), seed);
         let dir = folder();
-        let platform = Platform::new(&dir, &Terms::default(), agent.address, &known);
+        let platform = Platform::new(&dir, &terms, agent.address, &known);
         let slow = SlowFolder::new(&dir);
-        let process = platform.start_with(|command| slow.preload(command));
-        assert!(process.ready().is_some(), "{:?}", process.log.tell(|lines| lines.clone()));
-        Rig { agent, platform, process, folder: slow }
+        (agent, platform, slow)
     }
 
     /// The next process, behind a kill or for an upgrade.
--- a/tests/owed_ends/ways.rs
+++ b/tests/owed_ends/ways.rs
@@ -119,3 +119,14 @@
     assert_eq!(rig.platform.ask(&request), Some(202));
     assert!(served.until(Duration::from_secs(3), |served| served.contains_key("behind-the-list")).is_some());
 }
+
+/// Guards every deadline of the process from a log that nobody reads: once its pipe was full the event loop stood still.
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let rig = Rig::start_unread(1);
+    let handed = rig.hand_in(600, Duration::from_secs(2));
+    let outcome = rig.outcome(&handed, Duration::from_secs(3));
+    println!("{outcome:?}");
+    assert_eq!((outcome.late, outcome.never, outcome.unanswered), (0, 0, 0), "{outcome:?}");
+    assert!(outcome.taken >= 500, "{outcome:?}");
+}
