--- a/src/notices/schedule.rs
+++ b/src/notices/schedule.rs
@@ -9,8 +9,8 @@
 /// Ends in one request at most.
 pub const ENDS_MOST: usize = 256;
 /// The same where the way is slow or not known, of ends that are told the first time: many go side by side, since a request may
-/// take its time by its length.
-const ENDS_SIDE_BY_SIDE: usize = 10;
+/// take its time by its length. Where few may be opened more they hold more, but only a burst fills one.
+const ENDS_SIDE_BY_SIDE: (usize, usize) = (16, 48);
 /// Requests that are open at once at most: descriptors are kept for these and for discovery.
 const OPEN_MOST: usize = 8;
 /// Of them, those that tell ends again where the way is slow: they may be as slow as the first.
@@ -169,7 +169,7 @@
             self.close(given_up);
             self.counts.given_up += 1;
         }
-        let ends = self.pick(now);
+        let ends = self.pick(now, given_up.is_some());
         if self.told_again {
             self.repeats.insert(request, now);
         }
@@ -202,8 +202,8 @@
     }
 
     /// Those that are due first, as many as may share a request. Where the way is slow those to be told again do not make a
-    /// request longer that tells others the first time.
-    fn pick(&mut self, now: Nanos) -> Vec<MessageNo> {
+    /// request longer that tells others the first time, nor take a place from an earlier request before them.
+    fn pick(&mut self, now: Nanos, is_crowded: bool) -> Vec<MessageNo> {
         let most = self.ends_in_one();
         let fresh = self.fresh.iter().map(|(_, no)| *no);
         let again = self.again.iter().map(|(.., no)| *no);
@@ -211,7 +211,8 @@
             self.told_again = false;
             return self.share(fresh.chain(again), most);
         }
-        let tells_again = self.fresh.is_empty() || (!self.told_again && self.repeats_at() <= now);
+        let tells_again =
+            self.fresh.is_empty() || (!is_crowded && !self.told_again && self.repeats_at() <= now);
         let ends = match tells_again {
             true => self.share(again, ENDS_MOST),
             false => self.share(fresh, most),
@@ -222,10 +223,13 @@
 
     /// How many ends go in one request.
     fn ends_in_one(&self) -> usize {
-        match self.way.is_fast() {
-            true => ENDS_MOST,
-            false => (self.fresh.len() / OPEN_MOST).clamp(ENDS_SIDE_BY_SIDE, ENDS_MOST),
+        if self.way.is_fast() {
+            return ENDS_MOST;
         }
+        let (few, many) = ENDS_SIDE_BY_SIDE;
+        let free = OPEN_MOST.saturating_sub(self.attempts.open()).max(1);
+        let is_burst = self.fresh.len() >= OPEN_MOST * many;
+        (self.fresh.len() / free).clamp(few, if is_burst { ENDS_MOST } else { many })
     }
 
     /// The first of these, as many as may share a request.
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -38,6 +38,11 @@
         self.write_at.unwrap_or(Nanos::MAX).min(self.first.unwrap_or(Nanos::MAX))
     }
 
+    /// Whether ends wait for their records.
+    pub fn has_ends(&self) -> bool {
+        !self.ends.is_empty()
+    }
+
     /// Plans another try where a record could not be written; whether it was.
     pub fn plan_unless(&mut self, written: std::io::Result<()>, now: Nanos) -> bool {
         if written.is_err() {
--- a/src/routing/core/records.rs
+++ b/src/routing/core/records.rs
@@ -20,6 +20,11 @@
         self.journal.wants_write()
     }
 
+    /// Whether anything waits for what `next_write` writes.
+    pub fn is_write_urgent(&self) -> bool {
+        self.journal.has_intents() || self.withheld.has_ends()
+    }
+
     /// The records that wait, for another thread to write in one go.
     pub fn next_write(&mut self) -> Option<PendingWrite> {
         if self.journal.wants_copy() && self.journal.write_takes().is_zero() {
--- a/src/routing/desk/records.rs
+++ b/src/routing/desk/records.rs
@@ -8,6 +8,8 @@
 
 /// An answer to a client waits so long for its record: the client gives up soon after.
 const ANSWER_WITHIN: Duration = Duration::from_millis(300);
+/// Records that nothing waits for are written after this time, or with others before that.
+const GATHERED_FOR: Duration = Duration::from_millis(1);
 /// A write that failed is tried again after this time.
 const WRITE_AGAIN: Duration = Duration::from_millis(50);
 
@@ -47,6 +49,10 @@
                 yield_now().await;
                 continue;
             }
+            if !self.see(|core| core.is_write_urgent()) {
+                // What nothing waits for goes with what is waited for, where that comes soon.
+                timeout(GATHERED_FOR, self.until_urgent()).await.ok();
+            }
             let Some(write) = self.core.borrow_mut().next_write() else { continue };
             spawn_blocking(move || write.run()).await.ok();
             let is_written = self.act(|core, now| core.records_written(now));
@@ -57,6 +63,13 @@
         }
     }
 
+    async fn until_urgent(&self) {
+        while !self.see(|core| core.is_write_urgent()) {
+            self.to_write.notified().await;
+        }
+        yield_now().await;
+    }
+
     /// Completes when this record is written, or given up.
     pub(in crate::routing) async fn until_resolved(&self, record: u64) {
         loop {
--- a/src/routing/journal/deferred.rs
+++ b/src/routing/journal/deferred.rs
@@ -47,6 +47,11 @@
         self.is_deferred && waits && self.queue.in_flight_since().is_none() && self.lock.is_some()
     }
 
+    /// Whether something waits that others wait for.
+    pub fn has_intents(&self) -> bool {
+        self.queue.has_intents()
+    }
+
     /// A copy is to be made when no write is on its way.
     pub fn wants_copy(&self) -> bool {
         self.wants_copy
--- a/src/routing/journal/queue.rs
+++ b/src/routing/journal/queue.rs
@@ -24,6 +24,8 @@
     in_flight_since: Option<Instant>,
     /// Of all of these.
     bytes: u64,
+    /// Intents among those that wait.
+    intents: usize,
     /// The number of the last record that was queued, of the last one that is written or given up, and of the last one up to
     /// which nothing of what has happened is missing in the file.
     pub queued: u64,
@@ -36,6 +38,7 @@
 impl Queue {
     pub fn push(&mut self, record: Queued) {
         self.bytes += record.bytes.len() as u64;
+        self.intents += usize::from(record.is_intent);
         self.waiting.push(record);
         self.queued += 1;
     }
@@ -48,6 +51,11 @@
         !self.waiting.is_empty()
     }
 
+    /// Whether something waits that is done only once it is written.
+    pub fn has_intents(&self) -> bool {
+        self.intents > 0
+    }
+
     pub fn in_flight_since(&self) -> Option<Instant> {
         self.in_flight_since
     }
@@ -56,6 +64,7 @@
     pub fn begin(&mut self, before: &[u8]) -> Vec<u8> {
         self.in_flight = std::mem::take(&mut self.waiting);
         self.in_flight_since = Some(Instant::now());
+        self.intents = 0;
         let mut bytes = before.to_vec();
         self.in_flight.iter().for_each(|record| bytes.extend(&record.bytes));
         bytes
@@ -89,6 +98,7 @@
     pub fn covered(&mut self) {
         self.bytes -= bytes_of(&self.waiting);
         self.waiting.clear();
+        self.intents = 0;
         (self.resolved, self.complete) = (self.queued, self.queued);
     }
 
