Keep the values of the schedule of notices in a file of their own

Its messages (Begin, Failure, Figures) move to values.rs, and two names that spoke of telling speak of repeats.

--- a/src/notices/mod.rs
+++ b/src/notices/mod.rs
@@ -8,8 +8,10 @@
 
 mod attempts;
 mod schedule;
+mod values;
 mod way;
 
 pub use attempts::{AttemptNo, Attempts};
-pub use schedule::{Begin, Failure, Figures, Schedule, ENDS_MOST};
+pub use schedule::{Schedule, ENDS_MOST};
+pub use values::{Begin, Failure, Figures, MessageNo};
 pub use way::Way;
--- a/src/notices/schedule.rs
+++ b/src/notices/schedule.rs
@@ -1,6 +1,7 @@
 //! The ends that are owed, and the requests that tell them.
 
 use super::attempts::{AttemptNo, Attempts};
+use super::values::{Begin, Failure, Figures, MessageNo};
 use super::way::Way;
 use crate::interface::Nanos;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -27,56 +28,6 @@
 /// So many failures in a row are many.
 const FAILURES_MANY: u32 = 10;
 
-/// The number of a message.
-type MessageNo = u64;
-
-/// Why a request failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The platform answered that it cannot read it.
-    Unreadable,
-    /// The platform gave another answer, with this status.
-    Refused(u16),
-    /// The connection did not come up, or ended before an answer.
-    Unanswered,
-}
-
-/// A request that is to be made now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Begin {
-    /// Its number.
-    pub request: AttemptNo,
-    /// The messages whose ends it tells.
-    pub ends: Vec<MessageNo>,
-    /// A request that is given up for it.
-    pub given_up: Option<AttemptNo>,
-}
-
-/// What is owed, for the log and the console. Times are nanoseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    /// Ends that are not acknowledged.
-    pub owed: usize,
-    /// How long the oldest of them has waited.
-    pub oldest: Nanos,
-    /// By when the first of them must have been read.
-    pub first_limit: Option<Nanos>,
-    /// Requests that are open.
-    pub open: usize,
-    /// Requests that were begun, that were given up for others, and that failed, since the start.
-    pub begun: u64,
-    /// See above.
-    pub given_up: u64,
-    /// See above.
-    pub failed: u64,
-    /// What acknowledgements take.
-    pub acknowledged_in: Nanos,
-    /// How much earlier ends are decided.
-    pub lead: Nanos,
-    /// Ends that were acknowledged after their limits.
-    pub violations: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct OwedEnd {
     decided: Nanos,
@@ -104,7 +55,7 @@
     /// Those that may be told again now, by number of tries and limit.
     again: BTreeSet<(u32, Nanos, MessageNo)>,
     /// Whether the last request told ends again: the two take turns, so that neither holds up the other.
-    told_again: bool,
+    is_repeat_last: bool,
     resting: BTreeSet<(Nanos, MessageNo)>,
     by_age: BTreeSet<(Nanos, MessageNo)>,
     by_limit: BTreeSet<(Nanos, MessageNo)>,
@@ -126,7 +77,7 @@
             ends: HashMap::new(),
             fresh: BTreeSet::new(),
             again: BTreeSet::new(),
-            told_again: false,
+            is_repeat_last: false,
             resting: BTreeSet::new(),
             by_age: BTreeSet::new(),
             by_limit: BTreeSet::new(),
@@ -170,7 +121,7 @@
             self.counts.given_up += 1;
         }
         let ends = self.pick(now, given_up.is_some());
-        if self.told_again {
+        if self.is_repeat_last {
             self.repeats.insert(request, now);
         }
         for no in &ends {
@@ -208,16 +159,16 @@
         let fresh = self.fresh.iter().map(|(_, no)| *no);
         let again = self.again.iter().map(|(.., no)| *no);
         if self.way.is_fast() {
-            self.told_again = false;
+            self.is_repeat_last = false;
             return self.share(fresh.chain(again), most);
         }
-        let tells_again =
-            self.fresh.is_empty() || (!is_crowded && !self.told_again && self.repeats_at() <= now);
-        let ends = match tells_again {
+        let repeats_now =
+            self.fresh.is_empty() || (!is_crowded && !self.is_repeat_last && self.repeats_at() <= now);
+        let ends = match repeats_now {
             true => self.share(again, ENDS_MOST),
             false => self.share(fresh, most),
         };
-        self.told_again = tells_again;
+        self.is_repeat_last = repeats_now;
         ends
     }
 
--- /dev/null
+++ b/src/notices/values.rs
@@ -0,0 +1,54 @@
+//! What the schedule of notices is told and gives back.
+
+use super::attempts::AttemptNo;
+use crate::interface::Nanos;
+
+/// The number of a message.
+pub type MessageNo = u64;
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The platform answered that it cannot read it.
+    Unreadable,
+    /// The platform gave another answer, with this status.
+    Refused(u16),
+    /// The connection did not come up, or ended before an answer.
+    Unanswered,
+}
+
+/// A request that is to be made now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Begin {
+    /// Its number.
+    pub request: AttemptNo,
+    /// The messages whose ends it tells.
+    pub ends: Vec<MessageNo>,
+    /// A request that is given up for it.
+    pub given_up: Option<AttemptNo>,
+}
+
+/// What is owed, for the log and the console. Times are nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Ends that are not acknowledged.
+    pub owed: usize,
+    /// How long the oldest of them has waited.
+    pub oldest: Nanos,
+    /// By when the first of them must have been read.
+    pub first_limit: Option<Nanos>,
+    /// Requests that are open.
+    pub open: usize,
+    /// Requests that were begun, that were given up for others, and that failed, since the start.
+    pub begun: u64,
+    /// See above.
+    pub given_up: u64,
+    /// See above.
+    pub failed: u64,
+    /// What acknowledgements take.
+    pub acknowledged_in: Nanos,
+    /// How much earlier ends are decided.
+    pub lead: Nanos,
+    /// Ends that were acknowledged after their limits.
+    pub violations: u64,
+}
