--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -195,7 +195,7 @@
     }
 
     /// Tells the ends whose records are written, or whose time is up.
-    pub(super) fn tell_written(&mut self, now: Nanos) {
+    pub(in crate::routing) fn tell_written(&mut self, now: Nanos) {
         let (complete, is_behind) = (self.journal.complete(), self.journal.is_behind());
         let is_told = |end: &WithheldEnd| match end.record {
             _ if end.deadline <= now => true,
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -35,6 +35,8 @@
 impl Core {
     /// Stops deciding, and gives the journal away. `seq`: the version of discovery's list that is wholly in force.
     pub fn release(&mut self, now: Nanos, seq: Option<u64>) -> Released {
+        // What is written says how far the journal goes.
+        self.journal.settle();
         let (calls, given_up) = self.open_calls();
         let endpoints = self.catalog.iter().map(EndpointView::to_endpoint).collect();
         let mut keys: Vec<RestingKey> = self
--- a/src/routing/core/records.rs
+++ b/src/routing/core/records.rs
@@ -62,6 +62,11 @@
         self.journal.queued()
     }
 
+    /// The number of the last record that is written or given up.
+    pub fn records_resolved(&self) -> u64 {
+        self.journal.resolved()
+    }
+
     /// Whether this record, and all before it, are written or given up.
     pub fn is_resolved(&self, record: u64) -> bool {
         record <= self.journal.resolved()
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -162,8 +162,14 @@
     pub fn act<R>(self: &Rc<Self>, f: impl FnOnce(&mut Core, Nanos) -> R) -> R {
         let (result, work, due, wants_write) = {
             let mut core = self.core.borrow_mut();
-            let before = core.due();
-            let result = f(&mut core, self.clock.now());
+            let (before, resolved) = (core.due(), core.records_resolved());
+            let now = self.clock.now();
+            let result = f(&mut core, now);
+            // However that came about: by a write, or a copy that holds them.
+            if core.records_resolved() != resolved {
+                core.tell_written(now);
+                self.written.notify_waiters();
+            }
             (result, core.work(), core.due() < before, core.wants_write())
         };
         if wants_write {
--- a/src/routing/desk/records.rs
+++ b/src/routing/desk/records.rs
@@ -53,10 +53,9 @@
                 // What nothing waits for goes with what is waited for, where that comes soon.
                 timeout(GATHERED_FOR, self.until_urgent()).await.ok();
             }
-            let Some(write) = self.core.borrow_mut().next_write() else { continue };
+            let Some(write) = self.act(|core, _| core.next_write()) else { continue };
             spawn_blocking(move || write.run()).await.ok();
             let is_written = self.act(|core, now| core.records_written(now));
-            self.written.notify_waiters();
             if !is_written {
                 sleep(WRITE_AGAIN).await;
             }
