Log what an end waited for, stage by stage, where it comes near its limit

Change: each acknowledged end has the times of its stages (record, request, tries, connection, answer, hold-ups of the loop, the margin it had); the log tells of those within 0.1 s of their limits (end-near-limit), the console of the nearest one of the last minute.

--- a/src/notices/mod.rs
+++ b/src/notices/mod.rs
@@ -8,10 +8,12 @@
 
 mod attempts;
 mod schedule;
+mod stages;
 mod values;
 mod way;
 
 pub use attempts::{AttemptNo, Attempts};
 pub use schedule::{Schedule, ENDS_MOST};
-pub use values::{Begin, Failure, Figures, MessageNo};
+pub use stages::{Nearest, Stages};
+pub use values::{Acknowledged, Begin, Failure, Figures, MessageNo, OwedFrom};
 pub use way::Way;
--- a/src/notices/schedule.rs
+++ b/src/notices/schedule.rs
@@ -1,7 +1,8 @@
 //! The ends that are owed, and the requests that tell them.
 
 use super::attempts::{AttemptNo, Attempts};
-use super::values::{Begin, Failure, Figures, MessageNo};
+use super::stages::{Nearest, Stages};
+use super::values::{Acknowledged, Begin, Failure, Figures, MessageNo, OwedFrom};
 use super::way::Way;
 use crate::interface::Nanos;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -31,6 +32,12 @@
 #[derive(Clone, Copy, Debug)]
 struct OwedEnd {
     decided: Nanos,
+    /// When its record was written, or waited for no longer.
+    owed: Nanos,
+    /// When its first request began.
+    first_begun: Option<Nanos>,
+    /// For how long the loop had been held up in all when it was decided.
+    held_up_before: Nanos,
     /// By when the platform must have read it.
     limit: Nanos,
     tries: u32,
@@ -41,11 +48,34 @@
 }
 
 impl OwedEnd {
+    /// What it waited for, acknowledged now by a request that was begun then and had its connection then.
+    fn stages(&self, now: Nanos, begun: Nanos, connected: Nanos, held_up: Nanos) -> Stages {
+        let first_begun = self.first_begun.unwrap_or(begun);
+        Stages {
+            to_limit: self.limit as i64 - now as i64,
+            margin: self.limit as i64 - self.decided as i64,
+            record: self.owed.saturating_sub(self.decided),
+            request: first_begun.saturating_sub(self.owed),
+            tries: begun.saturating_sub(first_begun),
+            connection: connected.saturating_sub(begun),
+            answer: now.saturating_sub(connected.max(begun)),
+            held_up: held_up - self.held_up_before,
+            requests: self.tries,
+        }
+    }
+
     fn rank(&self, no: MessageNo) -> (u32, Nanos, MessageNo) {
         (self.tries, self.limit, no)
     }
 }
 
+/// A request that is open.
+#[derive(Debug)]
+struct OpenRequest {
+    begun: Nanos,
+    ends: Vec<MessageNo>,
+}
+
 /// Ends that are owed, and the requests that are open for them.
 #[derive(Debug)]
 pub struct Schedule {
@@ -60,7 +90,7 @@
     by_age: BTreeSet<(Nanos, MessageNo)>,
     by_limit: BTreeSet<(Nanos, MessageNo)>,
     attempts: Attempts,
-    requests: HashMap<AttemptNo, Vec<MessageNo>>,
+    requests: HashMap<AttemptNo, OpenRequest>,
     /// Those of them that tell ends again alone, and when they began.
     repeats: BTreeMap<AttemptNo, Nanos>,
     way: Way,
@@ -69,6 +99,9 @@
     pause_until: Nanos,
     failures: u32,
     counts: Figures,
+    /// For how long the event loop was held up in all.
+    held_up: Nanos,
+    nearest: Nearest,
 }
 
 impl Default for Schedule {
@@ -89,18 +122,29 @@
             pause_until: 0,
             failures: 0,
             counts: Figures::default(),
+            held_up: 0,
+            nearest: Nearest::default(),
         }
     }
 }
 
 impl Schedule {
-    /// The end of a message is owed from now on, and must have been read at `limit`.
-    pub fn owe(&mut self, now: Nanos, no: MessageNo, limit: Nanos) {
+    /// The end of a message is owed from now on.
+    pub fn owe(&mut self, now: Nanos, OwedFrom { no, decided, limit }: OwedFrom) {
         self.settle(no);
-        let end = OwedEnd { decided: now, limit, tries: 0, rests_until: 0, share: ENDS_MOST };
+        let end = OwedEnd {
+            decided,
+            owed: now,
+            first_begun: None,
+            held_up_before: self.held_up,
+            limit,
+            tries: 0,
+            rests_until: 0,
+            share: ENDS_MOST,
+        };
         self.ends.insert(no, end);
         self.fresh.insert((limit, no));
-        self.by_age.insert((now, no));
+        self.by_age.insert((decided, no));
         self.by_limit.insert((limit, no));
     }
 
@@ -127,7 +171,7 @@
         for no in &ends {
             self.tried(now, *no);
         }
-        self.requests.insert(request, ends.clone());
+        self.requests.insert(request, OpenRequest { begun: now, ends: ends.clone() });
         self.last_begun = now;
         self.counts.begun += 1;
         Some(Begin { request, ends, given_up })
@@ -147,7 +191,7 @@
         }
     }
 
-    fn close(&mut self, request: AttemptNo) -> Option<Vec<MessageNo>> {
+    fn close(&mut self, request: AttemptNo) -> Option<OpenRequest> {
         self.repeats.remove(&request);
         self.requests.remove(&request)
     }
@@ -202,6 +246,7 @@
         self.fresh.remove(&(end.limit, no));
         self.again.remove(&end.rank(no));
         end.tries += 1;
+        end.first_begun.get_or_insert(now);
         let longer = end.tries.saturating_sub(TRIES_AT_ONCE).min(8);
         end.rests_until = now + (self.way.try_again_after() << longer).min(TRY_AGAIN_MOST);
         self.resting.insert((end.rests_until, no));
@@ -237,31 +282,31 @@
         }
     }
 
-    /// A request was acknowledged. Returns the messages whose ends were still owed, and the requests that nothing is waited
-    /// for any more.
-    pub fn acknowledged(&mut self, now: Nanos, request: AttemptNo) -> (Vec<MessageNo>, Vec<AttemptNo>) {
-        let begun = self.attempts.end(request);
-        if let Some(begun) = begun {
+    /// A request was acknowledged, whose connection was up at `connected`.
+    pub fn acknowledged(&mut self, now: Nanos, request: AttemptNo, connected: Nanos) -> Acknowledged {
+        if let Some(begun) = self.attempts.end(request) {
             self.way.acknowledged(now.saturating_sub(begun));
         }
         self.failures = 0;
-        let told = self.close(request).unwrap_or_default();
         let mut settled = Vec::new();
-        for no in told {
-            if let Some(end) = self.settle(no) {
+        if let Some(OpenRequest { begun, ends }) = self.close(request) {
+            for no in ends {
+                let Some(end) = self.settle(no) else { continue };
                 self.way.delayed(now, now.saturating_sub(end.decided));
                 self.counts.violations += u64::from(now > end.limit);
-                settled.push(no);
+                let stages = end.stages(now, begun, connected, self.held_up);
+                self.nearest.note(now, stages);
+                settled.push((no, stages));
             }
         }
-        (settled, self.close_needless())
+        Acknowledged { settled, needless: self.close_needless() }
     }
 
     /// Closes the requests all of whose ends are acknowledged.
     fn close_needless(&mut self) -> Vec<AttemptNo> {
         let ends = &self.ends;
         let is_needless = |members: &[MessageNo]| members.iter().all(|no| !ends.contains_key(no));
-        let needless = self.requests.iter().filter(|(_, members)| is_needless(members));
+        let needless = self.requests.iter().filter(|(_, open)| is_needless(&open.ends));
         let needless: Vec<AttemptNo> = needless.map(|(request, _)| *request).collect();
         for request in &needless {
             self.close(*request);
@@ -273,7 +318,7 @@
     /// A request failed: its ends may be told again.
     pub fn failed(&mut self, now: Nanos, request: AttemptNo, failure: Failure) {
         self.attempts.end(request);
-        let Some(members) = self.close(request) else { return };
+        let Some(OpenRequest { ends: members, .. }) = self.close(request) else { return };
         self.counts.failed += 1;
         self.failures += 1;
         let (few, many) = FAILED_GAP;
@@ -334,7 +379,8 @@
 
     /// Nothing is owed here any more.
     pub fn clear(&mut self) {
-        *self = Schedule { way: self.way, counts: self.counts, ..Schedule::default() };
+        let (way, counts, held_up, nearest) = (self.way, self.counts, self.held_up, self.nearest);
+        *self = Schedule { way, counts, held_up, nearest, ..Schedule::default() };
     }
 
     /// The platform answered something else so much later than it was to.
@@ -342,6 +388,11 @@
         self.way.answered_late(now, late);
     }
 
+    /// The event loop was held up for so long.
+    pub fn held_up(&mut self, time: Nanos) {
+        self.held_up += time;
+    }
+
     /// Whether more than so many ends should have been acknowledged by now.
     pub fn is_behind(&self, now: Nanos, most: usize) -> bool {
         self.by_limit.iter().take_while(|(limit, _)| *limit < now).nth(most).is_some()
@@ -361,6 +412,7 @@
             open: self.attempts.open(),
             acknowledged_in: self.way.acknowledged_in(),
             lead: self.way.lead(now),
+            nearest: self.nearest.get(now),
             ..self.counts
         }
     }
--- a/src/notices/values.rs
+++ b/src/notices/values.rs
@@ -1,6 +1,7 @@
 //! What the schedule of notices is told and gives back.
 
 use super::attempts::AttemptNo;
+use super::stages::Stages;
 use crate::interface::Nanos;
 
 /// The number of a message.
@@ -28,6 +29,26 @@
     pub given_up: Option<AttemptNo>,
 }
 
+/// An end that is owed from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwedFrom {
+    /// Its message.
+    pub no: MessageNo,
+    /// When it was decided: before now where its record was waited for.
+    pub decided: Nanos,
+    /// By when the platform must have read it.
+    pub limit: Nanos,
+}
+
+/// What came of a request that was acknowledged.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Acknowledged {
+    /// The messages whose ends were still owed, with what they waited for.
+    pub settled: Vec<(MessageNo, Stages)>,
+    /// Requests that nothing is waited for any more.
+    pub needless: Vec<AttemptNo>,
+}
+
 /// What is owed, for the log and the console. Times are nanoseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
@@ -51,4 +72,6 @@
     pub lead: Nanos,
     /// Ends that were acknowledged after their limits.
     pub violations: u64,
+    /// The end that came nearest to its limit of late.
+    pub nearest: Option<Stages>,
 }
--- a/src/protocol/notices.rs
+++ b/src/protocol/notices.rs
@@ -11,11 +11,12 @@
 use http_body_util::Full;
 use hyper::header::CONNECTION;
 use hyper::{Request, StatusCode};
+use std::cell::Cell;
 use std::fmt::Write;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Neither the connection nor the answer is waited for longer. Before that a request is given up for another, where one is
 /// wanted in its place.
@@ -55,14 +56,22 @@
     Line::open(net, agent, ANSWERED_WITHIN, ANSWER_MOST, 0).await
 }
 
-/// Posts lines, on this connection where one is given; `Ok` once the platform has acknowledged them. All acknowledgements read alike, so each is waited for on a
-/// connection of its own, where no other can come.
-pub async fn post(net: &Net, agent: SocketAddr, opened: Option<Line>, lines: String) -> Result<(), Failure> {
+/// Posts lines, on this connection where one is given; `Ok` once the platform has acknowledged them. All acknowledgements read
+/// alike, so each is waited for on a connection of its own, where no other can come. `connected` gets the time at which the
+/// connection was up.
+pub async fn post(
+    net: &Net,
+    agent: SocketAddr,
+    opened: Option<Line>,
+    lines: String,
+    connected: &Cell<Option<Instant>>,
+) -> Result<(), Failure> {
     let answered = async {
         let mut line = match opened {
             Some(line) => line,
             None => open(net, agent).await.ok()?,
         };
+        connected.set(Some(Instant::now()));
         let body = Bytes::from(lines);
         let len = body.len();
         let request = Request::post("/v1/notices")
--- a/src/protocol/platform/ends.rs
+++ b/src/protocol/platform/ends.rs
@@ -5,13 +5,15 @@
 use super::standby::Standby;
 use super::Platform;
 use crate::interface::Nanos;
-use crate::notices::{AttemptNo, Begin, Failure, Figures, Schedule};
-use crate::routing::{message_log, Core, Desk, TransactionNo};
+use crate::notices::{Acknowledged, AttemptNo, Begin, Failure, Figures, OwedFrom, Schedule};
+use crate::routing::core::Ended;
+use crate::routing::{message_log, Core, Desk};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, Instant};
 
 /// The platform has to read an end so long behind its message's deadline.
 const SLACK: Nanos = 300_000_000;
@@ -22,8 +24,13 @@
 /// What is owed, and what will be, is looked at so often.
 const LOOK_EACH: Nanos = 100_000_000;
 
-/// A request that has come to its end, and what it came to.
-type Ended = (AttemptNo, Result<(), Failure>);
+/// What came of a request.
+struct Answered {
+    request: AttemptNo,
+    told: Result<(), Failure>,
+    /// When its connection was up.
+    connected: Option<Instant>,
+}
 
 /// Tells the platform of ends, wherever it moves, until each is acknowledged. Where there is no platform, the
 /// log is told.
@@ -48,12 +55,13 @@
 
 impl Platform {
     /// These ends are owed from now on.
-    pub(super) fn owe(&self, desk: &Rc<Desk<Self>>, nos: &[TransactionNo]) {
+    pub(super) fn owe(&self, desk: &Rc<Desk<Self>>, ended: &[Ended]) {
         let now = desk.clock.now();
         let not_before = *self.started.get_or_init(|| now) + START_SLACK;
-        for no in nos {
-            let Some(deadline) = desk.see(|core| core.transaction(*no).map(|t| t.deadline)) else { continue };
-            self.owed.borrow_mut().owe(now, *no, (deadline + SLACK).max(not_before));
+        for Ended { no, decided } in ended.iter().copied() {
+            let Some(deadline) = desk.see(|core| core.transaction(no).map(|t| t.deadline)) else { continue };
+            let limit = (deadline + SLACK).max(not_before);
+            self.owed.borrow_mut().owe(now, OwedFrom { no, decided, limit });
         }
         self.more_owed.notify_one();
     }
@@ -73,7 +81,7 @@
 struct Telling<'a> {
     desk: &'a Rc<Desk<Platform>>,
     agent: SocketAddr,
-    open: JoinSet<Ended>,
+    open: JoinSet<Answered>,
     handles: HashMap<AttemptNo, AbortHandle>,
     standby: Standby,
     log: NoticeLog,
@@ -105,8 +113,8 @@
             let due = self.schedule(|schedule| schedule.due()).min(now + LOOK_EACH);
             tokio::select! {
                 Some(ended) = self.open.join_next() => {
-                    if let Ok((request, told)) = ended {
-                        self.ended(request, told);
+                    if let Ok(answered) = ended {
+                        self.answered(answered);
                     }
                 }
                 () = sleep_until(self.desk.clock.instant(due)) => {}
@@ -136,28 +144,35 @@
                 Some(opened) => opened.line().await,
                 None => None,
             };
+            let connected = Cell::new(None);
             let told = match text.is_empty() {
                 true => Ok(()),
-                false => notices::post(&net, agent, line, text).await,
+                false => notices::post(&net, agent, line, text, &connected).await,
             };
-            (request, told)
+            Answered { request, told, connected: connected.get() }
         };
         self.handles.insert(request, self.open.spawn_local(post));
     }
 
-    fn ended(&mut self, request: AttemptNo, told: Result<(), Failure>) {
+    fn answered(&mut self, Answered { request, told, connected }: Answered) {
         self.handles.remove(&request);
         let now = self.desk.clock.now();
         if let Err(failure) = told {
             self.log.failed(failure);
             return self.schedule(|schedule| schedule.failed(now, request, failure));
         }
-        let (settled, needless) = self.schedule(|schedule| schedule.acknowledged(now, request));
+        let connected = connected.map_or(now, |at| now.saturating_sub(at.elapsed().as_nanos() as Nanos));
+        let Acknowledged { settled, needless } =
+            self.schedule(|schedule| schedule.acknowledged(now, request, connected));
         needless.iter().filter_map(|request| self.handles.remove(request)).for_each(|handle| handle.abort());
         self.desk.see(|core| {
-            settled.iter().filter_map(|no| core.transaction(*no)).for_each(message_log::notice_acknowledged)
+            for (no, stages) in &settled {
+                let Some(t) = core.transaction(*no) else { continue };
+                message_log::notice_acknowledged(t);
+                self.log.acknowledged(now, &t.id, stages);
+            }
         });
-        self.desk.act(|core, now| settled.into_iter().for_each(|no| core.acknowledged(now, no)));
+        self.desk.act(|core, now| settled.into_iter().for_each(|(no, _)| core.acknowledged(now, no)));
     }
 
     /// Has ends be decided earlier, or not so early any more, as the way to the platform is.
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -21,7 +21,7 @@
 use crate::interface::{Nanos, Outcome};
 use crate::memory::MemoryBudget;
 use crate::notices::Schedule;
-use crate::routing::core::{Carried, Piping};
+use crate::routing::core::{Carried, Ended, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
 use crate::transport::beginning::Beginning;
@@ -186,8 +186,8 @@
         conclude(exchanged, lease, hop, &letters, &self.pool)
     }
 
-    fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
-        self.owe(desk, &nos);
+    fn ended(&self, desk: &Rc<Desk<Self>>, ended: Vec<Ended>) {
+        self.owe(desk, &ended);
     }
 
     fn over(&self, nos: &[TransactionNo]) {
@@ -203,6 +203,10 @@
         self.owed.borrow_mut().answered_late(now, late.as_nanos() as Nanos);
     }
 
+    fn held_up(&self, time: Nanos) {
+        self.owed.borrow_mut().held_up(time);
+    }
+
     fn drain(&self, draining: bool) {
         self.draining.send_replace(draining);
     }
--- a/src/protocol/platform/notice_log.rs
+++ b/src/protocol/platform/notice_log.rs
@@ -1,11 +1,15 @@
 //! The log of notices: how many ends are owed, how old the oldest is, why tries failed, and ends that came too late.
 
 use crate::interface::Nanos;
-use crate::notices::{Failure, Figures};
+use crate::notices::{Failure, Figures, Stages};
 
 const MS: Nanos = 1_000_000;
 /// An end that is owed for longer is told of in the log.
 const NOTABLE_AGE: Nanos = 100 * MS;
+/// An end that is acknowledged with less time than this to its limit is told of, stage by stage.
+const NEAR_LIMIT: Nanos = 100 * MS;
+/// Of these as many in a second at most.
+const NEAR_LIMIT_MOST: u32 = 20;
 /// What goes on is told again after this time.
 const TELL_EACH: Nanos = 1_000 * MS;
 
@@ -16,6 +20,8 @@
     is_behind: bool,
     last: Option<Failure>,
     violations: Option<u64>,
+    /// The second that is counted in, and ends near their limits that were told of in it.
+    near_limit: (Nanos, u32),
 }
 
 impl NoticeLog {
@@ -37,6 +43,27 @@
         self.last = Some(failure);
     }
 
+    /// Tells of an end that came late or nearly so, with what it waited for.
+    pub fn acknowledged(&mut self, now: Nanos, id: &str, stages: &Stages) {
+        if !stages.is_within(NEAR_LIMIT) {
+            return;
+        }
+        let second = now / TELL_EACH;
+        if self.near_limit.0 != second {
+            self.near_limit = (second, 0);
+        }
+        self.near_limit.1 += 1;
+        if self.near_limit.1 > NEAR_LIMIT_MOST {
+            return;
+        }
+        let Stages { to_limit, margin, requests, .. } = *stages;
+        let (to_limit_ms, margin_ms) = (to_limit / MS as i64, margin / MS as i64);
+        let (record_ms, request_ms, tries_ms) = (stages.record / MS, stages.request / MS, stages.tries / MS);
+        let (connection_ms, answer_ms) = (stages.connection / MS, stages.answer / MS);
+        let held_up_ms = stages.held_up / MS;
+        tracing::warn!(target: "platform", event = "end-near-limit", id, to_limit_ms, margin_ms, record_ms, request_ms, tries_ms, connection_ms, answer_ms, held_up_ms, requests, "an end came near its limit or after it");
+    }
+
     /// Tells of what is owed for long, once a second, and when it is over.
     pub fn look(&mut self, now: Nanos, figures: Figures) {
         self.check(&figures);
@@ -91,5 +118,21 @@
         ("lead_ms", (figures.lead / MS) as i64),
         ("violations", figures.violations as i64),
     ];
-    rows.iter().map(|(name, figure)| format!("{name} {figure}\n")).collect()
+    let nearest = figures.nearest.iter().flat_map(nearest_rows);
+    rows.into_iter().chain(nearest).map(|(name, figure)| format!("{name} {figure}\n")).collect()
+}
+
+/// The end that came nearest to its limit in the last minute, stage by stage.
+fn nearest_rows(stages: &Stages) -> [(&'static str, i64); 8] {
+    let ms = |time: Nanos| (time / MS) as i64;
+    [
+        ("nearest_to_limit_ms", stages.to_limit / MS as i64),
+        ("nearest_margin_ms", stages.margin / MS as i64),
+        ("nearest_record_ms", ms(stages.record)),
+        ("nearest_request_ms", ms(stages.request)),
+        ("nearest_tries_ms", ms(stages.tries)),
+        ("nearest_connection_ms", ms(stages.connection)),
+        ("nearest_answer_ms", ms(stages.answer)),
+        ("nearest_held_up_ms", ms(stages.held_up)),
+    ]
 }
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -9,7 +9,7 @@
 mod smsc;
 
 use crate::interface::{Nanos, Outcome};
-use crate::routing::core::Carried;
+use crate::routing::core::{Carried, Ended};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
 use crate::transport::network::{Listen, Net};
@@ -164,8 +164,8 @@
         vec![(letter.attempt, reply)].into()
     }
 
-    fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>) {
-        for no in nos {
+    fn ended(&self, desk: &Rc<Desk<Self>>, ended: Vec<Ended>) {
+        for Ended { no, .. } in ended {
             let told = desk.see(|core| {
                 let t = core.transaction(no)?;
                 Some((self.account(&t.owner), wanted(&submit_of(&t.body)?, receipt::state(t, t.deadline).1)))
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -1,6 +1,6 @@
 //! Ends of transactions: decided, written, told, acknowledged, over.
 
-use super::{Core, Note};
+use super::{Core, Ended, Note};
 use crate::interface::Nanos;
 use crate::memory::Holder;
 use crate::routing::closed::Closed;
@@ -16,7 +16,7 @@
 /// An end that is not told yet.
 #[derive(Debug)]
 struct WithheldEnd {
-    no: TransactionNo,
+    ended: Ended,
     deadline: Nanos,
     /// The number of its record; none where that could not be queued.
     record: Option<u64>,
@@ -131,11 +131,12 @@
         }
         let record = written.then(|| self.journal.queued());
         match record.is_some_and(|record| record <= self.journal.complete()) {
-            true => self.work.ended.push(no),
+            true => self.work.ended.push(Ended { no, decided: now }),
             false => {
                 let deadline = self.transactions.get(no).map_or(now, |t| t.deadline);
                 self.withheld.first = Some(self.withheld.first.map_or(deadline, |first| first.min(deadline)));
-                self.withheld.ends.push(WithheldEnd { no, deadline, record });
+                let ended = Ended { no, decided: now };
+                self.withheld.ends.push(WithheldEnd { ended, deadline, record });
             }
         }
     }
@@ -205,6 +206,6 @@
         let (told, kept) = std::mem::take(&mut self.withheld.ends).into_iter().partition(is_told);
         self.withheld.ends = kept;
         self.withheld.first = self.withheld.ends.iter().map(|end| end.deadline).min();
-        self.work.ended.extend(Vec::into_iter(told).map(|end: WithheldEnd| end.no));
+        self.work.ended.extend(Vec::into_iter(told).map(|end: WithheldEnd| end.ended));
     }
 }
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -1,6 +1,6 @@
 //! Taking requests on: from callers, and from what an earlier life left.
 
-use super::{bytes_of, Core, MessageCapacity, Note, Offer, Taken, DOOR_ADVICE};
+use super::{bytes_of, Core, Ended, MessageCapacity, Note, Offer, Taken, DOOR_ADVICE};
 use crate::interface::Nanos;
 use crate::memory::Holder;
 use crate::routing::closed::{self, Closed};
@@ -34,7 +34,7 @@
                 self.last_words.note(&t.id, LastWord::without_answer(Last::Earlier, now));
             }
             if ended {
-                self.work.ended.push(no);
+                self.work.ended.push(Ended { no, decided: now });
             } else if self.journal.classes().rules(t.class).is_none() {
                 strange.push(no);
                 continue;
@@ -152,7 +152,7 @@
         let ended = Transaction { ending: Some(ending), ..Transaction::new(offer, class, now) };
         match self.write_taken(ended) {
             Some(no) => {
-                self.work.ended.push(no);
+                self.work.ended.push(Ended { no, decided: now });
                 Taken::Already
             }
             None => Taken::Refused { after: DOOR_ADVICE, full: true },
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -14,7 +14,7 @@
 
 pub use handover::Released;
 pub use retune::{Moved, Retuning};
-pub use values::{Carried, Letter, MessageCapacity, Note, Offer, Piping, Taken, Work};
+pub use values::{Carried, Ended, Letter, MessageCapacity, Note, Offer, Piping, Taken, Work};
 
 use super::facade::{Facade, Picked, Told};
 use super::handover::Handover;
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// A transaction whose end is owed from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Its number.
+    pub no: TransactionNo,
+    /// When its end was decided, or read back.
+    pub decided: Nanos,
+}
+
 /// What the network is to do now.
 #[derive(Debug, Default)]
 pub struct Work {
@@ -70,7 +79,7 @@
     /// Callers are sent away from now on, or may come again.
     pub draining: Option<bool>,
     /// Transactions whose end is now owed to whoever handed them in.
-    pub ended: Vec<TransactionNo>,
+    pub ended: Vec<Ended>,
     /// Transactions of which nothing is owed any more.
     pub over: Vec<TransactionNo>,
     pub dropped: Vec<(TransactionNo, u32)>,
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,9 +1,10 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
+mod hold_ups;
 mod records;
 mod takeover;
 
-use super::core::{Carried, Core, Note, Offer, Taken, Work};
+use super::core::{Carried, Core, Ended, Note, Offer, Taken, Work};
 use super::handover::{Operated, Operation, Roles, ToPredecessor, ToSuccessor};
 pub use super::passage::Passage;
 use super::passage::Signals;
@@ -11,6 +12,7 @@
 use super::Clock;
 use crate::catalog::{Endpoint, EndpointId};
 use crate::interface::{Nanos, Outcome};
+use hold_ups::HoldUps;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -20,21 +22,23 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
-/// A timer that is so late says that the process was held up.
-const HELD_UP: Nanos = 200_000_000;
+/// Time is kept at least so often, so that hold-ups are seen.
+const LOOK_EACH: Nanos = 100_000_000;
 
 /// What stands before the core: it carries calls to next hops and tells ends to whoever is owed them.
 pub trait Front: Sized + 'static {
     /// Carries a call to its end.
     fn carry(&self, passage: Passage<'_, Self>) -> impl Future<Output = Carried>;
     /// These transactions have their end, which is to be told until it is acknowledged.
-    fn ended(&self, desk: &Rc<Desk<Self>>, nos: Vec<TransactionNo>);
+    fn ended(&self, desk: &Rc<Desk<Self>>, ended: Vec<Ended>);
     /// Nothing is owed of these transactions any more.
     fn over(&self, _nos: &[TransactionNo]) {}
     /// Idle connections to this next hop are not to be used any more.
     fn distrust(&self, endpoint: EndpointId);
     /// The way to where ends are told is so slow, as something else that came from there shows.
     fn way_is_late(&self, _now: Nanos, _late: Duration) {}
+    /// The event loop was held up for so long.
+    fn held_up(&self, _time: Nanos) {}
     /// Callers are sent away from now on, or may come again.
     fn drain(&self, _draining: bool) {}
     /// Another process decides from now on, and tells what ends are owed.
@@ -275,18 +279,22 @@
         }
     }
 
-    /// Wakes the core when it wants to be.
+    /// Wakes the core when it wants to be, and tells of hold-ups of the event loop.
     pub async fn keep_time(self: Rc<Self>) {
+        let mut hold_ups = HoldUps::default();
         loop {
-            let (due, since) = (self.see(Core::due), self.clock.now());
+            let (due, now) = (self.see(Core::due), self.clock.now());
+            let wakes_at = due.min(now + LOOK_EACH);
+            hold_ups.wait_until(wakes_at.max(now));
             tokio::select! {
-                () = sleep_until(self.clock.instant(due)), if due < Nanos::MAX => {
-                    let late = self.clock.now().saturating_sub(due.max(since));
-                    if late >= HELD_UP {
-                        let (front, ms) = (F::NAME, late / 1_000_000);
-                        tracing::warn!(target: "relay", event = "held-up", front, ms, "the process did not run when it was to");
+                () = sleep_until(self.clock.instant(wakes_at)) => {
+                    let now = self.clock.now();
+                    if let Some(time) = hold_ups.woken(F::NAME, now) {
+                        self.front.held_up(time);
+                    }
+                    if due == wakes_at {
+                        self.act(|core, now| core.tick(now));
                     }
-                    self.act(|core, now| core.tick(now));
                 }
                 () = self.sooner.notified() => {}
             }
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -8,11 +8,9 @@
 use basaltloom::catalog::{Endpoint, EndpointState, EndpointUpdate, MOST_IN_A_PIECE};
 use basaltloom::program::listing::{Feed, Listing};
 use basaltloom::protocol::discovery::ListReceiver;
-use basaltloom::routing::core::{Batching, Carried, First};
+use basaltloom::routing::core::{Batching, Carried, Ended, First};
 use basaltloom::routing::desk::Passage;
-use basaltloom::routing::{
-    Clock, Core, Desk, EndpointId, Front, Journal, Offer, Reply, Taken, TransactionNo,
-};
+use basaltloom::routing::{Clock, Core, Desk, EndpointId, Front, Journal, Offer, Reply, Taken};
 use basaltloom::{Outcome, Settings};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -46,7 +44,7 @@
         Carried::each(&letters, Reply::Ended(Outcome::Served))
     }
 
-    fn ended(&self, _: &Rc<Desk<Self>>, _: Vec<TransactionNo>) {}
+    fn ended(&self, _: &Rc<Desk<Self>>, _: Vec<Ended>) {}
 
     fn distrust(&self, endpoint: EndpointId) {
         self.distrusted.borrow_mut().push(endpoint);
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -127,8 +127,8 @@
             self.plan(self.now + takes, Due::Begin(call, hop.zone));
         }
         self.gone.extend(work.dropped);
-        for no in work.ended {
-            self.plan(self.now + 20 * MS, Due::Told(no));
+        for ended in work.ended {
+            self.plan(self.now + 20 * MS, Due::Told(ended.no));
         }
     }
 
