--- a/tests/owed_ends/agent.rs
+++ b/tests/owed_ends/agent.rs
@@ -3,7 +3,7 @@
 use crate::stand_ins::{entry, ok, request, whole, Told};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -20,6 +20,10 @@
 pub struct Way {
     /// A connection comes up after a time between these.
     pub up_after: (Duration, Duration),
+    /// Each request is passed on after a time between these.
+    pub request_after: (Duration, Duration),
+    /// Connections come up one after another, each so long behind the one before; zero: at once.
+    pub one_by_one: Duration,
     /// The answer to a notice is written so much later.
     pub answer_after: Duration,
     /// The same of the answer to a question for the list.
@@ -43,6 +47,12 @@
         let up_after = (Duration::from_millis(least), Duration::from_millis(most));
         Way { up_after, ..Way::default() }
     }
+
+    /// Each request is passed on between so many milliseconds late.
+    pub fn requests_between(least: u64, most: u64) -> Way {
+        let request_after = (Duration::from_millis(least), Duration::from_millis(most));
+        Way { request_after, ..Way::default() }
+    }
 }
 
 /// What the agent has read.
@@ -65,6 +75,7 @@
     pub address: SocketAddr,
     pub read: Told<Read>,
     way: Arc<Mutex<Way>>,
+    stopped_until: Arc<Mutex<Instant>>,
     list: Arc<Mutex<(u64, String)>>,
 }
 
@@ -72,6 +83,9 @@
 struct Serving {
     read: Told<Read>,
     way: Arc<Mutex<Way>>,
+    stopped_until: Arc<Mutex<Instant>>,
+    /// Held while a connection comes up, where they do so one after another.
+    turn: Arc<Mutex<()>>,
     list: Arc<Mutex<(u64, String)>>,
     chance: Arc<Mutex<ChaCha8Rng>>,
 }
@@ -82,11 +96,14 @@
         let address = listener.local_addr().unwrap();
         let chance = Arc::new(Mutex::new(ChaCha8Rng::seed_from_u64(seed)));
         let list = Arc::new(Mutex::new((1, hosts)));
-        let serving = Serving { read: Told::default(), way: Arc::default(), list, chance };
+        let (stopped_until, turn) = (Arc::new(Mutex::new(Instant::now())), Arc::default());
+        let (read, way) = (Told::default(), Arc::default());
+        let serving = Serving { read, way, stopped_until, turn, list, chance };
         let agent = Agent {
             address,
             read: serving.read.clone(),
             way: serving.way.clone(),
+            stopped_until: serving.stopped_until.clone(),
             list: serving.list.clone(),
         };
         spawn(move || {
@@ -105,11 +122,21 @@
         agent
     }
 
-    /// The way from now on, for connections that begin.
+    /// Nothing passes for so long.
+    pub fn stop_for(&self, time: Duration) {
+        *self.stopped_until.lock().unwrap() = Instant::now() + time;
+    }
+
+    /// The way from now on, for connections that begin; for requests on those that are open, how late they are passed on.
     pub fn way(&self, way: Way) {
         *self.way.lock().unwrap() = way;
     }
 
+    /// The endpoints that it lists.
+    pub fn list_text(&self) -> String {
+        self.list.lock().unwrap().1.clone()
+    }
+
     /// The next version of the list: this endpoint alone.
     pub fn next_list(&self, name: &str, dial: SocketAddr) {
         let mut list = self.list.lock().unwrap();
@@ -122,10 +149,24 @@
         f64::from(self.chance.lock().unwrap().next_u32()) / f64::from(u32::MAX)
     }
 
+    fn between(&self, (least, most): (Duration, Duration)) -> Duration {
+        least + (most - least).mul_f64(self.chance())
+    }
+
+    fn wait_while_stopped(&self) {
+        let left = || self.stopped_until.lock().unwrap().saturating_duration_since(Instant::now());
+        while !left().is_zero() {
+            sleep(left());
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let way = *self.way.lock().unwrap();
-        let (least, most) = way.up_after;
-        if closes_within(&stream, least + (most - least).mul_f64(self.chance())) {
+        if !way.one_by_one.is_zero() {
+            let _turn = self.turn.lock().unwrap();
+            sleep(way.one_by_one);
+        }
+        if closes_within(&stream, self.between(way.up_after)) {
             self.read.tell(|read| read.given_up += 1);
             return;
         }
@@ -139,6 +180,11 @@
         let mut output = stream.try_clone().unwrap();
         let mut input = BufReader::new(stream);
         while let Some((head, body)) = request(&mut input) {
+            let late = self.way.lock().unwrap().request_after;
+            if closes_within(input.get_ref(), self.between(late)) {
+                return;
+            }
+            self.wait_while_stopped();
             let answered = match head[0].starts_with("POST") {
                 true => self.notices(way, &head, &body, input.get_ref()),
                 false => self.list(way, &head[0], input.get_ref()),
@@ -228,3 +274,22 @@
     });
     address
 }
+
+/// An endpoint that answers so many calls a second, in their order, and has others wait.
+pub fn busy_endpoint(rate: f64) -> (SocketAddr, Told<BTreeSet<String>>) {
+    let served: Told<BTreeSet<String>> = Told::default();
+    let (ids, next) = (served.clone(), Mutex::new(Instant::now()));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = crate::stand_ins::serve(listener, move |head| {
+        let at = {
+            let mut next = next.lock().unwrap();
+            *next = (*next).max(Instant::now()) + Duration::from_secs_f64(1.0 / rate);
+            *next
+        };
+        sleep(at.saturating_duration_since(Instant::now()));
+        let id = head.iter().find_map(|line| line.strip_prefix("x-request-id: ")).unwrap().to_string();
+        ids.tell(|ids| ids.insert(id));
+        Some(ok(&crate::stand_ins::receipt()))
+    });
+    (address, served)
+}
--- a/tests/owed_ends/main.rs
+++ b/tests/owed_ends/main.rs
@@ -2,6 +2,7 @@
 //! slow the writes of the lasting folder are. Real processes on loopback sockets.
 
 mod agent;
+mod first_ends;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
--- a/tests/owed_ends/rig.rs
+++ b/tests/owed_ends/rig.rs
@@ -18,7 +18,7 @@
 const ANSWERED_WITHIN: Duration = Duration::from_millis(400);
 const CLIENTS: usize = 6;
 
-/// Messages that were taken on, and when each was handed in.
+/// Messages that were taken on, and when the time of each is up.
 pub type TakenOn = BTreeMap<String, Instant>;
 
 /// A relay, the agent and the way to it.
@@ -57,7 +57,12 @@
 
 impl Rig {
     pub fn start(seed: u64) -> Rig {
-        let (agent, platform, folder) = Rig::scene(seed, Terms::default());
+        Rig::start_before(seed, silent_endpoint())
+    }
+
+    /// The same before this endpoint.
+    pub fn start_before(seed: u64, endpoint: SocketAddr) -> Rig {
+        let (agent, platform, folder) = Rig::scene(seed, Terms::default(), endpoint);
         let process = platform.start_with(|command| folder.preload(command));
         assert!(process.ready().is_some(), "{:?}", process.log.tell(|lines| lines.clone()));
         Rig { agent, platform, process, folder }
@@ -65,7 +70,8 @@
 
     /// The same with a log that tells much, and that nobody reads.
     pub fn start_unread(seed: u64) -> Rig {
-        let (agent, platform, folder) = Rig::scene(seed, Terms { operator: TELLS_LIVES, ..Terms::default() });
+        let (agent, platform, folder) =
+            Rig::scene(seed, Terms { operator: TELLS_LIVES, ..Terms::default() }, silent_endpoint());
         let (pipe, operator) = (platform.dir.join("log"), platform.dir.join("relay.conf"));
         // Both ends are open at the same process, so that it is neither closed nor read.
         let line = format!(
@@ -78,8 +84,8 @@
         Rig { agent, platform, process, folder }
     }
 
-    fn scene(seed: u64, terms: Terms) -> (Agent, Platform, SlowFolder) {
-        let known = entry("h", silent_endpoint(), "active");
+    fn scene(seed: u64, terms: Terms, endpoint: SocketAddr) -> (Agent, Platform, SlowFolder) {
+        let known = entry("h", endpoint, "active");
         let agent = Agent::start(known.clone(), seed);
         let dir = folder();
         let platform = Platform::new(&dir, &terms, agent.address, &known);
@@ -96,14 +102,24 @@
 
     /// Clients hand in so many messages in all over `span`.
     pub fn hand_in(&self, count: usize, span: Duration) -> Handed {
-        hand_in(self.platform.address, "m", count, span)
+        self.hand_in_for(TIME, count, span)
+    }
+
+    /// The same, with so much time for each.
+    pub fn hand_in_for(&self, time: Duration, count: usize, span: Duration) -> Handed {
+        hand_in_for(time, self.platform.address, "m", count, span)
     }
 
     /// Whether ends of all these came in their time, once that is over and `more` has passed.
     pub fn outcome(&self, handed: &Handed, more: Duration) -> Outcome {
         let last = handed.taken.values().max().copied().unwrap_or_else(Instant::now);
-        sleep((last + TIME + more).saturating_duration_since(Instant::now()));
-        let mut outcome = self.agent.read.tell(|read| Outcome {
+        sleep((last + more).saturating_duration_since(Instant::now()));
+        self.outcome_at(&self.agent, handed)
+    }
+
+    /// What this agent has read of them so far.
+    pub fn outcome_at(&self, agent: &Agent, handed: &Handed) -> Outcome {
+        let mut outcome = agent.read.tell(|read| Outcome {
             taken: handed.taken.len(),
             requests: read.requests,
             given_up: read.given_up,
@@ -113,11 +129,11 @@
             unanswered: handed.unanswered,
             ..Outcome::default()
         });
-        for (id, at) in &handed.taken {
-            match self.agent.read.tell(|read| read.ends.get(id).copied()) {
+        for (id, deadline) in &handed.taken {
+            match agent.read.tell(|read| read.ends.get(id).copied()) {
                 None => outcome.never += 1,
                 Some((read_at, _)) => {
-                    let over = read_at.saturating_duration_since(*at + TIME);
+                    let over = read_at.saturating_duration_since(*deadline);
                     outcome.worst_ms = outcome.worst_ms.max(over.as_millis());
                     outcome.late += usize::from(over > LATE_AFTER);
                 }
@@ -136,6 +152,17 @@
 
 /// Clients hand in so many messages of this name in all over `span`.
 pub fn hand_in(relay: SocketAddr, name: &'static str, count: usize, span: Duration) -> Handed {
+    hand_in_for(TIME, relay, name, count, span)
+}
+
+/// The same, with so much time for each.
+pub fn hand_in_for(
+    time: Duration,
+    relay: SocketAddr,
+    name: &'static str,
+    count: usize,
+    span: Duration,
+) -> Handed {
     let handed: Told<Handed> = Told::default();
     let each = count.div_ceil(CLIENTS);
     let clients = (0..CLIENTS).map(|client| {
@@ -147,7 +174,7 @@
                 sleep(
                     (from + span.mul_f64(n as f64 / each as f64)).saturating_duration_since(Instant::now()),
                 );
-                hand_in_one(relay, &mut stream, format!("{name}-{client}-{n}"), &handed);
+                hand_in_one(relay, time, &mut stream, format!("{name}-{client}-{n}"), &handed);
             }
         })
     });
@@ -155,7 +182,13 @@
     handed.tell(|handed| handed.clone())
 }
 
-fn hand_in_one(relay: SocketAddr, kept: &mut Option<TcpStream>, id: String, handed: &Told<Handed>) {
+fn hand_in_one(
+    relay: SocketAddr,
+    time: Duration,
+    kept: &mut Option<TcpStream>,
+    id: String,
+    handed: &Told<Handed>,
+) {
     let mut stream = kept.take().unwrap_or_else(|| {
         let stream = TcpStream::connect(relay).unwrap();
         stream.set_nodelay(true).unwrap();
@@ -163,10 +196,10 @@
         stream
     });
     let at = Instant::now();
-    let request = message_within("status", &id, TIME.as_millis() as u64);
+    let request = message_within("status", &id, time.as_millis() as u64);
     let answer = stream.write_all(request.as_bytes()).ok().and_then(|()| status(&mut stream));
     handed.tell(|handed| match answer {
-        Some(202) => drop(handed.taken.insert(id, at)),
+        Some(202) => drop(handed.taken.insert(id, at + time)),
         Some(_) => handed.refused += 1,
         None => handed.unanswered += 1,
     });
--- a/tests/owed_ends/soak.rs
+++ b/tests/owed_ends/soak.rs
@@ -120,8 +120,8 @@
 fn judge(seed: u64, rig: &Rig, handed: &Handed, gaps: &Gaps) -> Vec<String> {
     let ends = rig.agent.read.tell(|read| read.ends.clone());
     let mut broken = Vec::new();
-    for (id, at) in &handed.taken {
-        let due = due(*at + TIME, gaps);
+    for (id, deadline) in &handed.taken {
+        let due = due(*deadline, gaps);
         match ends.get(id) {
             None => broken.push(format!("seed {seed}: {id} never")),
             Some((read, _)) if *read > due => {
