Keep a message whose call was let out, or that came again, when its client leaves

Cause: since records are written beside the loop an answer waits for its record; a client that left in that time had its message withdrawn and forgotten, though its call could be out already (Unanswered in desk/records.rs, Core::withdraw). By the same path a message that had been handed in again meanwhile, and answered 202, was forgotten. Change: a call is let out in one step (Core::let_out) that asks whether its messages are still open and binds them; what is bound is not withdrawn. A repeat of an id binds its message too, and what an earlier process held is bound.

--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -87,6 +87,21 @@
         self.work.notes.push(Note { event, hop: Some(hop.name.clone()), text });
     }
 
+    /// Lets out what was begun, once its records are written: those that may still go. From here on none of them is forgotten
+    /// before its end.
+    pub fn let_out(&mut self, now: Nanos, call: &Call, mut letters: Vec<Letter>) -> Vec<Letter> {
+        letters.retain(|letter| !self.has_unwritten(letter.attempt.transaction));
+        if !self.may_go_on(now, call, &letters) {
+            return Vec::new();
+        }
+        for letter in &letters {
+            if let Some(t) = self.transactions.get_mut(letter.attempt.transaction) {
+                t.is_bound = true;
+            }
+        }
+        letters
+    }
+
     /// Whether what was begun may still be written, on another connection than it was begun for.
     pub fn may_go_on(&self, now: Nanos, call: &Call, letters: &[Letter]) -> bool {
         let is_open = |no| self.transactions.get(no).is_some_and(|t| t.ending.is_none() && !t.is_spent);
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -24,6 +24,7 @@
         let nos: Vec<TransactionNo> = self.transactions.iter().map(|(no, _)| no).collect();
         for no in nos {
             let Some(t) = self.transactions.get_mut(no) else { continue };
+            t.is_bound = true;
             let is_out = out_elsewhere.contains(&no);
             if !is_out {
                 t.may_have_run = t.may_have_run.or(t.out.take());
@@ -65,9 +66,11 @@
     }
 
     pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
-        if let Some(t) = self.transactions.find(&offer.id).and_then(|no| self.transactions.get(no)) {
+        let known = self.transactions.find(&offer.id);
+        if let Some(t) = known.and_then(|no| self.transactions.get_mut(no)) {
             let same_class = self.journal.classes().name(t.class) == offer.class;
             let same = same_class && t.dest == offer.dest && t.body == offer.body;
+            t.is_bound |= same;
             return if same { Taken::Already } else { Taken::Other };
         }
         match self.transactions.closed().get(&offer.id) {
@@ -178,9 +181,9 @@
         Some(no)
     }
 
-    /// Whoever handed it in is gone, or never heard that it was taken on.
+    /// Whoever handed it in is gone, or never heard that it was taken on. It is forgotten, unless somebody else may know of it.
     pub fn withdraw(&mut self, now: Nanos, no: TransactionNo) {
-        if self.transactions.get(no).is_some_and(|t| t.ending.is_none()) {
+        if self.transactions.get(no).is_some_and(|t| t.ending.is_none() && !t.is_bound) {
             self.over(now, no);
             let picked = self.facade.withdraw(now, no);
             self.absorb(now, picked);
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -212,6 +212,7 @@
         out,
         ending,
         reason,
+        is_bound: false,
         is_spent: attempts == SPENT,
     };
     // Versions that knew of no keys wrote none.
--- a/src/routing/passage.rs
+++ b/src/routing/passage.rs
@@ -36,21 +36,20 @@
         }
         let (letters, record) =
             self.desk.act(|core, now| (core.begin(now, self.call, via), core.records_queued()));
-        if letters.is_empty() || self.desk.see(|core| core.is_resolved(record)) {
-            return self.written(letters);
+        if letters.is_empty() {
+            return letters;
         }
-        tokio::select! {
-            () = self.desk.until_resolved(record) => {}
-            () = self.cancelled() => return Vec::new(),
+        if !self.desk.see(|core| core.is_resolved(record)) {
+            tokio::select! {
+                () = self.desk.until_resolved(record) => {}
+                () = self.cancelled() => return Vec::new(),
+            }
+        }
+        // Where time has passed another process may decide.
+        match self.desk.decides(self.life) {
+            true => self.desk.act(|core, now| core.let_out(now, self.call, letters)),
+            false => Vec::new(),
         }
-        // Time has passed, and another process may decide.
-        Some(self.written(letters)).filter(|letters| self.may_go_on(letters)).unwrap_or_default()
-    }
-
-    /// Those whose records could be written.
-    fn written(&self, mut letters: Vec<Letter>) -> Vec<Letter> {
-        self.desk.see(|core| letters.retain(|letter| !core.has_unwritten(letter.attempt.transaction)));
-        letters
     }
 
     /// All its attempts ended alike, before any was begun.
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -33,6 +33,9 @@
     pub ending: Option<Ending>,
     /// Why a next hop rejected it for good, in the front's own terms; 0 where none did.
     pub reason: u32,
+    /// It stays until its end, whether its client has heard of it or not: a call for it was let out, another client was told that
+    /// it is taken on, or an earlier process may have done either.
+    pub is_bound: bool,
     /// It has had a final answer, proven or not: no attempt begins any more, whether its end is decided or not.
     pub is_spent: bool,
 }
@@ -57,6 +60,7 @@
             out: None,
             ending: None,
             reason: 0,
+            is_bound: false,
             is_spent: false,
         }
     }
