Keep a standing margin for each end, and try in step with the time that is left

Cause: src/notices/way.rs took a lead only once ends had been late, and forgot it in 10 s, at SIGHUP at once; intervals and pauses between tries (GAP_EACH, TRY_AGAIN, FAILED_GAP, patience) asked how the way was, never what time an end had left. Change: decision/end_margin.rs keeps a quarter of a message's time, 1 s at most and half of a short one, up to 0.45 s; what the way is known to take adds up to three tenths; the knowledge halves in 60 s and outlasts SIGHUP. notices/haste.rs bounds all intervals by the time to the next limit. A message whose end could not be told in its time as the way is now, or in 0.55 s at the least, is refused with 503.

--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -293,8 +293,8 @@
     Travels { id: MsgId, bytes: usize, group: usize },
     /// The relay may be killed from then on, and comes back later.
     Closing { at: Nanos },
-    /// Final answers take so long to arrive that they have to be decided so much earlier.
-    Lead { time: Nanos },
+    /// Final answers take time to arrive, so long of late: each is decided earlier by a margin of its message.
+    EndsTake { time: Nanos },
     /// A wake-up asked for falls due.
     Woken,
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,6 +4,7 @@
 
 #[cfg(test)]
 mod by_hand;
+pub mod end_margin;
 mod health;
 pub mod interface;
 mod live;
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -35,8 +35,8 @@
     pub next_end: Nanos,
     /// Idle time after which connections are not trusted; none while they prove sound.
     pub idle_safe: Option<Nanos>,
-    /// How much earlier final answers are decided, since they take so long to arrive.
-    pub lead: Nanos,
+    /// What final answers took to arrive of late; none where they take no time, and need no margin.
+    pub ends_take: Option<Nanos>,
     /// From when on the relay may be killed.
     pub closing: Option<Nanos>,
     /// Ends take time to reach the client, and a message is over only then: until then those that have
@@ -102,8 +102,8 @@
             Event::Travels { id, bytes, group } => self.set_travels(*id, *bytes, *group),
             Event::Idled { id, attempt, idle } => self.idled((*id, *attempt), *idle),
             Event::Echo { id, attempt } => self.mute((*id, *attempt)),
-            Event::Lead { time } => {
-                self.lead = *time;
+            Event::EndsTake { time } => {
+                self.ends_take = Some(*time);
                 self.next_end = 0;
             }
             Event::Closing { at } => {
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -46,7 +46,7 @@
                 h.next = at;
             }
         }
-        let ends_at = deadline.saturating_sub(ANSWER_MARGIN + self.book.lead);
+        let ends_at = deadline.saturating_sub(self.longest_end_margin());
         self.book.next_end = self.book.next_end.min(ends_at);
         self.hold(id, dest);
     }
--- a/src/decision/worth.rs
+++ b/src/decision/worth.rs
@@ -1,5 +1,6 @@
 //! What a message is worth and until when, and the final answers for those that nothing can serve.
 
+use super::end_margin::{end_margin, STANDING_MOST};
 use super::interface::*;
 use super::records::*;
 use super::release::{ANSWER_MARGIN, HORIZON_LEAST, HORIZON_MOST};
@@ -7,7 +8,6 @@
 
 const RESERVE: f64 = 0.2; // share of its life that an unsafe message keeps when it waits for a sick host
 const LOSS_STEPS: f64 = 1e9; // of a worth: a smaller difference is rounding, and the older aim goes first
-const LEAD_PART: Nanos = 4; // of a message's whole time: its end is decided earlier by no more
 const ROOM: f64 = 0.05; // places of those held that are kept free for newcomers
 
 impl Relay {
@@ -77,10 +77,15 @@
         self.book.hosts_of(dest).iter().filter(ready).map(|h| self.fee(*h)).fold(f64::INFINITY, f64::min)
     }
 
-    /// How long before a message's end its final answer is decided: longer where that takes time to arrive, by a part of its
-    /// whole time at most.
+    /// How long before a message's end its final answer is decided.
     pub(super) fn end_margin(&self, m: &Message) -> Nanos {
-        ANSWER_MARGIN + self.book.lead.min(m.deadline.saturating_sub(m.taken) / LEAD_PART)
+        let time = m.deadline.saturating_sub(m.taken);
+        ANSWER_MARGIN + self.book.ends_take.map_or(0, |observed| end_margin(time, observed))
+    }
+
+    /// The same of any message, at most.
+    pub(super) fn longest_end_margin(&self) -> Nanos {
+        ANSWER_MARGIN + self.book.ends_take.map_or(0, |observed| observed.max(STANDING_MOST))
     }
 
     /// Final answers for messages that no allowed attempt can still serve.
@@ -88,7 +93,7 @@
         if self.now < self.book.next_end {
             return;
         }
-        let until = self.now + ANSWER_MARGIN + self.book.lead;
+        let until = self.now + self.longest_end_margin();
         let (mut over, mut next_end) = (Vec::new(), Nanos::MAX);
         for id in self.book.ends.take(until) {
             let Some(m) = self.book.messages.get(&id) else { continue };
@@ -104,7 +109,7 @@
         }
         over.into_iter().for_each(|id| self.give_up(id));
         let behind = self.book.ends.first_behind(until);
-        let behind = behind.map_or(Nanos::MAX, |t| t.saturating_sub(ANSWER_MARGIN + self.book.lead));
+        let behind = behind.map_or(Nanos::MAX, |t| t.saturating_sub(self.longest_end_margin()));
         self.book.next_end = next_end.min(behind);
     }
 
--- a/src/notices/mod.rs
+++ b/src/notices/mod.rs
@@ -7,6 +7,9 @@
 #![warn(missing_docs)]
 
 mod attempts;
+mod failures;
+mod haste;
+mod owed_end;
 mod schedule;
 mod stages;
 mod values;
--- a/src/notices/schedule.rs
+++ b/src/notices/schedule.rs
@@ -1,7 +1,10 @@
 //! The ends that are owed, and the requests that tell them.
 
 use super::attempts::{AttemptNo, Attempts};
-use super::stages::{Nearest, Stages};
+use super::failures::Failures;
+use super::haste::Haste;
+use super::owed_end::{OpenRequest, OwedEnd};
+use super::stages::Nearest;
 use super::values::{Acknowledged, Begin, Failure, Figures, MessageNo, OwedFrom};
 use super::way::Way;
 use crate::interface::Nanos;
@@ -24,57 +27,8 @@
 const TRIES_AT_ONCE: u32 = 6;
 /// The longest time between two tries of one end.
 const TRY_AGAIN_MOST: Nanos = 1_000 * MS;
-/// The next request behind one that was refused or closed, and behind many of those.
-const FAILED_GAP: (Nanos, Nanos) = (50 * MS, 200 * MS);
-/// So many failures in a row are many.
-const FAILURES_MANY: u32 = 10;
-
-#[derive(Clone, Copy, Debug)]
-struct OwedEnd {
-    decided: Nanos,
-    /// When its record was written, or waited for no longer.
-    owed: Nanos,
-    /// When its first request began.
-    first_begun: Option<Nanos>,
-    /// For how long the loop had been held up in all when it was decided.
-    held_up_before: Nanos,
-    /// By when the platform must have read it.
-    limit: Nanos,
-    tries: u32,
-    /// When it may be told again; it is told at once where it is 0.
-    rests_until: Nanos,
-    /// How many ends its next request may hold: one that could not be read is looked for by halves.
-    share: usize,
-}
-
-impl OwedEnd {
-    /// What it waited for, acknowledged now by a request that was begun then and had its connection then.
-    fn stages(&self, now: Nanos, begun: Nanos, connected: Nanos, held_up: Nanos) -> Stages {
-        let first_begun = self.first_begun.unwrap_or(begun);
-        Stages {
-            to_limit: self.limit as i64 - now as i64,
-            margin: self.limit as i64 - self.decided as i64,
-            record: self.owed.saturating_sub(self.decided),
-            request: first_begun.saturating_sub(self.owed),
-            tries: begun.saturating_sub(first_begun),
-            connection: connected.saturating_sub(begun),
-            answer: now.saturating_sub(connected.max(begun)),
-            held_up: held_up - self.held_up_before,
-            requests: self.tries,
-        }
-    }
-
-    fn rank(&self, no: MessageNo) -> (u32, Nanos, MessageNo) {
-        (self.tries, self.limit, no)
-    }
-}
-
-/// A request that is open.
-#[derive(Debug)]
-struct OpenRequest {
-    begun: Nanos,
-    ends: Vec<MessageNo>,
-}
+/// Where nothing was acknowledged for so long while requests were open, these count as lost.
+const SILENT_AFTER: Nanos = 300 * MS;
 
 /// Ends that are owed, and the requests that are open for them.
 #[derive(Debug)]
@@ -95,9 +49,9 @@
     repeats: BTreeMap<AttemptNo, Nanos>,
     way: Way,
     last_begun: Nanos,
-    /// No request begins before this, behind one that failed.
-    pause_until: Nanos,
-    failures: u32,
+    /// When a request was acknowledged last.
+    acknowledged_at: Nanos,
+    failures: Failures,
     counts: Figures,
     /// For how long the event loop was held up in all.
     held_up: Nanos,
@@ -119,8 +73,8 @@
             repeats: BTreeMap::new(),
             way: Way::default(),
             last_begun: 0,
-            pause_until: 0,
-            failures: 0,
+            acknowledged_at: 0,
+            failures: Failures::default(),
             counts: Figures::default(),
             held_up: 0,
             nearest: Nearest::default(),
@@ -156,10 +110,10 @@
     /// The request that is to be made now, if any.
     pub fn begin(&mut self, now: Nanos) -> Option<Begin> {
         self.wake(now);
-        if !self.is_ready() || self.begins_at() > now {
+        if !self.is_ready() || self.begins_at(now) > now {
             return None;
         }
-        let (request, given_up) = self.attempts.begin(now, self.way.patience())?;
+        let (request, given_up) = self.attempts.begin(now, self.patience(now))?;
         if let Some(given_up) = given_up {
             self.close(given_up);
             self.counts.given_up += 1;
@@ -182,12 +136,12 @@
     }
 
     /// When ends may be told again that are ready for it: on a slow way not before most of the latest repeats had their time.
-    fn repeats_at(&self) -> Nanos {
+    fn repeats_at(&self, now: Nanos) -> Nanos {
         let latest = self.repeats.values().rev().nth(AGAIN_MOST - 1);
         match (self.again.is_empty(), self.way.is_fast()) {
             (true, _) => Nanos::MAX,
             (false, true) => 0,
-            (false, false) => latest.map_or(0, |begun| begun + self.way.patience()),
+            (false, false) => latest.map_or(0, |begun| begun + self.patience(now)),
         }
     }
 
@@ -202,12 +156,12 @@
         let most = self.ends_in_one();
         let fresh = self.fresh.iter().map(|(_, no)| *no);
         let again = self.again.iter().map(|(.., no)| *no);
-        if self.way.is_fast() {
+        if self.way.is_fast() || self.is_failing(now) {
             self.is_repeat_last = false;
-            return self.share(fresh.chain(again), most);
+            return self.share(fresh.chain(again), ENDS_MOST);
         }
         let repeats_now =
-            self.fresh.is_empty() || (!is_crowded && !self.is_repeat_last && self.repeats_at() <= now);
+            self.fresh.is_empty() || (!is_crowded && !self.is_repeat_last && self.repeats_at(now) <= now);
         let ends = match repeats_now {
             true => self.share(again, ENDS_MOST),
             false => self.share(fresh, most),
@@ -248,7 +202,9 @@
         end.tries += 1;
         end.first_begun.get_or_insert(now);
         let longer = end.tries.saturating_sub(TRIES_AT_ONCE).min(8);
-        end.rests_until = now + (self.way.try_again_after() << longer).min(TRY_AGAIN_MOST);
+        let left = end.limit.checked_sub(now);
+        let usual = (self.way.try_again_after() << longer).min(TRY_AGAIN_MOST);
+        end.rests_until = now + Haste::new(left).try_again_after(usual);
         self.resting.insert((end.rests_until, no));
     }
 
@@ -265,19 +221,20 @@
     }
 
     /// When a request may begin for what is ready.
-    fn begins_at(&self) -> Nanos {
+    fn begins_at(&self, now: Nanos) -> Nanos {
         let is_full = self.fresh.len() >= self.ends_in_one();
-        let gap = if is_full { 0 } else { GAP_EACH * self.attempts.open() as Nanos };
-        let free = self.attempts.free_at(self.way.patience());
-        let ready = if self.fresh.is_empty() { self.repeats_at() } else { 0 };
-        (self.last_begun + gap).max(self.pause_until).max(free).max(ready)
+        let usual = GAP_EACH * self.attempts.open() as Nanos;
+        let gap = if is_full { 0 } else { self.haste(now).gap(usual) };
+        let free = self.attempts.free_at(self.patience(now));
+        let ready = if self.fresh.is_empty() && !self.is_failing(now) { self.repeats_at(now) } else { 0 };
+        (self.last_begun + gap).max(self.failures.pause_until).max(free).max(ready)
     }
 
     /// When `begin` is wanted next.
-    pub fn due(&self) -> Nanos {
+    pub fn due(&self, now: Nanos) -> Nanos {
         let woken = self.resting.first().map_or(Nanos::MAX, |(until, _)| *until);
         match self.is_ready() {
-            true => self.begins_at(),
+            true => self.begins_at(now),
             false => woken,
         }
     }
@@ -285,9 +242,10 @@
     /// A request was acknowledged, whose connection was up at `connected`.
     pub fn acknowledged(&mut self, now: Nanos, request: AttemptNo, connected: Nanos) -> Acknowledged {
         if let Some(begun) = self.attempts.end(request) {
-            self.way.acknowledged(now.saturating_sub(begun));
+            self.way.acknowledged(now, now.saturating_sub(begun));
         }
-        self.failures = 0;
+        self.failures.end();
+        self.acknowledged_at = now;
         let mut settled = Vec::new();
         if let Some(OpenRequest { begun, ends }) = self.close(request) {
             for no in ends {
@@ -320,12 +278,7 @@
         self.attempts.end(request);
         let Some(OpenRequest { ends: members, .. }) = self.close(request) else { return };
         self.counts.failed += 1;
-        self.failures += 1;
-        let (few, many) = FAILED_GAP;
-        let pause = if self.failures > FAILURES_MANY { many } else { few };
-        if failure != Failure::Unreadable {
-            self.pause_until = now + pause;
-        }
+        self.failures.note(now, failure, self.haste(now));
         let share = (members.len() / 2).max(1);
         for no in members {
             let Some(end) = self.ends.get_mut(&no) else { continue };
@@ -370,7 +323,8 @@
         self.repeats.clear();
         self.resting.clear();
         self.again.clear();
-        (self.pause_until, self.failures, self.way) = (0, 0, Way::default());
+        self.failures = Failures::default();
+        self.way.moved();
         for (no, end) in &mut self.ends {
             (end.tries, end.rests_until, end.share) = (0, 0, ENDS_MOST);
             self.fresh.insert((end.limit, *no));
@@ -398,9 +352,31 @@
         self.by_limit.iter().take_while(|(limit, _)| *limit < now).nth(most).is_some()
     }
 
-    /// How much earlier ends have to be decided now.
-    pub fn lead(&self, now: Nanos) -> Nanos {
-        self.way.lead(now)
+    /// What ends take to arrive.
+    pub fn ends_take(&self, now: Nanos) -> Nanos {
+        self.way.ends_take(now)
+    }
+
+    /// How late an end would come that is owed now.
+    pub fn delay_now(&self, now: Nanos) -> Nanos {
+        self.way.delay_now(now)
+    }
+
+    fn haste(&self, now: Nanos) -> Haste {
+        let next = self.by_limit.range((now, 0)..).next();
+        Haste::new(next.map(|(limit, _)| limit - now))
+    }
+
+    /// How long an open request is kept at least where another is wanted.
+    fn patience(&self, now: Nanos) -> Nanos {
+        self.haste(now).patience(self.way.patience(), self.way.slowest(now))
+    }
+
+    /// Whether nothing came back for so long that what is open counts as lost, or requests fail at once.
+    fn is_failing(&self, now: Nanos) -> bool {
+        let since = self.requests.values().map(|open| open.begun).min();
+        self.failures.any()
+            || since.is_some_and(|begun| now >= begun.max(self.acknowledged_at) + SILENT_AFTER)
     }
 
     /// What is owed now.
@@ -411,7 +387,7 @@
             first_limit: self.by_limit.first().map(|(limit, _)| *limit),
             open: self.attempts.open(),
             acknowledged_in: self.way.acknowledged_in(),
-            lead: self.way.lead(now),
+            ends_take: self.way.ends_take(now),
             nearest: self.nearest.get(now),
             ..self.counts
         }
--- a/src/notices/values.rs
+++ b/src/notices/values.rs
@@ -68,8 +68,8 @@
     pub failed: u64,
     /// What acknowledgements take.
     pub acknowledged_in: Nanos,
-    /// How much earlier ends are decided.
-    pub lead: Nanos,
+    /// What ends take to arrive.
+    pub ends_take: Nanos,
     /// Ends that were acknowledged after their limits.
     pub violations: u64,
     /// The end that came nearest to its limit of late.
--- a/src/notices/way.rs
+++ b/src/notices/way.rs
@@ -5,12 +5,14 @@
 const MS: Nanos = 1_000_000;
 /// The part of a new observation in the smoothed time of acknowledgements.
 const SMOOTHING: f64 = 0.25;
-/// The longest delay of late counts half as much after this time.
-const DELAY_HALVES: Nanos = 10_000 * MS;
-/// A delay up to this is within the slack of the platform's rule, and takes no lead.
+/// The longest delay of late counts half as much after this time: longer than the time between two ends.
+const DELAY_HALVES: Nanos = 60_000 * MS;
+/// The same for how the way is just now.
+const NOW_HALVES: Nanos = 5_000 * MS;
+/// A delay up to this is within the slack of the platform's rule.
 const DELAY_USUAL: Nanos = 100 * MS;
-/// The most that ends are decided earlier.
-const LEAD_MOST: Nanos = 1_000 * MS;
+/// What ends are said to take at most.
+const ENDS_TAKE_MOST: Nanos = 2_000 * MS;
 /// Other answers that are later tell nothing of the way.
 const ANSWER_LATE_MOST: Nanos = 1_500 * MS;
 /// Between two tries of one end, where acknowledgements are fast and where they are slow.
@@ -28,13 +30,18 @@
 pub struct Way {
     /// From the beginning of a request to its acknowledgement, smoothed; 0: none came yet.
     acknowledged_in: f64,
+    /// The longest that a request took to be acknowledged, and when it was seen.
+    slowest: (Nanos, Nanos),
     /// The longest time between an end and its acknowledgement, and when it was seen.
     delay: (Nanos, Nanos),
 }
 
 impl Way {
     /// A request was acknowledged after so long.
-    pub fn acknowledged(&mut self, took: Nanos) {
+    pub fn acknowledged(&mut self, now: Nanos, took: Nanos) {
+        if took >= faded(self.slowest, now, NOW_HALVES) {
+            self.slowest = (took, now);
+        }
         let took = took as f64;
         self.acknowledged_in = match self.acknowledged_in {
             0.0 => took,
@@ -57,9 +64,17 @@
     }
 
     fn longest_delay(&self, now: Nanos) -> Nanos {
-        let (delay, seen) = self.delay;
-        let halvings = now.saturating_sub(seen) as f64 / DELAY_HALVES as f64;
-        (delay as f64 * 0.5f64.powf(halvings)) as Nanos
+        faded(self.delay, now, DELAY_HALVES)
+    }
+
+    /// How late ends would come just now.
+    pub fn delay_now(&self, now: Nanos) -> Nanos {
+        faded(self.delay, now, NOW_HALVES).min(ENDS_TAKE_MOST)
+    }
+
+    /// The platform is somewhere else: its acknowledgements are not known, and may be as late as those before.
+    pub fn moved(&mut self) {
+        self.acknowledged_in = 0.0;
     }
 
     /// What an acknowledgement takes, in nanoseconds; 0 where none came yet.
@@ -67,10 +82,10 @@
         self.acknowledged_in as Nanos
     }
 
-    /// How much earlier ends have to be decided, so that they arrive in their time.
-    pub fn lead(&self, now: Nanos) -> Nanos {
+    /// What ends take to arrive, as far as that is beyond the slack of the rule.
+    pub fn ends_take(&self, now: Nanos) -> Nanos {
         match self.longest_delay(now) {
-            delay if delay > DELAY_USUAL => delay.min(LEAD_MOST),
+            delay if delay > DELAY_USUAL => delay.min(ENDS_TAKE_MOST),
             _ => 0,
         }
     }
@@ -85,12 +100,23 @@
         bounded(self.acknowledged_in * TRY_AGAIN_FACTOR, TRY_AGAIN)
     }
 
+    /// How long a request that is still to be acknowledged may take, by the slowest of late.
+    pub fn slowest(&self, now: Nanos) -> Nanos {
+        faded(self.slowest, now, NOW_HALVES) / 2 * 3
+    }
+
     /// How long an open request is kept at least where another is wanted.
     pub fn patience(&self) -> Nanos {
         bounded(self.acknowledged_in * PATIENCE_FACTOR, PATIENCE)
     }
 }
 
+/// What is left of this, seen then, where half of it goes in each such time.
+fn faded((seen, at): (Nanos, Nanos), now: Nanos, halves: Nanos) -> Nanos {
+    let halvings = now.saturating_sub(at) as f64 / halves as f64;
+    (seen as f64 * 0.5f64.powf(halvings)) as Nanos
+}
+
 fn bounded(time: f64, (least, most): (Nanos, Nanos)) -> Nanos {
     (time as Nanos).clamp(least, most)
 }
--- a/src/protocol/platform/ends.rs
+++ b/src/protocol/platform/ends.rs
@@ -4,6 +4,7 @@
 use super::notice_log::NoticeLog;
 use super::standby::Standby;
 use super::Platform;
+use crate::decision::end_margin::end_margin;
 use crate::interface::Nanos;
 use crate::notices::{Acknowledged, AttemptNo, Begin, Failure, Figures, OwedFrom, Schedule};
 use crate::routing::core::Ended;
@@ -19,8 +20,10 @@
 const SLACK: Nanos = 300_000_000;
 /// No end is overdue before this time behind a start.
 const START_SLACK: Nanos = 1_500_000_000;
-/// A lead that differs by less from the one in force changes nothing.
-const LEAD_STEP: Nanos = 20_000_000;
+/// A change by less of what ends take to arrive changes nothing.
+const ENDS_TAKE_STEP: Nanos = 20_000_000;
+/// What an end may take to arrive before anything is known of the way: a message that leaves less for it is refused.
+const RESERVE_LEAST: Nanos = 550_000_000;
 /// What is owed, and what will be, is looked at so often.
 const LOOK_EACH: Nanos = 100_000_000;
 
@@ -66,6 +69,13 @@
         self.more_owed.notify_one();
     }
 
+    /// Whether the end of a message with so much time would come in its time, as the way to the platform is now.
+    pub(super) fn can_end_in_time(&self, now: Nanos, time_left: Nanos) -> bool {
+        let owed = self.owed.borrow();
+        let reserve = end_margin(time_left, owed.ends_take(now)) + SLACK;
+        self.agent.borrow().is_none() || reserve >= owed.delay_now(now).max(RESERVE_LEAST)
+    }
+
     /// Whether more ends than this are overdue.
     pub(super) fn is_behind(&self, now: Nanos, most: usize) -> bool {
         self.owed.borrow().is_behind(now, most)
@@ -85,14 +95,15 @@
     handles: HashMap<AttemptNo, AbortHandle>,
     standby: Standby,
     log: NoticeLog,
-    lead: Nanos,
+    /// What the core was told that ends take to arrive.
+    ends_take: Option<Nanos>,
 }
 
 impl Telling<'_> {
     fn new(desk: &Rc<Desk<Platform>>, agent: SocketAddr) -> Telling<'_> {
         let (open, handles) = (JoinSet::new(), HashMap::new());
         let standby = Standby::new(desk.front.net.clone(), agent);
-        Telling { desk, agent, open, handles, standby, log: NoticeLog::default(), lead: 0 }
+        Telling { desk, agent, open, handles, standby, log: NoticeLog::default(), ends_take: None }
     }
 
     fn schedule<R>(&self, f: impl FnOnce(&mut Schedule) -> R) -> R {
@@ -107,10 +118,11 @@
             }
             let connected_in = self.standby.take_slowest().as_nanos() as Nanos;
             self.schedule(|schedule| schedule.answered_late(now, connected_in));
-            self.decide_earlier(now);
-            self.standby.keep(now, self.desk.see(Core::first_end), self.lead);
+            self.tell_what_ends_take(now);
+            let ends_take = self.ends_take.unwrap_or(0);
+            self.standby.keep(now, self.desk.see(Core::first_end), ends_take);
             self.log.look(now, self.schedule(|schedule| schedule.figures(now)));
-            let due = self.schedule(|schedule| schedule.due()).min(now + LOOK_EACH);
+            let due = self.schedule(|schedule| schedule.due(now)).min(now + LOOK_EACH);
             tokio::select! {
                 Some(ended) = self.open.join_next() => {
                     if let Ok(answered) = ended {
@@ -175,13 +187,13 @@
         self.desk.act(|core, now| settled.into_iter().for_each(|(no, _)| core.acknowledged(now, no)));
     }
 
-    /// Has ends be decided earlier, or not so early any more, as the way to the platform is.
-    fn decide_earlier(&mut self, now: Nanos) {
-        let lead = self.schedule(|schedule| schedule.lead(now));
-        let is_new = lead.abs_diff(self.lead) >= LEAD_STEP || (lead == 0) != (self.lead == 0);
-        if is_new {
-            self.lead = lead;
-            self.desk.act(|core, now| core.decide_earlier(now, lead));
+    /// Has ends be decided as early as the way to the platform wants it.
+    fn tell_what_ends_take(&mut self, now: Nanos) {
+        let time = self.schedule(|schedule| schedule.ends_take(now));
+        let is_same = |told: Nanos| time.abs_diff(told) < ENDS_TAKE_STEP && (time == 0) == (told == 0);
+        if !self.ends_take.is_some_and(is_same) {
+            self.ends_take = Some(time);
+            self.desk.act(|core, now| core.ends_take(now, time));
         }
     }
 }
--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -81,7 +81,7 @@
         Err(_) => return closing(plain(StatusCode::REQUEST_TIMEOUT)),
     };
     let capacity = desk.see(|core| core.capacity_for(offer.body.len()));
-    if !admits(&desk, &leg, &offer.id, capacity) {
+    if !admits(&desk, &leg, &offer, capacity) {
         return refusal(FULL_ADVICE);
     }
     match desk.take(offer).await {
@@ -99,11 +99,14 @@
     }
 }
 
-/// Whether this client leaves enough to others to hand in one more, and ends are told as they fall due. What is no new message
-/// takes none.
-fn admits(desk: &Desk<Platform>, leg: &Leg, id: &str, capacity: MessageCapacity) -> bool {
+/// Whether this client leaves enough to others to hand in one more, its end can be told in its time, and ends are told as they
+/// fall due. What is no new message takes none.
+fn admits(desk: &Desk<Platform>, leg: &Leg, offer: &Offer, capacity: MessageCapacity) -> bool {
     let now = desk.clock.now();
-    let decides = desk.roles.serves() && !desk.see(|core| core.knows(id));
+    let decides = desk.roles.serves() && !desk.see(|core| core.knows(&offer.id));
+    if decides && !desk.front.can_end_in_time(now, offer.time_left) {
+        return false;
+    }
     if decides && desk.front.is_behind(now, desk.see(Core::held_most) / OVERDUE_PART) {
         return false;
     }
--- a/src/protocol/platform/notice_log.rs
+++ b/src/protocol/platform/notice_log.rs
@@ -94,13 +94,14 @@
 }
 
 fn tell(now: Nanos, figures: &Figures, last: Option<Failure>) {
-    let Figures { owed, oldest, first_limit, open, begun, given_up, failed, acknowledged_in, lead, .. } =
-        *figures;
+    let Figures {
+        owed, oldest, first_limit, open, begun, given_up, failed, acknowledged_in, ends_take, ..
+    } = *figures;
     let oldest_ms = oldest / MS;
     let limit = first_limit.unwrap_or(now);
     let to_limit_ms = (limit as i64 - now as i64) / MS as i64;
-    let (acknowledged_in_ms, lead_ms) = (acknowledged_in / MS, lead / MS);
-    tracing::warn!(target: "platform", event = "ends-owed", count = owed, oldest_ms, to_limit_ms, open, begun, given_up, failed, ?last, acknowledged_in_ms, lead_ms, "ends wait for the platform's acknowledgement");
+    let (acknowledged_in_ms, ends_take_ms) = (acknowledged_in / MS, ends_take / MS);
+    tracing::warn!(target: "platform", event = "ends-owed", count = owed, oldest_ms, to_limit_ms, open, begun, given_up, failed, ?last, acknowledged_in_ms, ends_take_ms, "ends wait for the platform's acknowledgement");
 }
 
 /// The figures of what is owed, a line each.
@@ -115,7 +116,7 @@
         ("given_up", figures.given_up as i64),
         ("failed", figures.failed as i64),
         ("acknowledged_in_ms", (figures.acknowledged_in / MS) as i64),
-        ("lead_ms", (figures.lead / MS) as i64),
+        ("ends_take_ms", (figures.ends_take / MS) as i64),
         ("violations", figures.violations as i64),
     ];
     let nearest = figures.nearest.iter().flat_map(nearest_rows);
--- a/src/protocol/platform/standby.rs
+++ b/src/protocol/platform/standby.rs
@@ -19,7 +19,7 @@
 /// One that was opened longer ago may have fallen silent.
 const FRESH_FOR: Nanos = 3_000_000_000;
 /// They are opened so long before an end falls due.
-const AHEAD: Nanos = 1_500_000_000;
+const AHEAD: Nanos = 2_500_000_000;
 
 /// A connection that is being opened, or is open.
 pub(super) struct Opened {
@@ -60,12 +60,12 @@
         self.slowest.take()
     }
 
-    /// Opens what is needed for ends of which the first falls due then, decided so much earlier; closes what is not.
-    pub fn keep(&mut self, now: Nanos, first_end: Option<Nanos>, lead: Nanos) {
+    /// Opens what is needed for ends of which the first falls due then, and that take so long to arrive; closes what is not.
+    pub fn keep(&mut self, now: Nanos, first_end: Option<Nanos>, ends_take: Nanos) {
         self.opened.retain(|opened| now.saturating_sub(opened.at) < FRESH_FOR);
-        let is_needed = first_end.is_some_and(|end| end <= now + AHEAD + lead);
+        let is_needed = first_end.is_some_and(|end| end <= now + AHEAD + ends_take);
         let (few, many) = CONNECTIONS;
-        let wanted = match lead {
+        let wanted = match ends_take {
             _ if !is_needed => 0,
             0 => few,
             _ => many,
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -66,9 +66,9 @@
         self.facade.first_end()
     }
 
-    /// Ends take so long to arrive that they are decided so much earlier from now on.
-    pub fn decide_earlier(&mut self, now: Nanos, lead: Nanos) {
-        let picked = self.facade.decide_earlier(now, lead);
+    /// Ends took so long to arrive of late: from now on each is decided earlier, by a margin of its message.
+    pub fn ends_take(&mut self, now: Nanos, time: Nanos) {
+        let picked = self.facade.ends_take(now, time);
         self.absorb(now, picked);
     }
 
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -249,9 +249,9 @@
         self.relay.first_end()
     }
 
-    /// Ends are decided so much earlier from now on.
-    pub fn decide_earlier(&mut self, now: Nanos, time: Nanos) -> Picked {
-        self.step(now, &[Event::Lead { time }])
+    /// Ends take so long to arrive: they are decided earlier.
+    pub fn ends_take(&mut self, now: Nanos, time: Nanos) -> Picked {
+        self.step(now, &[Event::EndsTake { time }])
     }
 
     /// The end of this transaction has been told: now it is over.
--- a/tests/owed_ends/agent.rs
+++ b/tests/owed_ends/agent.rs
@@ -70,6 +70,25 @@
     open: usize,
 }
 
+/// Counts a connection as open until the other side has closed it, whatever it has still to say.
+struct Counted(Told<Read>);
+
+impl Counted {
+    fn new(read: &Told<Read>) -> Counted {
+        read.tell(|read| {
+            read.open += 1;
+            read.most_open = read.most_open.max(read.open);
+        });
+        Counted(read.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.tell(|read| read.open -= 1);
+    }
+}
+
 /// The agent and the way to it.
 pub struct Agent {
     pub address: SocketAddr,
@@ -110,12 +129,8 @@
             for stream in listener.incoming().flatten() {
                 let serving = serving.clone();
                 spawn(move || {
-                    serving.read.tell(|read| {
-                        read.open += 1;
-                        read.most_open = read.most_open.max(read.open);
-                    });
-                    serving.serve(stream);
-                    serving.read.tell(|read| read.open -= 1);
+                    let counted = Counted::new(&serving.read);
+                    serving.serve(stream, counted);
                 });
             }
         });
@@ -153,18 +168,27 @@
         least + (most - least).mul_f64(self.chance())
     }
 
-    fn wait_while_stopped(&self) {
-        let left = || self.stopped_until.lock().unwrap().saturating_duration_since(Instant::now());
-        while !left().is_zero() {
-            sleep(left());
-        }
+    fn stopped_for(&self) -> Duration {
+        self.stopped_until.lock().unwrap().saturating_duration_since(Instant::now())
     }
 
-    fn serve(&self, stream: TcpStream) {
+    /// Whether it was this connection's turn, which has taken so long.
+    fn takes_its_turn(&self, time: Duration) -> bool {
+        let Ok(_turn) = self.turn.try_lock() else {
+            sleep(LOOK_EACH);
+            return false;
+        };
+        sleep(time);
+        true
+    }
+
+    fn serve(&self, stream: TcpStream, counted: Counted) {
+        let mut counted = Some(counted);
         let way = *self.way.lock().unwrap();
         if !way.one_by_one.is_zero() {
-            let _turn = self.turn.lock().unwrap();
-            sleep(way.one_by_one);
+            while !self.takes_its_turn(way.one_by_one) {
+                counted.take_if(|_| is_closed(&stream));
+            }
         }
         if closes_within(&stream, self.between(way.up_after)) {
             self.read.tell(|read| read.given_up += 1);
@@ -184,7 +208,10 @@
             if closes_within(input.get_ref(), self.between(late)) {
                 return;
             }
-            self.wait_while_stopped();
+            while !self.stopped_for().is_zero() {
+                counted.take_if(|_| is_closed(input.get_ref()));
+                sleep(self.stopped_for().min(LOOK_EACH));
+            }
             let answered = match head[0].starts_with("POST") {
                 true => self.notices(way, &head, &body, input.get_ref()),
                 false => self.list(way, &head[0], input.get_ref()),
--- a/tests/owed_ends/first_ends.rs
+++ b/tests/owed_ends/first_ends.rs
@@ -134,26 +134,35 @@
         rig.platform.write(&document.to_string());
         rig.process.signal(Signal::HUP);
         sleep(ms(4_000));
+        // What was told before the move stands.
+        let before = rig.agent.read.tell(|read| read.ends.clone());
+        second.read.tell(|read| {
+            for (id, end) in before {
+                read.ends.entry(id).or_insert(end);
+            }
+        });
         let outcome = rig.outcome_at(&second, &handed);
         assert_in_time(&format!("{least} to {most} ms late"), &outcome, 200);
     });
 }
 
-/// Guards ends from refusals, resets and silence of most connections: pauses asked how the way was, not what time was left.
+/// Guards ends from refusals and resets of most connections: pauses asked how the way was, not what time was left.
 #[test]
 fn ends_come_in_time_where_nine_of_ten_requests_fail() {
     let most = 0.9;
-    let ways = [
-        Way { refused: most, ..Way::default() },
-        Way { closed: most, ..Way::default() },
-        Way { silent: most, ..Way::default() },
-    ];
-    at_once(&ways, |way| {
+    at_once(&[Way { refused: most, ..Way::default() }, Way { closed: most, ..Way::default() }], |way| {
         let outcome = turns(TIME, ms(0), *way, 1);
         assert_in_time(&format!("{way:?}"), &outcome, 200);
     });
 }
 
+/// Guards the same where nine of ten connections say nothing at all.
+#[test]
+fn ends_come_in_time_where_nine_of_ten_connections_are_silent() {
+    let outcome = turns(TIME, ms(0), Way { silent: 0.9, ..Way::default() }, 1);
+    assert_in_time("silent", &outcome, 200);
+}
+
 /// Guards ends at a platform that more open connections make slower: it was crowded by tries.
 #[test]
 fn ends_come_in_time_where_connections_are_served_one_after_another() {
@@ -201,3 +210,19 @@
     });
     assert_in_time("way and folder", &outcome, 100);
 }
+
+/// Guards what is delivered beside overload from margins that leave too little time for it.
+#[test]
+fn an_endpoint_is_kept_busy_beside_overload() {
+    at_once(&[15.0, 22.0, 28.0], |rate| {
+        let (endpoint, served) = busy_endpoint(*rate);
+        let rig = Rig::start_before(1, endpoint);
+        let handed = rig.hand_in(600, SECOND * 20);
+        let outcome = rig.outcome(&handed, ms(2_000));
+        // What is served behind its end earns nothing.
+        let ended = rig.agent.read.tell(|read| read.ends.clone());
+        let delivered = served.tell(|ids| ids.iter().filter(|id| !ended.contains_key(*id)).count());
+        println!("{rate} calls a second of 30: {delivered} delivered of {}", outcome.taken);
+        assert!(delivered as f64 >= 0.85 * rate * 20.0, "{rate} calls a second: {delivered} delivered");
+    });
+}
--- a/tests/owed_ends/soak.rs
+++ b/tests/owed_ends/soak.rs
@@ -1,8 +1,9 @@
-//! Slow ways and slow folders at random, one over another, beside kills, restarts, upgrades and a crowd: each message is judged
-//! by when the agent read its end.
+//! Slow ways and slow folders at random, one over another, ways that turn slow long after the start, stops of the way, of the
+//! process and of the folder, beside kills, restarts, upgrades, short messages and a crowd: each message is judged by when the
+//! agent read its end.
 
 use crate::agent::Way;
-use crate::rig::{hand_in, Handed, Rig, LATE_AFTER, TIME};
+use crate::rig::{hand_in, hand_in_for, Handed, Rig, LATE_AFTER, TIME};
 use crate::stand_ins::soak_seeds;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -10,7 +11,9 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-const LASTS: Duration = Duration::from_secs(12);
+const LASTS: Duration = Duration::from_secs(16);
+/// The time of the short ones among the messages.
+const SHORT_TIME: Duration = Duration::from_millis(900);
 /// Runs at the same time.
 const SIDE_BY_SIDE: usize = 3;
 /// No end is overdue before so long behind a start's yes.
@@ -28,13 +31,15 @@
     /// One of the ways on which ends can come in time.
     fn way(&mut self) -> Way {
         let part = 0.05 * self.below(7) as f64;
-        match self.below(8) {
+        match self.below(11) {
             0 | 1 => Way::default(),
             2 => Way::late(50 + self.below(350)),
             3 => Way::between(0, 100 + self.below(500)),
             4 => Way { answer_after: Duration::from_millis(self.below(2_000)), ..Way::default() },
             5 => Way { silent: part, ..Way::default() },
             6 => Way { closed: part, refused: part, ..Way::default() },
+            7 | 8 => Way::requests_between(0, 200 + self.below(600)),
+            9 => Way { closed: 0.7, refused: 0.7, ..Way::default() },
             _ => Way {
                 unanswered: 0.5,
                 list_after: Duration::from_millis(self.below(2_000)),
@@ -43,6 +48,15 @@
         }
     }
 
+    /// A good time that is longer than what was seen before is remembered, then a change of which nothing is known.
+    fn quiet(&mut self) -> Duration {
+        Duration::from_millis(2_000 + self.below(3_000))
+    }
+
+    fn stop(&mut self) -> Duration {
+        Duration::from_millis(300 + self.below(600))
+    }
+
     fn write(&mut self) -> Duration {
         match self.below(3) {
             0 => Duration::from_millis(5 + self.below(60)),
@@ -60,6 +74,7 @@
     let mut rig = Rig::start(seed);
     let (relay, many) = (rig.platform.address, 150 + chance.below(250) as usize);
     let steady = spawn(move || hand_in(relay, "s", many, LASTS));
+    let short = spawn(move || hand_in_for(SHORT_TIME, relay, "short", many / 3, LASTS));
     let crowd = (chance.below(3) == 0).then(|| {
         let (at, many) = (chance.below(6_000), 300 + chance.below(500) as usize);
         spawn(move || {
@@ -77,8 +92,13 @@
             1 => replace(&mut rig, &mut gaps, Replaced::Upgraded),
             _ => {}
         }
+        rig.agent.way(Way::default());
+        rig.folder.each_write(Duration::ZERO);
+        sleep(chance.quiet());
+        stop_something(&rig, &mut chance);
     }
     let mut handed = steady.join().unwrap();
+    handed.taken.extend(short.join().unwrap().taken);
     if let Some(crowd) = crowd {
         handed.taken.extend(crowd.join().unwrap().taken);
     }
@@ -87,6 +107,25 @@
     judge(seed, &rig, &handed, &gaps)
 }
 
+/// The way, the process or the folder stands still for a moment.
+fn stop_something(rig: &Rig, chance: &mut Chance) {
+    let time = chance.stop();
+    match chance.below(4) {
+        0 => rig.agent.stop_for(time),
+        1 => {
+            rig.process.signal(Signal::STOP);
+            sleep(time);
+            rig.process.signal(Signal::CONT);
+        }
+        2 => {
+            rig.folder.each_write(time);
+            sleep(time);
+            rig.folder.each_write(Duration::ZERO);
+        }
+        _ => {}
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Replaced {
     Killed,
