Take requests for lost only where others overtake them, and go gently on a slow way

Change: a short patience and short gaps hold only where requests fail, or are overtaken by others that are acknowledged at once; else the gap grows with the requests that are open, up to an eighth of the time left. The standing margin is 1.2 s at most.

--- a/src/decision/end_margin.rs
+++ b/src/decision/end_margin.rs
@@ -8,7 +8,7 @@
 /// Of a message's time, the part that is kept for its end...
 const STANDING_PART: Nanos = 4;
 /// ...and the most of that.
-pub(super) const STANDING_MOST: Nanos = 1_000 * MS;
+pub(super) const STANDING_MOST: Nanos = 1_200 * MS;
 /// Half of a short message's time is kept, up to this.
 const SHORT_MOST: Nanos = 450 * MS;
 /// What is known to take longer has at most this part of a message's time, in tenths: an end before seven tenths is priced.
--- a/src/notices/schedule.rs
+++ b/src/notices/schedule.rs
@@ -22,7 +22,7 @@
 const AGAIN_MOST: usize = 3;
 /// For each request that is open the next one begins so much later, so that a platform that is slow because it is crowded is
 /// asked less often. One that is full does not wait.
-const GAP_EACH: Nanos = 10 * MS;
+const GAP_EACH: Nanos = 25 * MS;
 /// So many tries of one end follow one another at the same interval; each further interval is twice as long.
 const TRIES_AT_ONCE: u32 = 6;
 /// The longest time between two tries of one end.
@@ -204,7 +204,7 @@
         let longer = end.tries.saturating_sub(TRIES_AT_ONCE).min(8);
         let left = end.limit.checked_sub(now);
         let usual = (self.way.try_again_after() << longer).min(TRY_AGAIN_MOST);
-        end.rests_until = now + Haste::new(left).try_again_after(usual);
+        end.rests_until = now + Haste::new(left, false).try_again_after(usual);
         self.resting.insert((end.rests_until, no));
     }
 
@@ -242,7 +242,8 @@
     /// A request was acknowledged, whose connection was up at `connected`.
     pub fn acknowledged(&mut self, now: Nanos, request: AttemptNo, connected: Nanos) -> Acknowledged {
         if let Some(begun) = self.attempts.end(request) {
-            self.way.acknowledged(now, now.saturating_sub(begun));
+            let oldest = self.requests.values().map(|open| open.begun).min().unwrap_or(begun);
+            self.way.acknowledged(now, now.saturating_sub(begun), now.saturating_sub(oldest));
         }
         self.failures.end();
         self.acknowledged_at = now;
@@ -364,7 +365,8 @@
 
     fn haste(&self, now: Nanos) -> Haste {
         let next = self.by_limit.range((now, 0)..).next();
-        Haste::new(next.map(|(limit, _)| limit - now))
+        let loses = self.failures.any() || self.way.loses(now);
+        Haste::new(next.map(|(limit, _)| limit - now), loses)
     }
 
     /// How long an open request is kept at least where another is wanted.
--- a/src/notices/way.rs
+++ b/src/notices/way.rs
@@ -13,6 +13,13 @@
 const DELAY_USUAL: Nanos = 100 * MS;
 /// What ends are said to take at most.
 const ENDS_TAKE_MOST: Nanos = 2_000 * MS;
+/// A request is overtaken by one that took less than this part of the time that it is open, and this much less.
+const OVERTAKEN: Nanos = 3;
+const OVERTAKEN_BY: Nanos = 30 * MS;
+/// What this says of the way holds for so long.
+const OVERTAKEN_FOR: Nanos = 10_000 * MS;
+/// Acknowledgements that take less come at once.
+const AT_ONCE: Nanos = 100 * MS;
 /// Other answers that are later tell nothing of the way.
 const ANSWER_LATE_MOST: Nanos = 1_500 * MS;
 /// Between two tries of one end, where acknowledgements are fast and where they are slow.
@@ -30,6 +37,8 @@
 pub struct Way {
     /// From the beginning of a request to its acknowledgement, smoothed; 0: none came yet.
     acknowledged_in: f64,
+    /// When a request was acknowledged so much sooner than an earlier one, still open, that this may be lost.
+    overtaken_at: Option<Nanos>,
     /// The longest that a request took to be acknowledged, and when it was seen.
     slowest: (Nanos, Nanos),
     /// The longest time between an end and its acknowledgement, and when it was seen.
@@ -37,8 +46,11 @@
 }
 
 impl Way {
-    /// A request was acknowledged after so long.
-    pub fn acknowledged(&mut self, now: Nanos, took: Nanos) {
+    /// A request was acknowledged after so long, while the oldest one had been open for `oldest`.
+    pub fn acknowledged(&mut self, now: Nanos, took: Nanos, oldest: Nanos) {
+        if oldest > OVERTAKEN * took + OVERTAKEN_BY {
+            self.overtaken_at = Some(now);
+        }
         if took >= faded(self.slowest, now, NOW_HALVES) {
             self.slowest = (took, now);
         }
@@ -100,6 +112,12 @@
         bounded(self.acknowledged_in * TRY_AGAIN_FACTOR, TRY_AGAIN)
     }
 
+    /// Whether requests are lost rather than slow: some are overtaken, and what is acknowledged is so at once.
+    pub fn loses(&self, now: Nanos) -> bool {
+        let is_overtaken = self.overtaken_at.is_some_and(|at| now < at + OVERTAKEN_FOR);
+        is_overtaken && faded(self.slowest, now, NOW_HALVES) < AT_ONCE
+    }
+
     /// How long a request that is still to be acknowledged may take, by the slowest of late.
     pub fn slowest(&self, now: Nanos) -> Nanos {
         faded(self.slowest, now, NOW_HALVES) / 2 * 3
