Kill a process whose end is not told once its record is written

The test guards an end that is written and not told, and killed the process at the log line message-ending. It now waits for message-notice-sent, which follows the record; all that it asserts stands.

--- a/tests/final_answers/ends.rs
+++ b/tests/final_answers/ends.rs
@@ -36,7 +36,8 @@
     let platform = Platform::new(&folder(), &terms, agent, &known);
     let mut process = platform.start_ready();
     assert_eq!(platform.ask(&message_within("status", "m1", 4_000)), Some(202));
-    process.says("message-ending");
+    // Its notice goes out once its record is written.
+    process.says("message-notice-sent");
     process.kill();
     sleep(Duration::from_millis(600));
     is_deaf.store(false, Ordering::SeqCst);
