--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -136,11 +136,15 @@
         }
     }
 
-    /// Puts an operator's call in force, here or at the process that took over; none where nobody decides any more.
+    /// Puts an operator's call in force, here or at the process that took over; none where nobody decides any more. The answer
+    /// says that all that happened before it is written: whoever heard it may forget what it had told.
     pub async fn operate(self: &Rc<Self>, operation: &Operation) -> Option<Operated> {
         loop {
             if self.roles.serves() {
-                return Some(self.act(|core, now| core.operate(now, operation)));
+                let (operated, record) =
+                    self.act(|core, now| (core.operate(now, operation), core.records_queued()));
+                self.until_resolved(record).await;
+                return Some(operated);
             }
             if let Some(successor) = self.roles.successor() {
                 if let Some(operated) = successor.operate(operation.clone()).await {
