--- a/src/protocol/platform/ends.rs
+++ b/src/protocol/platform/ends.rs
@@ -23,7 +23,7 @@
 /// A change by less of what ends take to arrive changes nothing.
 const ENDS_TAKE_STEP: Nanos = 20_000_000;
 /// What an end may take to arrive before anything is known of the way: a message that leaves less for it is refused.
-const RESERVE_LEAST: Nanos = 550_000_000;
+const RESERVE_LEAST: Nanos = 500_000_000;
 /// What is owed, and what will be, is looked at so often.
 const LOOK_EACH: Nanos = 100_000_000;
 
