Name the parts and bounds of haste by constants

Need: haste.rs told its parts of the time that is left as bare numbers. Change: named constants, the same values; no behaviour changed.

--- a/src/notices/haste.rs
+++ b/src/notices/haste.rs
@@ -3,6 +3,16 @@
 use crate::interface::Nanos;
 
 const MS: Nanos = 1_000_000;
+/// Intervals are at most these parts of the time that is left: between two tries of one end...
+const TRY_AGAIN_PART: Nanos = 5;
+/// ...between two requests, on a way that may only be slow and on one that loses them...
+const GAP_PART: (Nanos, Nanos) = (8, 32);
+/// ...and for a request that is kept on a way that loses them.
+const PATIENCE_PART: Nanos = 12;
+/// Near the limit each is this long at least, or its usual time where that is shorter.
+const TRY_AGAIN_LEAST: Nanos = 30 * MS;
+const GAP_LEAST: Nanos = 10 * MS;
+const PATIENCE_LEAST: Nanos = 30 * MS;
 
 /// The time to the next limit of an end, in parts of which the intervals of tries are told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,18 +36,19 @@
 
     /// Between two tries of one end.
     pub fn try_again_after(&self, usual: Nanos) -> Nanos {
-        self.bounded(usual, 5, 30 * MS)
+        self.bounded(usual, TRY_AGAIN_PART, TRY_AGAIN_LEAST)
     }
 
     /// Between the beginnings of two requests.
     pub fn gap(&self, usual: Nanos) -> Nanos {
-        self.bounded(usual, if self.loses { 32 } else { 8 }, 10 * MS)
+        let (slow, lossy) = GAP_PART;
+        self.bounded(usual, if self.loses { lossy } else { slow }, GAP_LEAST)
     }
 
     /// How long a request is kept at least where another is wanted, and requests take up to `slowest` to be acknowledged.
     pub fn patience(&self, usual: Nanos, slowest: Nanos) -> Nanos {
         match self.loses {
-            true => self.bounded(usual, 12, slowest.max(30 * MS)),
+            true => self.bounded(usual, PATIENCE_PART, slowest.max(PATIENCE_LEAST)),
             false => usual,
         }
     }
