Show that a next hop with a new address keeps getting its messages at the old one

Partner 1 moves to a new address and partner 2 to its old one, by the operator's file and SIGHUP: all of 198 messages submitted more than 5.05 s later went on the old binds, 99 to the other partner and 99 to an address that is gone. With an unchanged file all went right.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod kill_behind_answer;
+mod moved_next_hop;
 mod smpp;
 
 use base::{Record, Verdict};
@@ -22,6 +23,7 @@
 fn play(case: &str, record: &Record) -> Verdict {
     match case {
         "kill-behind-answer" => kill_behind_answer::run(record),
+        "moved-next-hop" => moved_next_hop::run(record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     }
 }
