--- a/review/rig/base.rs
+++ b/review/rig/base.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -99,6 +100,16 @@
 impl Process {
     /// Starts the run command of the deploy file, from the root, with these arguments behind it and these variables.
     pub fn start(folder: &Folder, arguments: &str, variables: &[(&str, String)]) -> Process {
+        Process::start_with(folder, arguments, variables, None)
+    }
+
+    /// The same with a standard input.
+    pub fn start_with(
+        folder: &Folder,
+        arguments: &str,
+        variables: &[(&str, String)],
+        input: Option<OwnedFd>,
+    ) -> Process {
         let log = File::options().create(true).append(true).open(folder.0.join("relay.log")).unwrap();
         let deploy = fs::read_to_string("deploy/balancer.toml").expect("run from the project's root");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).unwrap();
@@ -109,7 +120,7 @@
             command.env_remove(name);
         }
         command.envs(variables.iter().map(|(name, value)| (name, value)));
-        command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        command.stdin(input.map_or_else(Stdio::null, Stdio::from)).stdout(log.try_clone().unwrap()).stderr(log);
         Process(command.spawn().expect("the program is built"))
     }
 
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins and observers of the review's cases, by name; `run.sh` of a case starts one of them from the project's root.
 
 mod base;
+mod gone_while_down;
+mod http;
 mod kill_behind_answer;
 mod moved_next_hop;
 mod smpp;
@@ -24,6 +26,7 @@
     match case {
         "kill-behind-answer" => kill_behind_answer::run(record),
         "moved-next-hop" => moved_next_hop::run(record),
+        "gone-while-down" => gone_while_down::run(record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     }
 }
