Show that a key whose message has ended does not rest at an upgrade

A keyed message ends by its notice while the call that it shares is out; the next one of its key waits.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -3,6 +3,7 @@
 mod base;
 mod gone_while_down;
 mod http;
+mod key_at_upgrade;
 mod kill_behind_answer;
 mod moved_next_hop;
 mod smpp;
@@ -27,6 +28,7 @@
         "kill-behind-answer" => kill_behind_answer::run(record),
         "moved-next-hop" => moved_next_hop::run(record),
         "gone-while-down" => gone_while_down::run(record),
+        "key-at-upgrade" => key_at_upgrade::run(record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     }
 }
