Show that one failed call ends the care for a partner that is coming back cold

A partner refuses connections for 18 s and comes back cold; one call fails while it warms up and the next is served.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x target/review/rig ] && [ -x target/release/basaltloom ] || exit 2
+exec target/review/rig key-at-upgrade "$here/record.txt"
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -163,6 +164,10 @@
 pub enum Act {
     /// 200, and for a batch `accepted` for each.
     Accept(Duration),
+    /// 500.
+    Fail(Duration),
+    /// 503 at once: its queue is full.
+    Full,
     /// 429 at once, with these headers.
     Refuse(&'static str),
 }
@@ -174,13 +179,42 @@
     record: &Record,
     act: impl Fn(&[String]) -> Act + Send + Sync + 'static,
 ) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
+    endpoint_that_dies(name, calls, record, Arc::default(), act)
+}
+
+/// The same; while it is down its connections are broken and new ones refused.
+pub fn endpoint_that_dies(
+    name: &str,
+    calls: Calls,
+    record: &Record,
+    is_down: Arc<AtomicBool>,
+    act: impl Fn(&[String]) -> Act + Send + Sync + 'static,
+) -> SocketAddr {
+    let first = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = first.local_addr().unwrap();
     let (name, record, act) = (name.to_string(), record.clone(), Arc::new(act));
     spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (name, calls, record, act) = (name.clone(), calls.clone(), record.clone(), act.clone());
-            spawn(move || serve_endpoint(&name, stream, calls, record, &*act));
+        let (mut listener, mut open) = (Some(first), Vec::<TcpStream>::new());
+        loop {
+            let down = is_down.load(Ordering::SeqCst);
+            if down && listener.take().is_some() {
+                record.say(&format!("{name}: down, refuses connections"));
+                open.drain(..).for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+            }
+            if !down && listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+                record.say(&format!("{name}: back, cold"));
+            }
+            listener.iter().for_each(|listener| listener.set_nonblocking(true).unwrap());
+            match listener.as_ref().and_then(|listener| listener.accept().ok()) {
+                Some((stream, _)) => {
+                    stream.set_nonblocking(false).unwrap();
+                    open.extend(stream.try_clone());
+                    let (name, calls, record, act) = (name.clone(), calls.clone(), record.clone(), act.clone());
+                    spawn(move || serve_endpoint(&name, stream, calls, record, &*act));
+                }
+                None => sleep(Duration::from_millis(1)),
+            }
         }
     });
     address
@@ -208,8 +242,8 @@
         let ends = |how| calls.lock().unwrap()[place].until = Some((Instant::now(), how));
         let act = act(&ids);
         let wait = match &act {
-            Act::Accept(wait) => *wait,
-            Act::Refuse(_) => Duration::ZERO,
+            Act::Accept(wait) | Act::Fail(wait) => *wait,
+            Act::Full | Act::Refuse(_) => Duration::ZERO,
         };
         if given_up(&mut output, came + wait) {
             ends("given up by the relay");
@@ -227,6 +261,16 @@
                     return;
                 }
             }
+            Act::Fail(_) => {
+                ends("answered");
+                record.say(&format!("{name}: 500 for {ids:?}"));
+                respond(&mut output, "500 Internal Server Error", "");
+            }
+            Act::Full => {
+                ends("turned away");
+                record.say(&format!("{name}: 503 for {ids:?}"));
+                respond(&mut output, "503 Service Unavailable", "");
+            }
             Act::Refuse(headers) => {
                 ends("turned away");
                 record.say(&format!("{name}: 429 for {ids:?}, {headers}"));
@@ -302,7 +346,7 @@
     .join(",");
     format!(
         r#"{{"azs":["ann-arbor"],"callers":{{"marks_retry":false}},"discovery":"push",
-"domain":{{"calls_out":12,"late":"even","notes":"","per_call":[5,1,1],"report_x0":"","report_x1":"","route_fee":[0.0],"separate_routes":[false,false,false],"turned_away_price":0.0}},
+"domain":{{"calls_out":28,"late":"even","notes":"","per_call":[5,1,1],"report_x0":"","report_x1":"","route_fee":[0.0],"separate_routes":[false,false,false],"turned_away_price":0.0}},
 "family":"deliver","fleet_size":2,"goal":{{"whole":0.45,"worst_class":0.3,"worst_tenant":0.0,"worst_window":0.25}},
 "kinds":["club-chains","payment-firms","local-clubs"],"layers":["partners"],
 "limits":{{"cancel":true,"connect_timeout":1500000000,"cpu_us_per_request":0.0,"cpu_us_per_s":500000,"keepalive":10000000000,"max_open":200,"max_retry_after":3000000000,"most_tries":8,"peers":false,"probes":true,"retry_after":true,"second_copies":false,"streams_per_conn":1}},
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and observers of the review's cases, by name; `run.sh` of a case starts one of them from the project's root.
 
 mod base;
+mod cold_return;
 mod gone_while_down;
 mod http;
 mod key_at_upgrade;
@@ -29,6 +30,7 @@
         "moved-next-hop" => moved_next_hop::run(record),
         "gone-while-down" => gone_while_down::run(record),
         "key-at-upgrade" => key_at_upgrade::run(record),
+        "cold-return" => cold_return::run(record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     }
 }
