--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -91,14 +91,25 @@
 }
 
 pub fn agent(hosts: String, record: &Record) -> (SocketAddr, Agent) {
+    crowded_agent(hosts, record, Duration::ZERO)
+}
+
+/// The same where connections are served one after another, each so long behind the one before. All else is answered at once.
+pub fn crowded_agent(hosts: String, record: &Record, each: Duration) -> (SocketAddr, Agent) {
     let agent: Agent = Arc::new(Mutex::new(Discovery { seq: 1, hosts, ..Discovery::default() }));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let (shared, record) = (agent.clone(), record.clone());
+    let (shared, record, turn) = (agent.clone(), record.clone(), Arc::<Mutex<()>>::default());
     spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (agent, record) = (shared.clone(), record.clone());
-            spawn(move || serve_agent(stream, agent, record));
+            let (agent, record, turn) = (shared.clone(), record.clone(), turn.clone());
+            spawn(move || {
+                if !each.is_zero() {
+                    let _turn = turn.lock().unwrap();
+                    sleep(each);
+                }
+                serve_agent(stream, agent, record)
+            });
         }
     });
     (address, agent)
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,6 +2,7 @@
 
 mod base;
 mod cold_return;
+mod crowded_agent;
 mod gone_while_down;
 mod http;
 mod key_at_upgrade;
@@ -31,6 +32,7 @@
         "gone-while-down" => gone_while_down::run(record),
         "key-at-upgrade" => key_at_upgrade::run(record),
         "cold-return" => cold_return::run(record),
+        "crowded-agent" => crowded_agent::run(record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     }
 }
