--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -9,6 +9,7 @@
 mod key_at_upgrade;
 mod kill_behind_answer;
 mod moved_next_hop;
+mod second_copy;
 mod smpp;
 
 use base::{Record, Verdict};
@@ -62,6 +63,7 @@
         "key-at-upgrade" => key_at_upgrade::run(record),
         "cold-return" => cold_return::run(record),
         "imported-repeat" => imported_repeat::run(record),
+        "second-copy" => second_copy::run(record),
         "crowded-agent" => crowded_agent::run(record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     }
--- a/review/rig/smpp.rs
+++ b/review/rig/smpp.rs
@@ -112,6 +112,8 @@
     pub text: String,
     /// When it was answered.
     pub answered: Option<Instant>,
+    /// When its bind ended, where it had not been answered by then.
+    pub lost: Option<Instant>,
 }
 
 /// All submits that came to any SMSC.
@@ -158,14 +160,14 @@
             UNBIND => {
                 say(&output, plain(b""));
                 record.say(&format!("{name} bind {bind}: unbound"));
-                return;
+                break;
             }
             SUBMIT_SM => {
                 let (to, text) = message(&pdu.body);
                 record.say(&format!("{name} bind {bind}: submit_sm {text} to {to}, sequence {}", pdu.sequence));
                 let place = {
                     let mut log = log.lock().unwrap();
-                    log.push(Came { at: Instant::now(), smsc: name, bind, to, text: text.clone(), answered: None });
+                    log.push(Came { at: Instant::now(), smsc: name, bind, to, text: text.clone(), answered: None, lost: None });
                     log.len() - 1
                 };
                 let (answer, output, log, record) = (plain(b"x1\0"), output.clone(), log.clone(), record.clone());
@@ -181,6 +183,9 @@
             _ => {}
         }
     }
+    let mut log = log.lock().unwrap();
+    let of_bind = log.iter_mut().filter(|came| came.smsc == name && came.bind == bind && came.answered.is_none());
+    of_bind.for_each(|came| came.lost = Some(Instant::now()));
     record.say(&format!("{name} bind {bind}: connection ended"));
 }
 
