--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review/rig ] && [ -x target/release/basaltloom ] || exit 2
-exec target/review/rig gone-while-down "$here/record.txt"
+exec target/review/rig second-copy "$here/record.txt"
--- a/review/rig/imported_repeat.rs
+++ b/review/rig/imported_repeat.rs
@@ -58,7 +58,7 @@
 }
 
 /// Hands a message in as a proxy does; the status of the answer.
-fn hand_in(relay: SocketAddr, class: &str, id: &str, record: &Record) -> Option<u16> {
+pub fn hand_in(relay: SocketAddr, class: &str, id: &str, record: &Record) -> Option<u16> {
     let mut stream = TcpStream::connect(relay).ok()?;
     stream.set_nodelay(true).ok();
     stream.set_read_timeout(Some(Duration::from_millis(400))).ok();
@@ -71,6 +71,36 @@
     line.split(' ').nth(1)?.parse().ok()
 }
 
+/// Imports a configuration of nginx: what that prints, and its notes.
+pub fn import(folder: &Folder, conf: &str, record: &Record) -> Option<(String, String)> {
+    let conf = folder.file("nginx.conf", conf);
+    let imported = Command::new("target/release/basaltloom").arg("import").arg(&conf).output().ok()?;
+    let notes = String::from_utf8_lossy(&imported.stderr).into_owned();
+    record.say(&format!("import: {}, {} notes {notes}", imported.status, notes.lines().count()));
+    imported.status.success().then(|| (String::from_utf8_lossy(&imported.stdout).into_owned(), notes))
+}
+
+/// Starts a relay by the configuration in this folder, and waits until it is ready.
+pub fn serve(folder: &Folder, listen: SocketAddr) -> Option<Process> {
+    let path = |name: &str| folder.0.join(name).display().to_string();
+    let variables = [
+        ("LB_NAME", "n0".to_string()),
+        ("LB_LISTEN", listen.to_string()),
+        ("LB_STATE", path("state")),
+        ("LB_CONFIG", path("config.json")),
+    ];
+    let relay = Process::start(folder, "", &variables);
+    let is_ready = || {
+        let mut stream = TcpStream::connect(listen).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).ok()?;
+        line.contains(" 200").then_some(())
+    };
+    until(Duration::from_secs(8), is_ready).map(|()| relay)
+}
+
 pub fn run(record: &Record) -> Verdict {
     let (folder, calls) = (Folder::new(), Calls::default());
     std::fs::create_dir_all(folder.0.join("state")).unwrap();
@@ -88,37 +118,17 @@
     });
     let directive = format!("proxy_next_upstream {};", std::env::var("NEXT").unwrap_or(NEXT.to_string()));
     let notices = endpoint("notices", calls.clone(), record, |_| Act::Accept(PACE));
-    let conf = folder.file("nginx.conf", &nginx_conf(listen, payments, notices, &directive));
-    let imported = Command::new("target/release/basaltloom").arg("import").arg(&conf).output();
-    let Some(imported) = imported.ok().filter(|imported| imported.status.success()) else {
+    let conf = nginx_conf(listen, payments, notices, &directive);
+    let Some((text, notes)) = import(&folder, &conf, record) else {
         return Verdict::CannotRun("the configuration was not imported".to_string());
     };
-    let notes = String::from_utf8_lossy(&imported.stderr).into_owned();
-    let text = String::from_utf8_lossy(&imported.stdout).into_owned();
     text.lines().filter(|line| line.contains("\"repeat\"")).for_each(|line| record.say(&format!("import: {}", line.trim())));
-    record.say(&format!("import: {} notes {notes}", notes.lines().count()));
-    let line = std::fs::read_to_string(&conf).unwrap().lines().position(|line| line.contains(&directive)).unwrap() + 1;
+    let line = conf.lines().position(|line| line.contains(&directive)).unwrap() + 1;
     let is_named = notes.lines().any(|note| note.contains(&format!("{line}: ")) || note.contains("proxy_next_upstream"));
-    let config = folder.file("config.json", &text);
-    let path = |path: &std::path::Path| path.display().to_string();
-    let variables = [
-        ("LB_NAME", "n0".to_string()),
-        ("LB_LISTEN", listen.to_string()),
-        ("LB_STATE", path(&folder.0.join("state"))),
-        ("LB_CONFIG", path(&config)),
-    ];
-    let mut relay = Process::start(&folder, "", &variables);
-    let is_ready = || {
-        let mut stream = TcpStream::connect(listen).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
-        let mut line = String::new();
-        BufReader::new(stream).read_line(&mut line).ok()?;
-        line.contains(" 200").then_some(())
-    };
-    if until(Duration::from_secs(8), is_ready).is_none() {
+    folder.file("config.json", &text);
+    let Some(mut relay) = serve(&folder, listen) else {
         return Verdict::CannotRun("the relay did not start".to_string());
-    }
+    };
     let mut number = 0;
     while from.elapsed() < BEFORE + FAILING + AFTER {
         let class = if number % 5 == 4 { "dues-charges" } else { "status-sync" };
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -5,6 +5,7 @@
 mod crowded_agent;
 mod gone_while_down;
 mod http;
+mod imported_again;
 mod imported_repeat;
 mod key_at_upgrade;
 mod kill_behind_answer;
@@ -62,6 +63,7 @@
         "gone-while-down" => gone_while_down::run(record),
         "key-at-upgrade" => key_at_upgrade::run(record),
         "cold-return" => cold_return::run(record),
+        "imported-again" => imported_again::run(record),
         "imported-repeat" => imported_repeat::run(record),
         "second-copy" => second_copy::run(record),
         "crowded-agent" => crowded_agent::run(record),
