Log when each list was asked for, answered and in force

Each list that comes into force is told with four spans: between questions that were answered, to the head of the answer, until it was heard and read, until it was in force. `GET /admin/discovery` has the last ones and how old the list in force may be. The spans are kept by src/polling/, without I/O.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod memory;
 pub mod notices;
 pub mod operator;
+pub mod polling;
 pub mod program;
 pub mod protocol;
 pub mod routing;
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -4,13 +4,16 @@
 //! followed discovery, so a move of discovery or the relay's end leaves no destination between two lists.
 
 use crate::catalog::{Draft, Endpoint, EndpointUpdate, PendingUpdate};
-use crate::protocol::discovery::ListReceiver;
+use crate::interface::Nanos;
+use crate::polling::ListSteps;
+use crate::protocol::discovery::{ListArrival, ListReceiver};
 use crate::routing::{Desk, Front};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
+use tokio::time::Instant;
 
 /// Entries of a list at hand that are compared in one turn of the loop.
 const COMPARED_AT_ONCE: usize = 1_024;
@@ -102,6 +105,24 @@
         Ok(())
     }
 
+    /// The clock's time at an instant that has passed.
+    fn on_clock(&self, instant: Instant) -> Nanos {
+        self.desk.clock.now().saturating_sub(instant.elapsed().as_nanos() as Nanos)
+    }
+
+    /// When each step of a list was done that is in force now.
+    fn steps(&self, list: &ListArrival) -> ListSteps {
+        ListSteps {
+            seq: list.seq,
+            whole: list.whole,
+            asked_before: list.asked_before.map(|asked| self.on_clock(asked)),
+            asked: self.on_clock(list.asked),
+            answered: self.on_clock(list.answered),
+            read: self.on_clock(list.read),
+            in_force: self.desk.clock.now(),
+        }
+    }
+
     fn compare(&self, draft: &mut Draft, endpoint: Endpoint) {
         self.desk.see(|core| draft.entry(core.catalog(), endpoint));
     }
@@ -135,7 +156,8 @@
         self.0.compare(draft, endpoint);
     }
 
-    async fn commit(&self, draft: Draft, seq: u64, whole: bool) {
+    async fn commit(&self, draft: Draft, list: ListArrival) {
+        let ListArrival { seq, whole, .. } = list;
         // A list at hand has taken discovery's place meanwhile.
         if self.0.put(draft, whole) == Err(Stale) {
             tracing::info!(target: "platform", event = "list-superseded", "a list of discovery came after another had taken its place");
@@ -143,10 +165,15 @@
         }
         self.0.settled().await;
         self.0.in_force.set(Some(seq));
+        self.0.desk.front.list_came_into_force(self.0.steps(&list));
     }
 
     fn answered(&self, late: Duration) {
         let desk = &self.0.desk;
         desk.front.way_is_late(desk.clock.now(), late);
     }
+
+    fn is_current_as_of(&self, asked: Instant) {
+        self.0.desk.front.list_is_current_as_of(self.0.on_clock(asked));
+    }
 }
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -18,7 +18,7 @@
 use crate::operator::Operator;
 use crate::protocol::console::{self, Answer, Asked};
 use crate::protocol::discovery::Names;
-use crate::protocol::platform::{notice_figures, Platform};
+use crate::protocol::platform::{list_figures, notice_figures, Platform};
 use crate::protocol::smpp::config::SmppConfig;
 use crate::routing::handover::{Hello, Operated, VERSION};
 use crate::routing::{Classes, Clock, Desk};
@@ -265,6 +265,10 @@
             let text = notice_figures(now, &desk.front.owed(now));
             return Answer { status: StatusCode::OK, text: Some(text) };
         }
+        (Asked::List, Some(desk)) => {
+            let text = list_figures(desk.clock.now(), &desk.front.list_status());
+            return Answer { status: StatusCode::OK, text: Some(text) };
+        }
         (Asked::Health, Some(desk)) => desk.roles.serves(),
         (Asked::Operate(operation), Some(desk)) => match desk.operate(&operation).await {
             Some(Operated::Unknown) => return StatusCode::NOT_FOUND.into(),
--- a/src/protocol/console.rs
+++ b/src/protocol/console.rs
@@ -37,6 +37,8 @@
     Memory,
     /// Which ends it owes to the platform.
     Notices,
+    /// How old the list in force is.
+    List,
     /// To put an operation in force.
     Operate(Operation),
 }
@@ -72,6 +74,7 @@
         "health" => Some(Asked::Health),
         "memory" => Some(Asked::Memory),
         "notices" => Some(Asked::Notices),
+        "discovery" => Some(Asked::List),
         _ => None,
     };
     if let Some(question) = question {
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -23,7 +23,7 @@
 pub use fault::{Damage, ListFault};
 pub use known::decode_update;
 pub use limits::ListLimits;
-pub use receiver::ListReceiver;
+pub use receiver::{ListArrival, ListReceiver};
 
 use crate::fleet::{PollOutcome, PollSchedule};
 use crate::transport::network::Net;
@@ -92,6 +92,7 @@
         let mut backoff = Backoff::new(schedule.chances_apart());
         let mut questions = Questions::new(self.net.clone(), agent);
         let mut ask_at = Some(Instant::now());
+        let mut asked_before = None;
         loop {
             if ask_at.is_some_and(|at| at <= Instant::now()) {
                 ask_at = questions.ask(terms(schedule, seq)).err();
@@ -108,13 +109,15 @@
                 }
             };
             let (asked, is_latest, no) = (heard.asked, heard.is_latest, heard.no);
-            let taken = self.take(heard, schedule, seq).await;
+            let taken = self.take(heard, asked_before, schedule, seq).await;
             let took = asked.elapsed();
             match taken {
                 Ok(version) => {
                     trouble.over();
                     backoff.reset();
                     seq = Some(version);
+                    asked_before = asked_before.max(Some(asked));
+                    self.receiver.is_current_as_of(asked);
                     questions.forget_before(no);
                     let pause = schedule.pause(PollOutcome::List, took);
                     if is_latest {
@@ -133,12 +136,19 @@
     }
 
     /// Puts in force what is new in an answer. Returns the version that is known from then on.
-    async fn take(&self, heard: Heard, schedule: &PollSchedule, seq: Option<u64>) -> Result<u64, Unheard> {
+    async fn take(
+        &self,
+        heard: Heard,
+        asked_before: Option<Instant>,
+        schedule: &PollSchedule,
+        seq: Option<u64>,
+    ) -> Result<u64, Unheard> {
+        let (asked, answered) = (heard.asked, heard.answered);
         let mut answer = heard.answer?;
         self.receiver.answered(heard.late);
-        let asked = Instant::now();
+        let waited_from = Instant::now();
         let mut draft = self.receiver.begin().await;
-        answer.patience.excuse(asked.elapsed());
+        answer.patience.excuse(waited_from.elapsed());
         let entry = |endpoint| self.receiver.entry(&mut draft, endpoint);
         let heading = answer.read(Decoder::new(&self.names), self.limits.bytes, entry).await?;
         // Changes since another version than the one in force, or a list that is older: a later answer was faster.
@@ -151,7 +161,11 @@
         }
         if seq != Some(heading.seq) || (heading.whole && schedule.watches()) {
             heading.skipped.tell();
-            self.receiver.commit(draft, heading.seq, heading.whole).await;
+            let Heading { seq, whole, .. } = heading;
+            let read = Instant::now();
+            self.receiver
+                .commit(draft, ListArrival { seq, whole, asked, answered, read, asked_before })
+                .await;
         }
         Ok(heading.seq)
     }
--- a/src/protocol/discovery/questions.rs
+++ b/src/protocol/discovery/questions.rs
@@ -50,6 +50,8 @@
     pub from: Option<u64>,
     /// When it was asked.
     pub asked: Instant,
+    /// When its answer had begun to come, or could not.
+    pub answered: Instant,
     /// By how much the time it took is longer than discovery might take.
     pub late: Duration,
     /// Whether it is the one that was asked last, and still in time.
@@ -65,7 +67,7 @@
     begun: Instant,
     attempts: Attempts,
     open: Vec<Question>,
-    asking: JoinSet<(AttemptNo, Result<Answer, Unheard>)>,
+    asking: JoinSet<(AttemptNo, Instant, Result<Answer, Unheard>)>,
 }
 
 impl Questions {
@@ -89,7 +91,10 @@
         }
         let connected = Rc::new(Cell::new(None));
         let asking = ask(self.net.clone(), self.agent, terms, connected.clone());
-        let handle = self.asking.spawn_local(async move { (no, asking.await) });
+        let handle = self.asking.spawn_local(async move {
+            let answer = asking.await;
+            (no, Instant::now(), answer)
+        });
         let asked = Instant::now();
         self.open.push(Question { no, asked, terms, connected, is_overdue: false, handle });
         Ok(())
@@ -98,16 +103,18 @@
     /// What the next question that is answered, or cannot be, came to.
     pub async fn heard(&mut self) -> Heard {
         loop {
-            let Some(Ok((no, answer))) = self.asking.join_next().await else { std::future::pending().await };
+            let Some(Ok((no, answered, answer))) = self.asking.join_next().await else {
+                std::future::pending().await
+            };
             let Some(place) = self.open.iter().position(|question| question.no == no) else { continue };
             let is_last = place + 1 == self.open.len();
             let question = self.open.remove(place);
             self.attempts.end(no);
             let asked = question.asked;
             let from = question.terms.watch.map(|(seq, _)| seq);
-            let late = asked.elapsed().saturating_sub(question.hold());
+            let late = (answered - asked).saturating_sub(question.hold());
             let is_latest = is_last && !question.is_overdue;
-            return Heard { answer, from, asked, late, is_latest, no };
+            return Heard { answer, from, asked, answered, late, is_latest, no };
         }
     }
 
--- a/src/protocol/discovery/receiver.rs
+++ b/src/protocol/discovery/receiver.rs
@@ -3,6 +3,24 @@
 use crate::catalog::Endpoint;
 use std::future::Future;
 use std::time::Duration;
+use tokio::time::Instant;
+
+/// A list that has come whole, and when each step on its way was done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListArrival {
+    /// Its version.
+    pub seq: u64,
+    /// It replaces all that was known.
+    pub whole: bool,
+    /// The question that brought it was begun.
+    pub asked: Instant,
+    /// The head of the answer had come.
+    pub answered: Instant,
+    /// All of it had been read.
+    pub read: Instant,
+    /// The answer before it, of whatever version, was asked for.
+    pub asked_before: Option<Instant>,
+}
 
 /// Takes lists in as they are decoded.
 pub trait ListReceiver {
@@ -13,7 +31,9 @@
     /// One entry, in the order listed.
     fn entry(&self, draft: &mut Self::Draft, endpoint: Endpoint);
     /// The list came whole: puts it in force, and returns once it is (goes on even if the caller stops waiting).
-    fn commit(&self, draft: Self::Draft, seq: u64, whole: bool) -> impl Future<Output = ()>;
+    fn commit(&self, draft: Self::Draft, list: ListArrival) -> impl Future<Output = ()>;
     /// Discovery began to answer a question so much later than it was to.
     fn answered(&self, _late: Duration) {}
+    /// What was known at this moment is known to be in force.
+    fn is_current_as_of(&self, _asked: Instant) {}
 }
--- /dev/null
+++ b/src/protocol/platform/list_log.rs
@@ -0,0 +1,35 @@
+//! The log of lists: when each was asked for, answered and in force; the same at the console.
+
+use crate::interface::Nanos;
+use crate::polling::{ListStatus, ListSteps};
+
+const MS: Nanos = 1_000_000;
+
+/// Tells of a list that is in force.
+pub(super) fn tell(steps: &ListSteps) {
+    let ListSteps { seq, whole, .. } = *steps;
+    let [unasked_ms, answer_ms, read_ms, apply_ms] = stages(steps);
+    tracing::info!(target: "platform", event = "list-in-force", seq, whole, unasked_ms, answer_ms, read_ms, apply_ms, "a list of discovery is in force");
+}
+
+/// Milliseconds between questions that were answered, to the head of the answer, until it was read, until it was in force.
+fn stages(steps: &ListSteps) -> [Nanos; 4] {
+    [
+        steps.unasked() / MS,
+        steps.answered.saturating_sub(steps.asked) / MS,
+        steps.read.saturating_sub(steps.answered) / MS,
+        steps.in_force.saturating_sub(steps.read) / MS,
+    ]
+}
+
+/// The figures of the list in force, a line each.
+pub fn text(now: Nanos, status: &ListStatus) -> String {
+    let mut rows = vec![("age_ms", status.age(now).unwrap_or(now) / MS)];
+    if let Some(steps) = status.last() {
+        let names = ["last_unasked_ms", "last_answer_ms", "last_read_ms", "last_apply_ms"];
+        let in_force = now.saturating_sub(steps.in_force) / MS;
+        rows.extend([("seq", steps.seq), ("in_force_for_ms", in_force)]);
+        rows.extend(names.into_iter().zip(stages(steps)));
+    }
+    rows.into_iter().map(|(name, figure)| format!("{name} {figure}\n")).collect()
+}
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -3,12 +3,14 @@
 mod call;
 mod ends;
 mod intake;
+mod list_log;
 mod meaning;
 mod notice_log;
 mod standby;
 
 pub use ends::tell_ends;
 pub use intake::answer;
+pub use list_log::text as list_figures;
 pub use notice_log::text as notice_figures;
 
 use call::{admitted, conclude, exchange, log_call, unanswered};
@@ -21,6 +23,7 @@
 use crate::interface::{Nanos, Outcome};
 use crate::memory::MemoryBudget;
 use crate::notices::Schedule;
+use crate::polling::{ListStatus, ListSteps};
 use crate::routing::core::{Carried, Ended, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
@@ -32,7 +35,7 @@
 use crate::transport::tap::Tapped;
 use crate::transport::Pool;
 use hyper::StatusCode;
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::future::{ready, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -86,6 +89,8 @@
     shares: RefCell<MessageShares>,
     /// Ends that the platform has not acknowledged.
     owed: RefCell<Schedule>,
+    /// How old the list in force is.
+    list: Cell<ListStatus>,
     /// When the first end was owed, or the platform was told the first time.
     started: OnceCell<Nanos>,
     more_owed: Notify,
@@ -104,8 +109,28 @@
         let started = OnceCell::new();
         let classes = RefCell::new(Rc::new(classes));
         let (agent, draining) = (watch::Sender::new(agent), watch::Sender::new(false));
-        let shares = RefCell::default();
-        Platform { net, pool, pipelines, memory, classes, agent, draining, shares, owed, started, more_owed }
+        let (shares, list) = (RefCell::default(), Cell::default());
+        Platform {
+            net,
+            pool,
+            pipelines,
+            memory,
+            classes,
+            agent,
+            draining,
+            shares,
+            owed,
+            list,
+            started,
+            more_owed,
+        }
+    }
+}
+
+impl Platform {
+    /// How old the list in force is.
+    pub fn list_status(&self) -> ListStatus {
+        self.list.get()
     }
 }
 
@@ -203,6 +228,19 @@
         self.owed.borrow_mut().answered_late(now, late.as_nanos() as Nanos);
     }
 
+    fn list_came_into_force(&self, steps: ListSteps) {
+        let mut status = self.list.get();
+        status.came_into_force(steps);
+        self.list.set(status);
+        list_log::tell(&steps);
+    }
+
+    fn list_is_current_as_of(&self, asked: Nanos) {
+        let mut status = self.list.get();
+        status.is_current_as_of(asked);
+        self.list.set(status);
+    }
+
     fn held_up(&self, time: Nanos) {
         self.owed.borrow_mut().held_up(time);
     }
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -12,6 +12,7 @@
 use super::Clock;
 use crate::catalog::{Endpoint, EndpointId};
 use crate::interface::{Nanos, Outcome};
+use crate::polling::ListSteps;
 use hold_ups::HoldUps;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -37,6 +38,10 @@
     fn distrust(&self, endpoint: EndpointId);
     /// The way to where ends are told is so slow, as something else that came from there shows.
     fn way_is_late(&self, _now: Nanos, _late: Duration) {}
+    /// A list of endpoints came into force.
+    fn list_came_into_force(&self, _steps: ListSteps) {}
+    /// What discovery had at this moment is in force.
+    fn list_is_current_as_of(&self, _asked: Nanos) {}
     /// The event loop was held up for so long.
     fn held_up(&self, _time: Nanos) {}
     /// Callers are sent away from now on, or may come again.
--- a/tests/discovery/rig.rs
+++ b/tests/discovery/rig.rs
@@ -2,7 +2,7 @@
 
 use basaltloom::catalog::Endpoint;
 use basaltloom::fleet::{PollSchedule, Terms};
-use basaltloom::protocol::discovery::{follow, ListLimits, ListReceiver, Names};
+use basaltloom::protocol::discovery::{follow, ListArrival, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::{Listen, Network, Soon, Spare, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -198,8 +198,8 @@
         self.0.came.notify_one();
     }
 
-    async fn commit(&self, draft: Draft, seq: u64, whole: bool) {
-        self.0.taken.borrow_mut().push((seq, whole, draft.0.clone()));
+    async fn commit(&self, draft: Draft, list: ListArrival) {
+        self.0.taken.borrow_mut().push((list.seq, list.whole, draft.0.clone()));
         self.0.times.borrow_mut().push(Instant::now());
     }
 }
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -7,7 +7,7 @@
 use basaltloom::batching::Table;
 use basaltloom::catalog::{Endpoint, EndpointState, EndpointUpdate, MOST_IN_A_PIECE};
 use basaltloom::program::listing::{Feed, Listing};
-use basaltloom::protocol::discovery::ListReceiver;
+use basaltloom::protocol::discovery::{ListArrival, ListReceiver};
 use basaltloom::routing::core::{Batching, Carried, Ended, First};
 use basaltloom::routing::desk::Passage;
 use basaltloom::routing::{Clock, Core, Desk, EndpointId, Front, Journal, Offer, Reply, Taken};
@@ -21,7 +21,13 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
+
+/// A list that comes at once.
+fn arrival(seq: u64, whole: bool) -> ListArrival {
+    let now = Instant::now();
+    ListArrival { seq, whole, asked: now, answered: now, read: now, asked_before: None }
+}
 
 /// Carries calls as far as it is let: they stay out until `release`.
 #[derive(Default)]
@@ -88,7 +94,7 @@
         let feed = self.feed();
         let mut draft = feed.begin().await;
         list.iter().for_each(|e| feed.entry(&mut draft, e.clone()));
-        feed.commit(draft, 1, whole).await;
+        feed.commit(draft, arrival(1, whole)).await;
     }
 
     fn take(&self, id: &str, dest: u64) -> Taken {
@@ -194,7 +200,7 @@
         let feed = world.feed();
         let mut draft = feed.begin().await;
         many(20_000, 4, 2.0).into_iter().for_each(|e| feed.entry(&mut draft, e));
-        let committing = spawn_local(async move { feed.commit(draft, 2, true).await });
+        let committing = spawn_local(async move { feed.commit(draft, arrival(2, true)).await });
         for _ in 0..10 {
             yield_now().await;
         }
@@ -221,7 +227,7 @@
         let feed = world.feed();
         let mut draft = feed.begin().await;
         next.into_iter().for_each(|e| feed.entry(&mut draft, e));
-        let following = spawn_local(async move { feed.commit(draft, 2, true).await });
+        let following = spawn_local(async move { feed.commit(draft, arrival(2, true)).await });
         let mut turns = 0;
         while world.shares().values().any(|shares| shares.contains(&1)) {
             assert!(world.shares().values().all(|shares| shares.len() == 1), "a destination is half changed");
@@ -263,13 +269,13 @@
         let feed = world.feed();
         let mut draft = feed.begin().await;
         many(10_000, 4, 1.0).into_iter().for_each(|e| feed.entry(&mut draft, e));
-        spawn_local(async move { feed.commit(draft, 1, true).await });
+        spawn_local(async move { feed.commit(draft, arrival(1, true)).await });
         yield_now().await;
         let mut draft = world.feed().begin().await;
         assert_eq!(world.known().len(), 10_000, "all of the first is in force");
         world.feed().entry(&mut draft, many(1, 4, 3.0).remove(0));
         let feed = world.feed();
-        let pending = spawn_local(async move { feed.commit(draft, 2, false).await });
+        let pending = spawn_local(async move { feed.commit(draft, arrival(2, false)).await });
         let at_hand = EndpointUpdate { seq: 3, whole: true, endpoints: many(100, 4, 4.0) };
         world.listing.learn(&at_hand).await;
         assert!(pending.is_finished());
@@ -289,7 +295,7 @@
         many(4, 4, 1.0).into_iter().for_each(|e| feed.entry(&mut draft, e));
         let at_hand = EndpointUpdate { seq: 3, whole: true, endpoints: many(8, 4, 4.0) };
         world.listing.learn(&at_hand).await;
-        feed.commit(draft, 2, true).await;
+        feed.commit(draft, arrival(2, true)).await;
         assert!(world.known().iter().all(|e| e.state == EndpointState::Active && e.share == 4.0));
     });
 }
--- a/tests/scale/hollow_list.rs
+++ b/tests/scale/hollow_list.rs
@@ -3,7 +3,7 @@
 use super::hollow::Progress;
 use basaltloom::catalog::{Endpoint, EndpointState};
 use basaltloom::fleet::{PollSchedule, Terms};
-use basaltloom::protocol::discovery::{self, ListLimits, ListReceiver, Names};
+use basaltloom::protocol::discovery::{self, ListArrival, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::Tcp;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -63,9 +63,9 @@
         draft.push(endpoint);
     }
 
-    async fn commit(&self, draft: Vec<Endpoint>, seq: u64, _whole: bool) {
+    async fn commit(&self, draft: Vec<Endpoint>, list: ListArrival) {
         draft.into_iter().for_each(|endpoint| self.list.take(endpoint));
-        self.progress.list_in_force(seq);
+        self.progress.list_in_force(list.seq);
     }
 }
 
