--- a/tests/discovery/follow.rs
+++ b/tests/discovery/follow.rs
@@ -191,6 +191,22 @@
     assert!(gaps[2..].iter().all(|gap| (1.59..1.65).contains(gap)), "{gaps:?}");
 }
 
+/// Guards answers from the ends of questions that were given up: each of those was waited out while an answer lay unread.
+#[test]
+fn an_answer_is_heard_as_it_comes_whatever_was_given_up_before() {
+    let run = followed(WATCHES, 40, |place, _| match place {
+        0 => Reply::List(short(1)),
+        1..=10 => Reply::Silence,
+        11..=14 => Reply::List(short(place as u64 - 9)),
+        _ => Reply::Unchanged(5),
+    });
+    assert_eq!(run.received.versions(), [1, 2, 3, 4, 5]);
+    let (asked, taken) = (run.discovery.asked.borrow(), run.received.times.borrow());
+    let waited: Vec<Duration> =
+        asked[11..15].iter().zip(&taken[1..]).map(|(asked, taken)| *taken - *asked).collect();
+    assert!(waited.iter().all(|waited| *waited < Duration::from_millis(10)), "{waited:?}");
+}
+
 /// Guards whoever edits the list from not being told of entries that are left out.
 #[test]
 fn skipped_entries_are_told_once_a_list() {
