Hear the next answer of discovery past questions that were cancelled

Cause: a question that is given up for a newer one, or dropped behind a good answer, ends as a cancelled task. `Questions::heard` took that end for no event at all and waited for good, until the follower woke for another reason: 0.5 s for the first of them, up to 1.5 s for each further one. Now each end is looked at: one that is no longer open is passed over, and one whose task panicked counts as unanswered. Other loops over such sets were looked at: platform/ends.rs goes round its loop on any end, and is sound.

--- a/src/protocol/discovery/questions.rs
+++ b/src/protocol/discovery/questions.rs
@@ -67,7 +67,7 @@
     begun: Instant,
     attempts: Attempts,
     open: Vec<Question>,
-    asking: JoinSet<(AttemptNo, Instant, Result<Answer, Unheard>)>,
+    asking: JoinSet<(Instant, Result<Answer, Unheard>)>,
 }
 
 impl Questions {
@@ -93,7 +93,7 @@
         let asking = ask(self.net.clone(), self.agent, terms, connected.clone());
         let handle = self.asking.spawn_local(async move {
             let answer = asking.await;
-            (no, Instant::now(), answer)
+            (Instant::now(), answer)
         });
         let asked = Instant::now();
         self.open.push(Question { no, asked, terms, connected, is_overdue: false, handle });
@@ -103,14 +103,19 @@
     /// What the next question that is answered, or cannot be, came to.
     pub async fn heard(&mut self) -> Heard {
         loop {
-            let Some(Ok((no, answered, answer))) = self.asking.join_next().await else {
-                std::future::pending().await
+            let Some(joined) = self.asking.join_next_with_id().await else { std::future::pending().await };
+            let (task, answered, answer) = match joined {
+                Ok((task, (answered, answer))) => (task, answered, answer),
+                // One that was dropped is not open any more; one that panicked is.
+                Err(ended) => (ended.id(), Instant::now(), Err(Unheard::Silent)),
+            };
+            let Some(place) = self.open.iter().position(|question| question.handle.id() == task) else {
+                continue;
             };
-            let Some(place) = self.open.iter().position(|question| question.no == no) else { continue };
             let is_last = place + 1 == self.open.len();
             let question = self.open.remove(place);
+            let (no, asked) = (question.no, question.asked);
             self.attempts.end(no);
-            let asked = question.asked;
             let from = question.terms.watch.map(|(seq, _)| seq);
             let late = (answered - asked).saturating_sub(question.hold());
             let is_latest = is_last && !question.is_overdue;
