--- a/src/configuration/judge.rs
+++ b/src/configuration/judge.rs
@@ -7,9 +7,9 @@
 use super::form::{DefaultsForm, Form, LimitsForm};
 use super::settings::{DiscoveryForm, SettingsForm};
 use super::{Configuration, Version};
-use crate::fleet;
 use crate::interface::Nanos;
 use crate::memory::{MemoryLimits, MemoryPlan};
+use crate::polling;
 use crate::protocol::discovery::{self, ListLimits, Names};
 use crate::protocol::platform::Defaults;
 use serde_json::Value;
@@ -179,9 +179,9 @@
     said.unwrap_or_else(fitting)
 }
 
-fn asked(settings: &SettingsForm) -> fleet::Terms {
+fn asked(settings: &SettingsForm) -> polling::Terms {
     let within = Duration::from_nanos(settings.rules.ask_within.get());
-    fleet::Terms { within: (settings.discovery == DiscoveryForm::Ask).then_some(within) }
+    polling::Terms { within: (settings.discovery == DiscoveryForm::Ask).then_some(within) }
 }
 
 /// Hexadecimal, or any text at all.
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -19,9 +19,9 @@
 pub use judge::{judge, judge_again};
 pub use version::Version;
 
-use crate::fleet;
 use crate::interface::{Nanos, Settings};
 use crate::memory::MemoryLimits;
+use crate::polling;
 use crate::protocol::discovery::{ListLimits, Names};
 use crate::protocol::platform::Defaults;
 use crate::routing::EndpointUpdate;
@@ -78,7 +78,7 @@
     /// The list of endpoints as last known.
     pub known: EndpointUpdate,
     /// How discovery is to be asked.
-    pub asked: fleet::Terms,
+    pub asked: polling::Terms,
 }
 
 impl Configuration {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,5 @@
-//! What a relay owes the others of its fleet: without a word, its share of what all of them ask for (`poll_schedule`); where they
-//! may talk, its part of what a destination takes, by reservations and leases (`together` and the files that it ties together).
+//! What a relay owes the others of its fleet where they may talk: its part of what a destination takes, by reservations and leases
+//! (`together` and the files that it ties together).
 
 pub mod allocation;
 pub mod destination;
@@ -7,8 +7,5 @@
 pub mod outage;
 pub mod parts;
 pub mod pledges;
-pub mod poll_schedule;
 pub mod record;
 pub mod together;
-
-pub use poll_schedule::{PollOutcome, PollSchedule, Terms};
--- a/src/fleet/poll_schedule.rs
+++ b/src/polling/schedule.rs
@@ -47,6 +47,7 @@
 /// What came of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollOutcome {
+    /// A list.
     List,
     /// It was turned away, by an answer that came whole.
     Refusal,
--- a/src/program/terms.rs
+++ b/src/program/terms.rs
@@ -2,9 +2,10 @@
 
 use crate::admission::ledger::Purse;
 use crate::configuration::Configuration;
-use crate::fleet::{self, together};
+use crate::fleet::together;
 use crate::interface::Nanos;
 use crate::operator::admission::Refusal;
+use crate::polling;
 use crate::protocol::discovery::{ListLimits, Names};
 use crate::protocol::platform::PathClasses;
 use crate::transport::pool::PoolTerms;
@@ -50,7 +51,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct DiscoveryTerms {
     pub names: Names,
-    pub asked: fleet::Terms,
+    pub asked: polling::Terms,
     pub senders: u32,
     pub limits: ListLimits,
 }
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -25,7 +25,7 @@
 pub use limits::ListLimits;
 pub use receiver::{ListArrival, ListReceiver};
 
-use crate::fleet::{PollOutcome, PollSchedule};
+use crate::polling::{PollOutcome, PollSchedule};
 use crate::transport::network::Net;
 use backoff::Backoff;
 use questions::{Heard, Questions};
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -1,7 +1,7 @@
 //! Fleets that ask discovery for the list, each relay by its own clock, in virtual time: nobody is left without news, and
 //! discovery is not kept from answering by those who ask.
 
-use basaltloom::fleet::{PollOutcome, PollSchedule, Terms};
+use basaltloom::polling::{PollOutcome, PollSchedule, Terms};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/tests/discovery/rig.rs
+++ b/tests/discovery/rig.rs
@@ -1,7 +1,7 @@
 //! A discovery that answers as it is told, over a network in memory, and whoever takes the lists in.
 
 use basaltloom::catalog::Endpoint;
-use basaltloom::fleet::{PollSchedule, Terms};
+use basaltloom::polling::{PollSchedule, Terms};
 use basaltloom::protocol::discovery::{follow, ListArrival, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::{Listen, Network, Soon, Spare, Stream};
 use std::cell::{Cell, RefCell};
--- a/tests/scale/hollow_list.rs
+++ b/tests/scale/hollow_list.rs
@@ -2,7 +2,7 @@
 
 use super::hollow::Progress;
 use basaltloom::catalog::{Endpoint, EndpointState};
-use basaltloom::fleet::{PollSchedule, Terms};
+use basaltloom::polling::{PollSchedule, Terms};
 use basaltloom::protocol::discovery::{self, ListArrival, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::Tcp;
 use std::cell::RefCell;
