Take no list for in force that was dropped or superseded on its way

What callers would have seen: drains and departures that stay unheard for good. A SIGHUP that changes kinds or zones while a list is being applied drops what is pending; whoever waited for it then noted its version as in force, and a list whose draft was stale was taken for known by the follower. All later questions asked for changes since that version, so what it had said was lost until the whole list happened to be asked for.

The version is noted by the task that applies the last piece, a generation tells drafts and waiters of before from those after, and `commit` says whether the list came into force: where it did not, the whole list is asked for.

--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -6,7 +6,7 @@
 use crate::catalog::{Draft, Endpoint, EndpointUpdate, PendingUpdate};
 use crate::interface::Nanos;
 use crate::polling::ListSteps;
-use crate::protocol::discovery::{ListArrival, ListReceiver};
+use crate::protocol::discovery::{Committed, ListArrival, ListReceiver};
 use crate::routing::{Desk, Front};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -21,8 +21,10 @@
 /// Takes lists in for the core of one desk.
 pub struct Listing<F> {
     desk: Rc<Desk<F>>,
-    /// The update that is being put in force.
-    pending: RefCell<Option<PendingUpdate>>,
+    /// The update that is being put in force, and the list of discovery that it is.
+    pending: RefCell<Option<(PendingUpdate, Option<ListArrival>)>>,
+    /// Counts how often what was known of discovery's list was dropped: drafts of before do not count.
+    generation: Cell<u64>,
     /// Tells the task that there is one.
     queued: Notify,
     /// Tells those who wait that there is none any more.
@@ -39,8 +41,8 @@
     /// For this desk, with the version of discovery's list that is known; `apply` has to run for anything to come into
     /// force.
     pub fn new(desk: Rc<Desk<F>>, seq: Option<u64>) -> Rc<Self> {
-        let (pending, in_force) = (RefCell::default(), Cell::new(seq));
-        Rc::new(Listing { desk, pending, queued: Notify::new(), idle: Notify::new(), in_force })
+        let (pending, generation, in_force) = (RefCell::default(), Cell::default(), Cell::new(seq));
+        Rc::new(Listing { desk, pending, generation, queued: Notify::new(), idle: Notify::new(), in_force })
     }
 
     /// The version of discovery's list that is wholly in force.
@@ -51,12 +53,26 @@
     /// Drops what is pending: another process decides from now on.
     pub fn retire(&self) {
         self.pending.take();
+        self.begin_generation();
     }
 
     /// Drops what is pending, and what was known of discovery's list: endpoints are told by other names from now on.
     pub fn restart(&self) {
         self.pending.take();
+        self.forget_version();
+    }
+
+    /// Forgets which version is in force: another discovery counts anew. What is pending still comes into force.
+    pub fn forget_version(&self) {
+        if let Some((_, list)) = self.pending.borrow_mut().as_mut() {
+            list.take();
+        }
         self.in_force.set(None);
+        self.begin_generation();
+    }
+
+    fn begin_generation(&self) {
+        self.generation.set(self.generation.get() + 1);
     }
 
     /// Applies what is committed, for good.
@@ -72,9 +88,12 @@
 
     /// Takes one step of the pending update; false once none is pending.
     fn advance(&self) -> bool {
-        let Some(mut pending) = self.pending.take() else { return false };
-        if self.desk.act(|core, now| core.advance(now, &mut pending)) {
-            self.pending.replace(Some(pending));
+        let Some((mut update, list)) = self.pending.take() else { return false };
+        if self.desk.act(|core, now| core.advance(now, &mut update)) {
+            self.pending.replace(Some((update, list)));
+        } else if let Some(list) = list {
+            self.in_force.set(Some(list.seq));
+            self.desk.front.list_came_into_force(self.steps(&list));
         }
         true
     }
@@ -95,12 +114,12 @@
         self.desk.see(|core| core.catalog().begin())
     }
 
-    fn put(&self, draft: Draft, whole: bool) -> Result<(), Stale> {
+    fn put(&self, draft: Draft, whole: bool, list: Option<ListArrival>) -> Result<(), Stale> {
         let current = self.desk.see(|core| core.is_current(&draft));
         if !current || self.pending.borrow().is_some() {
             return Err(Stale);
         }
-        self.pending.replace(Some(draft.complete(whole)));
+        self.pending.replace(Some((draft.complete(whole), list)));
         self.queued.notify_one();
         Ok(())
     }
@@ -135,7 +154,7 @@
                 entries.iter().for_each(|endpoint| self.compare(&mut draft, endpoint.clone()));
                 yield_now().await;
             }
-            if self.put(draft, update.whole).is_ok() {
+            if self.put(draft, update.whole, None).is_ok() {
                 return self.settled().await;
             }
         }
@@ -145,27 +164,36 @@
 /// What `follow` is given.
 pub struct Feed<F>(pub Rc<Listing<F>>);
 
+/// A draft, and the generation of lists that it was begun in.
+pub struct FeedDraft {
+    draft: Draft,
+    generation: u64,
+}
+
 impl<F: Front> ListReceiver for Feed<F> {
-    type Draft = Draft;
+    type Draft = FeedDraft;
 
-    async fn begin(&self) -> Draft {
-        self.0.begin().await
+    async fn begin(&self) -> FeedDraft {
+        let draft = self.0.begin().await;
+        FeedDraft { draft, generation: self.0.generation.get() }
     }
 
-    fn entry(&self, draft: &mut Draft, endpoint: Endpoint) {
-        self.0.compare(draft, endpoint);
+    fn entry(&self, draft: &mut FeedDraft, endpoint: Endpoint) {
+        self.0.compare(&mut draft.draft, endpoint);
     }
 
-    async fn commit(&self, draft: Draft, list: ListArrival) {
-        let ListArrival { seq, whole, .. } = list;
-        // A list at hand has taken discovery's place meanwhile.
-        if self.0.put(draft, whole) == Err(Stale) {
+    async fn commit(&self, draft: FeedDraft, list: ListArrival) -> Committed {
+        let FeedDraft { draft, generation } = draft;
+        let is_dropped = || self.0.generation.get() != generation;
+        if is_dropped() || self.0.put(draft, list.whole, Some(list)) == Err(Stale) {
             tracing::info!(target: "platform", event = "list-superseded", "a list of discovery came after another had taken its place");
-            return;
+            return Committed::Superseded;
         }
         self.0.settled().await;
-        self.0.in_force.set(Some(seq));
-        self.0.desk.front.list_came_into_force(self.0.steps(&list));
+        match is_dropped() {
+            true => Committed::Superseded,
+            false => Committed::InForce,
+        }
     }
 
     fn answered(&self, late: Duration) {
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -23,7 +23,7 @@
 pub use fault::{Damage, ListFault};
 pub use known::decode_update;
 pub use limits::ListLimits;
-pub use receiver::{ListArrival, ListReceiver};
+pub use receiver::{Committed, ListArrival, ListReceiver};
 
 use crate::polling::{PollOutcome, PollSchedule};
 use crate::transport::network::Net;
@@ -125,9 +125,11 @@
                     last_heard = Instant::now();
                     trouble.over();
                     backoff.reset();
-                    seq = Some(version);
+                    seq = version;
                     asked_before = asked_before.max(Some(asked));
-                    self.receiver.is_current_as_of(asked);
+                    if seq.is_some() {
+                        self.receiver.is_current_as_of(asked);
+                    }
                     questions.forget_before(asked);
                     let pause = schedule.pause(PollOutcome::List, took);
                     if is_latest {
@@ -145,14 +147,15 @@
         }
     }
 
-    /// Puts in force what is new in an answer. Returns the version that is known from then on.
+    /// Puts in force what is new in an answer. Returns the version that is known from then on; none where the whole list has to
+    /// be asked for.
     async fn take(
         &self,
         heard: Heard,
         asked_before: Option<Instant>,
         schedule: &PollSchedule,
         seq: Option<u64>,
-    ) -> Result<u64, Unheard> {
+    ) -> Result<Option<u64>, Unheard> {
         let (asked, answered) = (heard.asked, heard.answered);
         let mut answer = heard.answer?;
         self.receiver.answered(heard.late);
@@ -167,17 +170,18 @@
             false => heard.from != seq,
         };
         if is_outdated {
-            return Ok(seq.unwrap_or(heading.seq));
+            return Ok(seq.or(Some(heading.seq)));
         }
         if seq != Some(heading.seq) || (heading.whole && schedule.watches()) {
             heading.skipped.tell();
             let Heading { seq, whole, .. } = heading;
             let read = Instant::now();
-            self.receiver
-                .commit(draft, ListArrival { seq, whole, asked, answered, read, asked_before })
-                .await;
+            let arrival = ListArrival { seq, whole, asked, answered, read, asked_before };
+            if self.receiver.commit(draft, arrival).await == Committed::Superseded {
+                return Ok(None);
+            }
         }
-        Ok(heading.seq)
+        Ok(Some(heading.seq))
     }
 }
 
--- a/src/protocol/discovery/receiver.rs
+++ b/src/protocol/discovery/receiver.rs
@@ -22,6 +22,15 @@
     pub asked_before: Option<Instant>,
 }
 
+/// What became of a list that had come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// All of it came into force.
+    InForce,
+    /// Something else has taken its place, or it was dropped: what it said is not known.
+    Superseded,
+}
+
 /// Takes lists in as they are decoded.
 pub trait ListReceiver {
     /// Collects the entries of one list until it has come whole; dropped, it leaves what is in force as it is.
@@ -30,8 +39,9 @@
     fn begin(&self) -> impl Future<Output = Self::Draft>;
     /// One entry, in the order listed.
     fn entry(&self, draft: &mut Self::Draft, endpoint: Endpoint);
-    /// The list came whole: puts it in force, and returns once it is (goes on even if the caller stops waiting).
-    fn commit(&self, draft: Self::Draft, list: ListArrival) -> impl Future<Output = ()>;
+    /// The list came whole: puts it in force, and returns once it is (goes on even if the caller stops waiting) or cannot be
+    /// any more.
+    fn commit(&self, draft: Self::Draft, list: ListArrival) -> impl Future<Output = Committed>;
     /// Discovery began to answer a question so much later than it was to.
     fn answered(&self, _late: Duration) {}
     /// What was known at this moment is known to be in force.
--- a/tests/discovery/follow.rs
+++ b/tests/discovery/follow.rs
@@ -1,7 +1,9 @@
 //! How discovery's list is followed where it is too large, damaged, cut off or slow.
 
-use crate::rig::{entry, followed, long, whole, Followed, How, Reply, GRACE, LOOKS_UP, WATCHES};
+use crate::rig::{entry, followed, long, whole, Followed, How, Reply, GRACE, LOOKS_UP, SUPERSEDED, WATCHES};
 use basaltloom::polling::Terms;
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A short list of this version.
@@ -211,6 +213,23 @@
     }
 }
 
+/// Guards changes from a list that never came into force: its version was taken for known, and what it had said was lost.
+#[test]
+fn behind_a_list_that_was_superseded_the_whole_list_is_asked_for() {
+    let known: Rc<RefCell<Vec<Option<u64>>>> = Rc::default();
+    let asked = known.clone();
+    followed(WATCHES, 5, move |place, from| {
+        asked.borrow_mut().push(from);
+        match place {
+            0 => Reply::List(short(1)),
+            1 => Reply::List(short(SUPERSEDED)),
+            2 => Reply::List(short(14)),
+            _ => Reply::Unchanged(14),
+        }
+    });
+    assert_eq!(known.borrow()[..4], [None, Some(1), None, Some(14)]);
+}
+
 /// Guards answers that come late behind a silence: the questions of the silence keep no later one from being heard.
 #[test]
 fn a_late_answer_is_heard_though_many_questions_before_it_never_are() {
--- a/tests/discovery/rig.rs
+++ b/tests/discovery/rig.rs
@@ -2,7 +2,7 @@
 
 use basaltloom::catalog::Endpoint;
 use basaltloom::polling::{PollSchedule, Terms};
-use basaltloom::protocol::discovery::{follow, ListArrival, ListLimits, ListReceiver, Names};
+use basaltloom::protocol::discovery::{follow, Committed, ListArrival, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::{Listen, Network, Soon, Spare, Stream};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -159,6 +159,9 @@
     }
 }
 
+/// A list of this version finds another one in its place.
+pub const SUPERSEDED: u64 = 13;
+
 /// A list that was put in force: its version, whether it is whole, and the names in it.
 pub type Taken = (u64, bool, Vec<String>);
 
@@ -207,9 +210,13 @@
         self.0.came.notify_one();
     }
 
-    async fn commit(&self, draft: Draft, list: ListArrival) {
+    async fn commit(&self, draft: Draft, list: ListArrival) -> Committed {
         self.0.taken.borrow_mut().push((list.seq, list.whole, draft.0.clone()));
         self.0.times.borrow_mut().push(Instant::now());
+        match list.seq {
+            SUPERSEDED => Committed::Superseded,
+            _ => Committed::InForce,
+        }
     }
 }
 
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -7,7 +7,7 @@
 use basaltloom::batching::Table;
 use basaltloom::catalog::{Endpoint, EndpointState, EndpointUpdate, MOST_IN_A_PIECE};
 use basaltloom::program::listing::{Feed, Listing};
-use basaltloom::protocol::discovery::{ListArrival, ListReceiver};
+use basaltloom::protocol::discovery::{Committed, ListArrival, ListReceiver};
 use basaltloom::routing::core::{Batching, Carried, Ended, First};
 use basaltloom::routing::desk::Passage;
 use basaltloom::routing::{Clock, Core, Desk, EndpointId, Front, Journal, Offer, Reply, Taken};
@@ -300,6 +300,43 @@
     });
 }
 
+/// Guards changes from a list that was dropped on its way into force: whoever had handed it in took it for known, and its version
+/// with it.
+#[test]
+fn a_list_that_was_dropped_on_its_way_is_not_in_force() {
+    in_a_world(async |world| {
+        world.learn(true, &many(8, 4, 1.0)).await;
+        let feed = world.feed();
+        let mut draft = feed.begin().await;
+        many(10_000, 4, 2.0).into_iter().for_each(|e| feed.entry(&mut draft, e));
+        let committing = spawn_local(async move { feed.commit(draft, arrival(2, true)).await });
+        for _ in 0..5 {
+            yield_now().await;
+        }
+        world.listing.restart();
+        assert_eq!(committing.await.unwrap(), Committed::Superseded);
+        assert_eq!(world.listing.in_force(), None);
+        assert!(world.known().len() < 10_000);
+    });
+}
+
+/// Guards the same from a draft that was begun before that, and from the version of a discovery that was left.
+#[test]
+fn a_draft_of_before_the_names_changed_is_left_aside() {
+    in_a_world(async |world| {
+        let feed = world.feed();
+        let mut draft = feed.begin().await;
+        many(8, 4, 1.0).into_iter().for_each(|e| feed.entry(&mut draft, e));
+        world.listing.restart();
+        assert_eq!(feed.commit(draft, arrival(2, true)).await, Committed::Superseded);
+        assert!(world.known().is_empty());
+        world.learn(true, &many(8, 4, 1.0)).await;
+        assert_eq!(world.listing.in_force(), Some(1));
+        world.listing.forget_version();
+        assert_eq!((world.listing.in_force(), world.known().len()), (None, 8));
+    });
+}
+
 /// Guards against work of the module for what is known: a whole list that repeats it makes no step, one that differs in
 /// one entry makes some.
 #[test]
--- a/tests/scale/hollow_list.rs
+++ b/tests/scale/hollow_list.rs
@@ -3,7 +3,7 @@
 use super::hollow::Progress;
 use basaltloom::catalog::{Endpoint, EndpointState};
 use basaltloom::polling::{PollSchedule, Terms};
-use basaltloom::protocol::discovery::{self, ListArrival, ListLimits, ListReceiver, Names};
+use basaltloom::protocol::discovery::{self, Committed, ListArrival, ListLimits, ListReceiver, Names};
 use basaltloom::transport::network::Tcp;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -63,9 +63,10 @@
         draft.push(endpoint);
     }
 
-    async fn commit(&self, draft: Vec<Endpoint>, list: ListArrival) {
+    async fn commit(&self, draft: Vec<Endpoint>, list: ListArrival) -> Committed {
         draft.into_iter().for_each(|endpoint| self.list.take(endpoint));
         self.progress.list_in_force(list.seq);
+        Committed::InForce
     }
 }
 
