Ask a discovery that was moved to for its list, not for what is newer than another's

What callers would have seen: after a SIGHUP that moved discovery and changed what it is asked by (the fleet's size, kinds, limits), drains told by the new agent were never heeded where it counts its versions lower than the one that was left.

Cause: the follower forgets the version when the address moves, but one that is started anew for other terms begins from the version that was in force, whoever's it was. Now the version is forgotten with the address; a list on its way into force still comes into force, without its version.

--- a/src/program/reload.rs
+++ b/src/program/reload.rs
@@ -153,6 +153,9 @@
             self.listing.restart();
         }
         let agent = configuration.discovery;
+        if *front.agent.borrow() != agent {
+            self.listing.forget_version();
+        }
         front.agent.send_if_modified(|now| std::mem::replace(now, agent) != agent);
         let (version, was) = (configuration.version, before.version);
         let text = "the configuration was read again: discovery at";
--- a/tests/drains/main.rs
+++ b/tests/drains/main.rs
@@ -3,6 +3,7 @@
 
 mod agent;
 mod answers;
+mod moves;
 #[path = "../upgrade/platform.rs"]
 #[allow(dead_code)]
 mod platform;
