Send nothing new on binds that lead to where a next hop no longer is

Cause: `Binds::update` took the new address for binds to come and left the open ones in use. Now, where the address, the system id or the system type differ, the binds of before get nothing new, one that is coming up at that moment included, and are unbound once what is out has its answer; a message whose seat was taken before its record was written is not submitted there.

--- a/src/protocol/smpp/config.rs
+++ b/src/protocol/smpp/config.rs
@@ -69,6 +69,15 @@
     pub leaving: bool,
 }
 
+impl Carrier {
+    /// Whether binds made for one serve the other: they lead to the same SMSC, as the same client.
+    pub fn binds_alike(&self, other: &Carrier) -> bool {
+        let terms =
+            |carrier: &Carrier| (carrier.dial, carrier.system_id.clone(), carrier.system_type.clone());
+        terms(self) == terms(other)
+    }
+}
+
 const REPEATS: &[(&str, &str)] = &[("safe", "safe"), ("keyed", "keyed"), ("unsafe", "unsafe")];
 const HEALTH: &[(&str, bool)] = &[("active", false), ("leaving", true)];
 const RECEIPTS: &[(&str, bool)] = &[("always", false), ("as-asked", true)];
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -128,7 +128,9 @@
         let Some(letter) = passage.begin(seat.via()).await.into_iter().next() else {
             return Carried::default();
         };
-        let Some(mut submit) = submit_of(&letter.body) else {
+        // While its record was written the SMSC may have become another one.
+        let submit = submit_of(&letter.body).filter(|_| !seat.is_leaving());
+        let Some(mut submit) = submit else {
             return vec![(letter.attempt, Reply::Ended(Outcome::NotSent))].into();
         };
         // The receipt is ours to give, and a span would be counted anew from the SMSC's own clock.
--- a/src/protocol/smpp/smsc.rs
+++ b/src/protocol/smpp/smsc.rs
@@ -20,6 +20,10 @@
 
 /// After an unbind of the SMSC what is out may still be answered for so long.
 const PARTING: Duration = Duration::from_secs(1);
+/// Whether a bind that is left still carries anything is looked at so often.
+const LOOK_EACH: Duration = Duration::from_millis(10);
+/// An unbind is answered within this time, or the bind is closed.
+const UNBIND_WITHIN: Duration = Duration::from_millis(200);
 
 struct Bind {
     link: Rc<Link>,
@@ -36,6 +40,8 @@
     carrier: RefCell<Carrier>,
     open: RefCell<Vec<Rc<Bind>>>,
     opening: Cell<usize>,
+    /// Counts how often the binds of before became useless.
+    generation: Cell<u64>,
     changed: Notify,
 }
 
@@ -58,6 +64,11 @@
         self.bind.link.next_via()
     }
 
+    /// Whether nothing new may go on its bind any more.
+    pub fn is_leaving(&self) -> bool {
+        self.bind.leaving.get()
+    }
+
     /// Submits and says how that ended; `is_written` tells meanwhile whether all of it was passed to the system.
     pub async fn submit(&self, pdu: Pdu, within: Duration, is_written: &Cell<bool>) -> Submitted {
         let reply = match self.bind.link.request_noted(pdu, within, is_written).await {
@@ -123,12 +134,24 @@
             carrier: RefCell::new(carrier),
             open: RefCell::default(),
             opening: Cell::new(0),
+            generation: Cell::default(),
             changed: Notify::new(),
         })
     }
 
+    /// Takes other terms in. Where they lead to another SMSC, or to the same one as somebody else, nothing new goes on the binds of
+    /// before.
     pub fn update(&self, carrier: Carrier) {
-        *self.carrier.borrow_mut() = carrier;
+        let before = self.carrier.replace(carrier);
+        if self.carrier.borrow().binds_alike(&before) {
+            return;
+        }
+        self.generation.set(self.generation.get() + 1);
+        for bind in self.open.borrow().iter() {
+            bind.leaving.set(true);
+            spawn_local(leave(bind.clone()));
+        }
+        self.changed.notify_waiters();
     }
 
     /// A place in a window, on a new bind where all are full and one more is allowed. `None`: a bind was
@@ -153,9 +176,15 @@
             if staying + self.opening.get() < most {
                 // Counted while it comes up, also where whoever asked gives up meanwhile.
                 let opening = Opening::new(self);
+                let generation = self.generation.get();
                 let bound = self.bind().await;
                 drop(opening);
-                self.open.borrow_mut().push(bound?);
+                let bind = bound?;
+                if self.generation.get() != generation {
+                    bind.leaving.set(true);
+                    spawn_local(leave(bind.clone()));
+                }
+                self.open.borrow_mut().push(bind);
             } else {
                 self.changed.notified().await;
             }
@@ -236,18 +265,26 @@
     pub async fn part(&self, within: Duration) {
         let idle = async {
             while self.open.borrow().iter().any(|b| b.out.get() > 0) {
-                sleep(Duration::from_millis(10)).await;
+                sleep(LOOK_EACH).await;
             }
         };
         timeout(within, idle).await.ok();
         let binds: Vec<Rc<Bind>> = self.open.borrow().clone();
         for bind in binds {
             bind.leaving.set(true);
-            bind.link.unbind(Duration::from_millis(200)).await;
+            bind.link.unbind(UNBIND_WITHIN).await;
         }
     }
 }
 
+/// Ends a bind once what is out on it has its answer, which is waited for as long as a submit may take.
+async fn leave(bind: Rc<Bind>) {
+    while bind.link.is_open() && bind.out.get() > 0 {
+        sleep(LOOK_EACH).await;
+    }
+    bind.link.unbind(UNBIND_WITHIN).await;
+}
+
 /// Counts a bind that is coming up.
 struct Opening(Rc<Binds>);
 
--- a/tests/relay/carriers.rs
+++ b/tests/relay/carriers.rs
@@ -39,13 +39,14 @@
 const PATIENCE: Duration = Duration::from_secs(120);
 
 /// The operator's file: carriers `1` and `2`, two binds of two submits to the first, one of one to the second.
-pub fn file(leaving: &[String]) -> String {
+/// `swapped`: each at the other's address.
+pub fn file(leaving: &[String], swapped: bool) -> String {
     let carrier = |i: usize, binds: u32, window: u32| {
         let health = if leaving.contains(&i.to_string()) { "leaving" } else { "active" };
         format!(
             "next-hop s{i} {{\n dial {}\n dest {i}\n system-id huron\n password pw\n binds {binds}\n window {window}
              health {health}\n }}",
-            SMSCS[i - 1]
+            SMSCS[if swapped { 2 - i } else { i - 1 }]
         )
     };
     format!(
--- a/tests/relay/scenario.rs
+++ b/tests/relay/scenario.rs
@@ -6,7 +6,7 @@
 //! ACTOR take ...      a caller or ESME hands a message in and expects that it is taken on
 //! ACTOR close         ends its connection (a hop: that of its oldest call)
 //! wait MS             lets time pass
-//! relay start | smpp | import | end | kill, carrier NAME leaving (and the file read again), hop refuse | silent | listen | slow MS | deaf MS | hangup, net width BYTES, agent down | up | list HOST STATE
+//! relay start | smpp | import | end | kill, carrier NAME leaving | carrier both swapped (and the file read again), hop refuse | silent | listen | slow MS | deaf MS | hangup, net width BYTES, agent down | up | list HOST STATE
 //! ```
 //!
 //! `in A..B` behind an `expect` gives bounds for the milliseconds since the last step; `nothing MS` expects
@@ -274,6 +274,8 @@
     pub esmes: HashMap<String, Esme>,
     pub texts: Texts,
     leaving: Vec<String>,
+    /// The carriers are each at the other's address.
+    swapped: bool,
     /// What the operator's file holds beside carriers.
     terms: String,
 }
@@ -308,6 +310,7 @@
             esmes: HashMap::new(),
             texts: Rc::default(),
             leaving: Vec::new(),
+            swapped: false,
             terms: String::new(),
         }
     }
@@ -324,7 +327,7 @@
 
     /// The operator's file as it stands now, its `smpp` section only where that front is to run.
     fn operator(&self, smpp: bool) -> Operator {
-        let text = if smpp { carriers::file(&self.leaving) } else { String::new() };
+        let text = if smpp { carriers::file(&self.leaving, self.swapped) } else { String::new() };
         operator::parse("relay.conf", &format!("{text}\n{}", self.terms)).unwrap_or_else(|f| panic!("{f:?}"))
     }
 
@@ -389,8 +392,11 @@
                     running.again.send(Reread { operator, ..Reread::default() }).unwrap();
                 }
             }
-            ["carrier", name, "leaving"] => {
-                self.leaving.push(name.to_string());
+            ["carrier", name, change] => {
+                match *change {
+                    "leaving" => self.leaving.push(name.to_string()),
+                    _ => self.swapped = true,
+                }
                 let operator = Some(Ok(self.operator(true)));
                 self.relay.as_ref().unwrap().again.send(Reread { operator, ..Reread::default() }).unwrap();
             }
--- a/tests/relay/smpp.rs
+++ b/tests/relay/smpp.rs
@@ -296,6 +296,29 @@
     );
 }
 
+/// Guards a message from the binds of an address that is another partner's by now; what is out there is still answered.
+#[test]
+fn a_next_hop_with_a_new_address_gets_nothing_more_at_the_old_one() {
+    play(
+        "relay smpp
+         esme a bound
+         esme a take 2313 text=one
+         smsc 2 expect one
+         smsc 2 send 0
+         esme a gets one DELIVRD
+         esme a take 2313 text=two
+         smsc 2 expect two
+         carrier both swapped
+         esme a take 2313 text=three
+         smsc 1 expect three
+         smsc 1 send 0
+         esme a gets three DELIVRD
+         smsc 2 send 0
+         esme a gets two DELIVRD
+         smsc 2 expect nothing 5000",
+    );
+}
+
 /// Guards dead binds: an SMSC that has gone silent is found out by enquire_link, and what was out is broken.
 #[test]
 fn a_silent_smsc_is_found_out_by_enquire_link() {
