Tell each list that comes into force in a line of its own

Need: the log gives a kind of event one line a second, so the second of two lists in one second was only counted, and the incident's question (which list, when) stayed open. Change: list-in-force and list-late are never summed up. Measured: seen as 'repeated ... of=list-in-force' in a run of tests/drains before.

--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -26,6 +26,8 @@
     "configuration",
     "configuration-read",
     "hangup",
+    "list-in-force",
+    "list-late",
     "member-alive",
     "member-faulty",
     "member-left",
