--- a/src/catalog/store.rs
+++ b/src/catalog/store.rs
@@ -59,6 +59,11 @@
         self.table.iter().map(|(id, entry)| entry.view(id))
     }
 
+    /// Endpoints that are not active, as far as they are remembered.
+    pub fn resting(&self) -> impl Iterator<Item = EndpointView<'_>> {
+        self.resting.keys().filter_map(|id| self.get(*id))
+    }
+
     /// The number of the endpoint with this name.
     pub fn find(&self, name: &str) -> Option<EndpointId> {
         self.find_hashed(name_hash(name), name)
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -1,5 +1,6 @@
 //! Starts the fronts: the platform's and the SMPP one, each on a core and a journal of its own.
 
+use super::departures::DepartureKeeper;
 use super::inherited::Inherited;
 use super::last_good::Keeper;
 use super::listing::{Feed, Listing};
@@ -45,6 +46,8 @@
     pub in_force: InForce,
     /// Keeps it in the folder.
     pub keeper: Rc<Keeper>,
+    /// Keeps there which endpoints drain or have left.
+    pub departures: Rc<DepartureKeeper>,
 }
 
 /// The configuration that holds now, for all who go by it.
@@ -125,7 +128,8 @@
     door: Rc<Door>,
     said: &Operator,
 ) -> Result<PlatformFront, String> {
-    let PlatformStart { configuration, rooms, journal, replayed, handover, inherited, clock } = start;
+    let PlatformStart { mut configuration, rooms, journal, replayed, handover, inherited, clock } = start;
+    let departures = DepartureKeeper::start(&mut configuration);
     let configuration = Rc::new(configuration);
     let in_force: InForce = Rc::new(watch::Sender::new(configuration.clone()));
     let front = platform_front(&configuration, &net, &door);
@@ -151,6 +155,8 @@
     keep_serving("the notices", &desk, move || platform::tell_ends(telling.clone()));
     spawn_local(pool.sweep());
     let listing = Listing::new(desk.clone(), seq);
+    listing.keep_departures(departures.clone());
+    spawn_local(departures.clone().keep());
     let applying = listing.clone();
     keep_serving("the list", &desk, move || applying.clone().apply());
     spawn_local(follow_discovery(desk.clone(), listing.clone(), records, in_force.clone()));
@@ -168,7 +174,7 @@
     spawn_local(legs.clone().accept(listener, answer, gone));
     let name = &configuration.name;
     tracing::info!(target: "relay", event = "serves", front = "platform", %address, "{name} serves on {address}");
-    Ok(PlatformFront { desk, legs, listing, gate, cores, in_force, keeper })
+    Ok(PlatformFront { desk, legs, listing, gate, cores, in_force, keeper, departures })
 }
 
 /// What stands before the core.
--- a/src/program/last_good.rs
+++ b/src/program/last_good.rs
@@ -31,16 +31,19 @@
     Configuration,
     /// The operator's file, with all that it includes.
     Operator,
+    /// Endpoints that drain or have left.
+    Departures,
 }
 
 impl Name {
-    /// All of them.
+    /// Files of the largest size.
     const COUNT: u64 = 2;
 
     fn file(self) -> &'static str {
         match self {
             Name::Configuration => "relay.config",
             Name::Operator => "operator.config",
+            Name::Departures => "relay.departures",
         }
     }
 
@@ -48,6 +51,7 @@
         match self {
             Name::Configuration => "relay.config.new",
             Name::Operator => "operator.config.new",
+            Name::Departures => "relay.departures.new",
         }
     }
 }
@@ -57,9 +61,14 @@
     (disk_bytes / PART).min(COPY_MOST)
 }
 
-/// Bytes that kept files may take of such a folder: one of them is there twice while it is replaced.
+/// Bytes that the file of departures may have.
+pub(super) fn departures_most(disk_bytes: u64) -> u64 {
+    copy_most(disk_bytes) / 2
+}
+
+/// Bytes that kept files may take of such a folder: one of them is there twice while it is replaced, and so is that of departures.
 pub(super) fn room(disk_bytes: u64) -> u64 {
-    copy_most(disk_bytes) * (Name::COUNT + 1)
+    copy_most(disk_bytes) * (Name::COUNT + 1) + departures_most(disk_bytes) * 2
 }
 
 /// The configuration that was in force last.
@@ -72,7 +81,7 @@
 }
 
 /// Reads what was kept; none where nothing was, or not whole.
-fn read(dir: &Path, name: Name) -> Option<String> {
+pub(super) fn read(dir: &Path, name: Name) -> Option<String> {
     let bytes = fs::read_to_string(dir.join(name.file())).ok()?;
     let (sum, text) = bytes.split_once('\n')?;
     (u64::from_str_radix(sum, 16) == Ok(xxh3_64(text.as_bytes()))).then(|| text.to_string())
@@ -89,7 +98,7 @@
 }
 
 /// Replaces a kept file: it is there whole, the old one or the new one.
-fn write(dir: &Path, name: Name, text: &str) -> io::Result<()> {
+pub(super) fn write(dir: &Path, name: Name, text: &str) -> io::Result<()> {
     let copy = dir.join(name.copy());
     let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(MODE).open(&copy)?;
     let bytes = format!("{:016x}\n{text}", xxh3_64(text.as_bytes()));
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -3,12 +3,13 @@
 //! A list that has come whole is applied by a task of its own: it goes on to its end whatever becomes of whoever
 //! followed discovery, so a move of discovery or the relay's end leaves no destination between two lists.
 
+use super::departures::DepartureKeeper;
 use crate::catalog::{Draft, Endpoint, EndpointUpdate, PendingUpdate};
 use crate::interface::Nanos;
 use crate::polling::ListSteps;
 use crate::protocol::discovery::{Committed, ListArrival, ListReceiver};
 use crate::routing::{Desk, Front};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -31,6 +32,8 @@
     idle: Notify,
     /// The version of discovery's list that is wholly in force.
     in_force: Cell<Option<u64>>,
+    /// Keeps which endpoints drain or have left.
+    departures: OnceCell<Rc<DepartureKeeper>>,
 }
 
 /// Something else was put in force since the draft was begun.
@@ -42,7 +45,8 @@
     /// force.
     pub fn new(desk: Rc<Desk<F>>, seq: Option<u64>) -> Rc<Self> {
         let (pending, generation, in_force) = (RefCell::default(), Cell::default(), Cell::new(seq));
-        Rc::new(Listing { desk, pending, generation, queued: Notify::new(), idle: Notify::new(), in_force })
+        let (queued, idle, departures) = (Notify::new(), Notify::new(), OnceCell::new());
+        Rc::new(Listing { desk, pending, generation, queued, idle, in_force, departures })
     }
 
     /// The version of discovery's list that is wholly in force.
@@ -50,6 +54,11 @@
         self.in_force.get()
     }
 
+    /// Has this keeper told of each list that comes into force.
+    pub(super) fn keep_departures(&self, keeper: Rc<DepartureKeeper>) {
+        self.departures.set(keeper).ok();
+    }
+
     /// Drops what is pending: another process decides from now on.
     pub fn retire(&self) {
         self.pending.take();
@@ -94,6 +103,9 @@
         } else if let Some(list) = list {
             self.in_force.set(Some(list.seq));
             self.desk.front.list_came_into_force(self.steps(&list));
+            if let Some(keeper) = self.departures.get() {
+                self.desk.see(|core| keeper.take_in(core.catalog(), list.agent, list.seq));
+            }
         }
         true
     }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -4,6 +4,7 @@
 mod beside;
 mod boot_clock;
 mod cli;
+mod departures;
 mod descriptors;
 mod files;
 pub mod fleet;
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -161,6 +161,7 @@
         let front = &self.front;
         let names = front.in_force.borrow().names.clone();
         front.keeper.stop();
+        front.departures.stop();
         front.gate.set(false);
         self.beside.stop();
         let handover = front.desk.release(successor.clone(), front.listing.in_force()).handover;
@@ -218,6 +219,7 @@
         front.desk.resume(core);
         // It may have been read again meanwhile.
         front.keeper.keep_configuration(&front.in_force.borrow());
+        front.departures.resume();
         front.gate.set(true);
         // Callers stay, unless an operator had them sent away.
         front.desk.front.draining.send_modify(|_| ());
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -118,7 +118,7 @@
                 }
             };
             let (asked, is_latest) = (heard.asked, heard.is_latest);
-            let taken = self.take(heard, asked_before, schedule, seq).await;
+            let taken = self.take(agent, heard, asked_before, schedule, seq).await;
             let took = asked.elapsed();
             match taken {
                 Ok(version) => {
@@ -151,6 +151,7 @@
     /// be asked for.
     async fn take(
         &self,
+        agent: SocketAddr,
         heard: Heard,
         asked_before: Option<Instant>,
         schedule: &PollSchedule,
@@ -176,7 +177,8 @@
             heading.skipped.tell();
             let Heading { seq, whole, .. } = heading;
             let read = Instant::now();
-            let arrival = ListArrival { seq, whole, asked, answered, read, asked_before };
+            let agent = Some(agent);
+            let arrival = ListArrival { agent, seq, whole, asked, answered, read, asked_before };
             if self.receiver.commit(draft, arrival).await == Committed::Superseded {
                 return Ok(None);
             }
--- a/tests/drains/main.rs
+++ b/tests/drains/main.rs
@@ -11,3 +11,4 @@
 mod silences;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
+mod starts;
