Go on asking in time where a configuration changes what discovery is asked by

What callers would have seen, on a site whose relays look the list up: after a SIGHUP that changes the fleet's size, kinds or limits the schedule was begun anew, and waited for up to a whole gap (7.5 s at 10 s) once more, though up to a gap had passed since the last question, and discovery may have moved, where 4 s are allowed.

A schedule that takes the place of another asks within the time of a move.

Not forced on real processes.

--- a/src/polling/schedule.rs
+++ b/src/polling/schedule.rs
@@ -75,6 +75,7 @@
 pub struct PollSchedule {
     gap: Duration,
     is_pushed: bool,
+    goes_on: bool,
     bounds: QuestionBounds,
     chance: ChaCha8Rng,
     failures: i32,
@@ -90,7 +91,15 @@
         });
         let bounds = QuestionBounds::of(&terms.budget());
         let chance = ChaCha8Rng::seed_from_u64(seed);
-        PollSchedule { gap, is_pushed: terms.within.is_none(), bounds, chance, failures: 0, refusals: 0 }
+        PollSchedule {
+            gap,
+            is_pushed: terms.within.is_none(),
+            goes_on: false,
+            bounds,
+            chance,
+            failures: 0,
+            refusals: 0,
+        }
     }
 
     /// Whether to keep a watch; else the whole list is looked up.
@@ -103,8 +112,20 @@
         f64::from(self.chance.next_u32()) / f64::from(u32::MAX)
     }
 
+    /// The same in the place of one by which this process has asked already: its clock runs on.
+    pub fn going_on(self) -> PollSchedule {
+        PollSchedule { goes_on: true, ..self }
+    }
+
     /// Before the first call: relays that begin together spread theirs over a gap.
     pub fn first(&mut self) -> Duration {
+        match self.goes_on {
+            true => self.moved(),
+            false => self.spread(),
+        }
+    }
+
+    fn spread(&mut self) -> Duration {
         match self.watches() {
             true => Duration::ZERO,
             false => self.gap.mul_f64(self.roll()),
@@ -113,7 +134,7 @@
 
     /// Before the first call where discovery has moved to.
     pub fn moved(&mut self) -> Duration {
-        self.first().min(self.in_time_for(TOLD_AFTER_MOVE).mul_f64(self.roll()))
+        self.spread().min(self.in_time_for(TOLD_AFTER_MOVE).mul_f64(self.roll()))
     }
 
     /// The longest pause after which an answer is there in so long.
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -238,6 +238,7 @@
                 // Chances of its own each time.
                 let seed = seed ^ POLL_SEED ^ life.replace(life.get() + 1);
                 let schedule = PollSchedule::new(terms.senders, terms.asked, seed);
+                let schedule = if life.get() > 1 { schedule.going_on() } else { schedule };
                 let (agent, names) = (desk.front.agent.subscribe(), terms.names.clone());
                 let (seq, feed) = (listing.in_force(), Feed(listing.clone()));
                 let others = |now: &Rc<Configuration>| DiscoveryTerms::of(now) != terms;
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -134,6 +134,18 @@
     }
 }
 
+/// Guards what counts as told from a configuration that changes what discovery is asked by: whoever asked by the one before had up to
+/// a gap between two questions, and another one before the first of the new.
+#[test]
+fn one_whose_terms_change_goes_on_asking_in_time() {
+    for relays in [100, 300, 500] {
+        for seed in 0..200 {
+            let mut goes_on = PollSchedule::new(relays, ASKED, seed).going_on();
+            assert!(goes_on.first() + goes_on.patience() < Duration::from_secs(4));
+        }
+    }
+}
+
 /// Guards small fleets, and those whose news come by themselves: there a relay watches as it always did.
 #[test]
 fn one_of_two_watches_and_asks_every_100_ms_while_it_fails() {
