--- a/src/polling/mod.rs
+++ b/src/polling/mod.rs
@@ -12,4 +12,4 @@
 pub use bounds::QuestionBounds;
 pub use budget::{NotificationBudget, HOLD_UP};
 pub use schedule::{PollOutcome, PollSchedule, Terms};
-pub use status::{ListStatus, ListSteps};
+pub use status::{LateStage, ListStatus, ListSteps};
--- a/src/polling/status.rs
+++ b/src/polling/status.rs
@@ -1,6 +1,8 @@
 //! How old the list in force is, and how long each step on its way into force took.
 
+use super::{NotificationBudget, HOLD_UP};
 use crate::interface::Nanos;
+use std::time::Duration;
 
 /// When each step of one list was done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,6 +13,8 @@
     pub whole: bool,
     /// The answer before it was asked for, if there was one.
     pub asked_before: Option<Nanos>,
+    /// The longest time between the beginnings of two questions since then.
+    pub longest_step: Nanos,
     /// The question that brought it was begun.
     pub asked: Nanos,
     /// The head of its answer had come.
@@ -33,11 +37,22 @@
     }
 }
 
-/// What is known of the list in force.
+/// What is known of the list in force, and whether the stages before it kept their budget.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ListStatus {
+    budget: Option<NotificationBudget>,
     current_as_of: Option<Nanos>,
     last: Option<ListSteps>,
+    late: u64,
+}
+
+/// A stage that took longer than its budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LateStage {
+    /// Nothing was asked for longer than a step.
+    Unasked,
+    /// What had been answered was not in force.
+    Applying,
 }
 
 impl ListStatus {
@@ -46,9 +61,28 @@
         self.current_as_of = self.current_as_of.max(Some(asked));
     }
 
-    /// A list came into force.
-    pub fn came_into_force(&mut self, steps: ListSteps) {
+    /// The budget that holds from now on; none where relays look lists up from time to time.
+    pub fn keep(&mut self, budget: Option<NotificationBudget>) {
+        self.budget = budget;
+    }
+
+    /// A list came into force; the stage that took longer than it may.
+    pub fn came_into_force(&mut self, steps: ListSteps) -> Option<LateStage> {
         self.last = Some(steps);
+        let budget = self.budget?;
+        let is_over = |took: Nanos, bound: Duration| Duration::from_nanos(took) > bound + HOLD_UP;
+        let stage = match () {
+            () if is_over(steps.longest_step, budget.step) => LateStage::Unasked,
+            () if is_over(steps.applying(), budget.apply) => LateStage::Applying,
+            () => return None,
+        };
+        self.late += 1;
+        Some(stage)
+    }
+
+    /// Lists before which a stage took longer than it may.
+    pub fn late(&self) -> u64 {
+        self.late
     }
 
     /// How old the list in force may be: so long ago the last question was begun that has been answered.
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -12,7 +12,7 @@
 use crate::configuration::Configuration;
 use crate::memory::MemoryBudget;
 use crate::operator::Operator;
-use crate::polling::PollSchedule;
+use crate::polling::{self, PollSchedule};
 use crate::protocol::discovery::{self, Names};
 use crate::protocol::platform::{self, Platform};
 use crate::protocol::smpp::{self, Smpp};
@@ -239,6 +239,7 @@
                 let seed = seed ^ POLL_SEED ^ life.replace(life.get() + 1);
                 let schedule = PollSchedule::new(terms.senders, terms.asked, seed);
                 let schedule = if life.get() > 1 { schedule.going_on() } else { schedule };
+                keep_budget(desk, terms.asked, &schedule);
                 let (agent, names) = (desk.front.agent.subscribe(), terms.names.clone());
                 let (seq, feed) = (listing.in_force(), Feed(listing.clone()));
                 let others = |now: &Rc<Configuration>| DiscoveryTerms::of(now) != terms;
@@ -252,6 +253,17 @@
     desk.roles.while_serving(follow).await;
 }
 
+/// Has lists come into force within the time that the settings give, where they are watched for.
+fn keep_budget(desk: &Desk<Platform>, asked: polling::Terms, schedule: &PollSchedule) {
+    let budget = asked.budget();
+    desk.front.keep_list_budget(Some(budget).filter(|_| schedule.watches()));
+    let step = schedule.bounds().step();
+    if schedule.watches() && !budget.holds(step) {
+        let (grace_ms, worst_ms) = (asked.grace.as_millis(), budget.worst_case(step).as_millis());
+        tracing::warn!(target: "platform", event = "grace-too-short", grace_ms, worst_ms, "`rules.stop_sending_within` is shorter than a drain may take to be heeded");
+    }
+}
+
 /// Has callers sent away, and stay again, as operators want it.
 async fn send_callers_away(desk: Rc<Desk<Platform>>, legs: Rc<Legs>) {
     let mut draining = desk.front.draining.subscribe();
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -147,6 +147,7 @@
             seq: list.seq,
             whole: list.whole,
             asked_before: list.asked_before.map(|asked| self.on_clock(asked)),
+            longest_step: list.longest_step.as_nanos() as Nanos,
             asked: self.on_clock(list.asked),
             answered: self.on_clock(list.answered),
             read: self.on_clock(list.read),
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// What went before an answer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Before {
+    /// When the answer before it was asked for.
+    asked: Option<Instant>,
+    /// The longest time between the beginnings of two questions since then.
+    longest_step: Duration,
+}
+
 struct Follower<R> {
     net: Net,
     names: Names,
@@ -97,7 +106,7 @@
         let mut backoff = Backoff::new(schedule.chances_apart());
         let mut questions = Questions::new(self.net.clone(), agent, schedule.bounds());
         let mut ask_at = Some(Instant::now());
-        let mut asked_before = None;
+        let mut before = Before::default();
         let mut last_heard = Instant::now();
         loop {
             if ask_at.is_some_and(|at| at <= Instant::now()) {
@@ -118,7 +127,8 @@
                 }
             };
             let (asked, is_latest) = (heard.asked, heard.is_latest);
-            let taken = self.take(agent, heard, asked_before, schedule, seq).await;
+            before.longest_step = before.longest_step.max(questions.take_longest_step());
+            let taken = self.take(agent, heard, before, schedule, seq).await;
             let took = asked.elapsed();
             match taken {
                 Ok(version) => {
@@ -126,7 +136,7 @@
                     trouble.over();
                     backoff.reset();
                     seq = version;
-                    asked_before = asked_before.max(Some(asked));
+                    before = Before { asked: before.asked.max(Some(asked)), longest_step: Duration::ZERO };
                     if seq.is_some() {
                         self.receiver.is_current_as_of(asked);
                     }
@@ -153,7 +163,7 @@
         &self,
         agent: SocketAddr,
         heard: Heard,
-        asked_before: Option<Instant>,
+        before: Before,
         schedule: &PollSchedule,
         seq: Option<u64>,
     ) -> Result<Option<u64>, Unheard> {
@@ -178,7 +188,16 @@
             let Heading { seq, whole, .. } = heading;
             let read = Instant::now();
             let agent = Some(agent);
-            let arrival = ListArrival { agent, seq, whole, asked, answered, read, asked_before };
+            let arrival = ListArrival {
+                agent,
+                seq,
+                whole,
+                asked,
+                answered,
+                read,
+                asked_before: before.asked,
+                longest_step: before.longest_step,
+            };
             if self.receiver.commit(draft, arrival).await == Committed::Superseded {
                 return Ok(None);
             }
--- a/src/protocol/discovery/questions.rs
+++ b/src/protocol/discovery/questions.rs
@@ -48,12 +48,16 @@
     agent: SocketAddr,
     bounds: QuestionBounds,
     open: Vec<Question>,
+    /// When a question was begun last, and the longest time between two of them of late.
+    last_begun: Option<Instant>,
+    longest_step: Duration,
     asking: JoinSet<(Instant, Result<Answer, Unheard>)>,
 }
 
 impl Questions {
     pub fn new(net: Net, agent: SocketAddr, bounds: QuestionBounds) -> Questions {
-        Questions { net, agent, bounds, open: Vec::new(), asking: JoinSet::new() }
+        let (open, asking) = (Vec::new(), JoinSet::new());
+        Questions { net, agent, bounds, open, last_begun: None, longest_step: Duration::ZERO, asking }
     }
 
     /// Asks; where too many are open, another one is given up for it.
@@ -68,7 +72,10 @@
             let answer = asking.await;
             (Instant::now(), answer)
         });
-        self.open.push(Question { asked: Instant::now(), terms, connected, is_overdue: false, handle });
+        let asked = Instant::now();
+        let step = self.last_begun.replace(asked).map_or(Duration::ZERO, |last| asked - last);
+        self.longest_step = self.longest_step.max(step);
+        self.open.push(Question { asked, terms, connected, is_overdue: false, handle });
     }
 
     /// What the next question that is answered, or cannot be, came to.
@@ -93,6 +100,11 @@
         }
     }
 
+    /// The longest time between the beginnings of two questions since this was asked for last.
+    pub fn take_longest_step(&mut self) -> Duration {
+        std::mem::take(&mut self.longest_step)
+    }
+
     /// Drops those that were asked before this moment: what they would bring is known.
     pub fn forget_before(&mut self, asked: Instant) {
         let later = self.open.partition_point(|question| question.asked < asked);
--- a/src/protocol/discovery/receiver.rs
+++ b/src/protocol/discovery/receiver.rs
@@ -23,6 +23,8 @@
     pub read: Instant,
     /// The answer before it, of whatever version, was asked for.
     pub asked_before: Option<Instant>,
+    /// The longest time between the beginnings of two questions since then.
+    pub longest_step: Duration,
 }
 
 /// What became of a list that had come whole.
--- a/src/protocol/platform/mod.rs
+++ b/src/protocol/platform/mod.rs
@@ -23,7 +23,7 @@
 use crate::interface::{Nanos, Outcome};
 use crate::memory::MemoryBudget;
 use crate::notices::Schedule;
-use crate::polling::{ListStatus, ListSteps};
+use crate::polling::{ListStatus, ListSteps, NotificationBudget};
 use crate::routing::core::{Carried, Ended, Piping};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
@@ -132,6 +132,13 @@
     pub fn list_status(&self) -> ListStatus {
         self.list.get()
     }
+
+    /// The time in which lists have to come into force from now on, where there is such a time.
+    pub fn keep_list_budget(&self, budget: Option<NotificationBudget>) {
+        let mut status = self.list.get();
+        status.keep(budget);
+        self.list.set(status);
+    }
 }
 
 impl Front for Platform {
@@ -230,9 +237,9 @@
 
     fn list_came_into_force(&self, steps: ListSteps) {
         let mut status = self.list.get();
-        status.came_into_force(steps);
+        let late = status.came_into_force(steps);
         self.list.set(status);
-        list_log::tell(&steps);
+        list_log::tell(&steps, late);
     }
 
     fn list_is_current_as_of(&self, asked: Nanos) {
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -26,7 +26,16 @@
 /// A list that comes at once.
 fn arrival(seq: u64, whole: bool) -> ListArrival {
     let now = Instant::now();
-    ListArrival { agent: None, seq, whole, asked: now, answered: now, read: now, asked_before: None }
+    ListArrival {
+        agent: None,
+        seq,
+        whole,
+        asked: now,
+        answered: now,
+        read: now,
+        asked_before: None,
+        longest_step: Duration::ZERO,
+    }
 }
 
 /// Carries calls as far as it is let: they stay out until `release`.
--- a/tests/polling.rs
+++ b/tests/polling.rs
@@ -1,6 +1,8 @@
 //! The budget of a change: from the moment at which it counts as told to the last call that it forbids.
 
-use basaltloom::polling::{NotificationBudget, PollSchedule, QuestionBounds, Terms, HOLD_UP};
+use basaltloom::polling::{
+    LateStage, ListStatus, ListSteps, NotificationBudget, PollSchedule, QuestionBounds, Terms, HOLD_UP,
+};
 use std::time::Duration;
 
 fn ms(millis: u64) -> Duration {
@@ -66,3 +68,27 @@
     }
     assert!((ms(16_000)..ms(20_000)).contains(&longest), "{longest:?}");
 }
+
+/// Guards the check at run time: a list before which nothing was asked for too long, or that was applied too late, is told.
+#[test]
+fn a_stage_beyond_its_budget_is_told() {
+    let budget = NotificationBudget::pushed(ms(1_000));
+    let nanos = |time: Duration| time.as_nanos() as u64;
+    let steps = |step: Duration, applying: Duration| ListSteps {
+        seq: 1,
+        whole: false,
+        asked_before: None,
+        longest_step: nanos(step),
+        asked: 0,
+        answered: 0,
+        read: 0,
+        in_force: nanos(applying),
+    };
+    let mut status = ListStatus::default();
+    assert_eq!(status.came_into_force(steps(ms(5_000), ms(0))), None, "there is no budget yet");
+    status.keep(Some(budget));
+    assert_eq!(status.came_into_force(steps(budget.step + HOLD_UP, budget.apply + HOLD_UP)), None);
+    assert_eq!(status.came_into_force(steps(ms(1_600), ms(0))), Some(LateStage::Unasked));
+    assert_eq!(status.came_into_force(steps(ms(450), ms(1_300))), Some(LateStage::Applying));
+    assert_eq!(status.late(), 2);
+}
