--- a/src/program/departures.rs
+++ b/src/program/departures.rs
@@ -32,7 +32,9 @@
         let kept = kept.filter(|kept| kept.is_newer_than(configuration.discovery, configuration.known.seq));
         if let Some(kept) = &kept {
             let count = kept.bring_up_to_date(&mut configuration.known);
-            tracing::info!(target: "relay", event = "departures-restored", count, "endpoints of the list that is known drain or have left, as an earlier process was told");
+            if count > 0 {
+                tracing::info!(target: "relay", event = "departures-restored", count, "endpoints of the list that is known drain or have left, as an earlier process was told");
+            }
         }
         let mut departures = kept.unwrap_or_default();
         departures.begin_with(&configuration.known);
--- a/tests/drains/agent.rs
+++ b/tests/drains/agent.rs
@@ -28,6 +28,8 @@
     pub late: Duration,
     /// Half of each, then nothing more.
     pub half: bool,
+    /// A connection comes up so long after it was opened.
+    pub up_after: Duration,
 }
 
 #[derive(Default)]
@@ -130,6 +132,7 @@
     }
 
     fn serve(&self, stream: TcpStream) {
+        sleep(self.state.tell(|state| state.answering.up_after));
         let mut output = stream.try_clone().unwrap();
         let mut input = BufReader::new(stream);
         while let Some((head, _)) = request(&mut input) {
--- a/tests/drains/answers.rs
+++ b/tests/drains/answers.rs
@@ -27,7 +27,7 @@
         let mut rig = Rig::start();
         rig.agent.fall_silent();
         sleep(Duration::from_millis(1_000 + 1_500 * relay as u64));
-        rig.agent.answering(Answering { late, half: false });
+        rig.agent.answering(Answering { late, ..Answering::default() });
         let turn = rig.turn();
         let told = rig.agent.come_back(AtReturn::Ignored, &turn);
         vec![rig.behind(told)]
@@ -39,7 +39,7 @@
 fn a_drain_behind_half_an_answer_is_heeded() {
     all_within(LIMIT, 3, |_| {
         let mut rig = Rig::start();
-        rig.agent.answering(Answering { half: true, late: Duration::ZERO });
+        rig.agent.answering(Answering { half: true, ..Answering::default() });
         // It begins to be answered, and never is to its end.
         rig.agent.change(&[]);
         sleep(Duration::from_millis(50));
--- a/tests/drains/main.rs
+++ b/tests/drains/main.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod rig;
 mod silences;
+mod soak;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 mod starts;
--- a/tests/drains/moves.rs
+++ b/tests/drains/moves.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 /// What an agent has counts as told so long after SIGHUP.
-const TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
+pub const TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
 
 impl Rig {
     /// Moves discovery to an agent that has the same list, with further changes to the configuration.
-    fn move_to(&mut self, agent: Agent, change: impl FnOnce(&mut serde_json::Value)) {
+    pub fn move_to(&mut self, agent: Agent, change: impl FnOnce(&mut serde_json::Value)) {
         let mut document = self.platform.document();
         document["discovery"] = agent.address.to_string().into();
         change(&mut document);
@@ -21,7 +21,7 @@
     }
 
     /// Another agent with the list as it is.
-    fn other_agent(&self) -> Agent {
+    pub fn other_agent(&self) -> Agent {
         let listed = |endpoint: usize| {
             let health = if endpoint == self.active { "active" } else { "leaving" };
             self.endpoints[endpoint].listed(health)
--- a/tests/drains/rig.rs
+++ b/tests/drains/rig.rs
@@ -21,6 +21,9 @@
 /// How long calls are looked for behind a drain.
 const WATCHED_FOR: Duration = Duration::from_millis(3_000);
 
+/// The last lines of a log are shown.
+const LOG_LINES: usize = 40;
+
 const CLIENTS: usize = 6;
 const SENT_EACH: Duration = Duration::from_millis(25);
 const MESSAGE_MS: u64 = 4_000;
@@ -192,7 +195,7 @@
 
     /// The last lines of the log.
     pub fn log(&self) -> Vec<String> {
-        self.process.log.tell(|lines| lines.iter().rev().take(12).rev().cloned().collect())
+        self.process.log.tell(|lines| lines.iter().rev().take(LOG_LINES).rev().cloned().collect())
     }
 }
 
