--- a/tests/drains/main.rs
+++ b/tests/drains/main.rs
@@ -9,7 +9,10 @@
 mod platform;
 mod rig;
 mod silences;
+#[path = "../owed_ends/slow_folder.rs"]
+mod slow_folder;
 mod soak;
+mod stages;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 mod starts;
--- a/tests/drains/rig.rs
+++ b/tests/drains/rig.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::Agent;
 use crate::platform::{Platform, Process, Terms};
+use crate::slow_folder::SlowFolder;
 use crate::stand_ins::{entry, folder, message_within, ok, receipt, request, status, Told};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -37,11 +38,16 @@
 
 impl Endpoint {
     pub fn start(name: &str) -> Endpoint {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Endpoint::accepting_after(name, TcpListener::bind("127.0.0.1:0").unwrap(), Duration::ZERO)
+    }
+
+    /// One that accepts no connection for so long.
+    pub fn accepting_after(name: &str, listener: TcpListener, time: Duration) -> Endpoint {
         let address = listener.local_addr().unwrap();
         let calls: Told<Vec<Instant>> = Told::default();
         let noted = calls.clone();
         spawn(move || {
+            sleep(time);
             for stream in listener.incoming().flatten() {
                 let noted = noted.clone();
                 spawn(move || serve(stream, &noted));
@@ -133,34 +139,52 @@
     pub endpoints: [Endpoint; 2],
     /// The one that is not draining.
     pub active: usize,
+    /// How slow its lasting folder is.
+    pub folder: SlowFolder,
     _clients: Clients,
 }
 
+/// What a relay starts with beside the usual.
+pub struct Start {
+    /// The settings' `stop_sending_within`.
+    pub grace: Duration,
+    /// Further entries in the list.
+    pub others: Vec<(String, String)>,
+    pub descriptors: usize,
+    /// The endpoint that is active first.
+    pub first: Option<Endpoint>,
+}
+
+impl Default for Start {
+    fn default() -> Start {
+        Start { grace: GRACE, others: Vec::new(), descriptors: Terms::default().descriptors, first: None }
+    }
+}
+
 impl Rig {
     pub fn start() -> Rig {
-        Rig::start_with(|platform| platform, &[])
+        Rig::start_with(Start::default())
     }
 
-    /// The same with changes to the configuration, and further entries in the list.
-    pub fn start_with(
-        change: impl FnOnce(&mut serde_json::Value) -> &mut serde_json::Value,
-        others: &[(String, String)],
-    ) -> Rig {
-        let endpoints = [Endpoint::start("e0"), Endpoint::start("e1")];
+    pub fn start_with(start: Start) -> Rig {
+        let Start { grace, others, descriptors, first } = start;
+        let endpoints = [first.unwrap_or_else(|| Endpoint::start("e0")), Endpoint::start("e1")];
         let mut listed = vec![endpoints[0].listed("active"), endpoints[1].listed("leaving")];
-        listed.extend(others.iter().cloned());
+        listed.extend(others);
         let agent = Agent::start(&listed);
         let dir = folder();
-        let terms = Terms { inherit: true, ..Terms::default() };
-        let known: Vec<String> = listed.iter().map(|(_, entry)| entry.clone()).collect();
+        let known: Vec<&str> = listed.iter().map(|(_, entry)| entry.as_str()).collect();
+        let terms = Terms { descriptors, ..Terms::default() };
         let platform = Platform::new(&dir, &terms, agent.address, &known.join(","));
         let mut document = platform.document();
-        change(&mut document);
+        document["settings"]["rules"]["stop_sending_within"] = (grace.as_nanos() as u64).into();
         platform.write(&document.to_string());
-        let process = platform.start_ready();
+        let slow = SlowFolder::new(&dir);
+        let process = platform.start_with(|command| slow.preload(command));
+        assert!(process.ready().is_some(), "{:?}", process.log.tell(|lines| lines.clone()));
         let clients = Clients::start(platform.address);
         sleep(Duration::from_millis(500));
-        Rig { agent, platform, process, endpoints, active: 0, _clients: clients }
+        Rig { agent, platform, process, endpoints, active: 0, folder: slow, _clients: clients }
     }
 
     /// The entries by which the active endpoint drains and the other one takes over.
