End before the kill also where the signal was heard of late

What callers would have seen: a relay that was held up for 0.15 s as it was told to end went on for 3.6 s from then, and may be killed 3.7 s behind the signal, while it still answers.

The time of a planned end is the 3.7 s less a hold-up and 50 ms.

--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -2,6 +2,7 @@
 
 use super::beside::Beside;
 use super::wiring::PlatformDesk;
+use crate::polling::HOLD_UP;
 use crate::protocol::smpp::{self, Smpp};
 use crate::routing::{Core, Desk, Front};
 use std::rc::Rc;
@@ -9,8 +10,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-/// From the first signal on the relay may be killed after this time.
-const KILLED_AFTER: Duration = Duration::from_millis(3_600);
+/// The relay may be killed so long after the first signal was sent.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+/// It ends so long before that.
+const KILL_MARGIN: Duration = Duration::from_millis(50);
+/// From the first signal on, as it was heard of, all is done in this time: a relay that is held up hears of it late.
+const ENDS_WITHIN: Duration = KILLED_AFTER.saturating_sub(HOLD_UP).saturating_sub(KILL_MARGIN);
 /// Callers may still come for a while after the signal; to be gone by then would turn them away unheard.
 const STAYS: Duration = Duration::from_millis(1_500);
 /// SMPP sessions are unbound so long before that.
@@ -29,10 +34,10 @@
     let smpp = beside.smpp();
     if let Some(desk) = smpp.clone() {
         close(&desk);
-        spawn_local(async move { smpp::part(&desk, KILLED_AFTER - UNBIND_MARGIN).await });
+        spawn_local(async move { smpp::part(&desk, ENDS_WITHIN - UNBIND_MARGIN).await });
     }
     let busy = || platform.is_some_and(platform_is_busy) || smpp.as_ref().is_some_and(smpp_is_busy);
-    while told.elapsed() < KILLED_AFTER && (told.elapsed() < least || busy()) {
+    while told.elapsed() < ENDS_WITHIN && (told.elapsed() < least || busy()) {
         sleep(POLL_EACH).await;
     }
     let serving = platform.filter(|(desk, _)| desk.roles.serves());
@@ -71,5 +76,5 @@
 }
 
 fn close<F: Front>(desk: &Rc<Desk<F>>) {
-    desk.act(|core, now| core.closing(now, now + KILLED_AFTER.as_nanos() as u64));
+    desk.act(|core, now| core.closing(now, now + ENDS_WITHIN.as_nanos() as u64));
 }
--- a/tests/drains/agent.rs
+++ b/tests/drains/agent.rs
@@ -30,6 +30,8 @@
     pub half: bool,
     /// A connection comes up so long after it was opened.
     pub up_after: Duration,
+    /// Notices have no answer.
+    pub ignores_notices: bool,
 }
 
 #[derive(Default)]
@@ -137,6 +139,9 @@
         let mut input = BufReader::new(stream);
         while let Some((head, _)) = request(&mut input) {
             if head[0].starts_with("POST") {
+                if self.state.tell(|state| state.answering.ignores_notices) {
+                    return closed_within(input.get_ref(), SILENT_FOR);
+                }
                 output.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").ok();
                 continue;
             }
--- a/tests/drains/main.rs
+++ b/tests/drains/main.rs
@@ -12,6 +12,7 @@
 #[path = "../owed_ends/slow_folder.rs"]
 mod slow_folder;
 mod soak;
+mod spans;
 mod stages;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
