--- a/tests/drains/agent.rs
+++ b/tests/drains/agent.rs
@@ -10,6 +10,8 @@
 
 /// Whether the other side has closed is looked at so often.
 const LOOK_EACH: Duration = Duration::from_millis(10);
+/// Whether a connection has come is looked at so often.
+const ACCEPT_EACH: Duration = Duration::from_millis(1);
 /// A connection that is kept silent stays so at most for so long.
 const SILENT_FOR: Duration = Duration::from_secs(60);
 
@@ -40,6 +42,8 @@
     /// Each entry's last text, and the version that it came with.
     entries: BTreeMap<String, (u64, String)>,
     silent: bool,
+    /// Nobody listens.
+    refuses: bool,
     /// Questions with lower numbers are never answered.
     muted_below: u64,
     /// Connections of questions with lower numbers are closed.
@@ -72,15 +76,35 @@
         let agent = Agent { address: listener.local_addr().unwrap(), state: Told::default() };
         agent.change(entries);
         let serving = agent.clone();
-        spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serving = serving.clone();
-                spawn(move || serving.serve(stream));
-            }
-        });
+        spawn(move || serving.accept(listener));
         agent
     }
 
+    /// Accepts connections, but for times in which nobody listens.
+    fn accept(&self, mut listener: TcpListener) {
+        loop {
+            listener.set_nonblocking(true).unwrap();
+            while !self.state.tell(|state| state.refuses) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        stream.set_nonblocking(false).unwrap();
+                        let serving = self.clone();
+                        spawn(move || serving.serve(stream));
+                    }
+                    Err(_) => sleep(ACCEPT_EACH),
+                }
+            }
+            drop(listener);
+            self.state.until(SILENT_FOR, |state| !state.refuses);
+            listener = TcpListener::bind(self.address).unwrap();
+        }
+    }
+
+    /// Whether connections are refused from now on.
+    pub fn refuse(&self, refuses: bool) {
+        self.state.tell(|state| state.refuses = refuses);
+    }
+
     /// The next version, with these entries changed. It counts as told from now on.
     pub fn change(&self, entries: &[(String, String)]) -> Instant {
         self.state.tell(|state| {
--- a/tests/drains/answers.rs
+++ b/tests/drains/answers.rs
@@ -49,3 +49,18 @@
         vec![rig.behind(told)]
     });
 }
+
+/// Guards a drain from a time in which connections to the agent are refused.
+#[test]
+fn a_drain_behind_refused_connections_is_heeded() {
+    all_within(LIMIT, 3, |relay| {
+        let mut rig = Rig::start();
+        rig.agent.fall_silent();
+        rig.agent.refuse(true);
+        sleep(Duration::from_millis(1_500 + 500 * relay as u64));
+        let turn = rig.turn();
+        let told = rig.agent.come_back(AtReturn::Reset, &turn);
+        rig.agent.refuse(false);
+        vec![rig.behind(told)]
+    });
+}
--- a/tests/drains/starts.rs
+++ b/tests/drains/starts.rs
@@ -23,3 +23,16 @@
         vec![while_down, rig.behind(told)]
     });
 }
+
+/// Guards a drain that comes while the process is gone: it counts from the first moment of the next one.
+#[test]
+fn a_drain_told_between_a_kill_and_the_start_is_heeded() {
+    all_within(LIMIT, 3, |_| {
+        let mut rig = Rig::start();
+        rig.process.kill();
+        let turn = rig.turn();
+        rig.agent.change(&turn);
+        rig.restart();
+        vec![rig.behind(Instant::now())]
+    });
+}
