Take changes asked for before a list was superseded for no list

Behind a list that was superseded the whole list is asked for. Where a question for changes was still open then, its answer was passed over as outdated, but its version was noted as known: what lay between would have been lost. `take` now says which of the three it was: in force, outdated (nothing changes, and nothing is known to be current by it), or superseded.

--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -81,6 +81,17 @@
     }
 }
 
+/// What a list that came whole has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Taken {
+    /// This version is in force.
+    InForce(u64),
+    /// Nothing: a later answer was faster.
+    Outdated,
+    /// What is in force is not known any more: the whole list has to be asked for.
+    Superseded,
+}
+
 /// What went before an answer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Before {
@@ -131,15 +142,19 @@
             let taken = self.take(agent, heard, before, schedule, seq).await;
             let took = asked.elapsed();
             match taken {
-                Ok(version) => {
+                Ok(taken) => {
                     last_heard = Instant::now();
                     trouble.over();
                     backoff.reset();
-                    seq = version;
-                    before = Before { asked: before.asked.max(Some(asked)), longest_step: Duration::ZERO };
-                    if seq.is_some() {
-                        self.receiver.is_current_as_of(asked);
+                    match taken {
+                        Taken::InForce(version) => {
+                            seq = Some(version);
+                            self.receiver.is_current_as_of(asked);
+                        }
+                        Taken::Outdated => {}
+                        Taken::Superseded => seq = None,
                     }
+                    before = Before { asked: before.asked.max(Some(asked)), longest_step: Duration::ZERO };
                     questions.forget_before(asked);
                     let pause = schedule.pause(PollOutcome::List, took);
                     if is_latest {
@@ -157,8 +172,7 @@
         }
     }
 
-    /// Puts in force what is new in an answer. Returns the version that is known from then on; none where the whole list has to
-    /// be asked for.
+    /// Puts in force what is new in an answer.
     async fn take(
         &self,
         agent: SocketAddr,
@@ -166,7 +180,7 @@
         before: Before,
         schedule: &PollSchedule,
         seq: Option<u64>,
-    ) -> Result<Option<u64>, Unheard> {
+    ) -> Result<Taken, Unheard> {
         let (asked, answered) = (heard.asked, heard.answered);
         let mut answer = heard.answer?;
         self.receiver.answered(heard.late);
@@ -181,7 +195,7 @@
             false => heard.from != seq,
         };
         if is_outdated {
-            return Ok(seq.or(Some(heading.seq)));
+            return Ok(Taken::Outdated);
         }
         if seq != Some(heading.seq) || (heading.whole && schedule.watches()) {
             heading.skipped.tell();
@@ -199,10 +213,10 @@
                 longest_step: before.longest_step,
             };
             if self.receiver.commit(draft, arrival).await == Committed::Superseded {
-                return Ok(None);
+                return Ok(Taken::Superseded);
             }
         }
-        Ok(Some(heading.seq))
+        Ok(Taken::InForce(heading.seq))
     }
 }
 
--- a/tests/discovery/follow.rs
+++ b/tests/discovery/follow.rs
@@ -230,6 +230,28 @@
     assert_eq!(known.borrow()[..4], [None, Some(1), None, Some(14)]);
 }
 
+/// Guards the same from an answer with changes that was asked for before: it was taken for the whole of its version.
+#[test]
+fn changes_asked_for_before_do_not_stand_for_a_list_that_was_superseded() {
+    let known: Rc<RefCell<Vec<Option<u64>>>> = Rc::default();
+    let asked = known.clone();
+    let run = followed(WATCHES, 5, move |place, from| {
+        asked.borrow_mut().push(from);
+        match place {
+            0 => Reply::List(short(1)),
+            // Both are open at once; the later one answers first, and the earlier one is asked for changes.
+            1 => Reply::Late(short(SUPERSEDED), Duration::from_millis(600)),
+            2 => {
+                Reply::Late(r#"{"seq":14,"whole":false,"hosts":[]}"#.to_string(), Duration::from_millis(200))
+            }
+            _ if from.is_none() => Reply::List(short(15)),
+            _ => Reply::Unchanged(15),
+        }
+    });
+    assert!(known.borrow()[3..].contains(&None), "{:?}", known.borrow());
+    assert_eq!(run.received.versions().last(), Some(&15));
+}
+
 /// Guards answers that come late behind a silence: the questions of the silence keep no later one from being heard.
 #[test]
 fn a_late_answer_is_heard_though_many_questions_before_it_never_are() {
