Name the parts of the schedule of questions in the field's terms

Need: the schedule came over with names of the earlier house style. Change: told and news become notified and changes, roll and chance the random fraction and its generator, asking the tasks of open questions.

--- a/src/catalog/departures.rs
+++ b/src/catalog/departures.rs
@@ -18,10 +18,10 @@
     order: u64,
 }
 
-/// Endpoints that drain or have left, as far as discovery has told, and those that did and are back.
+/// Endpoints that drain or have left, as far as discovery has said, and those that did and are back.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departures {
-    /// Who told.
+    /// Who sent the list.
     agent: Option<SocketAddr>,
     /// The version of the list that was in force.
     seq: u64,
@@ -87,7 +87,7 @@
         self.by_name.retain(|_, departure| departure.order >= oldest);
     }
 
-    /// Whether this was told after a list of this agent that has this version.
+    /// Whether this was learned after a list of this agent that has this version.
     pub fn is_newer_than(&self, agent: Option<SocketAddr>, seq: u64) -> bool {
         self.agent == agent && self.seq > seq
     }
--- a/src/polling/bounds.rs
+++ b/src/polling/bounds.rs
@@ -3,7 +3,7 @@
 use super::NotificationBudget;
 use std::time::Duration;
 
-/// A watch waits so long at most: nothing tells one whose connection has fallen silent from one that has no news.
+/// A watch waits so long at most: nothing distinguishes one whose connection has fallen silent from one that has no changes.
 const HOLD_MOST: Duration = Duration::from_secs(1);
 /// Beyond that its answer is waited for so long at most before the next question.
 const PATIENCE_MOST: Duration = Duration::from_millis(500);
@@ -24,7 +24,7 @@
 /// When a question is overdue, and which ones are kept open beside it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuestionBounds {
-    /// Discovery may wait so long for news before it answers a watch.
+    /// Discovery may wait so long for changes before it answers a watch.
     pub hold: Duration,
     /// For how long an answer is waited for beyond that before the next question.
     pub patience: Duration,
@@ -55,7 +55,7 @@
         self.hold + self.patience + self.retry
     }
 
-    /// How long after its beginning a question is overdue that waits for news for `hold`.
+    /// How long after its beginning a question is overdue that waits for changes for `hold`.
     pub fn overdue_after(&self, hold: Duration, is_connected: bool) -> Duration {
         match is_connected {
             true => hold + self.patience,
--- a/src/polling/budget.rs
+++ b/src/polling/budget.rs
@@ -1,4 +1,4 @@
-//! How long a change may take from the moment at which it counts as told to the last call that it forbids, dealt out to the
+//! How long a change may take from the moment at which it counts as notified to the last call that it forbids, dealt out to the
 //! stages between them.
 
 use std::time::Duration;
@@ -6,8 +6,8 @@
 /// The relay may be held up for so long between reading its clock and writing, once before a question and once before a call.
 pub const HOLD_UP: Duration = Duration::from_millis(150);
 const HOLD_UPS: u32 = 2;
-/// Where news come to those who ask, a change counts as told so long after discovery had it and could be reached.
-pub const TOLD_AFTER_FAILURE: Duration = Duration::from_secs(6);
+/// Where changes come to those who ask, a change counts as notified so long after discovery had it and could be reached.
+pub const NOTIFIED_AFTER_FAILURE: Duration = Duration::from_secs(6);
 /// Of what hold-ups leave, the parts that are kept for the way to a question's answer, and for putting its list in force.
 const ANSWER_PART: f64 = 1.0 / 7.0;
 const APPLY_PART: f64 = 3.0 / 14.0;
@@ -31,14 +31,14 @@
 }
 
 impl NotificationBudget {
-    /// Where lists are pushed: what the agent has counts as told at once, and new work is to stop `grace` after that.
+    /// Where lists are pushed: what the agent has counts as notified at once, and new work is to stop `grace` after that.
     pub fn pushed(grace: Duration) -> NotificationBudget {
         NotificationBudget::within(grace)
     }
 
-    /// Where news come to those who ask: a change counts as told some time after discovery had it, then `grace` begins.
+    /// Where changes come to those who ask: a change counts as notified some time after discovery had it, then `grace` begins.
     pub fn asked(grace: Duration) -> NotificationBudget {
-        NotificationBudget::within(TOLD_AFTER_FAILURE + grace)
+        NotificationBudget::within(NOTIFIED_AFTER_FAILURE + grace)
     }
 
     fn within(limit: Duration) -> NotificationBudget {
@@ -49,7 +49,7 @@
         NotificationBudget { limit, step, answer, apply }
     }
 
-    /// From the moment at which a change counts as told to the first byte of the last call that it forbids, where questions
+    /// From the moment at which a change counts as notified to the first byte of the last call that it forbids, where questions
     /// are begun so long apart and every stage takes all of its time.
     pub fn worst_case(&self, step: Duration) -> Duration {
         step + self.answer + self.apply + HOLD_UP * HOLD_UPS
--- a/src/polling/schedule.rs
+++ b/src/polling/schedule.rs
@@ -2,7 +2,7 @@
 //! when they are turned away, keep discovery from answering any of them. Each keeps to its part of what the whole fleet
 //! may ask, and its seed spreads it. Without I/O: it says how long to wait, whoever asks waits.
 
-use super::budget::TOLD_AFTER_FAILURE;
+use super::budget::NOTIFIED_AFTER_FAILURE;
 use super::{NotificationBudget, QuestionBounds};
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -15,14 +15,14 @@
 /// long as it waits, and all of them end at one moment when there is news; where relays are many and each answer is
 /// asked of discovery itself, they look the list up from time to time instead.
 const WATCHED: Duration = Duration::from_secs(1);
-/// Of the time after which a relay that has not asked counts as told, the longest gap: the rest is for the answer.
+/// Of the time after which a relay that has not asked counts as notified, the longest gap: the rest is for the answer.
 const GAP_MOST: f64 = 0.75;
 /// An answer may take so long at least.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
 /// The answer to a look-up is waited for so long: discovery has others to answer first.
 const LOOK_UP_PATIENCE: Duration = Duration::from_millis(1_500);
 /// The same after discovery has moved.
-const TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
+const NOTIFIED_AFTER_MOVE: Duration = Duration::from_secs(4);
 /// Kept of either, for the connection and the clock.
 const MARGIN: Duration = Duration::from_millis(300);
 /// Refusals in a row that may be chance. Beyond them discovery is reached, and has more to answer than it can: those that
@@ -37,9 +37,9 @@
 /// What the settings say of discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
-    /// News come only to those who ask, and who has not asked for so long counts as told.
+    /// Changes come only to those who ask, and who has not asked for so long counts as notified.
     pub within: Option<Duration>,
-    /// New work to an endpoint that drains or is gone has to stop so long after that counts as told.
+    /// New work to an endpoint that drains or is gone has to stop so long after that counts as notified.
     pub grace: Duration,
 }
 
@@ -77,7 +77,7 @@
     is_pushed: bool,
     goes_on: bool,
     bounds: QuestionBounds,
-    chance: ChaCha8Rng,
+    rng: ChaCha8Rng,
     failures: i32,
     refusals: i32,
 }
@@ -90,13 +90,13 @@
             EACH.saturating_mul(senders.max(1)).min(within.mul_f64(GAP_MOST))
         });
         let bounds = QuestionBounds::of(&terms.budget());
-        let chance = ChaCha8Rng::seed_from_u64(seed);
+        let rng = ChaCha8Rng::seed_from_u64(seed);
         PollSchedule {
             gap,
             is_pushed: terms.within.is_none(),
             goes_on: false,
             bounds,
-            chance,
+            rng,
             failures: 0,
             refusals: 0,
         }
@@ -108,8 +108,8 @@
     }
 
     /// Evenly between 0 and 1.
-    fn roll(&mut self) -> f64 {
-        f64::from(self.chance.next_u32()) / f64::from(u32::MAX)
+    fn random_fraction(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
     }
 
     /// The same in the place of one by which this process has asked already: its clock runs on.
@@ -128,29 +128,29 @@
     fn spread(&mut self) -> Duration {
         match self.watches() {
             true => Duration::ZERO,
-            false => self.gap.mul_f64(self.roll()),
+            false => self.gap.mul_f64(self.random_fraction()),
         }
     }
 
     /// Before the first call where discovery has moved to.
     pub fn moved(&mut self) -> Duration {
-        self.spread().min(self.in_time_for(TOLD_AFTER_MOVE).mul_f64(self.roll()))
+        self.spread().min(self.in_time_for(NOTIFIED_AFTER_MOVE).mul_f64(self.random_fraction()))
     }
 
     /// The longest pause after which an answer is there in so long.
-    fn in_time_for(&self, told: Duration) -> Duration {
-        told.saturating_sub(self.patience().max(ANSWER_PATIENCE) + MARGIN)
+    fn in_time_for(&self, limit: Duration) -> Duration {
+        limit.saturating_sub(self.patience().max(ANSWER_PATIENCE) + MARGIN)
     }
 
     /// The longest pause after a call that failed, of which the answer was waited for so long: one that begins later may
-    /// have its answer after the time when it counts as told.
+    /// have its answer after the time when it counts as notified.
     pub fn longest_after_failure(&self, took: Duration) -> Duration {
-        self.in_time_for(TOLD_AFTER_FAILURE).saturating_sub(took)
+        self.in_time_for(NOTIFIED_AFTER_FAILURE).saturating_sub(took)
     }
 
     /// Chances of the same seed that take none from the relay's own.
-    pub fn chances_apart(&self) -> ChaCha8Rng {
-        let mut apart = self.chance.clone();
+    pub fn separate_rng(&self) -> ChaCha8Rng {
+        let mut apart = self.rng.clone();
         apart.set_stream(1);
         apart
     }
@@ -169,7 +169,7 @@
     }
 
     /// Before the next question behind a short answer that stopped in the middle, where lists are pushed: what the agent has
-    /// counts as told all the same.
+    /// counts as notified all the same.
     pub fn pause_after_short(&self, took: Duration) -> Option<Duration> {
         self.is_pushed.then(|| self.bounds.step().saturating_sub(took).max(self.bounds.retry))
     }
@@ -188,7 +188,7 @@
                 _ => retry.mul_f64(2f64.powi(self.failures - 1)).min(self.gap.max(retry)),
             };
         }
-        let spread = 1.0 - SPREAD * self.roll();
+        let spread = 1.0 - SPREAD * self.random_fraction();
         let failed = match heard {
             PollOutcome::List => return self.gap.mul_f64(spread),
             // The call began when discovery may have been back already.
--- a/src/program/departures.rs
+++ b/src/program/departures.rs
@@ -26,7 +26,7 @@
 
 impl DepartureKeeper {
     /// For the folder of this configuration. What an earlier process kept there is put into the list that is known, where it was
-    /// told later than that.
+    /// learned later than that.
     pub fn start(configuration: &mut Configuration) -> Rc<DepartureKeeper> {
         let kept = read(&configuration.state);
         let kept = kept.filter(|kept| kept.is_newer_than(configuration.discovery, configuration.known.seq));
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -54,7 +54,7 @@
         self.in_force.get()
     }
 
-    /// Has this keeper told of each list that comes into force.
+    /// Has this keeper notified of each list that comes into force.
     pub(super) fn keep_departures(&self, keeper: Rc<DepartureKeeper>) {
         self.departures.set(keeper).ok();
     }
--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -25,7 +25,7 @@
 
 /// Asks callers to leave and sees what is out to its end, as far as the time allows.
 pub(super) async fn run(platform: Option<&PlatformDesk>, beside: &Beside) {
-    let told = Instant::now();
+    let signalled = Instant::now();
     tracing::info!(target: "relay", event = "told-to-end", "callers are asked to leave, what is out is seen to its end");
     if let Some(member) = beside.member() {
         member.leave();
@@ -37,7 +37,7 @@
         spawn_local(async move { smpp::part(&desk, ENDS_WITHIN - UNBIND_MARGIN).await });
     }
     let busy = || platform.is_some_and(platform_is_busy) || smpp.as_ref().is_some_and(smpp_is_busy);
-    while told.elapsed() < ENDS_WITHIN && (told.elapsed() < least || busy()) {
+    while signalled.elapsed() < ENDS_WITHIN && (signalled.elapsed() < least || busy()) {
         sleep(POLL_EACH).await;
     }
     let serving = platform.filter(|(desk, _)| desk.roles.serves());
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Calls that fail are made again as [`PollSchedule`] says. A list that came and cannot be used (over the cap, damaged) leaves
 //! the one before in force, is told once in the log, and is asked for again with growing pauses of up to a minute; so is
-//! one that was cut off or came too slowly, but within the time after which a change counts as told.
+//! one that was cut off or came too slowly, but within the time after which a change counts as notified.
 #![warn(missing_docs)]
 
 mod backoff;
@@ -114,7 +114,7 @@
     /// asked again, and its answer is taken all the same when it comes.
     async fn follow(&self, agent: SocketAddr, schedule: &mut PollSchedule, mut seq: Option<u64>) {
         let mut trouble = Trouble::default();
-        let mut backoff = Backoff::new(schedule.chances_apart());
+        let mut backoff = Backoff::new(schedule.separate_rng());
         let mut questions = Questions::new(self.net.clone(), agent, schedule.bounds());
         let mut ask_at = Some(Instant::now());
         let mut before = Before::default();
--- a/src/protocol/discovery/questions.rs
+++ b/src/protocol/discovery/questions.rs
@@ -51,13 +51,13 @@
     /// When a question was begun last, and the longest time between two of them of late.
     last_begun: Option<Instant>,
     longest_step: Duration,
-    asking: JoinSet<(Instant, Result<Answer, Unheard>)>,
+    tasks: JoinSet<(Instant, Result<Answer, Unheard>)>,
 }
 
 impl Questions {
     pub fn new(net: Net, agent: SocketAddr, bounds: QuestionBounds) -> Questions {
-        let (open, asking) = (Vec::new(), JoinSet::new());
-        Questions { net, agent, bounds, open, last_begun: None, longest_step: Duration::ZERO, asking }
+        let (open, tasks) = (Vec::new(), JoinSet::new());
+        Questions { net, agent, bounds, open, last_begun: None, longest_step: Duration::ZERO, tasks }
     }
 
     /// Asks; where too many are open, another one is given up for it.
@@ -68,7 +68,7 @@
         }
         let connected = Rc::new(Cell::new(false));
         let asking = ask(self.net.clone(), self.agent, terms, connected.clone());
-        let handle = self.asking.spawn_local(async move {
+        let handle = self.tasks.spawn_local(async move {
             let answer = asking.await;
             (Instant::now(), answer)
         });
@@ -81,7 +81,7 @@
     /// What the next question that is answered, or cannot be, came to.
     pub async fn heard(&mut self) -> Heard {
         loop {
-            let Some(joined) = self.asking.join_next_with_id().await else { std::future::pending().await };
+            let Some(joined) = self.tasks.join_next_with_id().await else { std::future::pending().await };
             let (task, answered, answer) = match joined {
                 Ok((task, (answered, answer))) => (task, answered, answer),
                 // One that was dropped is not open any more; one that panicked is.
--- a/src/protocol/discovery/receiver.rs
+++ b/src/protocol/discovery/receiver.rs
@@ -9,7 +9,7 @@
 /// A list that has come whole, and when each step on its way was done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListArrival {
-    /// Who told it.
+    /// Who sent it.
     pub agent: Option<SocketAddr>,
     /// Its version.
     pub seq: u64,
