--- a/src/polling/schedule.rs
+++ b/src/polling/schedule.rs
@@ -21,9 +21,9 @@
 const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
 /// The answer to a look-up is waited for so long: discovery has others to answer first.
 const LOOK_UP_PATIENCE: Duration = Duration::from_millis(1_500);
-/// The same after discovery has moved.
+/// A change counts as notified so long after discovery has moved.
 const NOTIFIED_AFTER_MOVE: Duration = Duration::from_secs(4);
-/// Kept of either, for the connection and the clock.
+/// Kept of the time until a change counts as notified, for the connection and the clock.
 const MARGIN: Duration = Duration::from_millis(300);
 /// Refusals in a row that may be chance. Beyond them discovery is reached, and has more to answer than it can: those that
 /// go on asking it as often keep it so.
--- a/tests/discovery/follow.rs
+++ b/tests/discovery/follow.rs
@@ -252,6 +252,14 @@
     assert_eq!(run.received.versions().last(), Some(&15));
 }
 
+/// Guards discovery, and a relay that has no list yet, from whole lists that are asked for several times in a step.
+#[test]
+fn a_whole_list_is_asked_for_once_in_a_step() {
+    let step = WATCHES.terms.budget().step.as_secs_f64();
+    let gaps = followed(WATCHES, 4, |_, _| Reply::Silence).discovery.gaps();
+    assert!(gaps.iter().all(|gap| *gap >= 0.95 * step), "{gaps:?}");
+}
+
 /// Guards answers that come late behind a silence: the questions of the silence keep no later one from being heard.
 #[test]
 fn a_late_answer_is_heard_though_many_questions_before_it_never_are() {
