Answer submits by a proof that their records are written

Cause: the SMPP front asked the core by `Core::take` and answered, while the record was only queued for the writer beside the event loop. The platform's front waits for the record in the desk. Both calls were in a front's reach.

Change: `Core::take` returns a `PendingAnswer` that says nothing; `Core::answer` makes the answer of it once the record is written or given up, and only the core makes the `Accepted` without which no submit is answered with 0. `Desk::offer` decides in the order of the submits and serves both fronts; what no client has heard of is withdrawn. The session is heard while records are written, with at most 256 submits at wait; no limit of 300 ms holds for ESMEs. Unbinds and SIGTERM let answers out first, query_sm and receipts wait for their records, and message ids are random, so that a clock set back gives none twice.

Tests that asked the core alone ask it for the answer now, with the same expectations.

--- a/benches/scale/held.rs
+++ b/benches/scale/held.rs
@@ -117,7 +117,9 @@
             body: body.clone(),
             owner: String::new(),
         };
-        if !matches!(core.take(NOW + i as u64, offer), Taken::On(_)) || from.elapsed() > BUDGET {
+        let pending = core.take(NOW + i as u64, offer);
+        let taken = core.answer(NOW + i as u64, &pending);
+        if !matches!(taken, Some(Taken::On(_))) || from.elapsed() > BUDGET {
             return i;
         }
         // The calls stay out: no endpoint answers.
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -294,12 +294,14 @@
         opened.map_err(|e| format!("cannot open the journal in {}: {e}", state.display()))?;
     let (settings, known) = (config.settings.clone(), config.route_news());
     let first = First { known: &known, batching: Batching::default(), tells_delivery: true };
-    let core = Core::new(settings, seed, journal, replayed, first, clock.now());
+    let mut core = Core::new(settings, seed, journal, replayed, first, clock.now());
+    // ESMEs wait for their answers by response timers of their own, seconds as a rule.
+    core.bear_writes_of(config.times.response / 2);
     let listener = net.listen(config.listen).await;
     let listener = listener.map_err(|e| format!("smpp: cannot listen on {}: {e}", config.listen))?;
     let address = listener.address().unwrap_or(config.listen);
     let calls = Counted::over(net, door.ledger().clone(), Purse::Calls);
-    let desk = Desk::new(core, clock, Smpp::new(config, calls, clock.now()));
+    let desk = Desk::new(core, clock, Smpp::new(config, calls));
     desk.act(|_, _| ());
     let (timed, writing) = (desk.clone(), desk.clone());
     keep_up("the SMPP journal", move || writing.clone().write_records());
--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -72,7 +72,7 @@
 }
 
 fn smpp_is_busy(desk: &Rc<Desk<Smpp>>) -> bool {
-    desk.calls_out() > 0 || desk.front.legs_open() > 0
+    desk.calls_out() > 0 || desk.front.sessions_open() > 0
 }
 
 fn close<F: Front>(desk: &Rc<Desk<F>>) {
--- a/src/protocol/platform/intake.rs
+++ b/src/protocol/platform/intake.rs
@@ -85,7 +85,8 @@
         return refusal(FULL_ADVICE);
     }
     match desk.take(offer).await {
-        Taken::On(no) => {
+        Taken::On(accepted) => {
+            let no = accepted.number();
             desk.front.shares.borrow_mut().taken(no, leg.address(), capacity.part);
             leg.promises(no);
             plain(StatusCode::ACCEPTED)
--- a/src/protocol/smpp/esme.rs
+++ b/src/protocol/smpp/esme.rs
@@ -1,17 +1,16 @@
 //! Caller legs of the SMPP front: ESMEs bind to us, submit, and get a receipt for each message.
 
 use super::link::{self, Heard, Link};
+use super::session::Session;
+use super::submits::{self, Refusal, Submitter};
 use super::{receipt, Account, Smpp};
 use crate::admission::Deed;
-use crate::routing::{Desk, Offer, Taken, TransactionNo};
+use crate::routing::{Desk, TransactionNo};
 use crate::transport::door::Entrant;
 use crate::transport::Stream;
-use bytes::Bytes;
-use rusmpp::pdus::{
-    BindReceiverResp, BindTransceiverResp, BindTransmitterResp, QuerySm, QuerySmResp, SubmitSm, SubmitSmResp,
-};
+use rusmpp::pdus::{BindReceiverResp, BindTransceiverResp, BindTransmitterResp, QuerySm, QuerySmResp};
 use rusmpp::types::COctetString;
-use rusmpp::values::InterfaceVersion;
+use rusmpp::values::{InterfaceVersion, MessageState};
 use rusmpp::{Command, CommandId, CommandStatus, Pdu};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -43,14 +42,18 @@
 pub async fn serve(desk: Rc<Desk<Smpp>>, stream: Stream, entrant: Rc<Entrant>) {
     let front = &desk.front;
     let (link, mut reader) = link::open(stream, front.config.max_pdu);
-    front.legs.borrow_mut().push(link.clone());
+    let session = Session::new(link.clone());
+    front.sessions.borrow_mut().push(session.clone());
     let times = front.config.times;
     let watching = spawn_local(link.clone().watch(times.enquire, times.response));
     let bind_by = Instant::now() + times.response;
     let mut bound: Option<Bound> = None;
+    // The sequence number of its unbind, which is answered behind all submits.
+    let mut unbind: Option<u32> = None;
     loop {
         let heard = tokio::select! {
             heard = link.hear(&mut reader) => heard,
+            () = session.all_answered(), if unbind.is_some() => None,
             () = sleep_until(bind_by), if bound.is_none() => {
                 entrant.deed(Deed::Junk);
                 None
@@ -70,8 +73,7 @@
         let sequence = command.sequence_number();
         match (command.id(), command.pdu()) {
             (_, Some(Pdu::Unbind)) => {
-                link.answer(sequence, CommandStatus::EsmeRok, Pdu::UnbindResp).await;
-                break;
+                unbind.get_or_insert(sequence);
             }
             (_, Some(Pdu::EnquireLink)) => {
                 link.answer(sequence, CommandStatus::EsmeRok, Pdu::EnquireLinkResp).await;
@@ -94,14 +96,11 @@
                 link.answer(sequence, status.err().unwrap_or(CommandStatus::EsmeRok), answer).await;
             }
             (CommandId::SubmitSm, Some(Pdu::SubmitSm(submit))) => match &bound {
-                Some(b) if b.submits => {
-                    if take(&desk, &link, &b.account, sequence, submit, body).await {
-                        entrant.deed(Deed::Good);
-                    }
-                }
-                _ => {
-                    answer_submit(&link, sequence, CommandStatus::EsmeRinvbndsts, "").await;
+                Some(Bound { account, submits: true, .. }) if unbind.is_none() => {
+                    let (desk, session, entrant) = (&desk, &session, &entrant);
+                    Submitter { desk, session, account, entrant }.take(sequence, submit, body).await;
                 }
+                _ => submits::refuse(&session, sequence, Refusal::NotBound).await,
             },
             (CommandId::QuerySm, Some(Pdu::QuerySm(query))) => match &bound {
                 Some(b) if b.submits => answer_query(&desk, &link, &b.account, sequence, query).await,
@@ -118,9 +117,12 @@
             }
         }
     }
+    if let Some(sequence) = unbind {
+        link.answer(sequence, CommandStatus::EsmeRok, Pdu::UnbindResp).await;
+    }
     watching.abort();
     link.close();
-    front.legs.borrow_mut().retain(|l| !Rc::ptr_eq(l, &link));
+    front.sessions.borrow_mut().retain(|other| !Rc::ptr_eq(other, &session));
 }
 
 fn bind_answer(id: CommandId, system_id: &str) -> Pdu {
@@ -152,79 +154,14 @@
     Ok(Bound { account, submits, offers })
 }
 
-async fn answer_submit(link: &Link, sequence: u32, status: CommandStatus, id: &str) -> bool {
-    let id = COctetString::from_string(id.to_string()).unwrap_or_default();
-    link.answer(sequence, status, SubmitSmResp::builder().message_id(id).build()).await
-}
-
-/// Takes a message on, or says why not; true once it is. One whose answer could not be written is withdrawn: its ESME was
-/// never told of it.
-async fn take(
-    desk: &Rc<Desk<Smpp>>,
-    link: &Link,
-    account: &Rc<Account>,
-    sequence: u32,
-    submit: &SubmitSm,
-    body: Bytes,
-) -> bool {
-    let (status, id, no) = match offer(desk, account, submit, body) {
-        Err(status) => (status, String::new(), None),
-        Ok(offer) => {
-            let id = offer.id.clone();
-            match desk.act(|core, now| core.take(now, offer)) {
-                Taken::On(no) => (CommandStatus::EsmeRok, id, Some(no)),
-                Taken::Already => (CommandStatus::EsmeRok, id, None),
-                Taken::Other => (CommandStatus::EsmeRsubmitfail, String::new(), None),
-                Taken::Refused { full: true, .. } => (CommandStatus::EsmeRmsgqful, String::new(), None),
-                Taken::Refused { .. } => (CommandStatus::EsmeRthrottled, String::new(), None),
-                Taken::Failed | Taken::UnknownClass => (CommandStatus::EsmeRsubmitfail, String::new(), None),
-            }
-        }
-    };
-    let heard = answer_submit(link, sequence, status, &id).await;
-    if let Some(no) = no.filter(|_| !heard) {
-        desk.act(|core, now| core.withdraw(now, no));
-    }
-    heard && status == CommandStatus::EsmeRok
-}
-
-fn offer(
-    desk: &Desk<Smpp>,
-    account: &Account,
-    submit: &SubmitSm,
-    body: Bytes,
-) -> Result<Offer, CommandStatus> {
-    let (front, now) = (&desk.front, desk.clock.now());
-    if account.owed.borrow().len() >= account.config.max_owed {
-        return Err(CommandStatus::EsmeRmsgqful);
-    }
-    if !submit.schedule_delivery_time.is_empty() {
-        return Err(CommandStatus::EsmeRinvsched);
-    }
-    let address = submit.destination_addr.as_str();
-    let dest = front.config.dest_of(address).ok_or(CommandStatus::EsmeRinvdstadr)?;
-    let class = front.config.class_of(&account.config, submit.service_type.value().as_str());
-    let time_left = match submit.validity_period.as_str() {
-        "" => front.config.settings.classes.get(class).map_or(0, |c| c.deadline),
-        text => receipt::until(text, now).ok_or(CommandStatus::EsmeRinvexpiry)?.saturating_sub(now),
-    };
-    Ok(Offer {
-        id: front.next_id(),
-        class: front.config.classes.get(class).map_or(String::new(), |class| class.name.clone()),
-        dest,
-        key: Some(address.to_string()),
-        idempotency: None,
-        time_left,
-        body,
-        owner: account.config.system_id.clone(),
-    })
-}
-
 async fn answer_query(desk: &Rc<Desk<Smpp>>, link: &Link, account: &Account, sequence: u32, query: &QuerySm) {
     let now = desk.clock.now();
     let state = desk.see(|core| {
-        let t = core.find(query.message_id.as_str()).filter(|t| t.owner == account.config.system_id)?;
-        Some((receipt::state(t, now).0, t.reason))
+        let id = query.message_id.as_str();
+        let t = core.find(id).filter(|t| t.owner == account.config.system_id)?;
+        // An end whose record is not written is unknown to a process that follows.
+        let is_told = core.may_tell_end_of(id);
+        Some((if is_told { receipt::state(t, now).0 } else { MessageState::Enroute }, t.reason))
     });
     let Some((state, reason)) = state else {
         link.answer(sequence, CommandStatus::EsmeRqueryfail, QuerySmResp::default()).await;
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -6,9 +6,11 @@
 mod esme;
 mod link;
 mod receipt;
+mod session;
 mod smsc;
+mod submits;
 
-use crate::interface::{Nanos, Outcome};
+use crate::interface::Outcome;
 use crate::routing::core::{Carried, Ended};
 use crate::routing::desk::Passage;
 use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
@@ -16,10 +18,11 @@
 use crate::transport::Door;
 use bytes::{Bytes, BytesMut};
 use config::SmppConfig;
-use link::{LateAnswer, Link};
+use link::LateAnswer;
 use rusmpp::decode::DecodeWithLength;
 use rusmpp::pdus::SubmitSm;
 use rusmpp::values::{MCDeliveryReceipt, RegisteredDelivery};
+use session::Session;
 use smsc::{Binds, Submitted};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -30,6 +33,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+/// An ESME answers our unbind within this time, or its session is closed.
+const UNBIND_WITHIN: Duration = Duration::from_millis(500);
 /// A late answer is waited for so long: by then most messages have their ends.
 const LATE_WITHIN: Duration = Duration::from_secs(60);
 
@@ -47,14 +52,12 @@
     binds: RefCell<HashMap<String, Rc<Binds>>>,
     /// The binds by the numbers under which the core knows them.
     used: RefCell<HashMap<EndpointId, Rc<Binds>>>,
-    legs: RefCell<Vec<Rc<Link>>>,
+    sessions: RefCell<Vec<Rc<Session>>>,
     net: Net,
-    ids: Cell<u32>,
-    started_ms: Nanos,
 }
 
 impl Smpp {
-    pub fn new(config: SmppConfig, net: Net, now: Nanos) -> Smpp {
+    pub fn new(config: SmppConfig, net: Net) -> Smpp {
         let account = |a: &config::Account| {
             let (binds, owed, more) = (Cell::new(0), RefCell::default(), Notify::new());
             Rc::new(Account { config: a.clone(), binds, owed, more })
@@ -63,10 +66,8 @@
             accounts: config.accounts.iter().map(account).collect(),
             binds: RefCell::default(),
             used: RefCell::default(),
-            legs: RefCell::default(),
+            sessions: RefCell::default(),
             net,
-            ids: Cell::new(0),
-            started_ms: now / 1_000_000,
             config,
         };
         front.know_carriers(&front.config);
@@ -86,19 +87,13 @@
         }
     }
 
-    pub fn legs_open(&self) -> usize {
-        self.legs.borrow().len()
+    pub fn sessions_open(&self) -> usize {
+        self.sessions.borrow().len()
     }
 
     fn account(&self, system_id: &str) -> Option<Rc<Account>> {
         self.accounts.iter().find(|a| a.config.system_id == system_id).cloned()
     }
-
-    /// A message id of its own for each message, across restarts too: none comes within a millisecond.
-    fn next_id(&self) -> String {
-        self.ids.set(self.ids.get() + 1);
-        format!("{:x}{:06x}", self.started_ms, self.ids.get())
-    }
 }
 
 /// The submit in a body as it came.
@@ -168,6 +163,10 @@
 
     fn ended(&self, desk: &Rc<Desk<Self>>, ended: Vec<Ended>) {
         for Ended { no, .. } in ended {
+            // The ESME knows nothing of it before its submit is answered.
+            if desk.is_unheard(no) {
+                continue;
+            }
             let told = desk.see(|core| {
                 let t = core.transaction(no)?;
                 Some((self.account(&t.owner), wanted(&submit_of(&t.body)?, receipt::state(t, t.deadline).1)))
@@ -216,7 +215,7 @@
 pub async fn accept(desk: Rc<Desk<Smpp>>, door: Rc<Door>, listener: Box<dyn Listen>) {
     loop {
         let (stream, entrant) = door.next(&*listener, &[]).await;
-        if desk.front.legs.borrow().len() >= desk.front.config.max_sessions {
+        if desk.front.sessions_open() >= desk.front.config.max_sessions {
             continue;
         }
         let (desk, door) = (desk.clone(), door.clone());
@@ -240,9 +239,10 @@
 
 /// Says goodbye to both sides.
 pub async fn part(desk: &Rc<Desk<Smpp>>, within: Duration) {
-    let legs: Vec<Rc<Link>> = desk.front.legs.borrow().clone();
-    for link in legs {
-        spawn_local(async move { link.unbind(Duration::from_millis(500)).await });
+    let sessions: Vec<Rc<Session>> = desk.front.sessions.borrow().clone();
+    for session in sessions {
+        let answered_within = within.saturating_sub(UNBIND_WITHIN);
+        spawn_local(async move { session.unbind(answered_within, UNBIND_WITHIN).await });
     }
     let binds: Vec<Rc<Binds>> = desk.front.binds.borrow().values().cloned().collect();
     let parting: Vec<_> =
--- a/src/routing/core/ends.rs
+++ b/src/routing/core/ends.rs
@@ -61,6 +61,16 @@
         self.absorb(now, picked);
     }
 
+    /// Whether the end of this message may be told: its record is written, or its time is up.
+    pub fn may_tell_end(&self, no: TransactionNo) -> bool {
+        self.withheld.ends.iter().all(|end| end.ended.no != no)
+    }
+
+    /// The same of the message that was taken on under this id.
+    pub fn may_tell_end_of(&self, id: &str) -> bool {
+        self.transactions.find(id).is_none_or(|no| self.may_tell_end(no))
+    }
+
     /// When the first message that has no end yet comes to it.
     pub fn first_end(&self) -> Option<Nanos> {
         self.facade.first_end()
--- a/src/routing/core/intake.rs
+++ b/src/routing/core/intake.rs
@@ -1,6 +1,6 @@
 //! Taking requests on: from callers, and from what an earlier life left.
 
-use super::{bytes_of, Core, Ended, MessageCapacity, Note, Offer, Taken, DOOR_ADVICE};
+use super::{bytes_of, Core, Ended, MessageCapacity, Note, Offer, PendingAnswer, Taken, DOOR_ADVICE};
 use crate::interface::Nanos;
 use crate::memory::Holder;
 use crate::routing::closed::{self, Closed};
@@ -65,7 +65,31 @@
         nos.into_iter().for_each(|no| self.end(now, no, Ending::Undelivered(End::Failed)));
     }
 
-    pub fn take(&mut self, now: Nanos, offer: Offer) -> Taken {
+    /// Decides on an offer. Whoever made it hears nothing before `answer` says so.
+    pub fn take(&mut self, now: Nanos, offer: Offer) -> PendingAnswer {
+        let before = self.records_queued();
+        let taken = self.decide(now, offer);
+        // What rests on no record of its own is said at once; what was taken on before may still wait for its record.
+        let waits = self.records_queued() != before || taken == Taken::Already;
+        PendingAnswer::new(taken, if waits { self.records_queued() } else { 0 })
+    }
+
+    /// The answer to an offer; none before its record is written or given up. A message whose record could not be written is
+    /// withdrawn.
+    pub fn answer(&mut self, now: Nanos, pending: &PendingAnswer) -> Option<Taken> {
+        if !self.is_resolved(pending.record()) {
+            return None;
+        }
+        match pending.number().filter(|no| self.has_unwritten(*no)) {
+            None => Some(pending.taken()),
+            Some(no) => {
+                self.withdraw(now, no);
+                Some(Taken::Refused { after: DOOR_ADVICE, full: true })
+            }
+        }
+    }
+
+    fn decide(&mut self, now: Nanos, offer: Offer) -> Taken {
         let known = self.transactions.find(&offer.id);
         if let Some(t) = known.and_then(|no| self.transactions.get_mut(no)) {
             let same_class = self.journal.classes().name(t.class) == offer.class;
@@ -111,7 +135,7 @@
         let at_once = picked.ends.iter().position(|(of, _)| *of == no).map(|i| picked.ends.remove(i).1);
         self.absorb(now, picked);
         match at_once {
-            None => Taken::On(no),
+            None => Taken::on(no),
             // Its answer ends it: nothing is left to be told.
             Some(end) => {
                 let written = self.over(now, no);
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -14,7 +14,9 @@
 
 pub use handover::Released;
 pub use retune::{Moved, Retuning};
-pub use values::{Carried, Ended, Letter, MessageCapacity, Note, Offer, Piping, Taken, Work};
+pub use values::{
+    Accepted, Carried, Ended, Letter, MessageCapacity, Note, Offer, PendingAnswer, Piping, Taken, Work,
+};
 
 use super::facade::{Facade, Picked, Told};
 use super::handover::Handover;
@@ -31,6 +33,7 @@
 use ends::Withheld;
 use handover::Begun;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Advice for those turned away before the module was asked.
 pub(in crate::routing) const DOOR_ADVICE: Nanos = 1_000_000_000;
@@ -62,6 +65,8 @@
     last_words: Audit,
     /// Counts what is held here.
     memory: Rc<MemoryBudget>,
+    /// While a write takes longer than this nothing is taken on: its answer would come too late.
+    slow_write: Duration,
 }
 
 /// The operator's terms for calls, with the names of the kinds that they speak of.
@@ -142,6 +147,7 @@
             begun: Begun::default(),
             last_words: Audit::default(),
             memory: Rc::default(),
+            slow_write: records::SLOW_WRITE,
         };
         if torn > 0 {
             core.work
--- a/src/routing/core/records.rs
+++ b/src/routing/core/records.rs
@@ -6,8 +6,8 @@
 use crate::routing::values::TransactionNo;
 use std::time::Duration;
 
-/// While a write takes longer than this nothing is taken on: its answer would come too late.
-const WRITE_TAKES_MOST: Duration = Duration::from_millis(150);
+/// A write that takes longer is too slow for clients that wait 400 ms for their answers.
+pub(super) const SLOW_WRITE: Duration = Duration::from_millis(150);
 
 impl Core {
     /// Has records be written by another thread, or by this one.
@@ -77,8 +77,13 @@
         self.journal.has_failed(no)
     }
 
+    /// Clients wait for their answers so long that writes of up to this time do no harm.
+    pub fn bear_writes_of(&mut self, time: Duration) {
+        self.slow_write = time;
+    }
+
     /// Whether the folder is so slow that what is taken on now could not be answered in time.
     pub(super) fn is_folder_slow(&self) -> bool {
-        self.journal.write_takes() > WRITE_TAKES_MOST
+        self.journal.write_takes() > self.slow_write
     }
 }
--- a/src/routing/core/values.rs
+++ b/src/routing/core/values.rs
@@ -29,11 +29,55 @@
     pub free: f64,
 }
 
+/// A message whose record is in the journal. Only the core makes one, and only for a record that is written, so that a front
+/// can say of no other message that it is taken on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted(TransactionNo);
+
+impl Accepted {
+    /// The number of the message.
+    pub fn number(self) -> TransactionNo {
+        self.0
+    }
+}
+
+/// What the core has decided on an offer, as long as nobody may hear of it: the record that it rests on may not be written.
+#[must_use = "an offer has its answer only from `Core::answer`"]
+#[derive(Debug)]
+pub struct PendingAnswer {
+    taken: Taken,
+    /// The number of the last record that has to be written first.
+    record: u64,
+}
+
+impl PendingAnswer {
+    pub(super) fn new(taken: Taken, record: u64) -> PendingAnswer {
+        PendingAnswer { taken, record }
+    }
+
+    /// The number of the last record that has to be written first.
+    pub(in crate::routing) fn record(&self) -> u64 {
+        self.record
+    }
+
+    /// The message, where the offer becomes one.
+    pub(in crate::routing) fn number(&self) -> Option<TransactionNo> {
+        match self.taken {
+            Taken::On(accepted) => Some(accepted.number()),
+            _ => None,
+        }
+    }
+
+    pub(super) fn taken(&self) -> Taken {
+        self.taken
+    }
+}
+
 /// The answer to an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Taken {
     /// Taken on and journaled.
-    On(TransactionNo),
+    On(Accepted),
     /// It was taken on before, under this id.
     Already,
     /// Another one was taken on under this id.
@@ -46,6 +90,13 @@
     UnknownClass,
 }
 
+impl Taken {
+    /// The message with this number is taken on once its record is written.
+    pub(super) fn on(no: TransactionNo) -> Taken {
+        Taken::On(Accepted(no))
+    }
+}
+
 /// Something for the log, with the stable name of its kind.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Note {
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -1,6 +1,7 @@
 //! The desk: runs the core on the event loop for one front. Calls become tasks, due times a timer.
 
 mod hold_ups;
+mod offered;
 mod records;
 mod takeover;
 
@@ -14,8 +15,9 @@
 use crate::interface::{Nanos, Outcome};
 use crate::polling::ListSteps;
 use hold_ups::HoldUps;
+pub use offered::Offered;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,6 +76,8 @@
     to_write: Notify,
     /// Records were written, or given up.
     written: Notify,
+    /// Messages whose clients have not heard yet that they are taken on.
+    unheard: RefCell<HashSet<TransactionNo>>,
     /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
     life: Cell<u32>,
 }
@@ -110,6 +114,7 @@
             call_ended: Notify::new(),
             to_write: Notify::new(),
             written: Notify::new(),
+            unheard: RefCell::default(),
             life: Cell::new(0),
         })
     }
@@ -126,8 +131,7 @@
             let time_left = deadline.saturating_sub(self.clock.now());
             let offer = Offer { time_left, ..offer.clone() };
             if self.roles.serves() {
-                let (taken, record) = self.act(|core, now| (core.take(now, offer), core.records_queued()));
-                return self.once_written(taken, record).await;
+                return self.offer(offer).answer_in_time().await;
             }
             if let Some(successor) = self.roles.successor() {
                 if let Some(taken) = successor.take(offer).await {
--- a/src/routing/desk/records.rs
+++ b/src/routing/desk/records.rs
@@ -1,13 +1,11 @@
 //! Waits of the desk for records of the journal, and the task that has them written beside the event loop.
 
-use super::{Desk, Front, Taken, TransactionNo};
+use super::{Desk, Front};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{spawn_blocking, yield_now};
 use tokio::time::{sleep, timeout};
 
-/// An answer to a client waits so long for its record: the client gives up soon after.
-const ANSWER_WITHIN: Duration = Duration::from_millis(300);
 /// Records that nothing waits for are written after this time, or with others before that.
 const GATHERED_FOR: Duration = Duration::from_millis(1);
 /// A write that failed is tried again after this time.
@@ -23,20 +21,6 @@
     }
 }
 
-/// Withdraws a message whose client is gone before it is answered.
-struct Unanswered<'a, F: Front> {
-    desk: &'a Rc<Desk<F>>,
-    no: Option<TransactionNo>,
-}
-
-impl<F: Front> Drop for Unanswered<'_, F> {
-    fn drop(&mut self) {
-        if let Some(no) = self.no.take() {
-            self.desk.withdraw(no);
-        }
-    }
-}
-
 impl<F: Front> Desk<F> {
     /// Has the records of each turn written in one go, on another thread, for good.
     pub async fn write_records(self: Rc<Self>) {
@@ -79,31 +63,4 @@
             written.await;
         }
     }
-
-    /// The answer to an offer, once what it says is written.
-    pub(super) async fn once_written(self: &Rc<Self>, taken: Taken, record: u64) -> Taken {
-        if self.see(|core| core.is_resolved(record)) && !self.is_given_up(taken) {
-            return taken;
-        }
-        let no = match taken {
-            Taken::On(no) => Some(no),
-            _ => None,
-        };
-        let mut unanswered = Unanswered { desk: self, no };
-        let in_time = timeout(ANSWER_WITHIN, self.until_resolved(record)).await.is_ok();
-        match taken {
-            _ if in_time && !self.is_given_up(taken) => {
-                unanswered.no = None;
-                taken
-            }
-            // It is withdrawn, and nothing of it is in the journal.
-            Taken::On(_) if in_time => Taken::Refused { after: super::super::core::DOOR_ADVICE, full: true },
-            // It may be in the journal, and a process that follows could deliver it: no promise can be made.
-            _ => Taken::Failed,
-        }
-    }
-
-    fn is_given_up(&self, taken: Taken) -> bool {
-        matches!(taken, Taken::On(no) if self.see(|core| core.has_unwritten(no)))
-    }
 }
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -31,8 +31,10 @@
         released
     }
 
-    /// Gives the journal to another process without more: what is out here ends with this process.
+    /// Gives the journal to another process without more: what is out here ends with this process, and what no client has
+    /// heard of is withdrawn.
     pub fn give_journal_away(&self) {
+        self.withdraw_unheard();
         drop(self.core.borrow_mut().release(self.clock.now(), None));
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -18,8 +18,8 @@
 pub use crate::interface::{Class, Kind, Late, Limits, Nanos, Outcome, Repeat, Settings};
 pub use classes::Classes;
 pub use clock::Clock;
-pub use core::{Core, Offer, Taken, Work};
-pub use desk::{Desk, Front};
+pub use core::{Accepted, Core, Offer, Taken, Work};
+pub use desk::{Desk, Front, Offered};
 pub use journal::Journal;
 pub use transactions::Transaction;
 pub use values::{Attempt, Call, End, Limit, Reply, Standing, TransactionNo};
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -117,7 +117,8 @@
             body: Bytes::from_static(b"hello"),
             owner: String::new(),
         };
-        self.desk.act(|core, now| core.take(now, offer))
+        let pending = self.desk.act(|core, now| core.take(now, offer));
+        self.desk.act(|core, now| core.answer(now, &pending)).expect("its record is written")
     }
 
     fn known(&self) -> Vec<Endpoint> {
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -68,7 +68,8 @@
     let dir = folder(name, seed);
     let mut before = core(&dir, seed, START);
     for i in 0..RESTORED {
-        assert!(matches!(before.take(START, offer(format!("old{i}"), KEYED)), Taken::On(_)));
+        let pending = before.take(START, offer(format!("old{i}"), KEYED));
+        assert!(matches!(before.answer(START, &pending), Some(Taken::On(_))));
     }
     // Nothing was begun: the first that could have gone met a connection that never came up.
     let calls: Vec<Call> = before.work().calls.into_iter().map(|(call, _)| call).collect();
@@ -98,7 +99,8 @@
         now = now.max(next);
         if now == next_newcomer {
             count += 1;
-            relay.take(now, offer(format!("new{count}"), WORTH_MORE));
+            let pending = relay.take(now, offer(format!("new{count}"), WORTH_MORE));
+            assert!(relay.answer(now, &pending).is_some());
             next_newcomer = now + newcomers_each.unwrap();
         } else if now == back {
             for call in out.remove(&back).unwrap() {
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -71,7 +71,8 @@
         let (id, class) = (id.to_string(), format!("c{class}"));
         let (idempotency, key, owner, body) = (None, None, String::new(), Bytes::from_static(b"x"));
         let offer = Offer { id, class, dest: 5, key, idempotency, time_left: 20 * SEC, body, owner };
-        let taken = self.core.take(now, offer);
+        let pending = self.core.take(now, offer);
+        let taken = self.core.answer(now, &pending).expect("its record is written");
         self.take_up();
         taken
     }
@@ -106,8 +107,8 @@
         relay.retune(&after, &names(), START);
         // Enough of dead records for copies, in which the class of the open one has to be.
         for i in (0..6_000).filter(|_| copied) {
-            if let Taken::On(no) = relay.hand_in(&format!("m{i}"), SAFE, START) {
-                relay.core.withdraw(START, no);
+            if let Taken::On(accepted) = relay.hand_in(&format!("m{i}"), SAFE, START) {
+                relay.core.withdraw(START, accepted.number());
             }
         }
         if killed {
--- a/tests/unanswered_clients.rs
+++ b/tests/unanswered_clients.rs
@@ -140,9 +140,9 @@
 #[test]
 fn a_message_that_is_called_is_not_forgotten_with_its_unwritten_answer() {
     at_a_relay("unwritten-answer", async |relay| {
-        let Taken::On(no) = relay.take(offer()).await else { panic!("refused") };
+        let Taken::On(accepted) = relay.take(offer()).await else { panic!("refused") };
         until_called(relay).await;
-        relay.withdraw(no);
+        relay.withdraw(accepted.number());
         comes_again(relay).await;
     });
 }
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -172,8 +172,9 @@
                     body: Bytes::from_static(b"x"),
                     owner: String::new(),
                 };
-                let taken = self.core.take(self.now, offer);
-                assert!(matches!(taken, Taken::On(_) | Taken::Refused { .. }), "{taken:?}");
+                let pending = self.core.take(self.now, offer);
+                let taken = self.core.answer(self.now, &pending);
+                assert!(matches!(taken, Some(Taken::On(_) | Taken::Refused { .. })), "{taken:?}");
             }
             Due::Begin(call, zone) => {
                 let gone = call.attempts.iter().any(|b| self.gone.contains(&(b.transaction, b.number)));
