--- a/src/protocol/smpp/receipt.rs
+++ b/src/protocol/smpp/receipt.rs
@@ -64,7 +64,7 @@
         None => (MessageState::Enroute, "ENROUTE"),
         Some(Ending::Delivered) => (MessageState::Delivered, "DELIVRD"),
         Some(Ending::Undelivered(End::Returned { .. })) => (MessageState::Rejected, "REJECTD"),
-        Some(Ending::Undelivered(End::Failed)) if t.may_have_run.is_some() => {
+        Some(Ending::Undelivered(End::Failed)) if t.may_have_run.or(t.out).is_some() => {
             (MessageState::Unknown, "UNKNOWN")
         }
         Some(Ending::Undelivered(End::Failed)) if t.reason == 0 && t.deadline <= now + SEC => {
--- a/tests/relay/smpp.rs
+++ b/tests/relay/smpp.rs
@@ -213,6 +213,20 @@
     );
 }
 
+/// Guards receipts of messages whose time is over while a submit of them is out: it may still be accepted.
+#[test]
+fn a_message_that_is_out_at_its_end_is_not_said_to_have_expired() {
+    play(
+        "relay smpp
+         esme a bound
+         esme a take 1313 text=pay service=DUES validity=000000000002000R
+         smsc 1 expect pay
+         esme a gets pay UNKNOWN in 1400..2050
+         smsc 1 send 0
+         esme a expect nothing 60000",
+    );
+}
+
 /// Guards receipts: owed while nobody is bound to receive them, offered again after a refusal and on the next
 /// bind, across a restart too, always under the id that the submit was answered with.
 #[test]
