Have one submit of a message out, and hold its place until it is over

Cause: a late submit was reported as timed out, as by the front of the platform, which ends its connection first; here the bind stayed, and with it the submit. Its place in the window went back at once, and cancels, SIGHUP and unbinds took the bind for idle.

Change: a `Submission` has the place and the one `SubmitPermit` of its message until it is over, by its answer or the end of its link; only its `Over` tells the core of it. A late submit is waited for while the SMSC says anything, for a third of its message's time (patience.rs, no I/O), or all of it where it may not be repeated; behind that, or where the core cancels it, its bind takes nothing new and ends once the others on it are over. The log tells of both. smsc.rs and mod.rs gave their parts to modules of their own.

Tests: five new scenes fail on (late answers, lost ones twice in a row, those beside them, the window, SIGHUP there and back), and so does one that was changed: three had asserted the second submit itself, and want one submit with a late answer as its last word now.

--- a/src/protocol/smpp/esme.rs
+++ b/src/protocol/smpp/esme.rs
@@ -192,7 +192,7 @@
 }
 
 /// A receipt stays owed until the ESME has accepted it.
-async fn offer_one(desk: &Rc<Desk<Smpp>>, link: &Link, account: &Account, no: TransactionNo) {
+async fn offer_one(desk: &Rc<Desk<Smpp>>, link: &Rc<Link>, account: &Account, no: TransactionNo) {
     account.more.notify_one();
     let now = desk.clock.now();
     let pdu = desk.see(|core| {
@@ -201,9 +201,9 @@
     });
     let Some(pdu) = pdu else { return };
     match link.request(pdu, desk.front.config.times.response).await {
-        Ok(answer) if accepted(&answer) => return desk.act(|core, now| core.acknowledged(now, no)),
-        Ok(_) => sleep(OFFER_AGAIN).await,
-        Err(_) => {}
+        Some(answer) if accepted(&answer) => return desk.act(|core, now| core.acknowledged(now, no)),
+        Some(_) => sleep(OFFER_AGAIN).await,
+        None => {}
     }
     account.owed.borrow_mut().push_front(no);
     account.more.notify_one();
--- a/src/protocol/smpp/link.rs
+++ b/src/protocol/smpp/link.rs
@@ -42,24 +42,11 @@
     Lost,
     /// The link ended within what may have been its answer.
     Cut(CutAnswer),
-    /// It has not come in time. It may come yet.
-    Late(LateAnswer),
 }
 
 /// What a request hears.
 type Answer = Result<Box<Command>, CutAnswer>;
 
-/// The answer to a request that nobody waits for any more.
-#[derive(Debug)]
-pub struct LateAnswer(oneshot::Receiver<Answer>);
-
-impl LateAnswer {
-    /// The answer, if it comes before the link ends.
-    pub async fn come(self) -> Option<Box<Command>> {
-        self.0.await.ok()?.ok()
-    }
-}
-
 struct Outgoing {
     bytes: Bytes,
     /// Nobody waits for it where the receiver is gone: what has not begun by then is not written.
@@ -141,6 +128,11 @@
         self.open.get()
     }
 
+    /// Whether the other side has said anything since then.
+    pub fn has_heard_since(&self, moment: Instant) -> bool {
+        self.heard_at.get() > moment
+    }
+
     /// Its number, and the sequence number of its next request.
     pub fn next_via(&self) -> Via {
         Via { connection: self.number, request: self.next.get() as usize }
@@ -178,42 +170,36 @@
         }
     }
 
-    /// Sends a request and waits for its answer, whatever that says.
-    pub async fn request(&self, pdu: impl Into<Pdu>, within: Duration) -> Result<Box<Command>, Unanswered> {
-        self.request_noted(pdu, within, &Cell::new(false)).await
+    /// Sends a request and waits so long for its answer, whatever that says.
+    pub async fn request(self: &Rc<Self>, pdu: impl Into<Pdu>, within: Duration) -> Option<Box<Command>> {
+        let exchange = Link::exchange(self.clone(), pdu.into(), Rc::default());
+        timeout(within, exchange).await.ok()?.ok()
     }
 
-    /// The same; `is_written` tells meanwhile whether all of the request was passed to the system.
-    pub async fn request_noted(
-        &self,
-        pdu: impl Into<Pdu>,
-        within: Duration,
-        is_written: &Cell<bool>,
+    /// Sends a request and waits for its answer or the end of the link. `is_written` tells meanwhile whether all of the request
+    /// was passed to the system.
+    pub async fn exchange(
+        link: Rc<Link>,
+        pdu: Pdu,
+        is_written: Rc<Cell<bool>>,
     ) -> Result<Box<Command>, Unanswered> {
-        let sequence = self.next.get();
-        self.next.set(if sequence >= 0x7fff_fffe { 1 } else { sequence + 1 });
-        let bytes = encode(Command::new(CommandStatus::EsmeRok, sequence, pdu.into()));
-        let (answered, mut answer) = oneshot::channel();
-        self.waiting.borrow_mut().retain(|_, waiting| !waiting.is_closed());
-        self.waiting.borrow_mut().insert(sequence, answered);
+        let sequence = link.next.get();
+        link.next.set(if sequence >= 0x7fff_fffe { 1 } else { sequence + 1 });
+        let bytes = encode(Command::new(CommandStatus::EsmeRok, sequence, pdu));
+        let (answered, answer) = oneshot::channel();
+        link.waiting.borrow_mut().retain(|_, waiting| !waiting.is_closed());
+        link.waiting.borrow_mut().insert(sequence, answered);
         let begun = Rc::default();
-        let guard = HalfWritten { link: self, begun: Rc::clone(&begun), wrote: Cell::new(false) };
-        let exchange = async {
-            let Some(written) = self.put(bytes, begun).await else { return Err(Unanswered::Unwritten) };
-            written.await.map_err(|_| Unanswered::Unwritten)?;
-            guard.wrote.set(true);
-            is_written.set(true);
-            match (&mut answer).await {
-                Ok(Ok(command)) => Ok(command),
-                Ok(Err(cut)) => Err(Unanswered::Cut(cut)),
-                Err(_) => Err(Unanswered::Lost),
-            }
-        };
-        let result = timeout(within, exchange).await;
-        result.unwrap_or_else(|_| match guard.wrote.get() {
-            true => Err(Unanswered::Late(LateAnswer(answer))),
-            false => Err(Unanswered::Unwritten),
-        })
+        let guard = HalfWritten { link: &link, begun: Rc::clone(&begun), wrote: Cell::new(false) };
+        let Some(written) = link.put(bytes, begun).await else { return Err(Unanswered::Unwritten) };
+        written.await.map_err(|_| Unanswered::Unwritten)?;
+        guard.wrote.set(true);
+        is_written.set(true);
+        match answer.await {
+            Ok(Ok(command)) => Ok(command),
+            Ok(Err(cut)) => Err(Unanswered::Cut(cut)),
+            Err(_) => Err(Unanswered::Lost),
+        }
     }
 
     /// The next request of the other side; answers go to whoever waits for them. None: the link has ended.
@@ -256,15 +242,15 @@
             let due = self.heard_at.get() + idle;
             if due > Instant::now() {
                 sleep_until(due).await;
-            } else if self.request(Pdu::EnquireLink, within).await.is_err() {
+            } else if self.request(Pdu::EnquireLink, within).await.is_none() {
                 self.close();
             }
         }
     }
 
     /// Says goodbye and ends the link.
-    pub async fn unbind(&self, within: Duration) {
-        self.request(Pdu::Unbind, within).await.ok();
+    pub async fn unbind(self: &Rc<Self>, within: Duration) {
+        self.request(Pdu::Unbind, within).await;
         self.close();
     }
 }
--- a/src/protocol/smpp/mod.rs
+++ b/src/protocol/smpp/mod.rs
@@ -1,42 +1,43 @@
 //! The SMPP front: ESMEs bind to us and submit, we bind to SMSCs and submit there. The same core decides
 //! and the same journal remembers; the one final answer of a message is its delivery receipt.
 
+mod bind;
+mod carry;
 pub mod config;
 mod cut;
 mod esme;
 mod link;
+mod open_submits;
+mod patience;
 mod receipt;
 mod session;
 mod smsc;
+mod submission;
 mod submits;
 
-use crate::interface::Outcome;
 use crate::routing::core::{Carried, Ended};
 use crate::routing::desk::Passage;
-use crate::routing::{Desk, EndpointId, Front, Reply, TransactionNo};
+use crate::routing::{Desk, Endpoint, EndpointId, Front, TransactionNo};
 use crate::transport::network::{Listen, Net};
 use crate::transport::Door;
 use bytes::{Bytes, BytesMut};
 use config::SmppConfig;
-use link::LateAnswer;
+use open_submits::OpenSubmits;
 use rusmpp::decode::DecodeWithLength;
 use rusmpp::pdus::SubmitSm;
-use rusmpp::values::{MCDeliveryReceipt, RegisteredDelivery};
+use rusmpp::values::MCDeliveryReceipt;
 use session::Session;
-use smsc::{Binds, Submitted};
+use smsc::Binds;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// An ESME answers our unbind within this time, or its session is closed.
 const UNBIND_WITHIN: Duration = Duration::from_millis(500);
-/// A late answer is waited for so long: by then most messages have their ends.
-const LATE_WITHIN: Duration = Duration::from_secs(60);
 
 /// Who may bind to us, and what we owe it.
 pub struct Account {
@@ -53,6 +54,7 @@
     /// The binds by the numbers under which the core knows them.
     used: RefCell<HashMap<EndpointId, Rc<Binds>>>,
     sessions: RefCell<Vec<Rc<Session>>>,
+    open_submits: Rc<OpenSubmits>,
     net: Net,
 }
 
@@ -67,6 +69,7 @@
             binds: RefCell::default(),
             used: RefCell::default(),
             sessions: RefCell::default(),
+            open_submits: Rc::default(),
             net,
             config,
         };
@@ -91,6 +94,13 @@
         self.sessions.borrow().len()
     }
 
+    /// The binds to an SMSC, by which the core's endpoint is known from now on.
+    fn binds_to(&self, hop: &Endpoint) -> Option<Rc<Binds>> {
+        let binds = self.binds.borrow().get(&hop.name).cloned()?;
+        self.used.borrow_mut().insert(hop.id, binds.clone());
+        Some(binds)
+    }
+
     fn account(&self, system_id: &str) -> Option<Rc<Account>> {
         self.accounts.iter().find(|a| a.config.system_id == system_id).cloned()
     }
@@ -107,58 +117,7 @@
     const NAME: &'static str = "smpp";
 
     async fn carry(&self, passage: Passage<'_, Self>) -> Carried {
-        let Some(binds) = self.binds.borrow().get(&passage.hop.name).cloned() else {
-            return passage.all(Outcome::NotSent);
-        };
-        self.used.borrow_mut().insert(passage.hop.id, binds.clone());
-        let longest = passage.call.attempts.iter().map(|b| b.timeout).max().unwrap_or(0);
-        let from = passage.desk.clock.now();
-        let seat = tokio::select! {
-            seat = binds.seat() => seat,
-            () = passage.cancelled() => return passage.all(Outcome::NotSent),
-            () = sleep(Duration::from_nanos(longest)) => return passage.all(Outcome::NotSent),
-        };
-        let Some(seat) = seat else { return passage.all(Outcome::NoConnection) };
-        // One submit a call: each message is a call of its own here.
-        let Some(letter) = passage.begin(seat.via()).await.into_iter().next() else {
-            return Carried::default();
-        };
-        // While its record was written the SMSC may have become another one.
-        let submit = submit_of(&letter.body).filter(|_| !seat.is_leaving());
-        let Some(mut submit) = submit else {
-            return vec![(letter.attempt, Reply::Ended(Outcome::NotSent))].into();
-        };
-        // The receipt is ours to give, and a span would be counted anew from the SMSC's own clock.
-        submit.registered_delivery = RegisteredDelivery::default();
-        if !submit.validity_period.is_empty() {
-            let deadline =
-                passage.desk.see(|c| c.transaction(letter.attempt.transaction).map(|t| t.deadline));
-            submit.validity_period = deadline.map(receipt::absolute).unwrap_or_default();
-        }
-        let left = longest.saturating_sub(passage.desk.clock.now() - from).max(1);
-        let is_written = Cell::new(false);
-        let submitted = {
-            let mut submitting = pin!(seat.submit(submit.into(), Duration::from_nanos(left), &is_written));
-            loop {
-                tokio::select! {
-                    submitted = &mut submitting => break submitted,
-                    () = passage.cancelled() => break Submitted::Ended(Reply::Ended(Outcome::Cancelled)),
-                    () = passage.ended() => {
-                        if !is_written.get() {
-                            break Submitted::Ended(Reply::Ended(Outcome::NotSent));
-                        }
-                    }
-                }
-            }
-        };
-        let reply = match submitted {
-            Submitted::Ended(reply) => reply,
-            Submitted::Late(late) => {
-                spawn_local(heed_late(passage.desk.clone(), letter.attempt.transaction, late));
-                Reply::Ended(Outcome::TimedOut)
-            }
-        };
-        vec![(letter.attempt, reply)].into()
+        carry::carry(self, passage).await
     }
 
     fn ended(&self, desk: &Rc<Desk<Self>>, ended: Vec<Ended>) {
@@ -192,13 +151,6 @@
     }
 }
 
-/// An answer that comes late counts where no call may follow it, whatever has become of its message meanwhile.
-async fn heed_late(desk: Rc<Desk<Smpp>>, no: TransactionNo, late: LateAnswer) {
-    if let Ok(Some(answer)) = timeout(LATE_WITHIN, late.come()).await {
-        desk.act(|core, now| core.answered_before(now, &[(no, smsc::reply(&answer))]));
-    }
-}
-
 /// Whether the ESME asked for a receipt of this end.
 fn wanted(submit: &SubmitSm, state: &str) -> bool {
     use MCDeliveryReceipt::*;
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -9,7 +9,7 @@
 use crate::interface::{Nanos, Repeat};
 use crate::routing::journal::Record;
 use crate::routing::message_log::{self, NotBegun};
-use crate::routing::values::{Attempt, Call, Reply};
+use crate::routing::values::{Attempt, Call, Reply, TransactionNo};
 use std::cmp::Reverse;
 
 impl Core {
@@ -141,6 +141,11 @@
         Member { attempt, bytes: t.map_or(0, bytes_of), aim_at, alone }
     }
 
+    /// How this message may be repeated, by the rules that it was taken on with.
+    pub fn repeat_of(&self, no: TransactionNo) -> Option<Repeat> {
+        Some(self.journal.classes().rules(self.transactions.get(no)?.class)?.class.repeat)
+    }
+
     /// Whether all its messages may be sent again if it stays open whether they ran.
     pub fn is_repeatable(&self, call: &Call) -> bool {
         let rules = |b: &Attempt| self.journal.classes().rules(self.transactions.get(b.transaction)?.class);
--- a/tests/relay/carriers.rs
+++ b/tests/relay/carriers.rs
@@ -9,6 +9,8 @@
 //! esme NAME expect PDU STATUS | deliver_sm T STATE | close | nothing MS
 //! smsc NAME expect T | nothing MS | unbind       NAME serves TO numbers that begin with its digit
 //! smsc NAME send STATUS                          answers the oldest submit
+//! smsc NAME answer T STATUS                      answers the newest submit of this message
+//! smsc NAME ended                                the bind of the oldest submit ends
 //! smsc NAME close | refuse STATUS | unbind | stop | listen | mute
 //! ```
 
@@ -194,6 +196,15 @@
                 self.open.push_back(got);
             }
             ["send", status] => self.oldest(place).answer(status.parse().unwrap()),
+            ["answer", text, status] => {
+                let newest = self.open.iter().rposition(|submit| submit.text == *text);
+                let submit = newest.and_then(|place| self.open.remove(place));
+                submit.unwrap_or_else(|| panic!("{place}: it is not out")).answer(status.parse().unwrap());
+            }
+            ["ended", ..] => {
+                let ended = self.oldest(place).ended(PATIENCE).await;
+                assert!(ended, "{place}: its bind is there");
+            }
             ["close"] => self.oldest(place).kill_bind(),
             ["cut", status, bytes] => {
                 self.oldest(place).cut(status.parse().unwrap(), bytes.parse().unwrap()).await;
@@ -247,6 +258,7 @@
         }
     }
     binds.borrow_mut().retain(|o| !o.same_channel(&out));
+    kill.notify_waiters();
 }
 
 /// Texts by the message ids under which the relay took them on.
--- a/tests/smpp/main.rs
+++ b/tests/smpp/main.rs
@@ -6,6 +6,7 @@
 mod records;
 #[allow(dead_code)]
 mod rig;
+mod slow;
 #[path = "../owed_ends/slow_folder.rs"]
 mod slow_folder;
 #[path = "../stand_ins/mod.rs"]
