Keep at a hand-over what an ESME may have heard of, and soak the SMPP front

Callers saw: nothing yet.

Cause: whether an ESME may have heard was told by the end of the write, not by its beginning.

Change: an answer says when its first byte is written; a hand-over withdraws only what was not begun.

--- a/src/protocol/smpp/link.rs
+++ b/src/protocol/smpp/link.rs
@@ -163,8 +163,19 @@
 
     /// Answers a request; true once the answer is written.
     pub async fn answer(&self, sequence: u32, status: CommandStatus, pdu: impl Into<Pdu>) -> bool {
+        self.answer_noted(sequence, status, pdu, Rc::default()).await
+    }
+
+    /// The same; `is_begun` tells from when on the other side may have it.
+    pub async fn answer_noted(
+        &self,
+        sequence: u32,
+        status: CommandStatus,
+        pdu: impl Into<Pdu>,
+        is_begun: Rc<Cell<bool>>,
+    ) -> bool {
         let bytes = encode(Command::new(status, sequence, pdu.into()));
-        match self.put(bytes, Rc::default()).await {
+        match self.put(bytes, is_begun).await {
             Some(written) => written.await.is_ok(),
             None => false,
         }
--- a/src/protocol/smpp/submits.rs
+++ b/src/protocol/smpp/submits.rs
@@ -11,6 +11,7 @@
 use rusmpp::pdus::{SubmitSm, SubmitSmResp};
 use rusmpp::types::COctetString;
 use rusmpp::CommandStatus;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::task::spawn_local;
 use uuid::Uuid;
@@ -63,11 +64,11 @@
         SubmitAnswer { status: why.status(), id: String::new() }
     }
 
-    /// Writes it; whether all of it was written.
-    async fn send(self, session: &Session, sequence: u32) -> bool {
+    /// Writes it; whether all of it was written. `is_begun` tells meanwhile from when on the ESME may have it.
+    async fn send(self, session: &Session, sequence: u32, is_begun: Rc<Cell<bool>>) -> bool {
         let id = COctetString::from_string(self.id).unwrap_or_default();
         let response = SubmitSmResp::builder().message_id(id).build();
-        session.link.answer(sequence, self.status, response).await
+        session.link.answer_noted(sequence, self.status, response, is_begun).await
     }
 }
 
@@ -141,7 +142,7 @@
 
 /// Says why a submit is not taken on.
 pub async fn refuse(session: &Session, sequence: u32, why: Refusal) {
-    SubmitAnswer::refused(why).send(session, sequence).await;
+    SubmitAnswer::refused(why).send(session, sequence, Rc::default()).await;
 }
 
 /// A submit that was decided on and waits for its record.
@@ -168,7 +169,7 @@
             Taken::On(accepted) => (SubmitAnswer::accepted(self.id.clone(), accepted), true),
             refused => (SubmitAnswer::refused(refusal(refused)), false),
         };
-        let is_heard = answer.send(&self.session, self.sequence).await;
+        let is_heard = answer.send(&self.session, self.sequence, self.offered.being_told()).await;
         if !is_accepted {
             return;
         }
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -17,7 +17,7 @@
 use hold_ups::HoldUps;
 pub use offered::Offered;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,8 +76,8 @@
     to_write: Notify,
     /// Records were written, or given up.
     written: Notify,
-    /// Messages whose clients have not heard yet that they are taken on.
-    unheard: RefCell<HashSet<TransactionNo>>,
+    /// Messages whose clients are not known to have heard that they are taken on, and whether they may have.
+    unheard: RefCell<HashMap<TransactionNo, Rc<Cell<bool>>>>,
     /// Counts the cores that this process had: outcomes of calls of an earlier one mean nothing to the next.
     life: Cell<u32>,
 }
--- a/src/routing/desk/offered.rs
+++ b/src/routing/desk/offered.rs
@@ -5,6 +5,7 @@
 use super::super::values::TransactionNo;
 use super::super::Offer;
 use super::{Desk, Front};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,6 +17,8 @@
 pub struct Offered<F: Front> {
     desk: Rc<Desk<F>>,
     pending: PendingAnswer,
+    /// Its answer is being written: its client may have heard of it.
+    is_being_told: Rc<Cell<bool>>,
 }
 
 impl<F: Front> Offered<F> {
@@ -41,6 +44,11 @@
         }
     }
 
+    /// To be set as the first byte of the answer is written.
+    pub fn being_told(&self) -> Rc<Cell<bool>> {
+        self.is_being_told.clone()
+    }
+
     /// The number of the message, where the offer becomes one.
     pub fn number(&self) -> Option<TransactionNo> {
         self.pending.number()
@@ -58,7 +66,7 @@
     fn drop(&mut self) {
         let Some(no) = self.number() else { return };
         let is_unheard = self.desk.unheard.borrow_mut().remove(&no);
-        if is_unheard {
+        if is_unheard.is_some() {
             self.desk.withdraw(no);
         }
     }
@@ -68,20 +76,23 @@
     /// Has the core decide on an offer, in the order of the calls; only for a process that decides.
     pub fn offer(self: &Rc<Self>, offer: Offer) -> Offered<F> {
         let pending = self.act(|core, now| core.take(now, offer));
-        self.unheard.borrow_mut().extend(pending.number());
-        Offered { desk: self.clone(), pending }
+        let is_being_told = Rc::new(Cell::new(false));
+        let unheard = pending.number().map(|no| (no, is_being_told.clone()));
+        self.unheard.borrow_mut().extend(unheard);
+        Offered { desk: self.clone(), pending, is_being_told }
     }
 
     /// Whether the client of this message has not heard yet that it is taken on.
     pub fn is_unheard(&self, no: TransactionNo) -> bool {
-        self.unheard.borrow().contains(&no)
+        self.unheard.borrow().contains_key(&no)
     }
 
-    /// Withdraws what no client has heard of.
+    /// Withdraws what surely no client has heard of.
     pub(super) fn withdraw_unheard(&self) {
         let now = self.clock.now();
         let unheard = self.unheard.take();
         let mut core = self.core.borrow_mut();
-        unheard.into_iter().for_each(|no| core.withdraw(now, no));
+        let surely = unheard.into_iter().filter(|(_, is_being_told)| !is_being_told.get());
+        surely.for_each(|(no, _)| core.withdraw(now, no));
     }
 }
--- a/tests/smpp/main.rs
+++ b/tests/smpp/main.rs
@@ -4,10 +4,10 @@
 #[allow(dead_code)]
 mod platform;
 mod records;
-#[allow(dead_code)]
 mod rig;
 mod slow;
 #[path = "../owed_ends/slow_folder.rs"]
 mod slow_folder;
+mod soak;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
--- a/tests/smpp/rig.rs
+++ b/tests/smpp/rig.rs
@@ -287,11 +287,16 @@
     /// The carriers are at these SMSCs, for whoever reads the operator's file from now on.
     pub fn lead_to(&self, smscs: [usize; 2]) {
         let SmppTerms { time, binds, window } = self.terms;
-        let carrier = |(dest, smsc): (usize, &usize)| {
-            let dial = self.smscs[*smsc].address;
-            format!("next-hop s{dest} {{\n dial {dial}\n dest {dest}\n system-id huron\n password pw\n binds {binds}\n window {window}\n }}\n")
+        // Two of them serve the second destination.
+        let carriers = [(1, smscs[0]), (2, smscs[1]), (2, 2)].into_iter().enumerate();
+        let carrier = |(name, (dest, smsc)): (usize, (u64, usize))| {
+            let dial = self.smscs[smsc].address;
+            format!(
+                "next-hop s{name} {{\n dial {dial}\n dest {dest}\n system-id huron\n password pw\n binds {binds}
+                 window {window}\n }}\n"
+            )
         };
-        let carriers: String = (1..).zip(&smscs).map(carrier).collect();
+        let carriers: String = carriers.map(carrier).collect();
         let (listen, time) = (self.listen, time.as_millis());
         let text = format!(
             "{TELLS_LIVES}smpp {{
@@ -314,6 +319,8 @@
     /// The next process, once it serves.
     pub fn start(&self) -> Process {
         let process = self.platform.start_with(|command| self.slow.preload(command));
+        // Where one serves already the new one takes over.
+        assert!(process.ready().is_some(), "{:?}", process.log.tell(|log| log.clone()));
         let from = Instant::now();
         while TcpStream::connect(self.listen).is_err() {
             assert!(from.elapsed() < READY_WITHIN, "{:?}", process.log.tell(|log| log.clone()));
