Ask for a whole list once in a step, as for changes

Cause: a question was overdue by the time that it gives discovery to wait for changes, which is none for a whole list.

Change: it is overdue by the bounds alone; those of look-ups, which have no watch, have no such time.

The polling test calls the function without the argument that is gone, with the same bound.

--- a/src/polling/bounds.rs
+++ b/src/polling/bounds.rs
@@ -24,7 +24,7 @@
 /// When a question is overdue, and which ones are kept open beside it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuestionBounds {
-    /// Discovery may wait so long for changes before it answers a watch.
+    /// Discovery may wait so long for changes before it answers a watch; zero where there are none.
     pub hold: Duration,
     /// For how long an answer is waited for beyond that before the next question.
     pub patience: Duration,
@@ -55,11 +55,12 @@
         self.hold + self.patience + self.retry
     }
 
-    /// How long after its beginning a question is overdue that waits for changes for `hold`.
-    pub fn overdue_after(&self, hold: Duration, is_connected: bool) -> Duration {
+    /// How long after its beginning a question is overdue, be it a watch or for a whole list: both are begun once in a step.
+    pub fn overdue_after(&self, is_connected: bool) -> Duration {
+        let waited = self.hold + self.patience;
         match is_connected {
-            true => hold + self.patience,
-            false => self.connect.min(hold + self.patience),
+            true => waited,
+            false => self.connect.min(waited),
         }
     }
 
--- a/src/polling/schedule.rs
+++ b/src/polling/schedule.rs
@@ -159,7 +159,7 @@
     pub fn bounds(&self) -> QuestionBounds {
         match self.watches() {
             true => self.bounds,
-            false => QuestionBounds { patience: LOOK_UP_PATIENCE, ..self.bounds },
+            false => QuestionBounds { hold: Duration::ZERO, patience: LOOK_UP_PATIENCE, ..self.bounds },
         }
     }
 
--- a/src/protocol/discovery/questions.rs
+++ b/src/protocol/discovery/questions.rs
@@ -112,7 +112,7 @@
     }
 
     fn overdue_of(&self, question: &Question) -> Instant {
-        question.asked + self.bounds.overdue_after(question.hold(), question.connected.get())
+        question.asked + self.bounds.overdue_after(question.connected.get())
     }
 
     /// When the question that was asked last is overdue; none where it is known to be, or none is open.
--- a/tests/polling.rs
+++ b/tests/polling.rs
@@ -22,7 +22,7 @@
         assert!(stages <= ms(grace), "{grace}: {stages:?}");
         // Whatever becomes of a question, the next one begins in the step.
         for is_connected in [true, false] {
-            assert!(bounds.overdue_after(bounds.hold, is_connected) + bounds.retry <= budget.step);
+            assert!(bounds.overdue_after(is_connected) + bounds.retry <= budget.step);
         }
         assert!(bounds.reading() + bounds.retry <= budget.step);
     }
