--- a/src/protocol/smpp/bind.rs
+++ b/src/protocol/smpp/bind.rs
@@ -24,8 +24,8 @@
     given_up: Cell<usize>,
     /// Nothing new goes on it.
     leaving: Cell<bool>,
-    /// The SMSC is being asked whether it is there.
-    asking: Cell<bool>,
+    /// An enquire_link is out for a submit that is overdue.
+    enquiring: Cell<bool>,
     /// For any answer but that to a submit.
     response: Duration,
     /// A place in a window is free, or a bind has come or gone.
@@ -35,8 +35,8 @@
 impl Bind {
     /// A bind on this link. `response`: how long answers other than those to submits may take; `changed` hears of free places.
     pub fn new(link: Rc<Link>, response: Duration, changed: Rc<Notify>) -> Rc<Bind> {
-        let (out, given_up, leaving, asking) = Default::default();
-        Rc::new(Bind { link, out, given_up, leaving, asking, response, changed })
+        let (out, given_up, leaving, enquiring) = Default::default();
+        Rc::new(Bind { link, out, given_up, leaving, enquiring, response, changed })
     }
 
     /// Submits that are out on it.
@@ -54,7 +54,7 @@
         self.leaving.get()
     }
 
-    /// Nothing new goes on it from now on; whether that is news.
+    /// Nothing new goes on it from now on; whether anything did before.
     pub fn stop_sending(&self) -> bool {
         !self.leaving.replace(true)
     }
@@ -90,7 +90,7 @@
 
     /// Has the link end where the SMSC says nothing at all, be it this answer or any other.
     async fn ask(self: Rc<Self>) {
-        if self.asking.replace(true) {
+        if self.enquiring.replace(true) {
             return;
         }
         let asked = Instant::now();
@@ -98,7 +98,7 @@
         if answer.is_none() && !self.link.has_heard_since(asked) {
             self.link.close();
         }
-        self.asking.set(false);
+        self.enquiring.set(false);
     }
 }
 
--- a/src/protocol/smpp/submits.rs
+++ b/src/protocol/smpp/submits.rs
@@ -21,7 +21,7 @@
 pub enum Refusal {
     /// The session is not bound as one that submits.
     NotBound,
-    /// There is no room for it, or too many receipts are owed.
+    /// The queue is full, or too many receipts are owed.
     Full,
     /// Too many submits wait for their answers, or it could not go before the relay ends.
     Throttled,
@@ -169,7 +169,7 @@
             Taken::On(accepted) => (SubmitAnswer::accepted(self.id.clone(), accepted), true),
             refused => (SubmitAnswer::refused(refusal(refused)), false),
         };
-        let is_heard = answer.send(&self.session, self.sequence, self.offered.being_told()).await;
+        let is_heard = answer.send(&self.session, self.sequence, self.offered.being_sent()).await;
         if !is_accepted {
             return;
         }
--- a/src/routing/desk/offered.rs
+++ b/src/routing/desk/offered.rs
@@ -17,8 +17,8 @@
 pub struct Offered<F: Front> {
     desk: Rc<Desk<F>>,
     pending: PendingAnswer,
-    /// Its answer is being written: its client may have heard of it.
-    is_being_told: Rc<Cell<bool>>,
+    /// Its answer is being sent: its client may have heard of it.
+    is_being_sent: Rc<Cell<bool>>,
 }
 
 impl<F: Front> Offered<F> {
@@ -45,8 +45,8 @@
     }
 
     /// To be set as the first byte of the answer is written.
-    pub fn being_told(&self) -> Rc<Cell<bool>> {
-        self.is_being_told.clone()
+    pub fn being_sent(&self) -> Rc<Cell<bool>> {
+        self.is_being_sent.clone()
     }
 
     /// The number of the message, where the offer becomes one.
@@ -76,10 +76,10 @@
     /// Has the core decide on an offer, in the order of the calls; only for a process that decides.
     pub fn offer(self: &Rc<Self>, offer: Offer) -> Offered<F> {
         let pending = self.act(|core, now| core.take(now, offer));
-        let is_being_told = Rc::new(Cell::new(false));
-        let unheard = pending.number().map(|no| (no, is_being_told.clone()));
+        let is_being_sent = Rc::new(Cell::new(false));
+        let unheard = pending.number().map(|no| (no, is_being_sent.clone()));
         self.unheard.borrow_mut().extend(unheard);
-        Offered { desk: self.clone(), pending, is_being_told }
+        Offered { desk: self.clone(), pending, is_being_sent }
     }
 
     /// Whether the client of this message has not heard yet that it is taken on.
@@ -92,7 +92,7 @@
         let now = self.clock.now();
         let unheard = self.unheard.take();
         let mut core = self.core.borrow_mut();
-        let surely = unheard.into_iter().filter(|(_, is_being_told)| !is_being_told.get());
+        let surely = unheard.into_iter().filter(|(_, is_being_sent)| !is_being_sent.get());
         surely.for_each(|(no, _)| core.withdraw(now, no));
     }
 }
