Know that a submit is written as the write ends, not a turn later

Cause: whether a request was written was noted by whoever waits for that, which may be given up before it runs again.

Change: the writer notes it itself, right behind the write.

--- a/src/protocol/smpp/link.rs
+++ b/src/protocol/smpp/link.rs
@@ -52,18 +52,20 @@
     /// Nobody waits for it where the receiver is gone: what has not begun by then is not written.
     written: oneshot::Sender<()>,
     begun: Rc<Cell<bool>>,
+    /// All of it was passed to the system.
+    is_written: Rc<Cell<bool>>,
 }
 
 /// Ends a link on which a request that was given up is half written: the rest of it would still go out.
 struct HalfWritten<'a> {
     link: &'a Link,
     begun: Rc<Cell<bool>>,
-    wrote: Cell<bool>,
+    is_written: Rc<Cell<bool>>,
 }
 
 impl Drop for HalfWritten<'_> {
     fn drop(&mut self) {
-        if self.begun.get() && !self.wrote.get() {
+        if self.begun.get() && !self.is_written.get() {
             self.link.close();
         }
     }
@@ -92,12 +94,17 @@
     let (input, mut output) = split(stream);
     let (out, mut queue) = mpsc::channel::<Outgoing>(QUEUE);
     let writing = async move {
-        while let Some(Outgoing { bytes, written, begun }) = queue.recv().await {
+        while let Some(Outgoing { bytes, written, begun, is_written }) = queue.recv().await {
             if written.is_closed() {
                 continue;
             }
             begun.set(true);
-            if output.write_all(&bytes).await.is_err() || output.flush().await.is_err() {
+            if output.write_all(&bytes).await.is_err() {
+                return;
+            }
+            // Said here: whoever waits for it may give it up before it runs again.
+            is_written.set(true);
+            if output.flush().await.is_err() {
                 return;
             }
             written.send(()).ok();
@@ -155,9 +162,15 @@
     }
 
     /// Puts a PDU in line; what comes back completes once it is written, and fails if it never is.
-    async fn put(&self, bytes: Bytes, begun: Rc<Cell<bool>>) -> Option<oneshot::Receiver<()>> {
+    async fn put(
+        &self,
+        bytes: Bytes,
+        begun: Rc<Cell<bool>>,
+        is_written: Rc<Cell<bool>>,
+    ) -> Option<oneshot::Receiver<()>> {
         let (written, done) = oneshot::channel();
-        let sent = self.is_open() && self.out.send(Outgoing { bytes, written, begun }).await.is_ok();
+        let outgoing = Outgoing { bytes, written, begun, is_written };
+        let sent = self.is_open() && self.out.send(outgoing).await.is_ok();
         sent.then_some(done)
     }
 
@@ -175,7 +188,7 @@
         is_begun: Rc<Cell<bool>>,
     ) -> bool {
         let bytes = encode(Command::new(status, sequence, pdu.into()));
-        match self.put(bytes, is_begun).await {
+        match self.put(bytes, is_begun, Rc::default()).await {
             Some(written) => written.await.is_ok(),
             None => false,
         }
@@ -201,11 +214,12 @@
         link.waiting.borrow_mut().retain(|_, waiting| !waiting.is_closed());
         link.waiting.borrow_mut().insert(sequence, answered);
         let begun = Rc::default();
-        let guard = HalfWritten { link: &link, begun: Rc::clone(&begun), wrote: Cell::new(false) };
-        let Some(written) = link.put(bytes, begun).await else { return Err(Unanswered::Unwritten) };
-        written.await.map_err(|_| Unanswered::Unwritten)?;
-        guard.wrote.set(true);
-        is_written.set(true);
+        let _guard = HalfWritten { link: &link, begun: Rc::clone(&begun), is_written: is_written.clone() };
+        let written = link.put(bytes, begun, is_written.clone()).await;
+        let Some(written) = written else { return Err(Unanswered::Unwritten) };
+        if written.await.is_err() && !is_written.get() {
+            return Err(Unanswered::Unwritten);
+        }
         match answer.await {
             Ok(Ok(command)) => Ok(command),
             Ok(Err(cut)) => Err(Unanswered::Cut(cut)),
