--- a/tests/relay/smpp.rs
+++ b/tests/relay/smpp.rs
@@ -244,6 +244,43 @@
     );
 }
 
+/// Guards a late submit where its SMSC unbinds, its carrier leaves or the relay ends: its message goes again, if at all, once its
+/// bind has ended, also where that happens again.
+#[test]
+fn a_late_submit_is_alone_whoever_says_goodbye() {
+    let begin = "relay smpp
+        esme a bound
+        esme a take 2313 text=slow
+        smsc 2 expect slow
+        wait 2000";
+    let ends = [
+        "smsc 2 unbind
+         smsc 2 ended in 900..1100
+         smsc 2 expect slow in 0..1500
+         wait 2000
+         smsc 2 unbind
+         smsc 2 ended in 900..1100
+         smsc 2 expect slow in 0..2500
+         smsc 2 send 0
+         esme a gets slow DELIVRD in 0..50",
+        "carrier 2 leaving
+         smsc 2 ended in 7000..8000
+         esme a gets slow UNKNOWN in 15000..19000
+         smsc 2 expect nothing 1",
+        "relay end
+         esme a expect unbind 0
+         smsc 2 expect nothing 3000
+         smsc 2 ended in 0..700
+         relay kill
+         relay smpp
+         esme a bound
+         esme a gets slow REJECTD in 0..1500",
+    ];
+    for end in ends {
+        play(&format!("{begin}\n{end}\nsmsc 2 expect nothing 20000"));
+    }
+}
+
 /// Guards a message that is out at an SMSC whose address changes, twice: it goes to the next one once its submit is over.
 #[test]
 fn a_late_submit_does_not_go_to_another_smsc_beside_itself() {
