Read weeks, months and years in times of nginx, and name what checks a link

Need: since times that cannot be read are faults of their line, `1w`, `1M` and `1y`, which nginx takes, would have refused a file (found by reading the change again). A method that acts was named like a question.

--- a/src/program/import/nginx.rs
+++ b/src/program/import/nginx.rs
@@ -158,6 +158,9 @@
             'm' => 60_000,
             'h' => 3_600_000,
             'd' => 86_400_000,
+            'w' => 604_800_000,
+            'M' => 30 * 86_400_000,
+            'y' => 365 * 86_400_000,
             _ => return None,
         };
         total = total.checked_add(number.parse::<u64>().ok()?.checked_mul(factor)?)?;
--- a/src/protocol/smpp/carry.rs
+++ b/src/protocol/smpp/carry.rs
@@ -55,7 +55,7 @@
             over = submission.over() => return over,
             () = &mut overdue, if !is_overdue => {
                 is_overdue = true;
-                submission.is_overdue();
+                submission.check_link();
                 submission.take_back(Outcome::NoConnection)
             }
             () = &mut waited, if is_overdue => {
--- a/src/protocol/smpp/submission.rs
+++ b/src/protocol/smpp/submission.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Its answer is overdue: unless the SMSC is there at all, its link ends.
-    pub fn is_overdue(&self) {
+    /// Its answer is overdue: has its link end where the SMSC says nothing at all any more.
+    pub fn check_link(&self) {
         self.seat.ask_whether_it_is_there();
     }
 
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -212,7 +212,7 @@
     assert_eq!((is_repeated, most_tries, connect_ms), (true, 5, 2_000));
     let lines: Vec<&str> = notes.iter().map(|note| note.split(':').next().unwrap()).collect();
     assert_eq!(lines, ["4", "5", "8", "9"], "{notes:#?}");
-    for (time, is_wanted) in [("5s", false), ("60s", true), ("0", true)] {
+    for (time, is_wanted) in [("5s", false), ("60s", true), ("1w", true), ("0", true)] {
         let lines = format!("{all}\nproxy_next_upstream_timeout {time};\nproxy_read_timeout 60s;");
         assert_eq!(charges(2, &lines).0, is_wanted, "{time}");
     }
