--- a/review/rig2/stand.py
+++ b/review/rig2/stand.py
@@ -154,9 +154,9 @@
             while True:
                 _, line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
-                while self.down:
-                    await asyncio.sleep(0.05)
                 method, target, _ = line.split(" ", 2)
+                while self.down and method == "GET":
+                    await asyncio.sleep(0.05)
                 if method == "POST" and target.startswith("/v1/notices"):
                     for text in body.decode().split("\n"):
                         if text.strip():
@@ -225,6 +225,20 @@
                  "block": self.block, "health": health, "share": 1.0, "born_ms": 0}
         return dict(entry, **more)
 
+    async def attend(self, call, reader, writer):
+        """Answers, as long as the relay waits: it gives a call up by closing or by ending its sending."""
+        answer = asyncio.ensure_future(self.behave(self, call, writer))
+        while not answer.done():
+            await asyncio.wait([answer], timeout=0.002)
+            if not answer.done() and (reader.at_eof() or reader.exception()):
+                answer.cancel()
+                if call["end"] is None:
+                    call["end"] = self.world.now()
+                    call["ends"].setdefault("all", "gone")
+                    self.world.say(f"{self.host} call {call['n']} given up by the relay")
+                return False
+        return answer.result()
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         world = self.world
@@ -257,7 +271,7 @@
                         world.say(f"FOREIGN {self.host} got {ident} changed or at the wrong place")
                         call.setdefault("foreign", []).append(ident)
                 world.say(f"{self.host} call {call['n']} of {' '.join(call['ids'])} timeout {call['timeout']}")
-                keep = await self.behave(self, call, writer)
+                keep = await self.attend(call, reader, writer)
                 if call["end"] is None:
                     call["end"] = world.now()
                 if not keep:
@@ -332,6 +346,9 @@
         self.process = None
         self.starts = 0
         self.more = more or {}
+        self.held = None
+        self.command = "exec target/release/basaltloom serve"
+        self.console = 0
         self.log = open(os.path.join(folder, f"log-{name}.txt"), "ab")
 
     def write_config(self, **other):
@@ -340,21 +357,41 @@
                   "seed": "%016x" % random.getrandbits(64),
                   "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512, "disk_mb": 3},
                   "known": self.known, "settings": self.settings}
+        if self.held is not None:
+            config["console"] = f"127.0.0.1:{self.console}"
         config.update(self.more)
         config.update(other)
         with open(self.config + ".new", "w", encoding="utf-8") as out:
             json.dump(config, out)
         os.replace(self.config + ".new", self.config)
 
-    async def start(self, write=True, extra_env=None, command="exec target/release/basaltloom serve"):
+    def hold(self):
+        """The platform holds the clients' listening socket: descriptor 3 of every process."""
+        self.held = socket.socket()
+        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.held.bind(("127.0.0.1", self.port))
+        self.held.listen(1024)
+        self.held.setblocking(False)
+
+    async def launch(self, write=True, extra_env=None):
+        command = self.command
+        extra_env = dict(extra_env or {})
+        if self.held is not None:
+            self.console = free_port()
+            extra_env.update(LB_FD="3", LB_CONSOLE=f"127.0.0.1:{self.console}")
+            command = f"exec 3<&0 0</dev/null; {command}"
         if write:
             self.write_config()
         env = dict(os.environ, LB_NAME=self.name, LB_LISTEN=f"127.0.0.1:{self.port}", LB_DISCOVERY=self.agent.address,
-                   LB_STATE=self.state, LB_CONFIG=self.config, **(extra_env or {}))
+                   LB_STATE=self.state, LB_CONFIG=self.config)
+        env.update(extra_env)
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", command, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
-            stdout=self.log, stderr=self.log)
+            "/bin/sh", "-c", command, cwd=ROOT, env=env,
+            stdin=self.held or asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log)
         self.world.say(f"relay {self.name} started, process {self.process.pid}")
+
+    async def start(self, write=True, extra_env=None):
+        await self.launch(write, extra_env)
         await self.ready()
         if self.world.lives and self.world.lives[-1][1] is None:
             self.world.lives[-1][1] = self.world.now()
@@ -385,6 +422,35 @@
             await asyncio.sleep(0.05)
         raise CannotRun("the relay was not ready within 30 s")
 
+    async def call(self, method, path, within=1.0):
+        """A call at the console: the status, or None."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.console)
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n".encode())
+            line = await asyncio.wait_for(reader.readline(), within)
+            writer.close()
+            return int(line.split(b" ")[1]) if line else None
+        except (OSError, asyncio.TimeoutError):
+            return None
+
+    async def upgrade(self):
+        """`run` once more; SIGTERM to the old process when the new one says yes, within 6 s; SIGKILL 3.7 s later."""
+        old = self.process
+        await self.launch(write=False)
+        until = time.monotonic() + 6
+        while time.monotonic() < until and await self.call("GET", "/admin/health") != 200:
+            await asyncio.sleep(0.05)
+        yes = time.monotonic() < until
+        self.world.say(f"relay {self.name}: the new process says {'yes' if yes else 'nothing'}, SIGTERM to {old.pid}")
+        if old.returncode is None:
+            old.terminate()
+        try:
+            await asyncio.wait_for(old.wait(), 3.7)
+        except asyncio.TimeoutError:
+            old.kill()
+            await old.wait()
+        self.world.say(f"relay {self.name}: the old process ended, code {old.returncode}")
+
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.world.say(f"relay {self.name}: {signal.Signals(number).name}")
@@ -543,7 +609,7 @@
         calls = message["calls"]
         for place, call in enumerate(calls):
             for before in calls[:place]:
-                if before["end"] is None or call["at"] < before["end"] - 0.002:
+                if before["end"] is None or call["at"] < before["end"] - 0.02:
                     found.append((message, before, call, "second copy"))
                 elif message["effect"] == "side_effect" and outlasts(before, message) != "never":
                     found.append((message, before, call, "repeat"))
@@ -566,7 +632,7 @@
                     out = [c for c in earlier["calls"] if c["at"] < call["at"]]
                     if over > call["at"] + 0.002:
                         found.append((later, earlier, call, "earlier one open"))
-                    elif any(c["end"] is None or c["end"] > call["at"] + 0.002 for c in out):
+                    elif any(c["end"] is None or c["end"] > call["at"] + 0.02 for c in out):
                         found.append((later, earlier, call, "earlier one out"))
                     elif any(outlasts(c, earlier) == "maybe" and c["ends"].get("all") == "gone"
                              and call["at"] < c["end"] + rest - 0.005 for c in out):
