--- /dev/null
+++ b/review/rig2/forgotten_outage.py
@@ -0,0 +1,88 @@
+"""A destination whose endpoints are newer than the list of the configuration is in an outage; the relay is killed as it ends.
+
+How much does the relay send to the destination that comes back cold?
+"""
+
+import asyncio
+import math
+import os
+import random
+
+from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, run, service, settings
+
+REPLACED = os.environ.get("REPLACED", "1") != "0"
+RATE = 30  # messages a second for the destination
+CAPACITY = 40  # calls a second that it takes when it is warm: traffic is 75% of it
+COLD, WARM_UP, FALL, FACTOR = 0.2, 9.0, 1.5, 2.0  # as the settings say
+OUTAGE = 10.0
+
+
+async def case(world, folder, relays):
+    agent = await Agent(world, "agent").start()
+
+    async def behave(endpoint, call, writer):
+        await asyncio.sleep(0.05)
+        return await accept(endpoint, call, writer)
+
+    endpoints = [await Endpoint(world, f"s-{place}", 1, behave=behave).start() for place in (1, 2)]
+    other = await Endpoint(world, "s-3", 2).start()
+    await agent.change(*[endpoint.entry() for endpoint in endpoints], other.entry())
+    relay = Relay(world, folder, agent, settings([service("sync", "pure", 30)], slots=34), agent.whole())
+    relays.append(relay)
+    await relay.start()
+    clients = Clients(world, relay)
+    if REPLACED:
+        before = endpoints
+        endpoints = [await Endpoint(world, f"n-{place}", 1, behave=behave).start() for place in (1, 2)]
+        await agent.change(*[e.entry() for e in endpoints], *[e.entry("leaving") for e in before])
+        await asyncio.sleep(2)
+        await agent.change(gone=[endpoint.host for endpoint in before])
+        await asyncio.sleep(0.5)
+        for endpoint in before:
+            await endpoint.stop()
+    handing = set()
+
+    async def load():
+        while True:
+            task = asyncio.ensure_future(clients.post("sync", 1, 25000))
+            handing.add(task)
+            task.add_done_callback(handing.discard)
+            await asyncio.sleep(random.expovariate(RATE))
+
+    loading = asyncio.ensure_future(load())
+    await asyncio.sleep(8)
+    world.say("the destination is down: its endpoints refuse connections")
+    for endpoint in endpoints:
+        await endpoint.stop()
+    await asyncio.sleep(OUTAGE - 0.4)
+    if TROUBLE:
+        await relay.kill()
+    await asyncio.sleep(0.4)
+    back = world.now()
+    for endpoint in endpoints:
+        await endpoint.start(endpoint.port)
+    world.say("the destination is back, cold")
+    if TROUBLE:
+        await asyncio.sleep(0.2)
+        await relay.start()
+    await asyncio.sleep(WARM_UP)
+    loading.cancel()
+    # "more than N + 2 x root of N + 2 (N under 30: N + 3 x root of N + 3) calls in the time that the settings name"
+    calls = sorted(call["at"] for call in world.calls if call["block"] == 1 and call["at"] >= back)
+    worst = (0.0, "")
+    for place, begin in enumerate(calls):
+        end = begin + FALL
+        if end > back + WARM_UP:
+            break
+        count = sum(1 for at in calls[place:] if at < end)
+        # The largest that it is within this span.
+        present = CAPACITY * (COLD + (1 - COLD) * (end - back) / WARM_UP)
+        n = FACTOR * present * FALL
+        most = n + (2 * math.sqrt(n) + 2 if n >= 30 else 3 * math.sqrt(n) + 3)
+        line = f"{count} calls within 1.5 s, until {end - back:.3f} s after the return; {most:.1f} are the most that it bears"
+        worst = max(worst, (count / most, line))
+    world.say(f"worst: {worst[1]}")
+    return [f"failback: {worst[1]}"] if worst[0] > 1 else []
+
+
+run(case)
