--- a/review/rig2/forgotten_outage.py
+++ b/review/rig2/forgotten_outage.py
@@ -4,16 +4,15 @@
 """
 
 import asyncio
-import math
 import os
 import random
 
-from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, run, service, settings
+from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, at_cold, run, service, settings
 
 REPLACED = os.environ.get("REPLACED", "1") != "0"
 RATE = 30  # messages a second for the destination
 CAPACITY = 40  # calls a second that it takes when it is warm: traffic is 75% of it
-COLD, WARM_UP, FALL, FACTOR = 0.2, 9.0, 1.5, 2.0  # as the settings say
+WARM_UP = 9.0
 OUTAGE = 10.0
 
 
@@ -67,21 +66,7 @@
         await relay.start()
     await asyncio.sleep(WARM_UP)
     loading.cancel()
-    # "more than N + 2 x root of N + 2 (N under 30: N + 3 x root of N + 3) calls in the time that the settings name"
-    calls = sorted(call["at"] for call in world.calls if call["block"] == 1 and call["at"] >= back)
-    worst = (0.0, "")
-    for place, begin in enumerate(calls):
-        end = begin + FALL
-        if end > back + WARM_UP:
-            break
-        count = sum(1 for at in calls[place:] if at < end)
-        # The largest that it is within this span.
-        present = CAPACITY * (COLD + (1 - COLD) * (end - back) / WARM_UP)
-        n = FACTOR * present * FALL
-        most = n + (2 * math.sqrt(n) + 2 if n >= 30 else 3 * math.sqrt(n) + 3)
-        line = f"{count} calls within 1.5 s, until {end - back:.3f} s after the return; {most:.1f} are the most that it bears"
-        worst = max(worst, (count / most, line))
-    world.say(f"worst: {worst[1]}")
+    worst = at_cold(world, 1, back, CAPACITY, warm_up=WARM_UP)
     return [f"failback: {worst[1]}"] if worst[0] > 1 else []
 
 
--- /dev/null
+++ b/review/rig2/new_at_cold.py
@@ -0,0 +1,59 @@
+"""A destination comes back cold after an outage, and one of its endpoints is replaced. How much does the relay send to it?"""
+
+import asyncio
+import os
+import random
+
+from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, at_cold, run, service, settings
+
+RATE = 30  # messages a second for the destination
+CAPACITY = 40  # calls a second that it takes when it is warm: traffic is 75% of it
+WARM_UP = 9.0
+OUTAGE = 10.0
+LATER = float(os.environ.get("LATER", "1.0"))  # the replacement is told so long after the return
+
+
+async def case(world, folder, relays):
+    agent = await Agent(world, "agent").start()
+
+    async def behave(endpoint, call, writer):
+        await asyncio.sleep(0.05)
+        return await accept(endpoint, call, writer)
+
+    endpoints = [await Endpoint(world, f"s-{place}", 1, behave=behave).start() for place in (1, 2)]
+    other = await Endpoint(world, "s-3", 2).start()
+    await agent.change(*[endpoint.entry() for endpoint in endpoints], other.entry())
+    relay = Relay(world, folder, agent, settings([service("sync", "pure", 30)], slots=34), agent.whole())
+    relays.append(relay)
+    await relay.start()
+    clients = Clients(world, relay)
+    handing = set()
+
+    async def load():
+        while True:
+            task = asyncio.ensure_future(clients.post("sync", 1, 25000))
+            handing.add(task)
+            task.add_done_callback(handing.discard)
+            await asyncio.sleep(random.expovariate(RATE))
+
+    loading = asyncio.ensure_future(load())
+    await asyncio.sleep(8)
+    world.say("the destination is down: its endpoints refuse connections")
+    for endpoint in endpoints:
+        await endpoint.stop()
+    await asyncio.sleep(OUTAGE)
+    back = world.now()
+    for endpoint in endpoints:
+        await endpoint.start(endpoint.port)
+    world.say("the destination is back, cold")
+    await asyncio.sleep(LATER)
+    if TROUBLE:
+        new = await Endpoint(world, "n-1", 1, behave=behave).start()
+        await agent.change(new.entry(), endpoints[0].entry("leaving"))
+    await asyncio.sleep(WARM_UP - LATER)
+    loading.cancel()
+    worst = at_cold(world, 1, back, CAPACITY, warm_up=WARM_UP)
+    return [f"failback: {worst[1]}"] if worst[0] > 1 else []
+
+
+run(case)
--- a/review/rig2/stand.py
+++ b/review/rig2/stand.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import shutil
@@ -578,6 +579,26 @@
         "tenants": [], "tick": 5000000, "tier": 0, "weights": "off", "worth_by": "request", "zone": 0}
 
 
+def at_cold(world, block, back, capacity, cold=0.2, warm_up=9.0, fall=1.5, factor=2.0):
+    """The worst span of `fall` after a cold return: (part of what the destination bears, words)."""
+    # "more than N + 2 x root of N + 2 (N under 30: N + 3 x root of N + 3) calls in the time that the settings name"
+    calls = sorted(call["at"] for call in world.calls if call["block"] == block and call["at"] >= back)
+    worst = (0.0, "no calls")
+    for place, begin in enumerate(calls):
+        end = begin + fall
+        if end > back + warm_up:
+            break
+        count = sum(1 for at in calls[place:] if at < end)
+        # The largest capacity that it has within this span.
+        present = capacity * (cold + (1 - cold) * (end - back) / warm_up)
+        n = factor * present * fall
+        most = n + (2 * math.sqrt(n) + 2 if n >= 30 else 3 * math.sqrt(n) + 3)
+        line = f"{count} calls within {fall} s, until {end - back:.3f} s after the return; {most:.1f} are the most that it bears"
+        worst = max(worst, (count / most, line))
+    world.say(f"worst: {worst[1]}")
+    return worst
+
+
 def lost(world, now=None):
     """Messages taken on, neither delivered nor ended by a notice when they are overdue."""
     now = world.now() if now is None else now
