--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$here/../.." || exit 2
 [ -x target/release/basaltloom ] || exit 2
 command -v python3 >/dev/null || exit 2
-CASE=$here PYTHONDONTWRITEBYTECODE=1 exec python3 review/rig2/moved_agent.py
+CASE=$here PYTHONDONTWRITEBYTECODE=1 exec python3 review/rig2/new_at_cold.py
