--- a/review/rig2/stand.py
+++ b/review/rig2/stand.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import math
 import os
@@ -255,22 +256,18 @@
                     writer.write(answer_bytes(200, b"x0=0.5,x1=50"))
                     await writer.drain()
                     continue
-                batch = target.startswith("/hook/batch")
-                items = read_batch(body) if batch else [(headers["x-request-id"], headers.get("idempotency-key"), body)]
+                ident, key = headers["x-request-id"], headers.get("idempotency-key")
                 call = {"n": len(world.calls), "endpoint": self, "block": self.block, "first": first - world.began,
-                        "at": world.now(), "ids": [item[0] for item in items], "batch": batch, "end": None,
+                        "at": world.now(), "ids": [ident], "end": None,
                         "ends": {}, "timeout": headers.get("x-timeout")}
                 world.calls.append(call)
-                for ident, key, text in items:
-                    message = world.messages.get(ident)
-                    if message is None:
-                        world.say(f"FOREIGN {self.host} got {ident} that nobody handed in")
-                        call.setdefault("foreign", []).append(ident)
-                        continue
+                message = world.messages.get(ident)
+                if message is None:
+                    world.say(f"FOREIGN {self.host} got {ident} that nobody handed in")
+                else:
                     message["calls"].append(call)
-                    if text != message["body"] or (key or "-") != (message["key"] or "-") or message["dest"] != self.block:
+                    if (body, key, self.block) != (message["body"], message["key"], message["dest"]):
                         world.say(f"FOREIGN {self.host} got {ident} changed or at the wrong place")
-                        call.setdefault("foreign", []).append(ident)
                 world.say(f"{self.host} call {call['n']} of {' '.join(call['ids'])} timeout {call['timeout']}")
                 keep = await self.attend(call, reader, writer)
                 if call["end"] is None:
@@ -288,16 +285,6 @@
             writer.close()
 
 
-def read_batch(body):
-    items = []
-    while body:
-        line, _, rest = body.partition(b"\r\n")
-        ident, key, size = line.decode().split(" ")
-        items.append((ident, key, rest[: int(size)]))
-        body = rest[int(size) + 2:]
-    return items
-
-
 def mark(world, call, states):
     """The ends of the messages of a call: `accepted`, `never` or `maybe`."""
     call["end"] = world.now()
@@ -320,15 +307,15 @@
 
 
 async def accept(endpoint, call, writer):
-    body = b"".join(f"{ident} accepted\r\n".encode() for ident in call["ids"]) if call["batch"] else b""
-    await send(writer, answer_bytes(200, body))
+    # No answer is the copy of another one.
+    await send(writer, answer_bytes(200, headers=[("X-Answer", call["n"])]))
     mark(endpoint.world, call, {ident: "accepted" for ident in call["ids"]})
     endpoint.world.say(f"{endpoint.host} call {call['n']} 200")
     return True
 
 
 async def refuse(endpoint, call, writer, status=503, headers=()):
-    await send(writer, answer_bytes(status, b"", headers))
+    await send(writer, answer_bytes(status, headers=[("X-Answer", call["n"]), *headers]))
     mark(endpoint.world, call, {ident: "maybe" if status == 500 else "never" for ident in call["ids"]})
     endpoint.world.say(f"{endpoint.host} call {call['n']} {status} {dict(headers)}")
     return True
@@ -347,9 +334,6 @@
         self.process = None
         self.starts = 0
         self.more = more or {}
-        self.held = None
-        self.command = "exec target/release/basaltloom serve"
-        self.console = 0
         self.log = open(os.path.join(folder, f"log-{name}.txt"), "ab")
 
     def write_config(self, **other):
@@ -358,41 +342,23 @@
                   "seed": "%016x" % random.getrandbits(64),
                   "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512, "disk_mb": 3},
                   "known": self.known, "settings": self.settings}
-        if self.held is not None:
-            config["console"] = f"127.0.0.1:{self.console}"
         config.update(self.more)
         config.update(other)
         with open(self.config + ".new", "w", encoding="utf-8") as out:
             json.dump(config, out)
         os.replace(self.config + ".new", self.config)
 
-    def hold(self):
-        """The platform holds the clients' listening socket: descriptor 3 of every process."""
-        self.held = socket.socket()
-        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.held.bind(("127.0.0.1", self.port))
-        self.held.listen(1024)
-        self.held.setblocking(False)
-
-    async def launch(self, write=True, extra_env=None):
-        command = self.command
-        extra_env = dict(extra_env or {})
-        if self.held is not None:
-            self.console = free_port()
-            extra_env.update(LB_FD="3", LB_CONSOLE=f"127.0.0.1:{self.console}")
-            command = f"exec 3<&0 0</dev/null; {command}"
+    async def start(self, write=True):
+        command = "exec target/release/basaltloom serve"
         if write:
             self.write_config()
         env = dict(os.environ, LB_NAME=self.name, LB_LISTEN=f"127.0.0.1:{self.port}", LB_DISCOVERY=self.agent.address,
                    LB_STATE=self.state, LB_CONFIG=self.config)
-        env.update(extra_env)
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, env=env,
-            stdin=self.held or asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log)
+            stdin=asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log,
+            preexec_fn=dies_with_parent)
         self.world.say(f"relay {self.name} started, process {self.process.pid}")
-
-    async def start(self, write=True, extra_env=None):
-        await self.launch(write, extra_env)
         await self.ready()
         if self.world.lives and self.world.lives[-1][1] is None:
             self.world.lives[-1][1] = self.world.now()
@@ -423,35 +389,6 @@
             await asyncio.sleep(0.05)
         raise CannotRun("the relay was not ready within 30 s")
 
-    async def call(self, method, path, within=1.0):
-        """A call at the console: the status, or None."""
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.console)
-            writer.write(f"{method} {path} HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n".encode())
-            line = await asyncio.wait_for(reader.readline(), within)
-            writer.close()
-            return int(line.split(b" ")[1]) if line else None
-        except (OSError, asyncio.TimeoutError):
-            return None
-
-    async def upgrade(self):
-        """`run` once more; SIGTERM to the old process when the new one says yes, within 6 s; SIGKILL 3.7 s later."""
-        old = self.process
-        await self.launch(write=False)
-        until = time.monotonic() + 6
-        while time.monotonic() < until and await self.call("GET", "/admin/health") != 200:
-            await asyncio.sleep(0.05)
-        yes = time.monotonic() < until
-        self.world.say(f"relay {self.name}: the new process says {'yes' if yes else 'nothing'}, SIGTERM to {old.pid}")
-        if old.returncode is None:
-            old.terminate()
-        try:
-            await asyncio.wait_for(old.wait(), 3.7)
-        except asyncio.TimeoutError:
-            old.kill()
-            await old.wait()
-        self.world.say(f"relay {self.name}: the old process ended, code {old.returncode}")
-
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.world.say(f"relay {self.name}: {signal.Signals(number).name}")
@@ -618,55 +555,28 @@
     return gone
 
 
-def outlasts(call, message):
-    """How a call of a message ended: `accepted`, `never` or `maybe`."""
-    return call["ends"].get(message["id"], "maybe")
+def dies_with_parent(number=signal.SIGKILL):
+    """The process gets a signal as its parent ends, whatever ends that."""
+    try:
+        ctypes.CDLL(None).prctl(1, number, 0, 0, 0)
+    except (OSError, AttributeError):
+        pass
 
 
-def repeats(world):
-    """Second calls of messages that may not be repeated, and second copies."""
-    found = []
-    for message in world.messages.values():
-        calls = message["calls"]
-        for place, call in enumerate(calls):
-            for before in calls[:place]:
-                if before["end"] is None or call["at"] < before["end"] - 0.02:
-                    found.append((message, before, call, "second copy"))
-                elif message["effect"] == "side_effect" and outlasts(before, message) != "never":
-                    found.append((message, before, call, "repeat"))
-    return found
-
-
-def disorder(world, rest=0.1):
-    """Calls of one key while an earlier message of it is open, or within its rest."""
-    found = []
-    by_key = {}
-    for message in world.messages.values():
-        if message["thread"] and message["status"] in (200, 202):
-            by_key.setdefault((message["dest"], message["thread"]), []).append(message)
-    for messages in by_key.values():
-        messages.sort(key=lambda message: message["order"])
-        for place, later in enumerate(messages):
-            for call in later["calls"]:
-                for earlier in messages[:place]:
-                    over = min(earlier.get("delivered", 1e9), earlier.get("end", 1e9))
-                    out = [c for c in earlier["calls"] if c["at"] < call["at"]]
-                    if over > call["at"] + 0.002:
-                        found.append((later, earlier, call, "earlier one open"))
-                    elif any(c["end"] is None or c["end"] > call["at"] + 0.02 for c in out):
-                        found.append((later, earlier, call, "earlier one out"))
-                    elif any(outlasts(c, earlier) == "maybe" and c["ends"].get("all") == "gone"
-                             and call["at"] < c["end"] + rest - 0.005 for c in out):
-                        found.append((later, earlier, call, "within the rest"))
-    return found
-
-
-def run(case, limit=110):
-    """Runs `case(world, folder)`, which gives the breaks as lines; writes record.txt; ends with the exit code."""
+def run(case, limit=105):
+    """Runs `case(world, folder, relays)`, which gives the breaks as lines, and writes record.txt.
+
+    Ends with 10 if the rule was broken, 0 if it held, and anything else if the case could not run.
+    """
     record = os.path.join(os.environ.get("CASE", "."), "record.txt")
+    dies_with_parent(signal.SIGTERM)
 
     async def whole():
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, this.cancel)
         world = World()
         folder = tempfile.mkdtemp(prefix="case-")
         relays = []
@@ -674,11 +584,13 @@
         try:
             breaks = await asyncio.wait_for(case(world, folder, relays), limit)
             verdict = [f"BROKEN {line}" for line in breaks] or ["HELD"]
-            code = 1 if breaks else 0
+            code = 10 if breaks else 0
         except CannotRun as problem:
             verdict = [f"COULD NOT RUN {problem}"]
         except asyncio.TimeoutError:
             verdict = ["COULD NOT RUN took too long"]
+        except asyncio.CancelledError:
+            verdict = ["COULD NOT RUN it was told to end"]
         except Exception as problem:  # the record tells what happened
             import traceback
             verdict = [f"COULD NOT RUN {problem!r}", traceback.format_exc()]
@@ -695,6 +607,10 @@
         print("\n".join(verdict[:8]))
         return code
 
+    code = 2
+    try:
+        code = asyncio.run(whole())
+    except BaseException as problem:  # no folder, no record
+        print(f"COULD NOT RUN {problem!r}")
     sys.stdout.flush()
-    code = asyncio.run(whole())
     os._exit(code)
