Have the review's scripts judge only where their own set-up is sound

A stand-in that fails or stands still, a relay that ends by itself, and too little traffic now end with 2.

--- a/review/rig2/dropped_key.py
+++ b/review/rig2/dropped_key.py
@@ -4,7 +4,7 @@
 import random
 import signal
 
-from stand import TROUBLE, Agent, Clients, Endpoint, Relay, lost, refuse, run, service, settings
+from stand import TROUBLE, Agent, Clients, Endpoint, Relay, lost, need, refuse, run, service, settings
 
 
 async def case(world, folder, relays):
@@ -30,6 +30,8 @@
         await clients.post("charges", 2, 12000, effect="side_effect")
         await clients.post("sync", 2, 9000)
         await asyncio.sleep(0.3)
+    taken = [message for message in world.messages.values() if message["status"] == 202]
+    need(len(taken) > 10 and any("delivered" in message for message in taken), "too few messages before the trouble")
     other = await Agent(world, "agent-b").start(like=agent)
     relay.settings, relay.agent = after, other
     relay.write_config()
--- a/review/rig2/forgotten_drains.py
+++ b/review/rig2/forgotten_drains.py
@@ -6,7 +6,7 @@
 import asyncio
 import os
 
-from stand import SLACK, TROUBLE, Agent, Clients, Endpoint, Relay, run, service, settings
+from stand import SLACK, TROUBLE, Agent, Clients, Endpoint, Relay, need, run, service, settings
 
 FLEET = int(os.environ.get("FLEET", "3200"))
 REPLACED = FLEET * 51 // 100
@@ -68,6 +68,9 @@
     await agent.change(*[taker.entry() for taker in takers])
     await asyncio.sleep(0.5)
     await a_round()
+    need(any(call["endpoint"] in new for call in world.calls), "no call to a new endpoint before the trouble")
+    need(not any(call["endpoint"] in old and call["first"] > told + GRACE + SLACK for call in world.calls),
+         "drains were not heeded before the trouble")
     if TROUBLE:
         agent.down = True
         world.say("discovery is down")
--- a/review/rig2/forgotten_outage.py
+++ b/review/rig2/forgotten_outage.py
@@ -7,7 +7,7 @@
 import os
 import random
 
-from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, at_cold, run, service, settings
+from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, at_cold, need, run, service, settings
 
 REPLACED = os.environ.get("REPLACED", "1") != "0"
 RATE = 30  # messages a second for the destination
@@ -65,7 +65,12 @@
         await asyncio.sleep(0.2)
         await relay.start()
     await asyncio.sleep(WARM_UP)
+    need(not loading.done(), "the clients have ended")
     loading.cancel()
+    before = [call for call in world.calls if call["block"] == 1 and call["at"] < back]
+    after = [call for call in world.calls if call["block"] == 1 and call["at"] >= back]
+    need(len(before) > 5 * RATE, "too few calls before the outage")
+    need(len(after) > 10, "too few calls after the return")
     worst = at_cold(world, 1, back, CAPACITY, warm_up=WARM_UP)
     return [f"failback: {worst[1]}"] if worst[0] > 1 else []
 
--- a/review/rig2/moved_agent.py
+++ b/review/rig2/moved_agent.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 
-from stand import SLACK, TROUBLE, Agent, Clients, Endpoint, Relay, run, service, settings
+from stand import SLACK, TROUBLE, Agent, Clients, Endpoint, Relay, need, run, service, settings
 
 DESTINATIONS = 6
 GRACE = 1.0  # `stop_sending_within`
@@ -32,6 +32,9 @@
     await agent.change(*[endpoint.entry() for endpoint in new], *[endpoint.entry("leaving") for endpoint in old])
     told = world.now()
     await rounds(15)
+    need(any(call["endpoint"] in new for call in world.calls), "no call to a new endpoint before the trouble")
+    need(not any(call["endpoint"] in old and call["first"] > told + GRACE + SLACK for call in world.calls),
+         "drains were not heeded before the trouble")
     other = await Agent(world, "agent-b").start(like=agent)
     if TROUBLE:
         agent.down = other.down = True
--- a/review/rig2/new_at_cold.py
+++ b/review/rig2/new_at_cold.py
@@ -4,7 +4,7 @@
 import os
 import random
 
-from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, at_cold, run, service, settings
+from stand import TROUBLE, Agent, Clients, Endpoint, Relay, accept, at_cold, need, run, service, settings
 
 RATE = 30  # messages a second for the destination
 CAPACITY = 40  # calls a second that it takes when it is warm: traffic is 75% of it
@@ -51,7 +51,12 @@
         new = await Endpoint(world, "n-1", 1, behave=behave).start()
         await agent.change(new.entry(), endpoints[0].entry("leaving"))
     await asyncio.sleep(WARM_UP - LATER)
+    need(not loading.done(), "the clients have ended")
     loading.cancel()
+    before = [call for call in world.calls if call["block"] == 1 and call["at"] < back]
+    after = [call for call in world.calls if call["block"] == 1 and call["at"] >= back]
+    need(len(before) > 5 * RATE, "too few calls before the outage")
+    need(len(after) > 10, "too few calls after the return")
     worst = at_cold(world, 1, back, CAPACITY, warm_up=WARM_UP)
     return [f"failback: {worst[1]}"] if worst[0] > 1 else []
 
--- a/review/rig2/stand.py
+++ b/review/rig2/stand.py
@@ -25,6 +25,8 @@
 LATE = 0.5 + SLACK
 # "no notice is overdue from a restart's SIGTERM or SIGKILL until 1.5 s after the relay is ready again"
 AFTER_READY = 1.5
+# Where the stand-ins stand still for longer, nothing is judged.
+STALL = 0.5
 
 
 class CannotRun(Exception):
@@ -48,6 +50,7 @@
         self.calls = []
         self.notices = []
         self.lives = []  # [end of the one before, ready again]
+        self.problems = []  # of the stand-ins themselves
 
     def now(self):
         return time.monotonic() - self.began
@@ -99,6 +102,12 @@
     return head.encode() + b"\r\n" + body
 
 
+def need(held, what):
+    """What has to be so before a rule can be judged."""
+    if not held:
+        raise CannotRun(what)
+
+
 class Agent:
     """Discovery's agent: the list, the watch, and notices."""
 
@@ -173,6 +182,8 @@
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
+        except Exception as problem:  # else it would pass for a fault of the relay
+            self.world.problems.append(repr(problem))
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -277,6 +288,8 @@
                 call = None
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
+        except Exception as problem:  # else it would pass for a fault of the relay
+            self.world.problems.append(repr(problem))
         finally:
             if call is not None and call["end"] is None:
                 call["end"] = world.now()
@@ -367,7 +380,7 @@
     def check(self):
         """What the program itself says of its file."""
         done = subprocess.run([os.path.join(ROOT, "target/release/basaltloom"), "check-config", self.config],
-                              capture_output=True, text=True, check=False)
+                              capture_output=True, text=True, check=False, timeout=5)
         said = (done.stdout + done.stderr).strip().replace(self.folder, "").split("\n")[0]
         self.world.say(f"check-config of the new file: exit code {done.returncode}, {said}")
 
@@ -570,10 +583,11 @@
     """
     record = os.path.join(os.environ.get("CASE", "."), "record.txt")
     dies_with_parent(signal.SIGTERM)
+    # The last resort: the process ends, and its relays with it.
+    signal.alarm(115)
 
     async def whole():
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(lambda loop, context: None)
         this = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, this.cancel)
@@ -581,8 +595,27 @@
         folder = tempfile.mkdtemp(prefix="case-")
         relays = []
         code, verdict = 2, []
+
+        def failed(_, context):
+            problem = context.get("exception")
+            if problem is not None and not isinstance(problem, (OSError, EOFError, asyncio.CancelledError)):
+                world.problems.append(repr(problem))
+
+        async def watch_clock():
+            while True:
+                due = time.monotonic() + 0.05
+                await asyncio.sleep(0.05)
+                if time.monotonic() > due + STALL:
+                    world.problems.append(f"the stand-ins stood still for {time.monotonic() - due:.2f} s")
+
+        loop.set_exception_handler(failed)
+        watching = asyncio.ensure_future(watch_clock())
         try:
             breaks = await asyncio.wait_for(case(world, folder, relays), limit)
+            watching.cancel()
+            for relay in relays:
+                need(relay.process and relay.process.returncode is None, "the relay has ended by itself")
+            need(not world.problems, f"a stand-in failed: {world.problems[:3]}")
             verdict = [f"BROKEN {line}" for line in breaks] or ["HELD"]
             code = 10 if breaks else 0
         except CannotRun as problem:
