Begin an endpoint that comes to a destination in an outage as the destination stands

Cause: an outage was kept by endpoints alone. Hosts::list begins a new one without a condition, which reads as well.

Change: Route owns the outage, as it owns waits, limits and pace. It is on while none of the route's ready endpoints is well. An endpoint that is ready and has shown nothing of its own begins as its route stands, and those that came in the outage share what the route had served before. hop-joins-outage in the log tells of it.

--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -149,7 +149,10 @@
             Health::Down | Health::Doubted if sent < h.down_at => {}
             // One lost call of a host that was not cold, and the first trial served at once: no outage.
             Health::Down if brief => self.turn(host, Health::Well, "lost one call"),
-            Health::Doubted => h.health = Health::Well,
+            Health::Doubted => {
+                h.health = Health::Well;
+                self.book.unreviewed.insert(host);
+            }
             Health::Down => {
                 h.next = now.max(last_sent + gap);
                 self.turn(host, Health::Warming { since: now }, "answers again, warming");
@@ -173,11 +176,12 @@
         }
     }
 
-    fn turn(&mut self, host: HostId, to: Health, word: &str) {
+    pub(super) fn turn(&mut self, host: HostId, to: Health, word: &str) {
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
         h.turn(to, self.now);
-        self.book.turned.insert(host);
         self.actions.push(Action::Log(format!("destination {} host {host} {word}", h.dest)));
+        self.book.turned.insert(host);
+        self.book.unreviewed.insert(host);
     }
 
     /// A failure that no answering host produces (`hard`), or an error: two in a row or most are an outage.
@@ -205,20 +209,27 @@
             h.next = h.next.max(self.now + if once { crowd } else { gap as Nanos });
         }
         self.book.turned_unless_well(host);
+        self.book.unreviewed.insert(host);
     }
 
     pub(super) fn down(&mut self, host: HostId, until: Nanos) {
-        let gap = (self.dice.roll() * self.cold_gap(host, 1.0)) as Nanos;
-        let first = (TRIAL_GAP as f64 * (1.0 + self.dice.roll())) as Nanos;
+        let gap = self.gap_before_first_trial(host);
         let Some(h) = self.book.hosts.get_mut(&host) else { return };
         h.next = h.next.max(until);
         if h.health != Health::Down {
-            h.next = h.next.max(self.now + gap.max(first));
+            h.next = h.next.max(self.now + gap);
             h.down_at = self.now;
             self.turn(host, Health::Down, "is taken for down");
         }
     }
 
+    /// From the beginning of an outage to the first trial: relays that meet it together do not try together.
+    pub(super) fn gap_before_first_trial(&mut self, host: HostId) -> Nanos {
+        let gap = (self.dice.roll() * self.cold_gap(host, 1.0)) as Nanos;
+        let first = (TRIAL_GAP as f64 * (1.0 + self.dice.roll())) as Nanos;
+        gap.max(first)
+    }
+
     /// Latency beyond which an answer is overdue; looser when all hosts are slow together.
     pub(super) fn overdue_after(&self, host: HostId) -> Nanos {
         let slow = self.slowness.max(1.0);
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,6 +1,6 @@
 //! All decisions of the relay, without I/O or clock: `interface` says what it is told and asks for, `records` holds
 //! what it remembers. One file a concern: `release` (who goes next, the gate of every send), `worth` (and giving up),
-//! `health`, `pace` (limits, waits, cold returns), `live` (what only real sockets need).
+//! `health` (of hosts), `outages` (of routes), `pace` (limits, waits, cold returns), `live` (what only real sockets need).
 
 #[cfg(test)]
 mod by_hand;
@@ -8,6 +8,7 @@
 mod health;
 pub mod interface;
 mod live;
+mod outages;
 mod pace;
 mod ranks;
 mod records;
@@ -67,9 +68,7 @@
         }
         for e in events {
             match e {
-                Event::Listed { whole, entries } => {
-                    self.book.listed(self.now, *whole, entries, &self.set.kinds, &mut self.dice)
-                }
+                Event::Listed { whole, entries } => self.listed(*whole, entries),
                 Event::Taken { id, class, dest, key, time_left } => {
                     self.taken(*id, *class, *dest, key.clone(), *time_left)
                 }
@@ -79,11 +78,13 @@
                 Event::Withdrawn { id } => self.forget(*id),
                 rare => self.rare(rare),
             }
+            self.review_outages();
         }
         if self.now >= self.book.next_interval {
             self.reweigh();
         }
         self.watch_silence();
+        self.review_outages();
         self.end_hopeless();
         self.make_room();
         self.release();
--- a/src/decision/pace.rs
+++ b/src/decision/pace.rs
@@ -65,12 +65,23 @@
     /// - rates served over a longer run add up to what was served; where one is known, all have met the outage.
     pub(super) fn cold_rate(&self, host: HostId, at: Nanos) -> f64 {
         let Some(h) = self.book.hosts.get(&host) else { return 1.0 };
-        let dealt = self.book.route(host).and_then(|r| r.dealt);
+        if let Some(dealt) = self.book.route(host).and_then(|r| r.dealt) {
+            return dealt;
+        }
         let warm = match h.health {
             Health::Warming { since } => (at - since) as f64 / self.set.warm_up.max(1) as f64,
             _ => 0.0,
         };
         let share = self.set.cold_share + (1.0 - self.set.cold_share) * warm.min(1.0);
+        self.set.overload_factor * share * self.rate_once_warm(host)
+    }
+
+    /// Calls a second of this relay that a host has served over a longer run, or else its part of what is asked.
+    pub(super) fn own_rate(&self, host: HostId) -> f64 {
+        let h = &self.book.hosts[&host];
+        if h.best_rate > 0.0 {
+            return h.best_rate;
+        }
         let mates = self.book.hosts_of(h.dest).iter().map(|m| self.book.hosts[m].scale).sum::<f64>();
         let life = self.set.longest_life();
         let asked =
@@ -78,8 +89,7 @@
         let listed = if self.set.limits == Limits::Unlisted { 0.0 } else { h.scale / ROUGH };
         let told = self.few(host) * h.scale / mates.max(h.scale);
         let equal = (listed.max(LEAST_CAPACITY) / f64::from(self.set.senders.max(1))).max(told);
-        let part = COLD_MARGIN * (asked * h.scale / mates.max(h.scale)).max(equal);
-        dealt.unwrap_or(self.set.overload_factor * share * if h.best_rate > 0.0 { h.best_rate } else { part })
+        COLD_MARGIN * (asked * h.scale / mates.max(h.scale)).max(equal)
     }
 
     /// Nanoseconds in which the part allows a call of this weight, the ramp rising meanwhile, in bounds.
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -23,6 +23,8 @@
     calls_to: BTreeSet<(HostId, u64)>,
     /// Hosts of which the health or the listing has changed since it was last asked for.
     pub turned: BTreeSet<HostId>,
+    /// Hosts that have changed since the outages of their routes were last reviewed.
+    pub unreviewed: BTreeSet<HostId>,
     pub keys: BTreeMap<String, KeyLine>,
     next_call: u64,
     pub virtual_time: f64,
@@ -54,13 +56,23 @@
         self.hosts.of(dest)
     }
 
-    /// Takes in an update of the list; `whole` replaces all that was known. What changes nothing is only looked up.
-    pub fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry], kinds: &[Kind], rng: &mut Dice) {
+    /// Takes in an update of the list; `whole` replaces all that was known. What changes nothing is only looked up. Returns
+    /// the hosts of which something is different.
+    pub fn listed(
+        &mut self,
+        now: Nanos,
+        whole: bool,
+        entries: &[Entry],
+        kinds: &[Kind],
+        rng: &mut Dice,
+    ) -> Vec<HostId> {
+        let mut changed = Vec::new();
         if whole {
             let mut listed: Vec<HostId> = entries.iter().map(|e| e.host).collect();
             listed.sort_unstable();
             for id in self.hosts.leave_but(&listed) {
                 self.turned_unless_well(id);
+                changed.push(id);
             }
         }
         for e in entries {
@@ -78,7 +90,9 @@
                 Change::Listing | Change::New => self.turned_unless_well(e.host),
             }
             self.turns.touch(e.dest);
+            changed.push(e.host);
         }
+        changed
     }
 
     /// The health of a host that is not well may have changed.
@@ -164,6 +178,7 @@
         for id in self.hosts.forget_left(now) {
             self.routes.remove(&RouteId::Host(id));
         }
+        self.let_go_of_outages(now, set.warm_up);
         let (routes, turned) = (&self.routes, &self.turned);
         let binds =
             |id, h: &Host| turned.contains(&id) || routes.get(&h.route(id)).is_some_and(|r| r.binds(now));
@@ -171,7 +186,7 @@
         let (hosts, turns) = (&self.hosts, &self.turns);
         self.flows.retain(|d, f| hosts.serve(*d) || turns.waits(*d) || f.out > 0);
         self.routes.retain(|id, r| match id {
-            RouteId::Dest(d) if !hosts.serve(*d) => r.rests(now),
+            RouteId::Dest(d) if !hosts.serve(*d) => r.rests(now) || r.outage.is_some(),
             _ => r.binds(now) || r.last_active().saturating_add(IDLE_REMEMBERED) >= now,
         });
     }
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -6,11 +6,13 @@
 mod host;
 mod hosts;
 mod knowledge;
+mod outage;
 
 pub(crate) use book::Book;
 pub(crate) use flow::Flow;
 pub(crate) use host::{Health, Host};
 pub use knowledge::Knowledge;
+pub(crate) use outage::Outage;
 
 use super::interface::{DestId, HostId, MessageRules, MsgId, Nanos, Terms};
 use serde::{Deserialize, Serialize};
@@ -96,6 +98,9 @@
     pub accepted: VecDeque<Nanos>,
     /// Calls a second that the fleet deals out to this relay; none where it shares by the number of senders.
     pub dealt: Option<f64>,
+    /// The outage that it is in. Processes hand over how its endpoints stand, and the journal keeps the rest.
+    #[serde(skip)]
+    pub outage: Option<Outage>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -281,6 +281,7 @@
     fn named(&self, text: &str) -> Note {
         let turns = [
             ("taken for down", "hop-down"),
+            ("comes in an outage", "hop-joins-outage"),
             ("answers again", "hop-back"),
             ("is warm", "hop-warm"),
             ("lost one call", "hop-lost-call"),
