--- a/src/catalog/store.rs
+++ b/src/catalog/store.rs
@@ -49,6 +49,8 @@
 pub struct Forgotten {
     /// Numbers that are never given again.
     pub endpoints: Vec<EndpointId>,
+    /// The names that these had.
+    pub names: Vec<Box<str>>,
     /// Destinations for which no endpoint is known.
     pub dests: Vec<u64>,
 }
@@ -224,6 +226,7 @@
         self.names.remove(hash, id, |other| table.get(other).map_or(hash, |e| name_hash(&e.name)));
         self.leave(entry.dest, forgotten);
         forgotten.endpoints.push(id);
+        forgotten.names.push(entry.name);
         self.is_known &= !self.table.is_empty();
     }
 
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -267,7 +267,9 @@
     Unsettled { id: MsgId, key: String },
     /// This host was sick in an earlier life of this relay, which sent it a call so long ago, if any that is known of, and
     /// was served by it at most so many calls a second; 0: not known.
-    Ailing { host: HostId, last_call: Option<Nanos>, rate: f64 },
+    EndpointOut { host: HostId, last_call: Option<Nanos>, rate: f64 },
+    /// The same of a destination whose hosts share one route, whichever it has by now.
+    DestinationOut { dest: DestId, last_call: Option<Nanos>, rate: f64 },
     /// What another process of this relay has learned, behind the messages that are restored.
     Known { knowledge: Box<Knowledge> },
     /// A call that another process of this relay sent to this host so long ago, and that is still out: for these messages,
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -18,12 +18,15 @@
                 self.actions.push(Action::Fail { id: *id });
                 self.part_with(*id);
             }
-            Event::Ailing { host, last_call, rate } if self.book.hosts.contains_key(host) => {
+            Event::EndpointOut { host, last_call, rate } if self.book.hosts.contains_key(host) => {
                 if let Some(h) = self.book.hosts.get_mut(host) {
                     h.best_rate = h.best_rate.max(*rate);
                 }
-                let gap = self.gap_after_call(*host, 1.0);
-                self.down(*host, last_call.map_or(0, |ago| self.now.saturating_sub(ago).saturating_add(gap)));
+                let until = self.after_last_call(*host, *last_call);
+                self.down(*host, until);
+            }
+            Event::DestinationOut { dest, last_call, rate } => {
+                self.destination_was_out(*dest, *last_call, *rate)
             }
             Event::Known { knowledge } => self.know((**knowledge).clone()),
             Event::Adopted { host, ids, ago } if self.book.hosts.contains_key(host) => {
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -25,6 +25,8 @@
     pub turned: BTreeSet<HostId>,
     /// Hosts that have changed since the outages of their routes were last reviewed.
     pub unreviewed: BTreeSet<HostId>,
+    /// Destinations of which the outage may have turned since that was last asked for.
+    pub(super) turned_destinations: BTreeSet<DestId>,
     pub keys: BTreeMap<String, KeyLine>,
     next_call: u64,
     pub virtual_time: f64,
--- a/src/decision/records/outage.rs
+++ b/src/decision/records/outage.rs
@@ -2,7 +2,7 @@
 
 use super::book::Book;
 use super::hosts::IDLE_REMEMBERED;
-use super::{Health, HostId, Nanos, RouteId};
+use super::{DestId, Health, HostId, Nanos, RouteId};
 use crate::decision::interface::Listing;
 use smallvec::SmallVec;
 
@@ -44,6 +44,18 @@
         hosts.iter().filter(is_ready).copied().collect()
     }
 
+    /// An outage of this route began, turned or ended.
+    pub fn outage_turned(&mut self, route: RouteId) {
+        if let RouteId::Dest(dest) = route {
+            self.turned_destinations.insert(dest);
+        }
+    }
+
+    /// Destinations of which the outage has turned since this was last asked for.
+    pub fn take_turned_destinations(&mut self) -> Vec<DestId> {
+        std::mem::take(&mut self.turned_destinations).into_iter().collect()
+    }
+
     /// Lets go of outages that are over, and of those of routes that have had no endpoint for long.
     pub(super) fn let_go_of_outages(&mut self, now: Nanos, warm_up: Nanos) {
         let is_left = |id: &RouteId, outage: &Outage| {
@@ -57,6 +69,7 @@
             if let Some(route) = self.routes.get_mut(&id) {
                 route.outage = None;
             }
+            self.outage_turned(id);
         }
     }
 }
--- a/src/decision/views.rs
+++ b/src/decision/views.rs
@@ -77,16 +77,17 @@
     /// Hosts of which it may have changed, since this was last asked, whether they are in an outage or just back from
     /// one, and whether they are: a next life has to know, since what this relay saw fail it may not push over. One that
     /// is doubted and has served nothing for a while may be shut.
-    pub fn ailing(&mut self) -> Vec<(HostId, bool)> {
+    pub fn endpoint_outages(&mut self) -> Vec<(HostId, bool)> {
         let turned = std::mem::take(&mut self.book.turned);
-        let ails = |id: &HostId| {
-            let h = self.book.hosts.get(id).filter(|h| h.state != Listing::Gone);
+        let is_out = |id: &HostId| {
+            // The outage of one that has left goes on with its route, where that is shared.
+            let h = self.book.hosts.get(id).filter(|h| h.state != Listing::Gone || h.kind().apart);
             h.is_some_and(|h| match h.health {
                 Health::Well => false,
                 Health::Doubted => self.now >= h.last_served.saturating_add(LOST_ONE),
                 Health::Down | Health::Warming { .. } => true,
             })
         };
-        turned.into_iter().map(|id| (id, ails(&id))).collect()
+        turned.into_iter().map(|id| (id, is_out(&id))).collect()
     }
 }
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -5,7 +5,7 @@
 use crate::catalog::{EndpointId, EndpointView};
 use crate::decision::Knowledge;
 use crate::interface::Nanos;
-use crate::routing::facade::{Ailing, Left};
+use crate::routing::facade::Left;
 use crate::routing::handover::{Endpoints, Handover, OpenCall, RestingKey};
 use crate::routing::journal::LastOut;
 use crate::routing::values::{Attempt, TransactionNo};
@@ -113,7 +113,9 @@
         }
         let adopted = calls.iter().flat_map(|(.., ids)| ids.iter().copied()).collect();
         let (asks, strange) = self.restored(now, &adopted);
-        let ailing = if continues { Vec::new() } else { self.ailing(now, last_out) };
+        let (endpoint_outages, destination_outages) = self.outages_of_before(now, last_out);
+        // What another process has learned of endpoints says more.
+        let endpoint_outages = if continues { Vec::new() } else { endpoint_outages };
         let knowledge = continues.then(|| self.renumbered(handover.knowledge, &handover.names));
         let keys = handover.keys.iter();
         let keys = keys.map(|k| (k.key.clone(), k.until.saturating_sub(now), k.transaction));
@@ -121,7 +123,8 @@
         let left = Left {
             classes: older.collect(),
             asks,
-            ailing,
+            endpoint_outages,
+            destination_outages,
             knowledge,
             keys: keys.collect(),
             calls: calls
@@ -139,24 +142,6 @@
         self.fail_all(now, strange);
     }
 
-    /// Endpoints that were in an outage when the earlier process ended, and how long ago each was called. What the list
-    /// does not name is forgotten.
-    fn ailing(&mut self, now: Nanos, last_out: &LastOut) -> Vec<Ailing> {
-        let names: Vec<String> = self.journal.ailing().map(str::to_string).collect();
-        let mut ailing = Vec::new();
-        for name in names {
-            let Some(endpoint) = self.catalog.find(&name) else {
-                let written = self.journal.note_ailing(&name, false, 0.0);
-                self.withheld.plan_unless(written, now);
-                continue;
-            };
-            let rate = self.journal.served_rate(&name);
-            let called = self.catalog.get(endpoint).and_then(|e| last_out.get(&e.dest));
-            ailing.push(Ailing { endpoint, last_call: called.map(|at| now.saturating_sub(*at)), rate });
-        }
-        ailing
-    }
-
     /// The first byte of these attempts went.
     pub(super) fn begins<'a>(&mut self, attempts: impl Iterator<Item = &'a Attempt>, begun: BegunAttempt) {
         self.begun.extend(attempts.map(|a| ((a.transaction, a.number), begun)));
--- a/src/routing/core/listing.rs
+++ b/src/routing/core/listing.rs
@@ -46,7 +46,7 @@
 
     fn apply(&mut self, now: Nanos, piece: Piece) {
         let applied = self.catalog.apply(now, piece);
-        self.let_go(&applied.forgotten);
+        self.let_go(now, &applied.forgotten);
         self.learn_of(now, &applied.changed);
         self.forget_departed(now);
     }
@@ -54,12 +54,13 @@
     /// Forgets what left long ago; whether there was any.
     pub(super) fn forget_departed(&mut self, now: Nanos) -> bool {
         let forgotten = self.catalog.forget_due(now);
-        self.let_go(&forgotten);
+        self.let_go(now, &forgotten);
         !forgotten.endpoints.is_empty()
     }
 
-    fn let_go(&mut self, forgotten: &Forgotten) {
+    fn let_go(&mut self, now: Nanos, forgotten: &Forgotten) {
         forgotten.endpoints.iter().for_each(|id| self.former.forget(*id));
+        forgotten.names.iter().for_each(|name| self.outage_forgotten(now, name));
         if let Some(shares) = &mut self.shares {
             forgotten.endpoints.iter().for_each(|id| shares.forget(*id));
             let gone = forgotten.dests.iter().filter(|dest| !self.catalog.has(**dest));
--- a/src/routing/core/maintenance.rs
+++ b/src/routing/core/maintenance.rs
@@ -4,7 +4,7 @@
 use crate::catalog::{EndpointId, EndpointState, EndpointView};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
-use crate::routing::facade::{Ailing, Left};
+use crate::routing::facade::{EndpointOutage, Left};
 use crate::routing::handover::{Operated, Operation};
 use crate::routing::journal::Record;
 
@@ -63,13 +63,14 @@
     /// Operators restart an endpoint while it is out of service: it comes back as one that was down.
     fn returns_cold(&mut self, now: Nanos, name: &str) {
         let Some(endpoint) = self.catalog.find(name) else { return };
-        let ailing = vec![Ailing { endpoint, last_call: None, rate: 0.0 }];
-        let (picked, _) = self.facade.restore(now, Left { ailing, ..Left::default() });
+        let endpoint_outages = vec![EndpointOutage { endpoint, last_call: None, rate: 0.0 }];
+        let (picked, _) = self.facade.restore(now, Left { endpoint_outages, ..Left::default() });
         self.absorb(now, picked);
     }
 
     /// Tells the module what is listed of these endpoints, and takes back what waits for those that are to get nothing.
     pub(super) fn learn_of(&mut self, now: Nanos, ids: &[EndpointId]) {
+        let outages = self.outages_of_listed(ids);
         let mut changed = Vec::with_capacity(ids.len());
         for endpoint in ids.iter().filter_map(|id| self.catalog.get(*id)) {
             let (terms, allowed) = self.batching_terms(&endpoint);
@@ -80,7 +81,7 @@
         }
         let resting = changed.iter().filter(|(e, _)| e.state != EndpointState::Active);
         let resting: Vec<EndpointId> = resting.map(|(endpoint, _)| endpoint.id).collect();
-        let picked = self.facade.learn(now, changed.into_iter());
+        let picked = self.facade.learn(now, changed.into_iter(), &outages);
         self.absorb(now, picked);
         self.recall(now, &resting);
         // No call will use the connections to those that are not active any more.
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -7,6 +7,7 @@
 mod intake;
 mod listing;
 mod maintenance;
+mod outages;
 mod outcomes;
 mod records;
 mod retune;
@@ -32,6 +33,7 @@
 use crate::settlement::Audit;
 use ends::Withheld;
 use handover::Begun;
+use outages::UnlistedOutages;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -59,6 +61,8 @@
     withheld: Withheld,
     /// What operators have taken out of service.
     maintenance: Maintenance,
+    /// Outages of an earlier life that wait for a list to name their endpoints.
+    unlisted: UnlistedOutages,
     /// Calls that are out.
     begun: Begun,
     /// Checks that none begins after a message's last word.
@@ -144,6 +148,7 @@
             shares: None,
             withheld: Withheld::default(),
             maintenance,
+            unlisted: UnlistedOutages::default(),
             begun: Begun::default(),
             last_words: Audit::default(),
             memory: Rc::default(),
@@ -180,6 +185,7 @@
         self.go(calls);
         self.write_behind(now);
         let forgot = self.catalog.due() <= now && self.forget_departed(now);
+        self.forget_unlisted(now);
         if !(lingered || forgot) || self.facade.due() <= now {
             let picked = self.facade.tick(now);
             self.absorb(now, picked);
@@ -188,7 +194,8 @@
 
     /// When `tick` is wanted next.
     pub fn due(&self) -> Nanos {
-        self.facade.due().min(self.former.due()).min(self.catalog.due()).min(self.withheld.due())
+        let lists = self.catalog.due().min(self.unlisted.due());
+        self.facade.due().min(self.former.due()).min(lists).min(self.withheld.due())
     }
 
     pub fn transaction(&self, no: TransactionNo) -> Option<&Transaction> {
@@ -264,13 +271,7 @@
         self.work.distrusted.extend(picked.distrusted);
         let notes: Vec<Note> = picked.notes.iter().map(|text| self.named(text)).collect();
         self.work.notes.extend(notes);
-        for (id, ailing) in picked.ailing {
-            if let Some(hop) = self.catalog.get(id) {
-                // Known to the next life only as far as it can be written.
-                let written = self.journal.note_ailing(hop.name, ailing, self.facade.best_rate(id));
-                self.withheld.plan_unless(written, now);
-            }
-        }
+        self.note_outages(now, &picked.endpoint_outages, &picked.destination_outages);
         for (no, end) in picked.ends {
             self.end(now, no, Ending::Undelivered(end));
         }
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -4,7 +4,7 @@
 
 mod values;
 
-pub use values::{Ailing, Ask, Left, Picked, Told};
+pub use values::{Ask, DestinationOutage, EndpointOutage, Left, Picked, Told};
 
 use super::values::{Attempt, Call, End, Limit, Reply, TransactionNo};
 use crate::catalog::{EndpointId, EndpointState, EndpointView};
@@ -29,6 +29,16 @@
     }
 }
 
+fn endpoint_out(outage: &EndpointOutage) -> Event {
+    let EndpointOutage { endpoint, last_call, rate } = *outage;
+    Event::EndpointOut { host: endpoint, last_call, rate }
+}
+
+fn destination_out(outage: &DestinationOutage) -> Event {
+    let DestinationOutage { dest, last_call, rate } = *outage;
+    Event::DestinationOut { dest, last_call, rate }
+}
+
 #[derive(Debug)]
 pub struct Facade {
     relay: Relay,
@@ -89,12 +99,9 @@
         // Before their messages: whether those go in turn is asked at once.
         self.learn_classes(now, left.classes);
         let mut events = self.asked(left.asks);
-        events.extend(left.ailing.iter().map(|a| Event::Ailing {
-            host: a.endpoint,
-            last_call: a.last_call,
-            rate: a.rate,
-        }));
+        events.extend(left.endpoint_outages.iter().map(endpoint_out));
         events.extend(left.knowledge.map(|knowledge| Event::Known { knowledge: Box::new(knowledge) }));
+        events.extend(left.destination_outages.iter().map(destination_out));
         let rests = left.keys.into_iter();
         events.extend(rests.map(|(key, rest, id)| Event::KeyRests { key, rest, id }));
         let mut calls = Vec::new();
@@ -274,11 +281,13 @@
         self.step(now, &[Event::Withdrawn { id }])
     }
 
-    /// What the list says of these endpoints is different now; `calls` of each is what may share a call to it.
+    /// What the list says of these endpoints is different now; `calls` of each is what may share a call to it. `outages`: of
+    /// those among them that were in one when an earlier life ended, and that no list has named since.
     pub fn learn<'a>(
         &mut self,
         now: Nanos,
         changed: impl Iterator<Item = (EndpointView<'a>, CallTerms)>,
+        outages: &[EndpointOutage],
     ) -> Picked {
         let (mut entries, mut terms) = (Vec::new(), Vec::new());
         for (endpoint, call) in changed {
@@ -289,6 +298,7 @@
         }
         let mut events = vec![Event::Listed { whole: false, entries }];
         events.append(&mut terms);
+        events.extend(outages.iter().map(endpoint_out));
         self.step(now, &events)
     }
 
@@ -316,7 +326,8 @@
             }
         }
         picked.trusted_idle = self.relay.trusted_idle();
-        picked.ailing = self.relay.ailing();
+        picked.endpoint_outages = self.relay.endpoint_outages();
+        picked.destination_outages = self.relay.destination_outages();
         picked
     }
 
--- a/src/routing/facade/values.rs
+++ b/src/routing/facade/values.rs
@@ -17,8 +17,10 @@
     pub notes: Vec<String>,
     /// Idle time after which connections are not to be used any more.
     pub trusted_idle: Nanos,
-    /// Next hops of which it may have changed whether they are in an outage or just back from one, and whether they are.
-    pub ailing: Vec<(EndpointId, bool)>,
+    /// Endpoints of which it may have changed whether they are in an outage or just back from one, and whether they are.
+    pub endpoint_outages: Vec<(EndpointId, bool)>,
+    /// The same of destinations, with the calls a second that those that are had served before.
+    pub destination_outages: Vec<(u64, Option<f64>)>,
 }
 
 /// What came with the answer to a call, beside the ends of its attempts.
@@ -54,7 +56,7 @@
 
 /// An endpoint that was in an outage when an earlier life ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ailing {
+pub struct EndpointOutage {
     pub endpoint: EndpointId,
     /// How long ago its destination was last called, where that is known.
     pub last_call: Option<Nanos>,
@@ -62,13 +64,24 @@
     pub rate: f64,
 }
 
+/// A destination that was in an outage when an earlier life ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DestinationOutage {
+    pub dest: u64,
+    /// How long ago it was last called, where that is known.
+    pub last_call: Option<Nanos>,
+    /// The rate at which its endpoints together had served calls of this relay, a second; 0: not known.
+    pub rate: f64,
+}
+
 /// What an earlier life left, with times as spans from now.
 #[derive(Clone, Debug, Default)]
 pub struct Left {
     /// Classes that are not in force any more, by the numbers that messages name.
     pub classes: Vec<(usize, MessageRules)>,
     pub asks: Vec<Ask>,
-    pub ailing: Vec<Ailing>,
+    pub endpoint_outages: Vec<EndpointOutage>,
+    pub destination_outages: Vec<DestinationOutage>,
     /// What another process has learned.
     pub knowledge: Option<Knowledge>,
     /// Keys that rest, and the message that does not wait for it.
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -13,6 +13,7 @@
 mod file;
 mod lock;
 mod open;
+mod outages;
 mod preread;
 mod queue;
 mod record;
@@ -21,6 +22,7 @@
 
 pub use file::PendingWrite;
 pub use lock::{OpenError, WriterLock};
+pub use outages::Outages;
 pub use preread::Preread;
 pub use record::Record;
 pub use replay::{LastOut, Replayed};
@@ -36,7 +38,7 @@
 use bytes::Bytes;
 use file::SharedFile;
 use queue::Queue;
-use record::{closed_len, encode, set_ailing, Ailing};
+use record::{closed_len, encode};
 use replay::replay;
 use std::collections::{BTreeSet, HashMap};
 use std::fs::{self, File, OpenOptions};
@@ -47,8 +49,8 @@
 const COPY: &str = "relay.journal.new";
 /// Most bytes that one transaction's attempts, outcomes and end take after its intake.
 const ROOM_EACH: u64 = 1_024;
-/// For what is written of endpoints.
-const ROOM_AILING: u64 = 4_096;
+/// For what is written of outages.
+const ROOM_OUTAGES: u64 = 4_096;
 /// The part of the budget that is for ids of transactions that are over.
 const CLOSED_PART: u64 = 32;
 /// Below this size no copy is made for tidiness alone.
@@ -84,7 +86,7 @@
     live: HashMap<TransactionNo, u64>,
     live_bytes: u64,
     /// As last written: a copy begins with these.
-    ailing: Ailing,
+    outages: Outages,
     maintenance: Maintenance,
 }
 
@@ -178,7 +180,7 @@
 
     /// It may hold so many bytes from now on, but never less than what is owed takes.
     pub fn set_budget(&mut self, budget: u64, all: &Transactions) {
-        self.budget = budget.saturating_sub(MARGIN + ROOM_AILING);
+        self.budget = budget.saturating_sub(MARGIN + ROOM_OUTAGES);
         if !self.fits(0) {
             self.copy(all).ok();
         }
@@ -233,7 +235,7 @@
         replay(&Bytes::from(unwritten.clone()), replayed);
         self.unwritten.extend(unwritten);
         (self.classes, self.written) = (replayed.classes.clone(), replayed.written.clone());
-        self.ailing = replayed.ailing.clone();
+        self.outages = replayed.outages.clone();
         self.maintenance = replayed.maintenance.clone();
         self.live.clear();
         self.live_bytes = 0;
@@ -271,28 +273,32 @@
         match record {
             Record::Taken(t) => self.count_live(no, t),
             Record::Over | Record::Closed(_) => self.live_bytes -= self.live.remove(&no).unwrap_or(0),
-            Record::Ailing(name, ailing) => set_ailing(&mut self.ailing, name, *ailing),
+            Record::EndpointOutage(name, rate) => self.outages.set_endpoint(name, *rate),
+            Record::DestinationOutage(dest, rate) => self.outages.set_destination(*dest, *rate),
             Record::Maintenance(maintenance) => self.maintenance = (*maintenance).clone(),
             _ => {}
         }
     }
 
-    /// Endpoints in an outage, by name.
-    pub fn ailing(&self) -> impl Iterator<Item = &str> {
-        self.ailing.keys().map(String::as_str)
+    /// What is in an outage, as far as the journal has been told.
+    pub fn outages(&self) -> &Outages {
+        &self.outages
     }
 
-    /// The rate at which an endpoint in an outage had served calls before; 0: not known.
-    pub fn served_rate(&self, name: &str) -> f64 {
-        self.ailing.get(name).copied().unwrap_or(0.0)
+    /// Keeps whether an endpoint is in an outage, and the rate at which it had served calls before, where that has changed.
+    pub fn note_endpoint_outage(&mut self, name: &str, rate: Option<f64>) -> io::Result<()> {
+        if self.outages.endpoints.contains_key(name) == rate.is_some() {
+            return Ok(());
+        }
+        self.note(0, &Record::EndpointOutage(name, rate))
     }
 
-    /// Keeps whether an endpoint is in an outage, and the rate at which it had served calls, where that is news.
-    pub fn note_ailing(&mut self, name: &str, ailing: bool, rate: f64) -> io::Result<()> {
-        if self.ailing.contains_key(name) == ailing {
+    /// The same of a destination.
+    pub fn note_destination_outage(&mut self, dest: u64, rate: Option<f64>) -> io::Result<()> {
+        if self.outages.destinations.contains_key(&dest) == rate.is_some() {
             return Ok(());
         }
-        self.note(0, &Record::Ailing(name, ailing.then_some(rate)))
+        self.note(0, &Record::DestinationOutage(dest, rate))
     }
 
     /// Copies what is live into a new file when most of the present one is dead.
@@ -309,7 +315,8 @@
     fn copy(&mut self, all: &Transactions) -> io::Result<()> {
         self.end_write().ok();
         self.wants_copy = false;
-        let mut bytes = self.encoded(0, &Record::AllAiling(&self.ailing));
+        let mut bytes = self.encoded(0, &Record::EndpointOutages(&self.outages.endpoints));
+        bytes.extend(self.encoded(0, &Record::DestinationOutages(&self.outages.destinations)));
         if self.maintenance != Maintenance::default() {
             bytes.extend(self.encoded(0, &Record::Maintenance(&self.maintenance)));
         }
--- a/src/routing/journal/open.rs
+++ b/src/routing/journal/open.rs
@@ -6,7 +6,7 @@
 use super::record::{encode, Record};
 use super::{
     remove_if_there, Journal, OpenError, Preread, Replayed, TornEnd, WriterLock, COPY, MARGIN, NAME,
-    ROOM_AILING,
+    ROOM_OUTAGES,
 };
 use crate::routing::classes::Classes;
 use crate::routing::values::TransactionNo;
@@ -74,7 +74,7 @@
             lock: Some(lock),
             classes: replayed.classes.clone(),
             written: replayed.written.clone(),
-            budget: budget.saturating_sub(MARGIN + ROOM_AILING),
+            budget: budget.saturating_sub(MARGIN + ROOM_OUTAGES),
             size: good,
             unwritten: Vec::new(),
             mark: BehindMark::open(dir),
@@ -84,7 +84,7 @@
             wants_copy: false,
             live: HashMap::new(),
             live_bytes: 0,
-            ailing: replayed.ailing.clone(),
+            outages: replayed.outages.clone(),
             maintenance: replayed.maintenance.clone(),
         };
         for (no, t) in replayed.transactions.iter() {
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -34,6 +34,10 @@
 /// The code of ids of transactions that are over.
 pub(super) const ALL_CLOSED: u8 = 12;
 
+/// The codes of one destination in an outage, and of all of them.
+pub(super) const DESTINATION_OUTAGE: u8 = 13;
+pub(super) const DESTINATION_OUTAGES: u8 = 14;
+
 /// What happens to a transaction, as the journal keeps it.
 #[derive(Debug)]
 pub enum Record<'a> {
@@ -59,9 +63,13 @@
     Closed(Closed),
     /// An endpoint, by name, is in an outage from now on, having served so many calls a second before, or is not any more:
     /// of no transaction, under the number 0.
-    Ailing(&'a str, Option<f64>),
-    /// All next hops in an outage.
-    AllAiling(&'a Ailing),
+    EndpointOutage(&'a str, Option<f64>),
+    /// The same of a destination.
+    DestinationOutage(u64, Option<f64>),
+    /// All endpoints in an outage.
+    EndpointOutages(&'a BTreeMap<String, f64>),
+    /// All destinations in an outage.
+    DestinationOutages(&'a BTreeMap<u64, f64>),
     /// All that operators have taken out of service.
     Maintenance(&'a Maintenance),
     /// Ids of transactions that were over when the file was copied, the oldest first.
@@ -99,21 +107,11 @@
     out.extend(reason.to_le_bytes());
 }
 
-/// Endpoints in an outage by name, and the rates at which they had served calls before; 0: not known.
-pub type Ailing = BTreeMap<String, f64>;
-
 /// Bytes that an id takes in a record of closed ones.
 pub(super) fn closed_len(id: &str) -> u64 {
     (1 + 13 + 4 + id.len()) as u64
 }
 
-pub(super) fn set_ailing(all: &mut Ailing, name: &str, ailing: Option<f64>) {
-    match ailing {
-        Some(rate) => drop(all.insert(name.to_string(), rate)),
-        None => drop(all.remove(name)),
-    }
-}
-
 pub(super) fn encode(no: TransactionNo, record: &Record, classes: &Classes) -> Vec<u8> {
     let mut out = vec![0; HEAD];
     out.extend(no.to_le_bytes());
@@ -154,11 +152,17 @@
         // Versions that know of no ends of this kind read the first byte alone.
         Record::Closed(Closed::Delivered) => out.extend([OVER, DELIVERED]),
         Record::Closed(Closed::Over | Closed::Notified(_)) => out.extend([OVER, ENDED]),
-        Record::Ailing(name, ailing) => {
-            out.extend([9, u8::from(ailing.is_some())]);
-            out.extend(ailing.unwrap_or(0.0).to_le_bytes());
+        Record::EndpointOutage(name, rate) => {
+            out.extend([9, u8::from(rate.is_some())]);
+            out.extend(rate.unwrap_or(0.0).to_le_bytes());
             put(&mut out, name.as_bytes());
         }
+        // Under the number 0 versions that do not know it pass it over.
+        Record::DestinationOutage(dest, rate) => {
+            out.extend([DESTINATION_OUTAGE, u8::from(rate.is_some())]);
+            out.extend(rate.unwrap_or(0.0).to_le_bytes());
+            out.extend(dest.to_le_bytes());
+        }
         Record::Maintenance(maintenance) => {
             out.extend([8, u8::from(maintenance.is_draining())]);
             maintenance.cordoned().for_each(|name| put(&mut out, name.as_bytes()));
@@ -177,13 +181,20 @@
             out.push(CLASS);
             out.extend(class.encoded().1);
         }
-        Record::AllAiling(all) => {
+        Record::EndpointOutages(all) => {
             out.push(10);
             for (name, rate) in all.iter() {
                 out.extend(rate.to_le_bytes());
                 put(&mut out, name.as_bytes());
             }
         }
+        Record::DestinationOutages(all) => {
+            out.push(DESTINATION_OUTAGES);
+            for (dest, rate) in all.iter() {
+                out.extend(rate.to_le_bytes());
+                out.extend(dest.to_le_bytes());
+            }
+        }
     }
     let len = (out.len() - HEAD) as u32;
     let sum = crc32fast::hash(&out[HEAD..]);
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -4,8 +4,10 @@
 use super::super::closed::Closed;
 use super::super::transactions::{Ending, Transaction, Transactions};
 use super::super::values::{End, TransactionNo};
+use super::outages::Outages;
 use super::record::{
-    set_ailing, Ailing, ALL_CLOSED, BACK, CLASS, DELIVERED, ENDED, ENDING, FINAL_ELSEWHERE, HEAD, OVER, SPENT,
+    ALL_CLOSED, BACK, CLASS, DELIVERED, DESTINATION_OUTAGE, DESTINATION_OUTAGES, ENDED, ENDING,
+    FINAL_ELSEWHERE, HEAD, OVER, SPENT,
 };
 use super::torn::TornEnd;
 use crate::interface::Nanos;
@@ -25,7 +27,7 @@
     /// Keys of the classes that the journal holds.
     pub written: BTreeSet<ClassKey>,
     pub next_no: TransactionNo,
-    pub ailing: Ailing,
+    pub outages: Outages,
     pub last_out: LastOut,
     pub maintenance: Maintenance,
     /// Bytes at the end that were no whole record.
@@ -115,16 +117,29 @@
     into.next_no = into.next_no.max(no + 1);
     if code == 6 {
         // As it was written before rates were kept.
-        into.ailing = std::iter::from_fn(|| Some((r.text()?, 0.0))).collect();
+        into.outages.endpoints = std::iter::from_fn(|| Some((r.text()?, 0.0))).collect();
         return Some(());
     }
     if code == 9 {
-        let (ailing, rate, name) = (r.u8()? == 1, f64::from_bits(r.u64()?), r.text()?);
-        set_ailing(&mut into.ailing, &name, ailing.then_some(rate));
+        let (is_out, rate, name) = (r.u8()? == 1, f64::from_bits(r.u64()?), r.text()?);
+        into.outages.set_endpoint(&name, is_out.then_some(rate));
+        return Some(());
+    }
+    if code == DESTINATION_OUTAGE {
+        let (is_out, rate, dest) = (r.u8()? == 1, f64::from_bits(r.u64()?), r.u64()?);
+        into.outages.set_destination(dest, is_out.then_some(rate));
+        return Some(());
+    }
+    if code == DESTINATION_OUTAGES {
+        into.outages.destinations = std::iter::from_fn(|| {
+            let rate = f64::from_bits(r.u64()?);
+            Some((r.u64()?, rate))
+        })
+        .collect();
         return Some(());
     }
     if code == 10 {
-        into.ailing = std::iter::from_fn(|| {
+        into.outages.endpoints = std::iter::from_fn(|| {
             let rate = f64::from_bits(r.u64()?);
             Some((r.text()?, rate))
         })
@@ -137,8 +152,8 @@
         return Some(());
     }
     if code == 7 {
-        let (ailing, name) = (r.u8()? == 1, r.text()?);
-        set_ailing(&mut into.ailing, &name, ailing.then_some(0.0));
+        let (is_out, name) = (r.u8()? == 1, r.text()?);
+        into.outages.set_endpoint(&name, is_out.then_some(0.0));
         return Some(());
     }
     if code == ALL_CLOSED {
--- a/tests/outages/main.rs
+++ b/tests/outages/main.rs
@@ -7,4 +7,5 @@
 #[allow(dead_code)]
 mod folder;
 mod joins;
+mod kills;
 mod world;
