Keep drains by the version of discovery's list, not by the address that told them

Cause: Departures::is_newer_than passed over what another address had told, and the new address had told nothing yet.

Change: Departures has no address. What is kept counts unless the configuration's list has a higher version; the version kept is the highest that was in force, what is said of an endpoint the last that was said. Without discovery the configuration's list counts. A process that takes over keeps what it was handed, and one that takes back goes by what the other was told: both forgot it before.

--- a/src/catalog/departures.rs
+++ b/src/catalog/departures.rs
@@ -1,11 +1,10 @@
 //! What a process that starts has to know of endpoints that drained or left since the list that it starts from: without it they
 //! would be called again until discovery answers.
 
-use super::endpoint::{EndpointState, EndpointUpdate};
+use super::endpoint::{Endpoint, EndpointState, EndpointUpdate};
 use super::store::EndpointCatalog;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 /// Bytes that an entry takes beside its name, at most.
 const ENTRY_BYTES: usize = 64;
@@ -18,12 +17,11 @@
     order: u64,
 }
 
-/// Endpoints that drain or have left, as far as discovery has said, and those that did and are back.
+/// Endpoints that drain or have left, as far as discovery has said, and those that did and are back. All agents pass on the
+/// list of one discovery, so what is kept holds whichever of them is asked next.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departures {
-    /// Who sent the list.
-    agent: Option<SocketAddr>,
-    /// The version of the list that was in force.
+    /// The highest version of the list that was in force.
     seq: u64,
     by_name: BTreeMap<String, Departure>,
     next: u64,
@@ -34,16 +32,12 @@
     pub fn begin_with(&mut self, known: &EndpointUpdate) {
         let resting = known.endpoints.iter().filter(|endpoint| endpoint.state != EndpointState::Active);
         resting.for_each(|endpoint| self.note(&endpoint.name, endpoint.state));
+        self.seq = self.seq.max(known.seq);
     }
 
-    /// Takes in what this agent's list of this version says, within so many bytes; whether anything is different.
-    pub fn take_in(
-        &mut self,
-        catalog: &EndpointCatalog,
-        agent: Option<SocketAddr>,
-        seq: u64,
-        bytes_most: usize,
-    ) -> bool {
+    /// Takes in what the list in force says, of this version where it is discovery's, within so many bytes; whether anything is
+    /// different.
+    pub fn take_in(&mut self, catalog: &EndpointCatalog, seq: Option<u64>, bytes_most: usize) -> bool {
         let before = self.by_name.clone();
         for (name, departure) in &mut self.by_name {
             if let Some(endpoint) = catalog.find(name).and_then(|id| catalog.get(id)) {
@@ -54,9 +48,17 @@
             self.note(endpoint.name, endpoint.state);
         }
         self.keep_within(bytes_most);
-        let is_same = (self.agent, &self.by_name) == (agent, &before);
-        (self.agent, self.seq) = (agent, seq);
-        !is_same
+        // One that counts anew is heard all the same: what is kept is the last that was said.
+        self.seq = self.seq.max(seq.unwrap_or(0));
+        self.by_name != before
+    }
+
+    /// Takes in what another process has kept since, where it has.
+    pub fn merge(&mut self, other: Departures) {
+        if other.seq >= self.seq {
+            other.by_name.iter().for_each(|(name, departure)| self.note(name, departure.state));
+            self.seq = other.seq;
+        }
     }
 
     fn note(&mut self, name: &str, state: EndpointState) {
@@ -87,20 +89,20 @@
         self.by_name.retain(|_, departure| departure.order >= oldest);
     }
 
-    /// Whether this was learned after a list of this agent that has this version.
-    pub fn is_newer_than(&self, agent: Option<SocketAddr>, seq: u64) -> bool {
-        self.agent == agent && self.seq > seq
+    /// Whether a list of this version may lack what is kept here. One of the same version has all of it, unless discovery has
+    /// counted anew since.
+    pub fn may_be_newer_than(&self, seq: u64) -> bool {
+        self.seq >= seq
     }
 
     /// Has a list of before say what is known since; how many of its endpoints that changes.
-    pub fn bring_up_to_date(&self, known: &mut EndpointUpdate) -> usize {
+    pub fn bring_up_to_date(&self, endpoints: &mut [Endpoint]) -> usize {
         let mut changed = 0;
-        known.endpoints.retain_mut(|endpoint| {
-            let Some(departure) = self.by_name.get(&endpoint.name) else { return true };
+        for endpoint in endpoints {
+            let Some(departure) = self.by_name.get(&endpoint.name) else { continue };
             changed += usize::from(endpoint.state != departure.state);
             endpoint.state = departure.state;
-            departure.state != EndpointState::Left
-        });
+        }
         changed
     }
 }
--- a/src/program/departures.rs
+++ b/src/program/departures.rs
@@ -1,10 +1,9 @@
 //! Keeps in the lasting folder which endpoints drain or have left, and has a start go by it.
 
 use super::last_good::{self, Name};
-use crate::catalog::{Departures, EndpointCatalog};
+use crate::catalog::{Departures, Endpoint, EndpointCatalog, EndpointState};
 use crate::configuration::Configuration;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,9 +28,14 @@
     /// learned later than that.
     pub fn start(configuration: &mut Configuration) -> Rc<DepartureKeeper> {
         let kept = read(&configuration.state);
-        let kept = kept.filter(|kept| kept.is_newer_than(configuration.discovery, configuration.known.seq));
+        // Without discovery the list of the configuration is the one in force, not an earlier one.
+        let kept = kept.filter(|kept| {
+            configuration.discovery.is_some() && kept.may_be_newer_than(configuration.known.seq)
+        });
         if let Some(kept) = &kept {
-            let count = kept.bring_up_to_date(&mut configuration.known);
+            let endpoints = &mut configuration.known.endpoints;
+            let count = kept.bring_up_to_date(endpoints);
+            endpoints.retain(|endpoint| endpoint.state != EndpointState::Left);
             if count > 0 {
                 tracing::info!(target: "relay", event = "departures-restored", count, "endpoints of the list that is known drain or have left, as an earlier process was told");
             }
@@ -47,9 +51,9 @@
         })
     }
 
-    /// A list of this agent came into force.
-    pub fn take_in(&self, catalog: &EndpointCatalog, agent: Option<SocketAddr>, seq: u64) {
-        if self.departures.borrow_mut().take_in(catalog, agent, seq, self.bytes_most) {
+    /// A list came into force, of this version where it is discovery's.
+    pub fn take_in(&self, catalog: &EndpointCatalog, seq: Option<u64>) {
+        if self.departures.borrow_mut().take_in(catalog, seq, self.bytes_most) {
             self.changed.notify_one();
         }
     }
@@ -59,6 +63,14 @@
         self.is_stopped.set(true);
     }
 
+    /// The other process is gone: the list that was handed to it says what it was told and has kept.
+    pub fn take_back(&self, handed: &mut [Endpoint]) {
+        if let Some(kept) = read(&self.dir) {
+            self.departures.borrow_mut().merge(kept);
+        }
+        self.departures.borrow().bring_up_to_date(handed);
+    }
+
     /// This one keeps them again.
     pub fn resume(&self) {
         self.is_stopped.set(false);
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -140,7 +140,13 @@
         handover.as_ref().map(|(handover, _)| &handover.list).filter(|handed| list(handed).is_some());
     let seq = handed.map_or(known, |handed| handed.seq);
     let cores = Cores { in_force: in_force.clone(), rooms, batching: said.batching.clone(), clock, memory };
+    let handed_seq = handed.and_then(|handed| handed.seq);
+    let was_handed = handed.is_some();
     let core = cores.of(journal, replayed, handover);
+    if was_handed {
+        // The process before this one may not have kept yet what it was told last.
+        departures.take_in(core.catalog(), handed_seq);
+    }
     let keeper = Keeper::new(&configuration.state, configuration.disk_bytes);
     keeper.keep_configuration(&configuration);
     spawn_local(keeper.clone().catch_up());
--- a/src/program/listing.rs
+++ b/src/program/listing.rs
@@ -71,7 +71,7 @@
         self.forget_version();
     }
 
-    /// Forgets which version is in force: another discovery counts anew. What is pending still comes into force.
+    /// Forgets which version is in force: another agent is asked for its whole list. What is pending still comes into force.
     pub fn forget_version(&self) {
         if let Some((_, list)) = self.pending.borrow_mut().as_mut() {
             list.take();
@@ -100,11 +100,13 @@
         let Some((mut update, list)) = self.pending.take() else { return false };
         if self.desk.act(|core, now| core.advance(now, &mut update)) {
             self.pending.replace(Some((update, list)));
-        } else if let Some(list) = list {
-            self.in_force.set(Some(list.seq));
-            self.desk.front.list_came_into_force(self.steps(&list));
+        } else {
+            if let Some(list) = &list {
+                self.in_force.set(Some(list.seq));
+                self.desk.front.list_came_into_force(self.steps(list));
+            }
             if let Some(keeper) = self.departures.get() {
-                self.desk.see(|core| keeper.take_in(core.catalog(), list.agent, list.seq));
+                self.desk.see(|core| keeper.take_in(core.catalog(), list.map(|list| list.seq)));
             }
         }
         true
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -193,9 +193,10 @@
     }
 
     /// Decides again with the other gone; false where a third process does, or this one ends.
-    async fn take_back(&self, (handed, names): Handed) -> bool {
+    async fn take_back(&self, (mut handed, names): Handed) -> bool {
         let front = &self.front;
         front.desk.give_up_calls().await;
+        front.departures.take_back(&mut handed.list.endpoints);
         let from = Instant::now();
         let core = loop {
             if self.ending.get() && !front.desk.has_unheard() {
--- a/src/protocol/discovery/mod.rs
+++ b/src/protocol/discovery/mod.rs
@@ -139,7 +139,7 @@
             };
             let (asked, is_latest) = (heard.asked, heard.is_latest);
             before.longest_step = before.longest_step.max(questions.take_longest_step());
-            let taken = self.take(agent, heard, before, schedule, seq).await;
+            let taken = self.take(heard, before, schedule, seq).await;
             let took = asked.elapsed();
             match taken {
                 Ok(taken) => {
@@ -175,7 +175,6 @@
     /// Puts in force what is new in an answer.
     async fn take(
         &self,
-        agent: SocketAddr,
         heard: Heard,
         before: Before,
         schedule: &PollSchedule,
@@ -201,9 +200,7 @@
             heading.skipped.tell();
             let Heading { seq, whole, .. } = heading;
             let read = Instant::now();
-            let agent = Some(agent);
             let arrival = ListArrival {
-                agent,
                 seq,
                 whole,
                 asked,
--- a/src/protocol/discovery/receiver.rs
+++ b/src/protocol/discovery/receiver.rs
@@ -2,15 +2,12 @@
 
 use crate::catalog::Endpoint;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// A list that has come whole, and when each step on its way was done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListArrival {
-    /// Who sent it.
-    pub agent: Option<SocketAddr>,
     /// Its version.
     pub seq: u64,
     /// It replaces all that was known.
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -27,7 +27,6 @@
 fn arrival(seq: u64, whole: bool) -> ListArrival {
     let now = Instant::now();
     ListArrival {
-        agent: None,
         seq,
         whole,
         asked: now,
