End the warming of an endpoint that gets no calls once its time is over

Cause: only a served call turned an endpoint from warming to well. Calls were let go by time already (opens_at).

Change: each interval turns those well whose warming has had its time.

Measured: tests/outages, returns.rs, many_hosts.rs and rules.rs pass (debug build, x86-64).

--- a/src/decision/outages.rs
+++ b/src/decision/outages.rs
@@ -109,6 +109,18 @@
         self.book.outage_turned(route);
     }
 
+    /// A host that has had as long as it takes is warm, also where calls go to others meanwhile.
+    pub(super) fn end_warmings(&mut self) {
+        let (now, warm_up) = (self.now, self.set.warm_up);
+        let is_warm =
+            |health| matches!(health, Health::Warming { since } if since.saturating_add(warm_up) <= now);
+        let warm = self.book.hosts.conditions().filter(|(_, condition)| is_warm(condition.health));
+        for host in warm.map(|(host, _)| host).collect::<Vec<_>>() {
+            self.turn(host, Health::Well, "is warm");
+        }
+        self.review_outages();
+    }
+
     /// Whoever comes next begins as those stood that have gone.
     fn route_is_empty(&mut self, route: RouteId) {
         if let Some(outage) = self.book.routes.get_mut(&route).and_then(|r| r.outage.as_mut()) {
--- a/src/decision/release.rs
+++ b/src/decision/release.rs
@@ -86,6 +86,7 @@
             h.idle_proven -= h.idle_proven / 4;
         });
         self.book.idle_safe = self.book.idle_safe.map(|s| s + s / 4 + MS).filter(|s| *s < IDLE_TRUSTED);
+        self.end_warmings();
         self.book.let_go(now, &self.set);
     }
 
--- a/tests/outages/world.rs
+++ b/tests/outages/world.rs
@@ -14,13 +14,13 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 
-pub const MS: u64 = 1_000_000;
+const MS: u64 = 1_000_000;
 pub const SEC: u64 = 1_000 * MS;
-pub const START: u64 = 1_000 * SEC;
+const START: u64 = 1_000 * SEC;
 /// The destination is down from then on...
-pub const DOWN: u64 = START + 8 * SEC;
+const DOWN: u64 = START + 8 * SEC;
 /// ...and back, cold, from then on.
-pub const BACK: u64 = DOWN + 10 * SEC;
+const BACK: u64 = DOWN + 10 * SEC;
 pub const WARM: u64 = BACK + WARM_UP;
 pub const DESTINATION: u64 = 1;
 pub const OTHER: u64 = 2;
@@ -34,18 +34,11 @@
 const NEXT_START_AFTER: u64 = 600 * MS;
 const BUDGET: u64 = 3_000_000;
 
-/// How discovery's next list comes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Form {
-    Whole,
-    Changes,
-}
-
 /// What differs from world to world.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
+    /// Discovery tells whole lists where it is odd, else changes.
     pub seed: u64,
-    pub form: Form,
     /// Endpoints are separate routes.
     pub apart: bool,
     /// Calls a second that the destination takes when it is warm; messages come at three quarters of that.
@@ -54,19 +47,19 @@
 
 impl Default for Terms {
     fn default() -> Terms {
-        Terms { seed: 1, form: Form::Changes, apart: false, capacity: 40.0 }
+        Terms { seed: 0, apart: false, capacity: 40.0 }
     }
 }
 
 pub struct World {
     pub now: u64,
-    pub terms: Terms,
+    terms: Terms,
     folder: Folder,
     core: Option<Core>,
     /// Discovery's list, what the relay's configuration has of it, and whether discovery says nothing.
     list: BTreeMap<String, Endpoint>,
     file: Vec<Endpoint>,
-    pub is_silent: bool,
+    is_silent: bool,
     /// From a start to discovery's first list.
     pub list_after: u64,
     /// The endpoints that refuse connections while the destination is down; none: all that are asked then.
@@ -75,28 +68,26 @@
     pub change_folder_at_kill: fn(&mut Journal),
     out: BTreeMap<(u64, u64), (Call, Outcome)>,
     /// When each call came, for which destination and to which endpoint.
-    pub calls: Vec<(u64, u64, String)>,
-    pub served: usize,
+    calls: Vec<(u64, u64, String)>,
+    served: usize,
     next_message: u64,
     count: u64,
     dice: ChaCha8Rng,
 }
 
-pub fn endpoint(name: &str, dest: u64, state: EndpointState) -> Endpoint {
+fn endpoint(name: &str, dest: u64, state: EndpointState) -> Endpoint {
     let (name, address) = (name.to_string(), "127.0.0.1:9".parse().unwrap());
     Endpoint { id: 0, name, address, dest, kind: 0, zone: 0, state, share: 1.0, terms: None }
 }
 
-pub fn active(name: &str) -> Endpoint {
-    endpoint(name, DESTINATION, EndpointState::Active)
-}
-
-pub fn leaving(name: &str) -> Endpoint {
-    endpoint(name, DESTINATION, EndpointState::Leaving)
-}
-
-pub fn left(name: &str) -> Endpoint {
-    endpoint(name, DESTINATION, EndpointState::Left)
+/// An endpoint of the destination by a word of a scenario: `+name` is active, `~name` drains and `-name` has left.
+fn listed(word: &str) -> Endpoint {
+    let state = match word.as_bytes()[0] {
+        b'+' => EndpointState::Active,
+        b'~' => EndpointState::Leaving,
+        _ => EndpointState::Left,
+    };
+    endpoint(&word[1..], DESTINATION, state)
 }
 
 fn journal(folder: &Folder) -> (Journal, Replayed) {
@@ -106,8 +97,8 @@
 impl World {
     /// A relay that knows two endpoints of the destination and one of another.
     pub fn new(name: &str, terms: Terms) -> World {
-        let folder = Folder::new(&format!("outages-{name}-{}-{:?}", terms.seed, terms.form));
-        let file = vec![active("s1"), active("s2"), endpoint("o1", OTHER, EndpointState::Active)];
+        let folder = Folder::new(&format!("outages-{name}-{}", terms.seed));
+        let file = vec![listed("+s1"), listed("+s2"), endpoint("o1", OTHER, EndpointState::Active)];
         let list = file.iter().map(|e| (e.name.clone(), e.clone())).collect();
         let mut world = World {
             now: START,
@@ -163,19 +154,37 @@
         self.core.as_mut().expect("the relay runs")
     }
 
+    /// Plays a scenario, steps parted by `;`. Times are in milliseconds: `at` is from the return on, `after` from now on.
+    pub fn play(&mut self, scenario: &str) {
+        for step in scenario.split(';').map(str::trim).filter(|step| !step.is_empty()) {
+            let (verb, words) = step.split_once(' ').unwrap_or((step, ""));
+            let ms = || words.parse::<i64>().unwrap() * MS as i64;
+            match verb {
+                "at" => self.run_until(BACK.saturating_add_signed(ms())),
+                "after" => self.run_until(self.now.saturating_add_signed(ms())),
+                "list" => self.list(&words.split(' ').map(listed).collect::<Vec<_>>()),
+                "silent" => self.is_silent = true,
+                "hear" => self.hear_whole_list(),
+                "kill" => self.kill_and_start(),
+                "upgrade" => self.upgrade(),
+                "cordon" => self.operate(Operation::Cordon(words.to_string())),
+                "uncordon" => self.operate(Operation::Uncordon(words.to_string())),
+                _ => panic!("no step: {step}"),
+            }
+        }
+    }
+
     /// Discovery lists these endpoints so from now on.
-    pub fn list(&mut self, changed: &[Endpoint]) {
+    fn list(&mut self, changed: &[Endpoint]) {
         for endpoint in changed {
             match endpoint.state {
                 EndpointState::Left => drop(self.list.remove(&endpoint.name)),
                 _ => drop(self.list.insert(endpoint.name.clone(), endpoint.clone())),
             }
         }
-        if self.core.is_some() && !self.is_silent {
-            match self.terms.form {
-                Form::Whole => self.hear_whole_list(),
-                Form::Changes => self.learn(false, changed.to_vec()),
-            }
+        match self.terms.seed % 2 == 1 {
+            true => self.hear_whole_list(),
+            false => self.learn(false, changed.to_vec()),
         }
     }
 
@@ -186,13 +195,13 @@
     }
 
     /// Discovery answers, with its whole list.
-    pub fn hear_whole_list(&mut self) {
+    fn hear_whole_list(&mut self) {
         self.is_silent = false;
         self.learn(true, self.list.values().cloned().collect());
     }
 
     /// The process is killed, and the next one started a moment later. A silent discovery tells it nothing.
-    pub fn kill_and_start(&mut self) {
+    fn kill_and_start(&mut self) {
         self.core = None;
         (self.change_folder_at_kill)(&mut journal(&self.folder).0);
         self.out.clear();
@@ -205,7 +214,7 @@
     }
 
     /// Another process takes over.
-    pub fn upgrade(&mut self) {
+    fn upgrade(&mut self) {
         let now = self.now;
         let released = self.core().release(now, Some(2));
         let bytes = postcard::to_stdvec(&released.handover).unwrap();
@@ -222,7 +231,7 @@
         journal(&copy).1.outages
     }
 
-    pub fn operate(&mut self, operation: Operation) {
+    fn operate(&mut self, operation: Operation) {
         let now = self.now;
         assert_eq!(self.core().operate(now, &operation), Operated::Done);
         self.work();
@@ -316,12 +325,8 @@
         self.calls.iter().filter(|(at, _, name)| (from..to).contains(at) && is_meant(name)).count()
     }
 
-    /// The worst span after the return: calls to the destination, and how many it bears at most within such a span.
-    pub fn worst(&self) -> (usize, f64) {
-        self.worst_of(self.terms.capacity, |_| true)
-    }
-
-    /// The same of some of its endpoints, which take so many calls a second together when they are warm.
+    /// The worst span after the return: calls to some endpoints of the destination, and how many these bear at most within such
+    /// a span, where they take so many a second together when they are warm.
     pub fn worst_of(&self, capacity: f64, is_meant: impl Fn(&str) -> bool) -> (usize, f64) {
         let is_meant = |(at, dest, name): &&(u64, u64, String)| {
             (BACK..WARM).contains(at) && *dest == DESTINATION && is_meant(name)
@@ -344,9 +349,16 @@
         (self.terms.capacity * mean_share * WARM_UP as f64 / 1e9 / 4.0) as usize
     }
 
+    /// Plays a scenario up to the end of the warming, and checks what came to the destination.
+    pub fn check(name: &str, scenario: &str, terms: Terms) {
+        let mut world = World::new(name, terms);
+        world.play(scenario);
+        world.check_worst(&format!("seed {}: {scenario}", terms.seed));
+    }
+
     /// Checks that the destination was not pushed over once it was back, and that it was used.
-    pub fn check(&self, what: &str) {
-        let (count, most) = self.worst();
+    pub fn check_worst(&self, what: &str) {
+        let (count, most) = self.worst_of(self.terms.capacity, |_| true);
         println!("{what}: {count} calls in the worst span, {most:.1} are borne, {} served", self.served);
         assert!(count as f64 <= most, "{what}: {count} calls within {FALL} ns, {most:.1} are borne");
         let used = self.calls_between(BACK, WARM, |_| true);
