Find the outages of routes in what a process of an older version hands over

Found by reading, before it was in service.

Cause: what is handed over was taken in without a review of the routes, which follow from how their endpoints stand.

Change: Relay::know has the routes of all endpoints that are known reviewed. The test plays an upgrade, too; it fails without this.

--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -75,6 +75,9 @@
     fn know(&mut self, knowledge: Knowledge) {
         (self.slowness, self.mean_cost) = (knowledge.slowness, knowledge.mean_cost);
         self.book.know(knowledge);
+        // Which routes are in an outage follows from how their hosts stand.
+        let known: Vec<HostId> = self.book.hosts.conditions().map(|(host, _)| host).collect();
+        self.book.unreviewed.extend(known);
         let v = self.book.virtual_time;
         self.book.flows.values_mut().for_each(|f| f.retag(self.mean_cost.min(f.cost), v));
         let dests: Vec<DestId> = self.book.flows.keys().copied().collect();
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -176,8 +176,8 @@
         accepted.max(paced).max(self.wait).max(self.rest)
     }
 
-    /// It holds calls back: it rests or is in an outage, or a limit of it was reported, was dealt out or has shown itself by refusals. A pace
-    /// that has come of the listing alone would be the same again.
+    /// It holds calls back: it rests or is in an outage, or a limit of it was reported, was dealt out or has shown itself by
+    /// refusals. A pace that has come of the listing alone would be the same again.
     pub fn binds(&self, now: Nanos) -> bool {
         let limited = self.limit > 0.0 || self.dealt.is_some();
         self.rests(now)
--- a/tests/outages/kills.rs
+++ b/tests/outages/kills.rs
@@ -43,15 +43,18 @@
     }
 }
 
-/// Guards a start over the journal of a version that knew of no outages of destinations: it has the names of endpoints alone.
+/// Guards a process that follows one of a version that knew of no outages of destinations: its journal has the names of
+/// endpoints alone, and what it hands over tells how these stand.
 #[test]
-fn a_start_over_an_older_journal_waits_for_the_list_to_name_its_endpoints() {
-    for seed in 0..3 {
-        let mut world = World::new("older", Terms { seed, ..Terms::default() });
-        world.list_after = 0;
-        world.change_folder_at_kill = |journal| journal.note_destination_outage(DESTINATION, None).unwrap();
-        world.play(&format!("{REPLACED_EARLY}; at -400; kill; at 9000"));
-        world.check_worst(&format!("seed {seed}"));
+fn a_process_behind_an_older_version_goes_by_its_endpoints() {
+    for then in ["at -400; kill", "at 100; upgrade; list +m1"] {
+        for seed in 0..3 {
+            let mut world = World::new("older", Terms { seed, ..Terms::default() });
+            world.list_after = 0;
+            world.change_folder = |journal| journal.note_destination_outage(DESTINATION, None).unwrap();
+            world.play(&format!("{REPLACED_EARLY}; {then}; at 9000"));
+            world.check_worst(&format!("seed {seed}: {then}"));
+        }
     }
 }
 
--- a/tests/outages/world.rs
+++ b/tests/outages/world.rs
@@ -64,8 +64,8 @@
     pub list_after: u64,
     /// The endpoints that refuse connections while the destination is down; none: all that are asked then.
     pub sick: Option<&'static str>,
-    /// What becomes of the journal of a process that was killed.
-    pub change_folder_at_kill: fn(&mut Journal),
+    /// What becomes of the journal between two processes.
+    pub change_folder: fn(&mut Journal),
     out: BTreeMap<(u64, u64), (Call, Outcome)>,
     /// When each call came, for which destination and to which endpoint.
     calls: Vec<(u64, u64, String)>,
@@ -110,7 +110,7 @@
             is_silent: false,
             list_after: 5 * MS,
             sick: None,
-            change_folder_at_kill: |_| (),
+            change_folder: |_| (),
             out: BTreeMap::new(),
             calls: Vec::new(),
             served: 0,
@@ -203,7 +203,7 @@
     /// The process is killed, and the next one started a moment later. A silent discovery tells it nothing.
     fn kill_and_start(&mut self) {
         self.core = None;
-        (self.change_folder_at_kill)(&mut journal(&self.folder).0);
+        (self.change_folder)(&mut journal(&self.folder).0);
         self.out.clear();
         self.run_until(self.now + NEXT_START_AFTER);
         self.start(None);
@@ -219,6 +219,7 @@
         let released = self.core().release(now, Some(2));
         let bytes = postcard::to_stdvec(&released.handover).unwrap();
         self.core = None;
+        (self.change_folder)(&mut journal(&self.folder).0);
         self.out.clear();
         self.start(Some(postcard::from_bytes(&bytes).unwrap()));
         self.work();
