--- a/src/program/departures.rs
+++ b/src/program/departures.rs
@@ -63,7 +63,7 @@
         self.is_stopped.set(true);
     }
 
-    /// The other process is gone: the list that was handed to it says what it was told and has kept.
+    /// The other process is gone: the list that was handed to it takes in what it has kept.
     pub fn take_back(&self, handed: &mut [Endpoint]) {
         if let Some(kept) = read(&self.dir) {
             self.departures.borrow_mut().merge(kept);
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -144,7 +144,7 @@
     let was_handed = handed.is_some();
     let core = cores.of(journal, replayed, handover);
     if was_handed {
-        // The process before this one may not have kept yet what it was told last.
+        // The process before this one may not have kept yet what it heard last.
         departures.take_in(core.catalog(), handed_seq);
     }
     let keeper = Keeper::new(&configuration.state, configuration.disk_bytes);
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -280,7 +280,7 @@
         }
     }
 
-    /// What is in an outage, as far as the journal has been told.
+    /// What is in an outage, as far as was noted.
     pub fn outages(&self) -> &Outages {
         &self.outages
     }
