Let a key rest behind an answer that is cut, as behind any reset

What callers saw: without any upgrade, message B of a key went out 0 to 1 ms behind a call with A whose endpoint reset the connection within its answer; the key rests for 100 ms behind a reset.

Cause: `Relay::ended` (src/decision/health.rs) listed by hand the outcomes that rest a key, and left out Spoilt, which is what a break within an answer is told as.

Change: Outcome::may_still_run names every outcome in one match without a default, so that a new one has to be placed. Spoilt covers also whole answers that cannot be read; their keys rest too, which costs such a key 100 ms.

--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -46,9 +46,7 @@
 
     pub(super) fn ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool) {
         let Some(a) = self.book.attempts.remove(&(id, attempt)) else { return };
-        let uncertain =
-            matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled | Outcome::Doubtful);
-        let rest = if uncertain { self.now + a.key_rest } else { 0 };
+        let rest = if outcome.may_still_run() { self.now + a.key_rest } else { 0 };
         self.book.key_back(&a.key, id, rest);
         let first = self.book.close_call(a.call, self.now);
         if let Outcome::Full { wait: wait @ 1.. } = outcome {
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -226,6 +226,19 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full { .. } | Outcome::Crowded | Outcome::NoConnection | Outcome::NotSent)
     }
+
+    /// The attempt ended without an answer that can be read whole: it may still be running.
+    pub fn may_still_run(self) -> bool {
+        match self {
+            Outcome::TimedOut
+            | Outcome::Broken
+            | Outcome::Spoilt
+            | Outcome::Cancelled
+            | Outcome::Doubtful => true,
+            Outcome::Served | Outcome::Error => false,
+            Outcome::Full { .. } | Outcome::Crowded | Outcome::NoConnection | Outcome::NotSent => false,
+        }
+    }
 }
 
 /// What the relay saw, in the order in which it happened.
