Hand over every attempt that is out, with the key that it holds

Cause: the lock of a key belonged to the message. Core::open_calls (src/routing/core/handover.rs) handed on only messages that are owed, so that nobody held the key of an ended one; Desk::release then gave up each attempt that was not handed on, and with it the whole call; Core::resting_key asked the message for its key, which was not there once the platform had acknowledged the end, and counted the rest from the hand-over.

Change: the attempt owns the lock. Core::begun keeps a KeyLock (key and rest) with each attempt from its first byte to its outcome. A hand-over names all attempts that are out, those of ended messages with their locks; the module takes them in (Event::Adopted, Book::enter_attempt) as attempts without a message, which hold their key and the slot of their call until the predecessor tells of the end, or is gone. No begun call is given up any more: it ends on its own. What is given up at a hand-over are calls of which nothing was begun, judged by call, no longer by attempt. An outcome that names only a part of an adopted call leaves the rest of it adopted.

Wire: version 2 of the messages between processes (HandedOver). A process offers version 2 first and 1 where that is refused; a version 1 process is served by the old form, from one it is read.

Logs: call-handed-over and call-adopted (endpoint, when begun, ids, which are over, keys), message-outcome-behind-end; released tells its version and keys.

--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -46,8 +46,10 @@
 
     pub(super) fn ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool) {
         let Some(a) = self.book.attempts.remove(&(id, attempt)) else { return };
-        let rest = if outcome.may_still_run() { self.now + a.key_rest } else { 0 };
-        self.book.key_back(&a.key, id, rest);
+        if let Some(KeyLock { key, rest }) = &a.lock {
+            let rests_until = if outcome.may_still_run() { self.now + rest } else { 0 };
+            self.book.key_back(key, id, rests_until);
+        }
         let first = self.book.close_call(a.call, self.now);
         if let Outcome::Full { wait: wait @ 1.. } = outcome {
             self.heed(a.host, wait);
@@ -69,7 +71,7 @@
         }
         let zone = self.book.hosts.get(&a.host).map_or(0, |h| h.zone());
         let Some(m) = self.book.messages.get_mut(&id) else {
-            self.book.leave_key(&a.key, id, self.now);
+            self.book.leave_key(&a.lock.map(|lock| lock.key), id, self.now);
             return;
         };
         m.out = false;
--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -62,6 +62,24 @@
     pub key_rest: Nanos,
 }
 
+/// The place of a message in the order of its key: an attempt holds it from its beginning to its end, however long its message
+/// lives.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyLock {
+    pub key: String,
+    /// Rest of the key after an attempt that may still be running.
+    pub rest: Nanos,
+}
+
+/// An attempt that another process of this relay made and that is still out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdoptedAttempt {
+    pub id: MsgId,
+    pub attempt: u32,
+    /// What it holds where its message is over; one that is held has its key itself.
+    pub lock: Option<KeyLock>,
+}
+
 /// How worth falls between aim and deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Late {
@@ -285,9 +303,9 @@
     DestinationOut { dest: DestId, last_call: Option<Nanos>, rate: f64 },
     /// What another process of this relay has learned, behind the messages that are restored.
     Known { knowledge: Box<Knowledge> },
-    /// A call that another process of this relay sent to this host so long ago, and that is still out: for these messages,
-    /// restored in the same step.
-    Adopted { host: HostId, ids: Vec<MsgId>, ago: Nanos },
+    /// A call that another process of this relay sent to this host so long ago, and that is still out: with messages that
+    /// were restored in the same step, and with such that are over.
+    Adopted { host: HostId, attempts: Vec<AdoptedAttempt>, ago: Nanos },
     /// Messages of this key but this one wait: an attempt of an earlier life may still be running.
     KeyRests { key: String, rest: Nanos, id: MsgId },
     /// The destination tells its limit, in calls a second from all relays together.
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -29,8 +29,8 @@
                 self.destination_was_out(*dest, *last_call, *rate)
             }
             Event::Known { knowledge } => self.know((**knowledge).clone()),
-            Event::Adopted { host, ids, ago } if self.book.hosts.contains_key(host) => {
-                self.book.adopt(*host, ids, self.now.saturating_sub(*ago));
+            Event::Adopted { host, attempts, ago } if self.book.hosts.contains_key(host) => {
+                self.book.adopt(*host, attempts, self.now.saturating_sub(*ago));
             }
             Event::KeyRests { key, rest, id } => {
                 self.book.key_rests(key, self.now.saturating_add(*rest), *id);
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -2,7 +2,7 @@
 
 use super::hosts::{Change, Hosts, IDLE_REMEMBERED};
 use super::*;
-use crate::decision::interface::{Entry, Event, Kind, Settings};
+use crate::decision::interface::{Entry, Event, KeyLock, Kind, Settings};
 use crate::decision::turns::{Ends, Turns};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -203,27 +203,30 @@
     }
 
     pub fn open_attempt(&mut self, id: MsgId, host: HostId, call: u64, sent: Nanos) {
-        let idle = self.hosts.get(&host).map_or(0, |h| sent.saturating_sub(h.last_used));
         let Some(m) = self.messages.get_mut(&id) else { return };
-        self.attempts.insert(
-            (id, m.attempts),
-            Attempt {
-                host,
-                call,
-                sent,
-                idle,
-                key: m.key.clone(),
-                key_rest: m.rules.key_rest,
-                cancelled: false,
-            },
-        );
+        let attempt = (id, m.attempts);
         m.attempts += 1;
         m.restored = false;
         m.out = true;
         self.ends.set(id, Some(m.deadline));
-        if let Some(k) = m.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
-            k.out += 1;
+        let lock = m.key.clone().map(|key| KeyLock { key, rest: m.rules.key_rest });
+        self.enter_attempt(attempt, lock, host, call, sent);
+    }
+
+    /// Counts an attempt that is out, and has it hold its key.
+    pub(super) fn enter_attempt(
+        &mut self,
+        attempt: (MsgId, u32),
+        lock: Option<KeyLock>,
+        host: HostId,
+        call: u64,
+        sent: Nanos,
+    ) {
+        let idle = self.hosts.get(&host).map_or(0, |h| sent.saturating_sub(h.last_used));
+        if let Some(lock) = &lock {
+            self.keys.entry(lock.key.clone()).or_default().out += 1;
         }
+        self.attempts.insert(attempt, Attempt { host, call, sent, idle, lock, cancelled: false });
     }
 
     /// The call of this attempt says nothing of its host any more.
@@ -338,8 +341,8 @@
     }
 
     /// An attempt of a message with this key has its outcome; others of the key wait until `rest`.
-    pub fn key_back(&mut self, key: &Option<String>, id: MsgId, rest: Nanos) {
-        let Some(k) = key.as_ref().and_then(|k| self.keys.get_mut(k)) else { return };
+    pub fn key_back(&mut self, key: &str, id: MsgId, rest: Nanos) {
+        let Some(k) = self.keys.get_mut(key) else { return };
         k.out = k.out.saturating_sub(1);
         if rest > 0 {
             k.rest = (k.rest.0.max(rest), id);
--- a/src/decision/records/continued.rs
+++ b/src/decision/records/continued.rs
@@ -2,15 +2,20 @@
 
 use super::book::Book;
 use super::{HostId, MsgId, Nanos, RouteId};
+use crate::decision::interface::AdoptedAttempt;
 
 impl Book {
-    /// Takes in a call that another process sent for these held messages.
-    pub fn adopt(&mut self, host: HostId, ids: &[MsgId], sent: Nanos) {
+    /// Takes in a call that another process sent. Attempts whose messages are over hold their keys all the same.
+    pub fn adopt(&mut self, host: HostId, attempts: &[AdoptedAttempt], sent: Nanos) {
         let dest = self.hosts[&host].dest;
-        let call = self.open_call(host, dest, sent, ids.len());
-        for id in ids {
-            self.take_tag(*id, dest);
-            self.open_attempt(*id, host, call, sent);
+        let call = self.open_call(host, dest, sent, attempts.len());
+        for AdoptedAttempt { id, attempt, lock } in attempts {
+            if self.messages.contains_key(id) {
+                self.take_tag(*id, dest);
+                self.open_attempt(*id, host, call, sent);
+            } else {
+                self.enter_attempt((*id, *attempt), lock.clone(), host, call, sent);
+            }
         }
         if let Some(h) = self.hosts.get_mut(&host) {
             (h.last_sent, h.last_used) = (h.last_sent.max(sent), h.last_used.max(sent));
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -14,7 +14,7 @@
 pub use knowledge::Knowledge;
 pub(crate) use outage::Outage;
 
-use super::interface::{DestId, HostId, MessageRules, MsgId, Nanos, Terms};
+use super::interface::{DestId, HostId, KeyLock, MessageRules, MsgId, Nanos, Terms};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -53,9 +53,8 @@
     pub sent: Nanos,
     /// How long its host had gone unused before it.
     pub idle: Nanos,
-    pub key: Option<String>,
-    /// Rest of the key where its outcome stays unknown.
-    pub key_rest: Nanos,
+    /// The key that it holds to its end.
+    pub lock: Option<KeyLock>,
     pub cancelled: bool,
 }
 
--- a/src/program/ownership.rs
+++ b/src/program/ownership.rs
@@ -189,14 +189,16 @@
     // It goes on serving while most of its journal is read.
     let preread = Preread::of(claim.dir, claim.classes).unwrap_or_else(|_| Preread::none());
     say(&mut writer, ToPredecessor::Ready).await?;
-    let ToSuccessor::Released(mut handover, descriptors) = hear(&mut reader).await? else {
-        return Err(Failed::Gone);
+    let (mut handover, descriptors) = match hear(&mut reader).await? {
+        ToSuccessor::HandedOver(handover, descriptors) => (*handover, descriptors),
+        ToSuccessor::Released(handover, descriptors) => (Handover::from(*handover), descriptors),
+        _ => return Err(Failed::Gone),
     };
     let opened = Journal::open_after(preread, claim.dir, claim.budget, claim.classes);
     let (mut journal, mut replayed) = opened.map_err(|_| Failed::Gone)?;
     journal.append_unwritten(std::mem::take(&mut handover.unwritten), &mut replayed);
     let predecessor = Predecessor { reader, writer, descriptors, process };
-    let (handover, clock) = (*handover, Clock::continued(anchor));
+    let clock = Clock::continued(anchor);
     let names = Names { kinds: hello.kinds.clone(), zones: hello.zones.clone() };
     Ok(TakenOver { journal, replayed, handover, names, predecessor, clock })
 }
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -8,7 +8,9 @@
 use crate::protocol::discovery::Names;
 use crate::protocol::platform::Platform;
 use crate::routing::core::Offer;
-use crate::routing::handover::{Handover, Hello, Operation, Successor, ToPredecessor, ToSuccessor, VERSION};
+use crate::routing::handover::{
+    Handover, Hello, Operation, Successor, ToPredecessor, ToSuccessor, LEGACY_VERSION, VERSION,
+};
 use crate::routing::journal::OpenError;
 use crate::routing::{Desk, Taken};
 use crate::transport::local_channel::{self, Reader, Writer};
@@ -102,20 +104,23 @@
             return None;
         };
         let process = local_channel::process_beyond(&stream);
-        let (reader, writer) = self.prepared(stream).await?;
+        let (reader, writer, version) = self.prepared(stream).await?;
         let from = Instant::now();
         let (to, queue) = unbounded_channel();
         let successor = Successor::new(to);
         // To its end nobody else runs: what is accepted, begun or decided is so wholly or not at all.
-        let handed = self.release(&successor);
+        let handed = self.release(&successor, version);
         spawn_local(send_away(self.front.legs.clone()));
         let us = from.elapsed().as_micros() as u64;
         tracing::info!(target: "takeover", event = "handed-over", us, "another process decides from now on");
         Some(TakenOver { reader, writer, queue, successor, handed, process })
     }
 
-    /// Who asks, once it has prepared all that it can.
-    async fn prepared(&self, stream: UnixStream) -> Option<(Reader<ToPredecessor>, Writer<ToSuccessor>)> {
+    /// Who asks, once it has prepared all that it can, and the version of its messages.
+    async fn prepared(
+        &self,
+        stream: UnixStream,
+    ) -> Option<(Reader<ToPredecessor>, Writer<ToSuccessor>, u32)> {
         let (mut reader, mut writer) = local_channel::framed(stream);
         let hello = timeout(HELLO_WITHIN, reader.next()).await;
         let Ok(Ok(ToPredecessor::Hello(hello))) = hello else { return None };
@@ -127,7 +132,7 @@
         let anchor = self.front.desk.clock.anchor();
         writer.send(&ToSuccessor::Welcome(anchor)).await.ok()?;
         match timeout(READY_WITHIN, reader.next()).await {
-            Ok(Ok(ToPredecessor::Ready)) => Some((reader, writer)),
+            Ok(Ok(ToPredecessor::Ready)) => Some((reader, writer, hello.version)),
             _ => {
                 tracing::warn!(target: "takeover", event = "takeover-abandoned", "a process that wanted to take over is gone: this one serves on");
                 None
@@ -139,9 +144,10 @@
     fn may_follow(&self, hello: &Hello) -> Result<(), String> {
         let (own, names) = (&self.hello, self.front.in_force.borrow().names.clone());
         match () {
-            () if hello.version != VERSION => {
-                Err(format!("it speaks version {} of the takeover, expected {VERSION}", hello.version))
-            }
+            () if ![LEGACY_VERSION, VERSION].contains(&hello.version) => Err(format!(
+                "it speaks version {} of the takeover, expected {LEGACY_VERSION} or {VERSION}",
+                hello.version
+            )),
             () if hello.name != own.name || hello.listen != own.listen => {
                 let (theirs, ours) = (
                     format!("{} on {}", hello.name, hello.listen),
@@ -156,8 +162,8 @@
         }
     }
 
-    /// Stops deciding, and tells the other what the journal does not tell.
-    fn release(&self, successor: &Rc<Successor>) -> Handed {
+    /// Stops deciding, and tells the other what the journal does not tell, in messages of this version.
+    fn release(&self, successor: &Rc<Successor>, version: u32) -> Handed {
         let front = &self.front;
         let names = front.in_force.borrow().names.clone();
         front.keeper.stop();
@@ -166,9 +172,13 @@
         self.beside.stop();
         let handover = front.desk.release(successor.clone(), front.listing.in_force()).handover;
         front.listing.retire();
-        let (calls, unwritten) = (handover.calls.len(), handover.unwritten.len());
-        tracing::info!(target: "takeover", event = "released", calls, unwritten, "the journal is released, {calls} calls stay here");
-        successor.tell(ToSuccessor::Released(Box::new(handover.clone()), descriptors::held()));
+        let (calls, keys, unwritten) = (handover.calls.len(), handover.keys.len(), handover.unwritten.len());
+        tracing::info!(target: "takeover", event = "released", version, calls, keys, unwritten, "the journal is released, {calls} calls stay here, {keys} keys rest");
+        let told = handover.clone();
+        successor.tell(match version {
+            LEGACY_VERSION => ToSuccessor::Released(Box::new(told.into()), descriptors::held()),
+            _ => ToSuccessor::HandedOver(Box::new(told), descriptors::held()),
+        });
         (handover, names)
     }
 
@@ -283,7 +293,8 @@
             ToSuccessor::Withdraw(no) => desk.withdraw(no),
             ToSuccessor::Ended(outcome) => desk.adopted_ended(outcome),
             ToSuccessor::Descriptors(held) => share.other_holds(held),
-            ToSuccessor::Refused(_) | ToSuccessor::Welcome(_) | ToSuccessor::Released(..) => {}
+            ToSuccessor::Refused(_) | ToSuccessor::Welcome(_) => {}
+            ToSuccessor::Released(..) | ToSuccessor::HandedOver(..) => {}
         }
     }
     writing.abort();
--- a/src/program/wiring.rs
+++ b/src/program/wiring.rs
@@ -20,7 +20,7 @@
 use crate::protocol::discovery::Names;
 use crate::protocol::platform::{list_figures, notice_figures, Platform};
 use crate::protocol::smpp::config::SmppConfig;
-use crate::routing::handover::{Hello, Operated, VERSION};
+use crate::routing::handover::{Hello, Operated, LEGACY_VERSION, VERSION};
 use crate::routing::{Classes, Clock, Desk};
 use crate::transport::network::Net;
 use crate::transport::Legs;
@@ -171,8 +171,12 @@
     let PlatformPlan { configuration, environment, names_before } = platform;
     let own_hello = plan.inherited.as_ref().map(|_| hello(&configuration, &configuration.names));
     // A process that serves goes by what is in force, whatever lies there now.
-    let names = names_before.iter().cloned().chain([configuration.names.clone()]);
-    let hellos = names.filter(|_| own_hello.is_some()).map(|names| hello(&configuration, &names)).collect();
+    let names = names_before.iter().chain([&configuration.names]);
+    let hellos = names.filter(|_| own_hello.is_some()).map(|names| hello(&configuration, names));
+    let hellos: Vec<Hello> = hellos.collect();
+    // A process of the version before refuses the first of them.
+    let legacy = hellos.iter().map(|hello| Hello { version: LEGACY_VERSION, ..hello.clone() });
+    let hellos = hellos.iter().cloned().chain(legacy).collect();
     let classes = Classes::of(&configuration.classes, &configuration.settings);
     let claim = Claim {
         dir: &configuration.state,
--- a/src/routing/core/calls.rs
+++ b/src/routing/core/calls.rs
@@ -32,8 +32,10 @@
             letters.sort_by_key(|(deadline, _)| Reverse(*deadline));
         }
         let letters: Vec<Letter> = letters.into_iter().map(|(_, letter)| letter).collect();
-        let begun = BegunAttempt { endpoint: call.endpoint, at: now, via };
-        self.begins(letters.iter().map(|l| &l.attempt), begun);
+        for Letter { attempt, .. } in &letters {
+            let lock = self.lock_of(attempt.transaction);
+            self.begins(attempt, BegunAttempt { endpoint: call.endpoint, at: now, via, lock });
+        }
         letters
     }
 
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -4,23 +4,26 @@
 use crate::attribution::Via;
 use crate::catalog::{EndpointId, EndpointView};
 use crate::decision::Knowledge;
-use crate::interface::Nanos;
-use crate::routing::facade::Left;
+use crate::interface::{KeyLock, Nanos};
+use crate::routing::facade::{Left, LeftCall};
 use crate::routing::handover::{Endpoints, Handover, OpenCall, RestingKey};
 use crate::routing::journal::LastOut;
-use crate::routing::values::{Attempt, TransactionNo};
-use std::collections::{BTreeMap, HashMap};
+use crate::routing::message_log;
+use crate::routing::values::{Attempt, OpenAttempt, TransactionNo};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// Calls whose first byte went and that have no outcome yet, by attempt.
+/// Attempts whose first byte went and that have no outcome yet. They stay here however long their messages live.
 pub(super) type Begun = HashMap<(TransactionNo, u32), BegunAttempt>;
 
 /// An attempt whose first byte went.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct BegunAttempt {
     pub endpoint: EndpointId,
     pub at: Nanos,
     /// The connection that it went on; of another process's none.
     pub via: Via,
+    /// The key that it holds until it has its outcome.
+    pub lock: Option<KeyLock>,
 }
 
 /// What a process stops deciding on.
@@ -28,8 +31,8 @@
 pub struct Released {
     /// For the process that takes over.
     pub handover: Handover,
-    /// Attempts that nobody waits for any more.
-    pub given_up: Vec<(TransactionNo, u32)>,
+    /// The attempts that it hands over: they go on here.
+    pub handed: HashSet<(TransactionNo, u32)>,
 }
 
 impl Core {
@@ -37,14 +40,15 @@
     pub fn release(&mut self, now: Nanos, seq: Option<u64>) -> Released {
         // What is written says how far the journal goes.
         self.journal.settle();
-        let (calls, given_up) = self.open_calls();
+        let (calls, handed) = self.open_calls();
+        calls.iter().for_each(|call| message_log::call_handed_over(call, &self.transactions));
         let endpoints = self.catalog.iter().map(EndpointView::to_endpoint).collect();
         let mut keys: Vec<RestingKey> = self
             .facade
             .resting_keys()
             .map(|(key, until, transaction)| RestingKey { key: key.to_string(), until, transaction })
             .collect();
-        keys.extend(given_up.iter().filter_map(|(no, _)| self.resting_key(now, *no)));
+        keys.extend(self.keys_of_ending(now, &handed));
         let knowledge = self.facade.knowledge();
         let named = |id: EndpointId| Some((id, self.catalog.get(id)?.name.to_string()));
         let names = knowledge.hosts().filter_map(named).collect();
@@ -52,43 +56,57 @@
             knowledge,
             names,
             keys,
+            all_keys_rest: 0,
+            has_lost_calls: false,
             calls,
             delivered: self.transactions.closed().delivered().cloned().collect(),
             list: Endpoints { seq, endpoints },
             journal_bytes: self.journal.bytes(),
             unwritten: self.journal.release(),
         };
-        Released { handover, given_up }
+        Released { handover, handed }
     }
 
-    /// Calls that go on at this process, and the attempts that do not: of messages that have their ends.
-    fn open_calls(&self) -> (Vec<OpenCall>, Vec<(TransactionNo, u32)>) {
+    /// Calls that go on at this process, whatever has become of their messages, and their attempts.
+    fn open_calls(&self) -> (Vec<OpenCall>, HashSet<(TransactionNo, u32)>) {
         let mut by_call: BTreeMap<(EndpointId, Nanos), Vec<(TransactionNo, u32)>> = BTreeMap::new();
-        for (attempt, BegunAttempt { endpoint, at, .. }) in &self.begun {
-            by_call.entry((*endpoint, *at)).or_default().push(*attempt);
+        for (attempt, begun) in &self.begun {
+            by_call.entry((begun.endpoint, begun.at)).or_default().push(*attempt);
         }
-        let (mut open, mut given_up) = (Vec::new(), Vec::new());
+        let (mut open, mut handed) = (Vec::new(), HashSet::new());
         for ((endpoint, begun), mut attempts) in by_call {
+            let Some(endpoint) = self.catalog.get(endpoint) else { continue };
             attempts.sort_unstable();
-            let is_owed = |no: &TransactionNo| self.transactions.get(*no).is_some_and(|t| t.ending.is_none());
-            let transactions: Vec<TransactionNo> =
-                attempts.iter().map(|(no, _)| *no).filter(is_owed).collect();
-            match self.catalog.get(endpoint).filter(|_| !transactions.is_empty()) {
-                Some(endpoint) => {
-                    let endpoint = endpoint.name.to_string();
-                    open.push(OpenCall { endpoint, begun, transactions });
-                }
-                None => given_up.extend(attempts),
-            }
+            handed.extend(&attempts);
+            let attempts = attempts.iter().map(|attempt| self.open_attempt(*attempt)).collect();
+            open.push(OpenCall { endpoint: endpoint.name.to_string(), begun, attempts });
         }
-        (open, given_up)
+        (open, handed)
+    }
+
+    fn open_attempt(&self, attempt: (TransactionNo, u32)) -> OpenAttempt {
+        let transaction = attempt.0;
+        let is_owed = self.transactions.get(transaction).is_some_and(|t| t.ending.is_none());
+        let lock = self.begun.get(&attempt).and_then(|begun| begun.lock.clone());
+        OpenAttempt { transaction, is_owed, lock }
+    }
+
+    /// Keys of attempts that end with the hand-over, since their endpoints left long ago and are not known any more.
+    fn keys_of_ending(&self, now: Nanos, handed: &HashSet<(TransactionNo, u32)>) -> Vec<RestingKey> {
+        let ending = self.begun.iter().filter(|(attempt, _)| !handed.contains(attempt));
+        let resting = ending.filter_map(|((transaction, _), begun)| {
+            let KeyLock { key, rest } = begun.lock.clone()?;
+            Some(RestingKey { key, until: now + rest, transaction: *transaction })
+        });
+        resting.collect()
     }
 
-    /// The key of a message of which an attempt is given up.
-    fn resting_key(&self, now: Nanos, no: TransactionNo) -> Option<RestingKey> {
+    /// The key that each attempt of this message holds.
+    pub(super) fn lock_of(&self, no: TransactionNo) -> Option<KeyLock> {
         let t = self.transactions.get(no)?;
-        let (key, rules) = (t.key.clone()?, self.journal.classes().rules(t.class)?);
-        Some(RestingKey { key, until: now + rules.key_rest, transaction: no })
+        let rules = self.journal.classes().rules(t.class)?;
+        let key = t.key.clone().filter(|_| rules.class.in_order)?;
+        Some(KeyLock { key, rest: rules.key_rest })
     }
 
     /// What another process has learned, by the numbers that endpoints have here.
@@ -102,16 +120,9 @@
         let continues = handover.is_some();
         let handover = handover.unwrap_or_default();
         self.transactions.remember_delivered(now, &handover.delivered);
-        let mut calls = Vec::new();
-        for call in &handover.calls {
-            let Some(endpoint) = self.catalog.find(&call.endpoint) else { continue };
-            let is_out = |no: &TransactionNo| self.transactions.get(*no).is_some_and(|t| t.out.is_some());
-            let ids: Vec<TransactionNo> = call.transactions.iter().copied().filter(is_out).collect();
-            if !ids.is_empty() {
-                calls.push((endpoint, call.begun, ids));
-            }
-        }
-        let adopted = calls.iter().flat_map(|(.., ids)| ids.iter().copied()).collect();
+        let calls: Vec<LeftCall> =
+            handover.calls.iter().filter_map(|call| self.left_call(now, call)).collect();
+        let adopted = calls.iter().flat_map(|call| &call.attempts).map(|a| a.transaction).collect();
         let (asks, strange) = self.restored(now, &adopted);
         let (endpoint_outages, destination_outages) = self.outages_of_before(now, last_out);
         // What another process has learned of endpoints says more.
@@ -127,23 +138,39 @@
             destination_outages,
             knowledge,
             keys: keys.collect(),
-            calls: calls
-                .iter()
-                .map(|(id, begun, ids)| (*id, now.saturating_sub(*begun), ids.clone()))
-                .collect(),
+            calls: calls.clone(),
         };
         let (picked, adopted) = self.facade.restore(now, left);
-        for (call, (endpoint, begun, _)) in adopted.iter().zip(&calls) {
-            let begun = BegunAttempt { endpoint: *endpoint, at: *begun, via: Via::default() };
-            self.begins(call.attempts.iter(), begun);
+        for (call, left) in adopted.iter().zip(calls) {
+            let (endpoint, at, via) = (left.endpoint, now.saturating_sub(left.ago), Via::default());
+            let hop = self.catalog.get(endpoint).map_or("", |endpoint| endpoint.name);
+            message_log::call_adopted(hop, at, &left.attempts);
+            for (attempt, open) in call.attempts.iter().zip(left.attempts) {
+                self.begins(attempt, BegunAttempt { endpoint, at, via, lock: open.lock });
+            }
         }
         self.work.adopted.extend(adopted);
         self.absorb(now, picked);
         self.fail_all(now, strange);
     }
 
-    /// The first byte of these attempts went.
-    pub(super) fn begins<'a>(&mut self, attempts: impl Iterator<Item = &'a Attempt>, begun: BegunAttempt) {
-        self.begun.extend(attempts.map(|a| ((a.transaction, a.number), begun)));
+    /// A call that goes on at the process that handed over; none where nothing of it is out.
+    fn left_call(&self, now: Nanos, call: &OpenCall) -> Option<LeftCall> {
+        let endpoint = self.catalog.find(&call.endpoint)?;
+        // An end that was heard before counts; of a message that is over nothing more is known here.
+        let is_out =
+            |open: &&OpenAttempt| self.transactions.get(open.transaction).is_none_or(|t| t.out.is_some());
+        let attempts = call.attempts.iter().filter(is_out).map(|open| {
+            let lock = self.lock_of(open.transaction).or_else(|| open.lock.clone());
+            OpenAttempt { lock, ..open.clone() }
+        });
+        let attempts: Vec<OpenAttempt> = attempts.collect();
+        let ago = now.saturating_sub(call.begun);
+        (!attempts.is_empty()).then_some(LeftCall { endpoint, ago, attempts })
+    }
+
+    /// The first byte of an attempt went.
+    pub(super) fn begins(&mut self, attempt: &Attempt, begun: BegunAttempt) {
+        self.begun.insert((attempt.transaction, attempt.number), begun);
     }
 }
--- a/src/routing/core/outcomes.rs
+++ b/src/routing/core/outcomes.rs
@@ -67,7 +67,11 @@
     ) -> Option<TransactionNo> {
         let no = attempt.transaction;
         let begun = self.begun.remove(&(no, attempt.number));
-        let t = self.transactions.get_mut(no)?;
+        let Some(t) = self.transactions.get_mut(no) else {
+            let key = begun.and_then(|begun| Some(begun.lock?.key));
+            message_log::outcome_behind_end(attempt, hop, &reply, key.as_deref());
+            return None;
+        };
         message_log::outcome(t, attempt, hop, &reply, begun.is_some());
         if begun.is_none() && reply.settles() {
             let text = format!("an attempt that is not out was said to be over: {}", t.id);
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -2,7 +2,8 @@
 
 use super::super::core::{Carried, Core, Released};
 use super::super::handover::{CallOutcome, Successor, ToPredecessor};
-use super::super::values::{Call, Reply, TransactionNo};
+use super::super::passage::Signals;
+use super::super::values::{Attempt, Call, Reply, TransactionNo};
 use super::{Desk, Front};
 use crate::interface::Outcome;
 use std::rc::Rc;
@@ -19,15 +20,14 @@
         self.reported.borrow_mut().clear();
         self.roles.retire(successor);
         self.front.retire();
-        let begun = |attempt: &(TransactionNo, u32)| {
-            let mut calls = released.handover.calls.iter();
-            calls.any(|call| call.transactions.contains(&attempt.0))
-        };
-        // What was not begun yet never will be here; what nobody waits for is given up.
+        // What was not begun yet never will be here.
         let out = self.out.borrow();
-        out.iter()
-            .filter(|(attempt, _)| !begun(attempt))
-            .for_each(|(_, signals)| signals.cancelled.notify_one());
+        let goes_on = |signals: &Rc<Signals>| {
+            let mut handed = out.iter().filter(|(attempt, _)| released.handed.contains(attempt));
+            handed.any(|(_, of)| Rc::ptr_eq(of, signals))
+        };
+        let ending = out.values().filter(|signals| !goes_on(signals));
+        ending.for_each(|signals| signals.cancelled.notify_one());
         released
     }
 
@@ -94,10 +94,8 @@
     /// A call has ended that the process before this one had made.
     pub fn adopted_ended(self: &Rc<Self>, outcome: CallOutcome) {
         let CallOutcome { replies, limit, idle, echo, wait, refused, took } = outcome;
-        let is_of =
-            |call: &Call| call.attempts.iter().any(|a| replies.iter().any(|(no, _)| *no == a.transaction));
-        let place = self.adopted.borrow().iter().position(is_of);
-        let Some(call) = place.map(|place| self.adopted.borrow_mut().swap_remove(place)) else {
+        let has_ended = |attempt: &Attempt| replies.iter().any(|(no, _)| *no == attempt.transaction);
+        let Some(call) = self.take_adopted(has_ended) else {
             return self.act(|core, now| core.answered_before(now, &replies));
         };
         let attempt_of = |no: TransactionNo| call.attempts.iter().find(|a| a.transaction == no);
@@ -106,6 +104,18 @@
         self.ended(&call, carried, took, self.life.get());
     }
 
+    /// Takes out an adopted call with attempts that have ended; others of it stay.
+    fn take_adopted(&self, has_ended: impl Fn(&Attempt) -> bool) -> Option<Call> {
+        let mut adopted = self.adopted.borrow_mut();
+        let place = adopted.iter().position(|call| call.attempts.iter().any(&has_ended))?;
+        let Call { endpoint, attempts } = adopted.swap_remove(place);
+        let (ended, open): (Vec<_>, Vec<_>) = attempts.into_iter().partition(has_ended);
+        if !open.is_empty() {
+            adopted.push(Call { endpoint, attempts: open });
+        }
+        Some(Call { endpoint, attempts: ended })
+    }
+
     /// The process before this one is gone: its calls that had no outcome may have run.
     pub fn predecessor_gone(self: &Rc<Self>) {
         self.roles.follow(None);
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -4,13 +4,15 @@
 
 mod values;
 
-pub use values::{Ask, DestinationOutage, EndpointOutage, Left, Picked, Told};
+pub use values::{Ask, DestinationOutage, EndpointOutage, Left, LeftCall, Picked, Told};
 
 use super::values::{Attempt, Call, End, Limit, Reply, TransactionNo};
 use crate::catalog::{EndpointId, EndpointState, EndpointView};
 use crate::decision::views::HostView;
 use crate::decision::{Knowledge, Relay};
-use crate::interface::{Action, CallTerms, Entry, Event, HostId, Listing, MessageRules, Nanos, Settings};
+use crate::interface::{
+    Action, AdoptedAttempt, CallTerms, Entry, Event, HostId, Listing, MessageRules, Nanos, Settings,
+};
 use std::collections::{BTreeSet, HashMap};
 
 /// An endpoint as the module is told of it.
@@ -105,10 +107,16 @@
         let rests = left.keys.into_iter();
         events.extend(rests.map(|(key, rest, id)| Event::KeyRests { key, rest, id }));
         let mut calls = Vec::new();
-        for (endpoint, ago, ids) in left.calls {
-            let attempts = ids.iter().map(|id| self.next_attempt(*id, 0)).collect();
-            events.push(Event::Adopted { host: endpoint, ids, ago });
-            calls.push(Call { endpoint, attempts });
+        for LeftCall { endpoint, ago, attempts } in left.calls {
+            let numbered: Vec<Attempt> =
+                attempts.iter().map(|a| self.adopted_attempt(a.transaction)).collect();
+            let adopted = attempts.into_iter().zip(&numbered).map(|(open, attempt)| AdoptedAttempt {
+                id: open.transaction,
+                attempt: attempt.number,
+                lock: open.lock,
+            });
+            events.push(Event::Adopted { host: endpoint, attempts: adopted.collect(), ago });
+            calls.push(Call { endpoint, attempts: numbered });
         }
         (self.step(now, &events), calls)
     }
@@ -143,6 +151,14 @@
         attempt
     }
 
+    /// An attempt that is out at another process. A message that is over has no further one, so that any number names it.
+    fn adopted_attempt(&mut self, id: TransactionNo) -> Attempt {
+        match self.attempts.contains_key(&id) {
+            true => self.next_attempt(id, 0),
+            false => Attempt { transaction: id, number: 0, timeout: 0 },
+        }
+    }
+
     fn asked(&mut self, asks: Vec<Ask>) -> Vec<Event> {
         let mut events = Vec::new();
         for a in asks {
--- a/src/routing/facade/values.rs
+++ b/src/routing/facade/values.rs
@@ -1,6 +1,6 @@
 //! What the facade is told and gives back.
 
-use super::super::values::{Call, End, Limit, TransactionNo};
+use super::super::values::{Call, End, Limit, OpenAttempt, TransactionNo};
 use crate::catalog::EndpointId;
 use crate::decision::Knowledge;
 use crate::interface::{MessageRules, Nanos};
@@ -86,6 +86,15 @@
     pub knowledge: Option<Knowledge>,
     /// Keys that rest, and the message that does not wait for it.
     pub keys: Vec<(String, Nanos, TransactionNo)>,
-    /// Calls that are out at another process, how long ago they were begun, and their messages.
-    pub calls: Vec<(EndpointId, Nanos, Vec<TransactionNo>)>,
+    /// Calls that are out at another process.
+    pub calls: Vec<LeftCall>,
+}
+
+/// A call that is out at another process.
+#[derive(Clone, Debug)]
+pub struct LeftCall {
+    pub endpoint: EndpointId,
+    /// How long ago it was begun.
+    pub ago: Nanos,
+    pub attempts: Vec<OpenAttempt>,
 }
--- a/src/routing/handover/mod.rs
+++ b/src/routing/handover/mod.rs
@@ -6,13 +6,16 @@
 //! limits), keys that rest, what could not be written. The process that hands over (the predecessor) keeps its open connections, answers what comes on them by asking
 //! the other (the successor), and reports the outcomes of its calls to it.
 
+mod legacy;
 mod roles;
 
+pub use legacy::LegacyHandover;
 pub use roles::{Roles, Successor};
 
 use super::clock::Anchor;
+use super::core::Carried;
 use super::core::Offer;
-use super::values::{Limit, Reply, TransactionNo};
+use super::values::{Call, Limit, OpenAttempt, Reply, TransactionNo};
 use super::Taken;
 use crate::catalog::{Endpoint, EndpointId};
 use crate::decision::Knowledge;
@@ -21,8 +24,11 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Version of these messages; processes of different versions do not take over from each other.
-pub const VERSION: u32 = 1;
+/// Version of these messages.
+pub const VERSION: u32 = 2;
+/// The version before, which hands over no attempts of messages that are over. Processes of either version take over from each
+/// other.
+pub const LEGACY_VERSION: u32 = 1;
 
 /// Who wants to take over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,8 +52,8 @@
     pub endpoint: String,
     /// When its first byte went.
     pub begun: Nanos,
-    /// Its messages.
-    pub transactions: Vec<TransactionNo>,
+    /// Its attempts, those of messages that are over included.
+    pub attempts: Vec<OpenAttempt>,
 }
 
 /// A key of which an attempt may still be running.
@@ -85,6 +91,10 @@
     pub names: Vec<(EndpointId, String)>,
     /// Keys that rest.
     pub keys: Vec<RestingKey>,
+    /// Until when all keys rest, since a process before ended with calls of which nobody tells.
+    pub all_keys_rest: Nanos,
+    /// Calls ended with the hand-over of which nobody tells.
+    pub has_lost_calls: bool,
     /// Ids of messages delivered of late, the oldest first.
     pub delivered: Vec<String>,
     /// The endpoints.
@@ -110,6 +120,17 @@
     pub took: Nanos,
 }
 
+impl CallOutcome {
+    /// What came of a call that was handed over.
+    pub fn of(call: &Call, carried: Carried, took: Nanos) -> CallOutcome {
+        let Carried { replies, limit, idle, echo, wait, refused, .. } = carried;
+        let of_call = |no: &TransactionNo| call.attempts.iter().any(|a| a.transaction == *no);
+        let replies = replies.into_iter().map(|(attempt, reply)| (attempt.transaction, reply));
+        let replies = replies.filter(|(no, _)| of_call(no)).collect();
+        CallOutcome { replies, limit, idle, echo, wait, refused, took }
+    }
+}
+
 /// An operator's call at the console.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Operation {
@@ -139,9 +160,8 @@
     Refused(String),
     /// It may, and goes on with this clock.
     Welcome(Anchor),
-    /// The journal is free from now on, and this is what it does not tell. The number of descriptors that the predecessor
-    /// holds.
-    Released(Box<Handover>, usize),
+    /// The same as `HandedOver`, to a process of the version before.
+    Released(Box<LegacyHandover>, usize),
     /// A message came in on a connection of the predecessor's, one of a version that knows classes by their places. The number
     /// names the answer.
     Take(u64, PlacedOffer),
@@ -155,6 +175,9 @@
     Descriptors(usize),
     /// A message came in on a connection of the predecessor's. The number names the answer.
     Offered(u64, Offer),
+    /// The journal is free from now on, and this is what it does not tell. The number of descriptors that the predecessor
+    /// holds.
+    HandedOver(Box<Handover>, usize),
 }
 
 /// An [`Offer`] as versions write it that know classes by their places in the settings.
--- a/src/routing/handover/roles.rs
+++ b/src/routing/handover/roles.rs
@@ -1,7 +1,7 @@
 //! Which part a process has in its relay: it serves, or another took over from it.
 
 use super::super::core::{Carried, Offer};
-use super::super::values::{Call, TransactionNo};
+use super::super::values::Call;
 use super::super::Taken;
 use super::{CallOutcome, Operated, Operation, ToPredecessor, ToSuccessor};
 use crate::interface::Nanos;
@@ -135,11 +135,7 @@
 
     /// Tells the outcome of a call that was handed over open.
     pub fn report(&self, call: &Call, carried: Carried, took: Nanos) {
-        let Carried { replies, limit, idle, echo, wait, refused, .. } = carried;
-        let of_call = |no: &TransactionNo| call.attempts.iter().any(|a| a.transaction == *no);
-        let replies = replies.into_iter().map(|(attempt, reply)| (attempt.transaction, reply));
-        let replies = replies.filter(|(no, _)| of_call(no)).collect();
-        self.tell(ToSuccessor::Ended(CallOutcome { replies, limit, idle, echo, wait, refused, took }));
+        self.tell(ToSuccessor::Ended(CallOutcome::of(call, carried, took)));
     }
 
     /// Waits until it has heard of all that was said to it so far; false where it is gone before. An operation on an endpoint without
--- a/src/routing/message_log.rs
+++ b/src/routing/message_log.rs
@@ -1,8 +1,9 @@
 //! The life of each message in the log, at level debug under the target `messages`: one line an event, each with the
 //! message's id in the field `id`, so that a search for an id finds all of it.
 
-use super::transactions::{Ending, Transaction};
-use super::values::{Attempt, Reply};
+use super::handover::OpenCall;
+use super::transactions::{Ending, Transaction, Transactions};
+use super::values::{Attempt, OpenAttempt, Reply};
 use crate::attribution::Via;
 use std::fmt;
 
@@ -47,6 +48,33 @@
     tracing::debug!(target: TARGET, event = "message-outcome", id = %t.id, attempt = attempt.number, hop, ?reply, was_out);
 }
 
+/// An attempt has its outcome, of a message that is over.
+pub fn outcome_behind_end(attempt: &Attempt, hop: &str, reply: &Reply, key: Option<&str>) {
+    let (no, attempt) = (attempt.transaction, attempt.number);
+    tracing::debug!(target: TARGET, event = "message-outcome-behind-end", no, attempt, hop, ?reply, key);
+}
+
+/// A call goes on at this process while another one decides; of messages that are over only the numbers are known.
+pub fn call_handed_over(call: &OpenCall, transactions: &Transactions) {
+    let OpenCall { endpoint, begun, attempts } = call;
+    let id = |open: &OpenAttempt| Some(transactions.get(open.transaction)?.id.as_str());
+    let ids: Vec<&str> = attempts.iter().filter_map(id).collect();
+    let over = attempts.iter().filter(|open| !open.is_owed).map(|open| open.transaction);
+    let (over, keys) = (over.collect::<Vec<_>>(), keys_of(attempts));
+    tracing::info!(target: "takeover", event = "call-handed-over", hop = %endpoint, begun, ?ids, ?over, ?keys);
+}
+
+/// A call goes on at the process before this one.
+pub fn call_adopted(hop: &str, begun: u64, attempts: &[OpenAttempt]) {
+    let (nos, keys): (Vec<_>, _) = (attempts.iter().map(|a| a.transaction).collect(), keys_of(attempts));
+    tracing::info!(target: "takeover", event = "call-adopted", hop, begun, ?nos, ?keys);
+}
+
+/// The keys that these attempts hold.
+fn keys_of(attempts: &[OpenAttempt]) -> Vec<&str> {
+    attempts.iter().filter_map(|open| Some(open.lock.as_ref()?.key.as_str())).collect()
+}
+
 /// The relay has decided how a message ends.
 pub fn ending(t: &Transaction, ending: Ending, written: bool) {
     tracing::debug!(target: TARGET, event = "message-ending", id = %t.id, ?ending, written);
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -3,7 +3,7 @@
 pub use crate::settlement::{Reply, Standing};
 
 use crate::catalog::EndpointId;
-use crate::interface::Nanos;
+use crate::interface::{KeyLock, Nanos};
 use serde::{Deserialize, Serialize};
 
 /// A transaction's place in the order taken, across restarts.
@@ -18,6 +18,16 @@
     pub timeout: Nanos,
 }
 
+/// An attempt that is out, whatever has become of its message since.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenAttempt {
+    pub transaction: TransactionNo,
+    /// Its message still waits for its end.
+    pub is_owed: bool,
+    /// The key that it holds until it has its outcome.
+    pub lock: Option<KeyLock>,
+}
+
 /// Attempts that travel to one next hop together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
