Have all keys rest where calls ended of which nobody tells

Cores::again cleared the calls of the hand-over, and Desk::give_up_calls let go of those that had not ended in 250 ms.

Change: Core::taking_over tells what it follows (Before): nobody, a process that is gone, or a hand-over. What is left of that rest goes with a hand-over. A process that decides again adopts the calls that have not ended when it gave them up, its own and those of the process before it, and hears of their ends. The functions of keys move from book.rs and continued.rs to records/keys.rs.

Cost: a keyed message that was not sent before waits for the rest (100 ms on the known sites) behind a kill or a take-back, and at no other time.

--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -47,6 +47,8 @@
     /// theirs keep their places in their keys' lines.
     pub settles_later: bool,
     pub unsettled: BTreeMap<MsgId, String>,
+    /// Until then keys rest for attempts of an earlier life of which nobody knows.
+    pub all_keys_rest: Nanos,
 }
 
 impl Book {
@@ -280,13 +282,6 @@
         self.calls_to.range((host, 0)..=(host, u64::MAX)).filter_map(|(_, call)| self.calls.get(call))
     }
 
-    /// Puts a message that has its end back into its key's line, by the order taken.
-    pub fn leave_unsettled(&mut self, id: MsgId, key: String) {
-        let line = &mut self.keys.entry(key.clone()).or_default().line;
-        line.insert(line.partition_point(|m| *m < id), id);
-        self.unsettled.insert(id, key);
-    }
-
     /// Gives a message the past that it had before a restart.
     pub fn restore(&mut self, now: Nanos, id: MsgId, attempts: u32, may_have_run: Option<(Nanos, usize)>) {
         let Some(m) = self.messages.get_mut(&id) else { return };
@@ -334,21 +329,6 @@
         Some(start)
     }
 
-    /// Whether a message may go as far as its key is concerned: it is the first of its line, none is out, none rests.
-    pub fn key_free(&self, id: MsgId, m: &Message, now: Nanos) -> bool {
-        let Some(k) = m.key.as_ref().and_then(|k| self.keys.get(k)) else { return true };
-        k.line.front() == Some(&id) && k.out == 0 && (now >= k.rest.0 || k.rest.1 == id)
-    }
-
-    /// An attempt of a message with this key has its outcome; others of the key wait until `rest`.
-    pub fn key_back(&mut self, key: &str, id: MsgId, rest: Nanos) {
-        let Some(k) = self.keys.get_mut(key) else { return };
-        k.out = k.out.saturating_sub(1);
-        if rest > 0 {
-            k.rest = (k.rest.0.max(rest), id);
-        }
-    }
-
     fn count_out(&mut self, host: HostId, dest: DestId, by: isize) {
         if let Some(h) = self.hosts.get_mut(&host) {
             h.out = h.out.saturating_add_signed(by);
@@ -357,24 +337,4 @@
             f.out = f.out.saturating_add_signed(by);
         }
     }
-
-    /// Takes a finished message out of its key's line; the line stays while an attempt is out or it rests.
-    pub fn leave_key(&mut self, key: &Option<String>, id: MsgId, now: Nanos) {
-        let Some(key) = key.as_ref().filter(|_| !self.unsettled.contains_key(&id)) else { return };
-        if let Some(k) = self.keys.get_mut(key) {
-            // Most are the first of their line.
-            let was_first = k.line.front() == Some(&id);
-            match was_first {
-                true => drop(k.line.pop_front()),
-                false => k.line.retain(|m| *m != id),
-            }
-            let first = k.line.front().copied();
-            if first.is_none() && k.out == 0 && k.rest.0 <= now {
-                self.keys.remove(key);
-            }
-            if let Some(first) = first.filter(|_| was_first) {
-                self.rank(first);
-            }
-        }
-    }
 }
--- a/src/decision/records/continued.rs
+++ b/src/decision/records/continued.rs
@@ -1,7 +1,7 @@
-//! What goes on from one process of the relay to the next: calls that are out, keys that rest.
+//! What goes on from one process of the relay to the next: calls that are out, waits.
 
 use super::book::Book;
-use super::{HostId, MsgId, Nanos, RouteId};
+use super::{HostId, Nanos, RouteId};
 use crate::decision::interface::AdoptedAttempt;
 
 impl Book {
@@ -53,18 +53,4 @@
             route.pace = route.pace.filter(|_| was_shown);
         }
     }
-
-    /// Others of this key wait until then.
-    pub fn key_rests(&mut self, key: &str, until: Nanos, id: MsgId) {
-        let line = self.keys.entry(key.to_string()).or_default();
-        if until > line.rest.0 {
-            line.rest = (until, id);
-        }
-    }
-
-    /// Keys that rest, until when, and the message that does not wait for it.
-    pub fn resting_keys(&self, now: Nanos) -> impl Iterator<Item = (&str, Nanos, MsgId)> {
-        let resting = self.keys.iter().filter(move |(_, line)| line.rest.0 > now);
-        resting.map(|(key, line)| (key.as_str(), line.rest.0, line.rest.1))
-    }
 }
--- a/src/decision/records/mod.rs
+++ b/src/decision/records/mod.rs
@@ -5,6 +5,7 @@
 mod flow;
 mod host;
 mod hosts;
+mod keys;
 mod knowledge;
 mod outage;
 
--- a/src/program/fronts.rs
+++ b/src/program/fronts.rs
@@ -89,8 +89,8 @@
         let (mut journal, mut replayed) =
             Journal::open_after(Preread::none(), &configuration.state, budget, &classes)?;
         let lacks_records = journal.lacks_records();
-        // Its calls are not waited for any more.
-        handed.calls.clear();
+        // Calls that the other had out ended with it.
+        handed.has_lost_calls = true;
         let unwritten = std::mem::take(&mut handed.unwritten);
         // Who wrote anything wrote these first.
         if journal.bytes() == handed.journal_bytes {
--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -205,7 +205,8 @@
     /// Decides again with the other gone; false where a third process does, or this one ends.
     async fn take_back(&self, (mut handed, names): Handed) -> bool {
         let front = &self.front;
-        front.desk.give_up_calls().await;
+        let open = front.desk.give_up_calls().await;
+        handed.calls.retain(|call| call.attempts.iter().any(|attempt| open.contains(&attempt.transaction)));
         front.departures.take_back(&mut handed.list.endpoints);
         let from = Instant::now();
         let core = loop {
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -35,6 +35,17 @@
     pub handed: HashSet<(TransactionNo, u32)>,
 }
 
+/// What this process follows.
+#[derive(Debug)]
+pub(super) enum Before {
+    /// Nothing: the folder was empty.
+    Nobody,
+    /// A process that is gone, with the calls that it had out.
+    Killed,
+    /// A process that told what its journal does not.
+    HandedOver(Box<Handover>),
+}
+
 impl Core {
     /// Stops deciding, and gives the journal away. `seq`: the version of discovery's list that is wholly in force.
     pub fn release(&mut self, now: Nanos, seq: Option<u64>) -> Released {
@@ -56,7 +67,7 @@
             knowledge,
             names,
             keys,
-            all_keys_rest: 0,
+            all_keys_rest: self.facade.all_keys_rest(),
             has_lost_calls: false,
             calls,
             delivered: self.transactions.closed().delivered().cloned().collect(),
@@ -116,9 +127,13 @@
     }
 
     /// Takes in what another process handed over; its endpoints are known already.
-    pub(super) fn take_over(&mut self, now: Nanos, handover: Option<Handover>, last_out: &LastOut) {
-        let continues = handover.is_some();
-        let handover = handover.unwrap_or_default();
+    pub(super) fn take_over(&mut self, now: Nanos, before: Before, last_out: &LastOut) {
+        let continues = matches!(before, Before::HandedOver(_));
+        let has_lost_calls = matches!(before, Before::Killed);
+        let handover = match before {
+            Before::HandedOver(handover) => *handover,
+            Before::Nobody | Before::Killed => Handover::default(),
+        };
         self.transactions.remember_delivered(now, &handover.delivered);
         let calls: Vec<LeftCall> =
             handover.calls.iter().filter_map(|call| self.left_call(now, call)).collect();
@@ -127,6 +142,7 @@
         let (endpoint_outages, destination_outages) = self.outages_of_before(now, last_out);
         // What another process has learned of endpoints says more.
         let endpoint_outages = if continues { Vec::new() } else { endpoint_outages };
+        let all_keys_rest = self.rest_of_all_keys(now, has_lost_calls, &handover);
         let knowledge = continues.then(|| self.renumbered(handover.knowledge, &handover.names));
         let keys = handover.keys.iter();
         let keys = keys.map(|k| (k.key.clone(), k.until.saturating_sub(now), k.transaction));
@@ -138,6 +154,7 @@
             destination_outages,
             knowledge,
             keys: keys.collect(),
+            all_keys_rest,
             calls: calls.clone(),
         };
         let (picked, adopted) = self.facade.restore(now, left);
@@ -154,6 +171,16 @@
         self.fail_all(now, strange);
     }
 
+    /// For how long all keys rest. Calls of which nobody tells ended with the process that made them.
+    fn rest_of_all_keys(&self, now: Nanos, has_lost_calls: bool, handover: &Handover) -> Nanos {
+        let handed = handover.all_keys_rest.saturating_sub(now);
+        if !(has_lost_calls || handover.has_lost_calls) {
+            return handed;
+        }
+        let older = self.journal.classes().older().map(|(_, rules)| rules.key_rest);
+        older.fold(self.facade.settings().key_rest, Nanos::max).max(handed)
+    }
+
     /// A call that goes on at the process that handed over; none where nothing of it is out.
     fn left_call(&self, now: Nanos, call: &OpenCall) -> Option<LeftCall> {
         let endpoint = self.catalog.find(&call.endpoint)?;
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -6,7 +6,7 @@
 mod takeover;
 
 use super::core::{Carried, Core, Ended, Note, Offer, Taken, Work};
-use super::handover::{Operated, Operation, Roles, ToPredecessor, ToSuccessor};
+use super::handover::{CallOutcome, Operated, Operation, Roles, ToPredecessor, ToSuccessor};
 pub use super::passage::Passage;
 use super::passage::Signals;
 use super::values::{Call, Reply, Standing, TransactionNo};
@@ -265,14 +265,14 @@
 
     /// Has the outcome of a call decided on, here or where that is done now.
     fn ended(self: &Rc<Self>, call: &Call, carried: Carried, took: Nanos, life: u32) {
-        let answers = carried.replies.iter().map(|(attempt, reply)| (attempt.transaction, *reply));
-        let last: Vec<_> = answers.filter(|(_, reply)| reply.standing() != Standing::MayGoAgain).collect();
         if self.life.get() != life {
             if self.roles.serves() {
-                self.act(|core, now| core.answered_before(now, &last));
+                self.adopted_ended(CallOutcome::of(call, carried, took));
             }
             return;
         }
+        let answers = carried.replies.iter().map(|(attempt, reply)| (attempt.transaction, *reply));
+        let last: Vec<_> = answers.filter(|(_, reply)| reply.standing() != Standing::MayGoAgain).collect();
         for attempt in &call.attempts {
             self.out.borrow_mut().remove(&(attempt.transaction, attempt.number));
         }
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -6,6 +6,7 @@
 use super::super::values::{Attempt, Call, Reply, TransactionNo};
 use super::{Desk, Front};
 use crate::interface::Outcome;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -39,8 +40,8 @@
     }
 
     /// Gives up all calls that are out, since the process that had to hear of them is gone, and waits until what they were
-    /// answered has been read. A message whose call has no outcome by then may have had its final answer.
-    pub async fn give_up_calls(&self) {
+    /// answered has been read. A message whose call has no outcome by then may have had its final answer; returns these.
+    pub async fn give_up_calls(&self) -> HashSet<TransactionNo> {
         self.cancel_each(|_| true);
         let all_ended = async {
             while !self.out.borrow().is_empty() {
@@ -48,14 +49,20 @@
             }
         };
         if timeout(OUTCOME_WITHIN, all_ended).await.is_err() {
-            let unheard = self.out.take().into_keys();
+            let unheard: HashSet<TransactionNo> = self.out.borrow().keys().map(|(no, _)| *no).collect();
+            tracing::warn!(target: "takeover", event = "calls-not-ended", front = F::NAME, nos = ?unheard, "calls that were given up have not ended: their keys wait for that");
             let unknown = Reply::MustEnd(Outcome::Cancelled);
-            self.reported.borrow_mut().extend(unheard.map(|(no, _)| (no, unknown)));
+            self.reported.borrow_mut().extend(unheard.iter().map(|no| (*no, unknown)));
+            self.out.take();
+            self.adopted.take();
+            return unheard;
         }
         self.adopted.take();
+        HashSet::new()
     }
 
-    /// Decides again, by a core that was made of the journal, with no call out: the process that had taken over is gone.
+    /// Decides again, by a core that was made of the journal and of the calls here that have not ended: the process that had
+    /// taken over is gone.
     pub fn resume(self: &Rc<Self>, core: Core) {
         self.life.set(self.life.get() + 1);
         self.core.replace(core);
@@ -91,7 +98,7 @@
         self.calls_out() - self.adopted.borrow().iter().map(|call| call.attempts.len()).sum::<usize>()
     }
 
-    /// A call has ended that the process before this one had made.
+    /// A call has ended that the process before this one had made, or this one by an earlier core.
     pub fn adopted_ended(self: &Rc<Self>, outcome: CallOutcome) {
         let CallOutcome { replies, limit, idle, echo, wait, refused, took } = outcome;
         let has_ended = |attempt: &Attempt| replies.iter().any(|(no, _)| *no == attempt.transaction);
--- a/tests/order/cases.rs
+++ b/tests/order/cases.rs
@@ -109,6 +109,30 @@
     shared.delivers_in_turn(&[&next]);
 }
 
+/// Guards a process that decides again while one before it, which has the call, says nothing: the key waits for that one.
+#[test]
+fn a_key_waits_for_the_call_of_a_process_that_does_not_answer() {
+    let SharedCall { rig, mut process } = SharedCall::out(Act::Silent, "status");
+    let middle = rig.platform.start_ready();
+    process.signal(Signal::STOP);
+    let mut last = rig.platform.start_ready();
+    last.kill();
+    middle.says("taken-back");
+    sleep(Duration::from_millis(500));
+    assert!(rig.world.call_of("b@k").is_none(), "b@k went beside the call with a@k");
+    process.kill();
+    SharedCall { rig, process }.delivers_in_turn(&[&middle, &last]);
+}
+
+/// Guards the first turn of a start: calls that a killed process had out ended with it, a moment ago.
+#[test]
+fn a_key_rests_at_a_start_right_behind_a_kill() {
+    let SharedCall { rig, mut process } = SharedCall::out(Act::Silent, "status");
+    process.kill();
+    let next = rig.platform.start_ready();
+    SharedCall { rig, process }.delivers_in_turn(&[&next]);
+}
+
 /// Guards a call that breaks within its answer: its key rests as behind any reset.
 #[test]
 fn a_key_rests_behind_an_answer_that_is_cut() {
