Stay until the ends of calls of the process before have been passed on

What callers saw: two upgrades in a row, the second while the first process still ends. A charge that its endpoint accepts 2 s later ends as failed, and its call counts as reset while it runs: the ends of the first process's calls pass through the second, which leaves as soon as it has no calls of its own.

Cause: platform_is_busy (src/program/shutdown.rs) counted calls_here, which left out those that the process had adopted.

Change: a process that has been taken over from stays while any call is out, its own or adopted, within the time that its end has. calls_here goes.

--- a/src/program/shutdown.rs
+++ b/src/program/shutdown.rs
@@ -66,7 +66,8 @@
 fn platform_is_busy((desk, legs): &PlatformDesk) -> bool {
     let is_owing = match desk.roles.serves() {
         true => desk.calls_out() + desk.see(Core::open) > 0,
-        false => desk.calls_here() > 0 || desk.has_unheard(),
+        // The ends of calls that the process before made pass through this one.
+        false => desk.calls_out() > 0 || desk.has_unheard(),
     };
     legs.open() > 0 || is_owing
 }
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -93,11 +93,6 @@
         tracing::info!(target: "takeover", event = "answers-recorded", front, count, "answers reported to a process that is gone are in the journal");
     }
 
-    /// Calls that this process made and that are still out.
-    pub fn calls_here(&self) -> usize {
-        self.calls_out() - self.adopted.borrow().iter().map(|call| call.attempts.len()).sum::<usize>()
-    }
-
     /// A call has ended that the process before this one had made, or this one by an earlier core.
     pub fn adopted_ended(self: &Rc<Self>, outcome: CallOutcome) {
         let CallOutcome { replies, limit, idle, echo, wait, refused, took } = outcome;
--- a/tests/order/cases.rs
+++ b/tests/order/cases.rs
@@ -124,6 +124,20 @@
     SharedCall { rig, process }.delivers_in_turn(&[&middle, &last]);
 }
 
+/// Guards a call of the process before the last: the one between stays until its end has been passed on.
+#[test]
+fn a_charge_of_the_process_before_the_last_is_delivered() {
+    let SharedCall { rig, process } = SharedCall::out(Act::Accept(Duration::from_secs(4)), "notice");
+    let middle = rig.platform.start_ready();
+    process.signal(Signal::TERM);
+    let last = rig.platform.start_ready();
+    middle.signal(Signal::TERM);
+    rig.until_delivered("beside", DELIVERED_WITHIN);
+    let shared = SharedCall { rig, process };
+    shared.delivers_in_turn(&[&middle, &last]);
+    assert!(!shared.rig.discovery.ended.tell(|ended| ended.contains("beside")), "the charge was ended");
+}
+
 /// Guards the first turn of a start: calls that a killed process had out ended with it, a moment ago.
 #[test]
 fn a_key_rests_at_a_start_right_behind_a_kill() {
