Let a key rest by the longer rest where settings change meanwhile

What callers would see: after a SIGHUP with a longer key_rest the next message of a key goes as soon as the old rest is over, behind an attempt that began before.

Change: the rest is the longer one of the attempt's and of the settings in force when it ends.

Measured: tests/live.rs, a_key_rests_by_the_longer_of_the_rests_before_and_behind_new_settings, failed without the line in src/decision/health.rs and holds with it.

--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -47,6 +47,8 @@
     pub(super) fn ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, latency: Nanos, over: bool) {
         let Some(a) = self.book.attempts.remove(&(id, attempt)) else { return };
         if let Some(KeyLock { key, rest }) = &a.lock {
+            // Those that wait may go by other settings than this message.
+            let rest = *rest.max(&self.set.key_rest);
             let rests_until = if outcome.may_still_run() { self.now + rest } else { 0 };
             self.book.key_back(key, id, rests_until);
         }
--- a/tests/live.rs
+++ b/tests/live.rs
@@ -210,3 +210,21 @@
     assert!(!goes_on(&[Outcome::Error, Outcome::Error]));
     assert!(!goes_on(&[Outcome::NoConnection]));
 }
+
+/// Guards a key at new settings: a longer rest holds behind an attempt that began under the shorter one.
+#[test]
+fn a_key_rests_by_the_longer_of_the_rests_before_and_behind_new_settings() {
+    let set = Settings { kinds: vec![Kind { apart: false, per_call: 1 }], ..settings() };
+    let longer = Settings { key_rest: 400 * MS, ..set.clone() };
+    let mut relay = Relay::new(set, 1);
+    let entry = Entry { host: 1, dest: 5, kind: 0, zone: 0, state: Listing::Ready, scale: 1.0 };
+    relay.step(SEC, &[Event::Listed { whole: true, entries: vec![entry] }]);
+    let in_order =
+        |id| Event::Taken { id, class: 4, dest: 5, key: Some("k".to_string()), time_left: 20 * SEC };
+    assert_eq!(sent(&relay.step(SEC, &[in_order(1), in_order(2)])), vec![(1, 1)]);
+    let retuned = Event::Retuned { settings: Box::new(longer), classes: (0..5).collect() };
+    relay.step(SEC, &[retuned]);
+    relay.step(2 * SEC, &[ended(1, 0, Outcome::Broken), Event::Withdrawn { id: 1 }]);
+    assert_eq!(sent(&relay.step(2 * SEC + 399 * MS, &[Event::Woken])), vec![]);
+    assert_eq!(sent(&relay.step(2 * SEC + 400 * MS, &[Event::Woken])), vec![(2, 1)]);
+}
