Soak the order of keys over signals in series

Change: tests/order/soak.rs. Six clients hand in messages of five classes' shares with three keys each, on connections that they use as long as those are open; calls are accepted, slow, refused, cut at three places or never answered; upgrades, two in a row, kills of the next or the old process up to 120 ms behind a start, restarts with and without SIGTERM, drains, and SIGHUPs that change key_rest come in series, SIGKILL 3.7 s behind each SIGTERM; a third of the runs has a crowd. Judged at each call: nothing of its key is out, rests or is owed before it; at the end: nothing is lost, no charge is delivered twice. The seeded draw of three soaks is one piece of code now (stand_ins/chance.rs); the draws of the other two are the same numbers.

--- a/tests/drains/soak.rs
+++ b/tests/drains/soak.rs
@@ -5,9 +5,8 @@
 use crate::moves::TOLD_AFTER_MOVE;
 use crate::platform::Process;
 use crate::rig::{Rig, LIMIT};
+use crate::stand_ins::chance::Chance;
 use crate::stand_ins::soak_seeds;
-use rand_chacha::rand_core::{RngCore, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use std::net::TcpStream;
 use std::thread::{sleep, spawn, JoinHandle};
@@ -21,13 +20,7 @@
 /// Idle clients of a crowd.
 const CROWD: usize = 100;
 
-struct Chance(ChaCha8Rng);
-
 impl Chance {
-    fn below(&mut self, most: u64) -> u64 {
-        u64::from(self.0.next_u32()) % most
-    }
-
     fn millis(&mut self, least: u64, most: u64) -> Duration {
         Duration::from_millis(least + self.below(most - least))
     }
@@ -56,7 +49,7 @@
 
 impl Soak {
     fn start(seed: u64) -> Soak {
-        let mut chance = Chance(ChaCha8Rng::seed_from_u64(seed));
+        let mut chance = Chance::new(seed);
         let rig = Rig::start();
         let crowd = if chance.below(3) == 0 { CROWD } else { 0 };
         let crowd = (0..crowd).filter_map(|_| TcpStream::connect(rig.platform.address).ok()).collect();
--- a/tests/order/endpoint.rs
+++ b/tests/order/endpoint.rs
@@ -16,6 +16,8 @@
     Accept(Duration),
     /// It turns the call away, and tells to wait.
     Refuse(Duration),
+    /// It turns the call away since it is busy.
+    Busy,
     /// It writes this much of an answer after this time, and resets the connection.
     Cut(Duration, &'static str),
     /// It never answers.
@@ -75,7 +77,7 @@
         let act = act(&ids);
         let pause = match act {
             Act::Accept(pause) | Act::Cut(pause, _) => pause,
-            Act::Refuse(_) => Duration::ZERO,
+            Act::Refuse(_) | Act::Busy => Duration::ZERO,
             Act::Silent => Duration::MAX,
         };
         let is_there = stays(input.get_mut(), pause);
@@ -88,13 +90,20 @@
                 )),
                 &[][..],
             ),
+            Act::Busy => (refused("503 Busy"), &[][..]),
             Act::Cut(_, part) => (part.to_string(), &[][..]),
             Act::Silent => (String::new(), &[][..]),
         };
         let is_whole = !matches!(act, Act::Cut(..) | Act::Silent);
+        // A first line with 200 is all that a message alone in its call needs.
+        let is_accepted = text.starts_with("HTTP/1.1 200 OK\r\n") && ids.len() == 1;
+        let is_answered = is_there && (is_whole || is_accepted);
+        let delivered = if is_accepted { &ids[..] } else { delivered };
         // What it says may be heard at once, so the call ends before that.
-        let how = if is_there && is_whole { CallEnd::Answered } else { CallEnd::Unanswered };
-        world.ends(call, how, if how == CallEnd::Answered { delivered } else { &[] });
+        match is_answered {
+            true => world.ends(call, CallEnd::Answered, delivered),
+            false => world.ends(call, CallEnd::Unanswered, &[]),
+        }
         if !is_there || output.write_all(text.as_bytes()).is_err() || !is_whole {
             return None;
         }
--- a/tests/order/main.rs
+++ b/tests/order/main.rs
@@ -7,6 +7,7 @@
 #[allow(dead_code)]
 mod platform;
 mod rig;
+mod soak;
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 mod world;
--- a/tests/owed_ends/soak.rs
+++ b/tests/owed_ends/soak.rs
@@ -4,9 +4,8 @@
 
 use crate::agent::Way;
 use crate::rig::{hand_in, hand_in_for, Handed, Rig, LATE_AFTER, TIME};
+use crate::stand_ins::chance::Chance;
 use crate::stand_ins::soak_seeds;
-use rand_chacha::rand_core::{RngCore, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -21,13 +20,7 @@
 /// A process that was killed is started again after this time.
 const DOWN: Duration = Duration::from_millis(600);
 
-struct Chance(ChaCha8Rng);
-
 impl Chance {
-    fn below(&mut self, most: u64) -> u64 {
-        u64::from(self.0.next_u32()) % most
-    }
-
     /// One of the ways on which ends can come in time.
     fn way(&mut self) -> Way {
         let part = 0.05 * self.below(7) as f64;
@@ -70,7 +63,7 @@
 
 /// One run; the messages whose ends came late or never.
 fn run(seed: u64) -> Vec<String> {
-    let mut chance = Chance(ChaCha8Rng::seed_from_u64(seed));
+    let mut chance = Chance::new(seed);
     let mut rig = Rig::start(seed);
     let (relay, many) = (rig.platform.address, 150 + chance.below(250) as usize);
     let steady = spawn(move || hand_in(relay, "s", many, LASTS));
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what the program talks to, on loopback sockets and threads: endpoints, discovery, a caller's words.
 #![allow(dead_code)]
 
+pub mod chance;
 pub mod page_form;
 
 use std::collections::{BTreeMap, BTreeSet};
