--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -52,7 +52,6 @@
         // What is written says how far the journal goes.
         self.journal.settle();
         let (calls, handed) = self.open_calls();
-        calls.iter().for_each(|call| message_log::call_handed_over(call, &self.transactions));
         let endpoints = self.catalog.iter().map(EndpointView::to_endpoint).collect();
         let mut keys: Vec<RestingKey> = self
             .facade
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -2,6 +2,7 @@
 
 use super::super::core::{Carried, Core, Released};
 use super::super::handover::{CallOutcome, Successor, ToPredecessor};
+use super::super::message_log;
 use super::super::passage::Signals;
 use super::super::values::{Attempt, Call, Reply, TransactionNo};
 use super::{Desk, Front};
@@ -18,6 +19,10 @@
     /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
     pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>) -> Released {
         let released = self.core.borrow_mut().release(self.clock.now(), seq);
+        let core = self.core.borrow();
+        for call in &released.handover.calls {
+            message_log::call_handed_over(call, |no| Some(core.transaction(no)?.id.as_str()));
+        }
         self.reported.borrow_mut().clear();
         self.roles.retire(successor);
         self.front.retire();
--- a/src/routing/message_log.rs
+++ b/src/routing/message_log.rs
@@ -2,7 +2,7 @@
 //! message's id in the field `id`, so that a search for an id finds all of it.
 
 use super::handover::OpenCall;
-use super::transactions::{Ending, Transaction, Transactions};
+use super::transactions::{Ending, Transaction};
 use super::values::{Attempt, OpenAttempt, Reply};
 use crate::attribution::Via;
 use std::fmt;
@@ -55,10 +55,9 @@
 }
 
 /// A call goes on at this process while another one decides; of messages that are over only the numbers are known.
-pub fn call_handed_over(call: &OpenCall, transactions: &Transactions) {
+pub fn call_handed_over<'a>(call: &OpenCall, id_of: impl Fn(u64) -> Option<&'a str>) {
     let OpenCall { endpoint, begun, attempts } = call;
-    let id = |open: &OpenAttempt| Some(transactions.get(open.transaction)?.id.as_str());
-    let ids: Vec<&str> = attempts.iter().filter_map(id).collect();
+    let ids: Vec<&str> = attempts.iter().filter_map(|open| id_of(open.transaction)).collect();
     let over = attempts.iter().filter(|open| !open.is_owed).map(|open| open.transaction);
     let (over, keys) = (over.collect::<Vec<_>>(), keys_of(attempts));
     tracing::info!(target: "takeover", event = "call-handed-over", hop = %endpoint, begun, ?ids, ?over, ?keys);
