Give up calls that a process of the version before could not adopt

What callers would see: a rollback by upgrade, to a version that knows of no attempts of messages that are over.

Cause: this issue's own hand-over; version 1 names only the attempts of owed messages.

Change: Core::release is told what the process that takes over can adopt (Adopts). OpenAttempt::outlives_message names the case.

--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -7,7 +7,7 @@
 use super::ownership::Predecessor;
 use crate::protocol::discovery::Names;
 use crate::protocol::platform::Platform;
-use crate::routing::core::Offer;
+use crate::routing::core::{Adopts, Offer};
 use crate::routing::handover::{
     Handover, Hello, Operation, Successor, ToPredecessor, ToSuccessor, LEGACY_VERSION, VERSION,
 };
@@ -170,7 +170,11 @@
         front.departures.stop();
         front.gate.set(false);
         self.beside.stop();
-        let handover = front.desk.release(successor.clone(), front.listing.in_force()).handover;
+        let adopts = match version {
+            LEGACY_VERSION => Adopts::OwedAttempts,
+            _ => Adopts::AllAttempts,
+        };
+        let handover = front.desk.release(successor.clone(), front.listing.in_force(), adopts).handover;
         front.listing.retire();
         let (calls, keys, unwritten) = (handover.calls.len(), handover.keys.len(), handover.unwritten.len());
         tracing::info!(target: "takeover", event = "released", version, calls, keys, unwritten, "the journal is released, {calls} calls stay here, {keys} keys rest");
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -35,6 +35,15 @@
     pub handed: HashSet<(TransactionNo, u32)>,
 }
 
+/// The attempts that a process which takes over can adopt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adopts {
+    /// All that are out.
+    AllAttempts,
+    /// Those of messages that are owed their ends.
+    OwedAttempts,
+}
+
 /// What this process follows.
 #[derive(Debug)]
 pub(super) enum Before {
@@ -47,11 +56,12 @@
 }
 
 impl Core {
-    /// Stops deciding, and gives the journal away. `seq`: the version of discovery's list that is wholly in force.
-    pub fn release(&mut self, now: Nanos, seq: Option<u64>) -> Released {
+    /// Stops deciding, and gives the journal away. `seq`: the version of discovery's list that is wholly in force; `adopts`: what
+    /// the process that takes over can adopt.
+    pub fn release(&mut self, now: Nanos, seq: Option<u64>, adopts: Adopts) -> Released {
         // What is written says how far the journal goes.
         self.journal.settle();
-        let (calls, handed) = self.open_calls();
+        let (calls, handed) = self.open_calls(adopts);
         let endpoints = self.catalog.iter().map(EndpointView::to_endpoint).collect();
         let mut keys: Vec<RestingKey> = self
             .facade
@@ -77,8 +87,8 @@
         Released { handover, handed }
     }
 
-    /// Calls that go on at this process, whatever has become of their messages, and their attempts.
-    fn open_calls(&self) -> (Vec<OpenCall>, HashSet<(TransactionNo, u32)>) {
+    /// Calls that go on at this process, and their attempts.
+    fn open_calls(&self, adopts: Adopts) -> (Vec<OpenCall>, HashSet<(TransactionNo, u32)>) {
         let mut by_call: BTreeMap<(EndpointId, Nanos), Vec<(TransactionNo, u32)>> = BTreeMap::new();
         for (attempt, begun) in &self.begun {
             by_call.entry((begun.endpoint, begun.at)).or_default().push(*attempt);
@@ -87,9 +97,12 @@
         for ((endpoint, begun), mut attempts) in by_call {
             let Some(endpoint) = self.catalog.get(endpoint) else { continue };
             attempts.sort_unstable();
+            let open_attempts: Vec<_> = attempts.iter().map(|attempt| self.open_attempt(*attempt)).collect();
+            if adopts == Adopts::OwedAttempts && open_attempts.iter().any(OpenAttempt::outlives_message) {
+                continue;
+            }
             handed.extend(&attempts);
-            let attempts = attempts.iter().map(|attempt| self.open_attempt(*attempt)).collect();
-            open.push(OpenCall { endpoint: endpoint.name.to_string(), begun, attempts });
+            open.push(OpenCall { endpoint: endpoint.name.to_string(), begun, attempts: open_attempts });
         }
         (open, handed)
     }
@@ -101,7 +114,8 @@
         OpenAttempt { transaction, is_owed, lock }
     }
 
-    /// Keys of attempts that end with the hand-over, since their endpoints left long ago and are not known any more.
+    /// Keys of attempts that end with the hand-over, since the process that takes over cannot adopt them or their endpoints left
+    /// long ago.
     fn keys_of_ending(&self, now: Nanos, handed: &HashSet<(TransactionNo, u32)>) -> Vec<RestingKey> {
         let ending = self.begun.iter().filter(|(attempt, _)| !handed.contains(attempt));
         let resting = ending.filter_map(|((transaction, _), begun)| {
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -13,7 +13,7 @@
 mod retune;
 mod values;
 
-pub use handover::Released;
+pub use handover::{Adopts, Released};
 pub use retune::{Moved, Retuning};
 pub use values::{
     Accepted, Carried, Ended, Letter, MessageCapacity, Note, Offer, PendingAnswer, Piping, Taken, Work,
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -1,6 +1,6 @@
 //! What a desk does when another process of the relay takes over from it, or is gone again.
 
-use super::super::core::{Carried, Core, Released};
+use super::super::core::{Adopts, Carried, Core, Released};
 use super::super::handover::{CallOutcome, Successor, ToPredecessor};
 use super::super::message_log;
 use super::super::passage::Signals;
@@ -17,8 +17,8 @@
 
 impl<F: Front> Desk<F> {
     /// Stops deciding: another process does from now on. `seq`: the version of discovery's list that is wholly in force.
-    pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>) -> Released {
-        let released = self.core.borrow_mut().release(self.clock.now(), seq);
+    pub fn release(self: &Rc<Self>, successor: Rc<Successor>, seq: Option<u64>, adopts: Adopts) -> Released {
+        let released = self.core.borrow_mut().release(self.clock.now(), seq, adopts);
         let core = self.core.borrow();
         for call in &released.handover.calls {
             message_log::call_handed_over(call, |no| Some(core.transaction(no)?.id.as_str()));
@@ -26,7 +26,7 @@
         self.reported.borrow_mut().clear();
         self.roles.retire(successor);
         self.front.retire();
-        // What was not begun yet never will be here.
+        // What was not begun yet never will be here; what the other cannot adopt ends.
         let out = self.out.borrow();
         let goes_on = |signals: &Rc<Signals>| {
             let mut handed = out.iter().filter(|(attempt, _)| released.handed.contains(attempt));
@@ -41,7 +41,7 @@
     /// heard of is withdrawn.
     pub fn give_journal_away(&self) {
         self.withdraw_unheard();
-        drop(self.core.borrow_mut().release(self.clock.now(), None));
+        drop(self.core.borrow_mut().release(self.clock.now(), None, Adopts::AllAttempts));
     }
 
     /// Gives up all calls that are out, since the process that had to hear of them is gone, and waits until what they were
@@ -93,7 +93,7 @@
         let now = self.clock.now();
         let reported = self.reported.take();
         core.answered_before(now, &reported);
-        drop(core.release(now, None));
+        drop(core.release(now, None, Adopts::AllAttempts));
         let (front, count) = (F::NAME, reported.len());
         tracing::info!(target: "takeover", event = "answers-recorded", front, count, "answers reported to a process that is gone are in the journal");
     }
--- a/src/routing/values.rs
+++ b/src/routing/values.rs
@@ -28,6 +28,13 @@
     pub lock: Option<KeyLock>,
 }
 
+impl OpenAttempt {
+    /// Its message is over, and its key waits for it.
+    pub fn outlives_message(&self) -> bool {
+        !self.is_owed && self.lock.is_some()
+    }
+}
+
 /// Attempts that travel to one next hop together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
--- a/tests/outages/world.rs
+++ b/tests/outages/world.rs
@@ -4,7 +4,7 @@
 use crate::fixture::{class, settings};
 use crate::folder::Folder;
 use basaltloom::attribution::Via;
-use basaltloom::routing::core::{Batching, Carried, First};
+use basaltloom::routing::core::{Adopts, Batching, Carried, First};
 use basaltloom::routing::handover::{Handover, Operated, Operation};
 use basaltloom::routing::journal::{Outages, Replayed};
 use basaltloom::routing::{Call, Core, Endpoint, EndpointState, EndpointUpdate, Journal, Offer, Reply};
@@ -216,7 +216,7 @@
     /// Another process takes over.
     fn upgrade(&mut self) {
         let now = self.now;
-        let released = self.core().release(now, Some(2));
+        let released = self.core().release(now, Some(2), Adopts::AllAttempts);
         let bytes = postcard::to_stdvec(&released.handover).unwrap();
         self.core = None;
         (self.change_folder)(&mut journal(&self.folder).0);
