Adopt just the calls that are out as a process decides again

Change: what is out stays in the desk until the core that adopts it is made, and the hand-over is cut down right before that. A call of an earlier core of this process is told of as an adopted one also where another process has taken over again meanwhile.

--- a/src/program/takeover.rs
+++ b/src/program/takeover.rs
@@ -209,14 +209,17 @@
     /// Decides again with the other gone; false where a third process does, or this one ends.
     async fn take_back(&self, (mut handed, names): Handed) -> bool {
         let front = &self.front;
-        let open = front.desk.give_up_calls().await;
-        handed.calls.retain(|call| call.attempts.iter().any(|attempt| open.contains(&attempt.transaction)));
+        front.desk.give_up_calls().await;
         front.departures.take_back(&mut handed.list.endpoints);
         let from = Instant::now();
         let core = loop {
             if self.ending.get() && !front.desk.has_unheard() {
                 break None;
             }
+            let out = front.desk.messages_out();
+            handed
+                .calls
+                .retain(|call| call.attempts.iter().any(|attempt| out.contains(&attempt.transaction)));
             match front.cores.again(handed.clone(), names.clone()) {
                 Ok(core) => break Some(core),
                 Err(OpenError::InUse(_)) if from.elapsed() > FREE_WITHIN => break None,
--- a/src/routing/desk.rs
+++ b/src/routing/desk.rs
@@ -266,10 +266,7 @@
     /// Has the outcome of a call decided on, here or where that is done now.
     fn ended(self: &Rc<Self>, call: &Call, carried: Carried, took: Nanos, life: u32) {
         if self.life.get() != life {
-            if self.roles.serves() {
-                self.adopted_ended(CallOutcome::of(call, carried, took));
-            }
-            return;
+            return self.adopted_ended(CallOutcome::of(call, carried, took));
         }
         let answers = carried.replies.iter().map(|(attempt, reply)| (attempt.transaction, *reply));
         let last: Vec<_> = answers.filter(|(_, reply)| reply.standing() != Standing::MayGoAgain).collect();
--- a/src/routing/desk/takeover.rs
+++ b/src/routing/desk/takeover.rs
@@ -45,8 +45,8 @@
     }
 
     /// Gives up all calls that are out, since the process that had to hear of them is gone, and waits until what they were
-    /// answered has been read. A message whose call has no outcome by then may have had its final answer; returns these.
-    pub async fn give_up_calls(&self) -> HashSet<TransactionNo> {
+    /// answered has been read. A message whose call has no outcome by then may have had its final answer.
+    pub async fn give_up_calls(&self) {
         self.cancel_each(|_| true);
         let all_ended = async {
             while !self.out.borrow().is_empty() {
@@ -54,22 +54,24 @@
             }
         };
         if timeout(OUTCOME_WITHIN, all_ended).await.is_err() {
-            let unheard: HashSet<TransactionNo> = self.out.borrow().keys().map(|(no, _)| *no).collect();
+            let unheard = self.messages_out();
             tracing::warn!(target: "takeover", event = "calls-not-ended", front = F::NAME, nos = ?unheard, "calls that were given up have not ended: their keys wait for that");
             let unknown = Reply::MustEnd(Outcome::Cancelled);
-            self.reported.borrow_mut().extend(unheard.iter().map(|no| (*no, unknown)));
-            self.out.take();
-            self.adopted.take();
-            return unheard;
+            self.reported.borrow_mut().extend(unheard.into_iter().map(|no| (no, unknown)));
         }
-        self.adopted.take();
-        HashSet::new()
+    }
+
+    /// Messages of which a call is out, here or at the process before this one.
+    pub fn messages_out(&self) -> HashSet<TransactionNo> {
+        self.out.borrow().keys().map(|(no, _)| *no).collect()
     }
 
     /// Decides again, by a core that was made of the journal and of the calls here that have not ended: the process that had
     /// taken over is gone.
     pub fn resume(self: &Rc<Self>, core: Core) {
         self.life.set(self.life.get() + 1);
+        // The core adopts those that have not ended.
+        self.forget_calls();
         self.core.replace(core);
         self.roles.resume();
         let reported = self.reported.take();
@@ -77,6 +79,11 @@
         self.sooner.notify_one();
     }
 
+    fn forget_calls(&self) {
+        self.out.take();
+        self.adopted.take();
+    }
+
     /// Whether the process that took over may not have heard of an answer after which no call may follow.
     pub fn has_unheard(&self) -> bool {
         !self.reported.borrow().is_empty()
@@ -84,6 +91,7 @@
 
     /// The process that took over is gone, and this one decides no more: nothing is left to be heard of it.
     pub fn orphan(&self) {
+        self.forget_calls();
         self.reported.take();
         self.roles.orphan();
     }
@@ -103,7 +111,10 @@
         let CallOutcome { replies, limit, idle, echo, wait, refused, took } = outcome;
         let has_ended = |attempt: &Attempt| replies.iter().any(|(no, _)| *no == attempt.transaction);
         let Some(call) = self.take_adopted(has_ended) else {
-            return self.act(|core, now| core.answered_before(now, &replies));
+            if self.roles.serves() {
+                self.act(|core, now| core.answered_before(now, &replies));
+            }
+            return;
         };
         let attempt_of = |no: TransactionNo| call.attempts.iter().find(|a| a.transaction == no);
         let replies = replies.iter().filter_map(|(no, reply)| Some((*attempt_of(*no)?, *reply))).collect();
