--- a/src/decision/interface.rs
+++ b/src/decision/interface.rs
@@ -308,9 +308,6 @@
     Adopted { host: HostId, attempts: Vec<AdoptedAttempt>, ago: Nanos },
     /// Messages of this key but this one wait: an attempt of an earlier life may still be running.
     KeyRests { key: String, rest: Nanos, id: MsgId },
-    /// Attempts of an earlier life ended at the latest now of which nobody knows: messages that were not sent before wait, as
-    /// far as they go in turn.
-    AllKeysRest { rest: Nanos },
     /// The destination tells its limit, in calls a second from all relays together.
     /// `left`: the share of it that was left, 0 to 1; none where nothing is said of that.
     Reported { host: HostId, limit: f64, left: Option<f64> },
--- a/src/decision/live.rs
+++ b/src/decision/live.rs
@@ -35,7 +35,6 @@
             Event::KeyRests { key, rest, id } => {
                 self.book.key_rests(key, self.now.saturating_add(*rest), *id);
             }
-            Event::AllKeysRest { rest } => self.book.rest_all_keys(self.now.saturating_add(*rest)),
             Event::Reported { host, limit, left } if self.book.hosts.contains_key(host) => {
                 self.reported(*host, *limit, *left);
                 self.book.turns.touch(self.book.hosts[host].dest);
@@ -90,11 +89,6 @@
         self.book.resting_keys(self.now)
     }
 
-    /// Until when all keys rest.
-    pub fn all_keys_rest(&self) -> Nanos {
-        self.book.all_keys_rest
-    }
-
     /// A call that would be out when the relay is killed may have run, and nobody would know.
     pub(super) fn too_late(&self, host: HostId) -> bool {
         self.book.closing.is_some_and(|at| self.now.saturating_add(self.overdue_after(host)) > at)
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -99,7 +99,6 @@
             return;
         }
         let mut due = vec![self.now + PATROL, self.book.next_end, self.book.turns.due()];
-        due.push(self.book.all_keys_rest);
         due.extend(self.book.calls.values().map(|c| self.silent_at(c)));
         // Without a free slot those that could go wait for a call to end.
         if self.book.calls.len() < self.set.slots {
--- a/src/decision/records/book.rs
+++ b/src/decision/records/book.rs
@@ -47,8 +47,6 @@
     /// theirs keep their places in their keys' lines.
     pub settles_later: bool,
     pub unsettled: BTreeMap<MsgId, String>,
-    /// Until then keys rest for attempts of an earlier life of which nobody knows.
-    pub all_keys_rest: Nanos,
 }
 
 impl Book {
--- a/src/decision/records/keys.rs
+++ b/src/decision/records/keys.rs
@@ -7,10 +7,7 @@
     /// Whether a message may go as far as its key is concerned: it is the first of its line, none is out, none rests.
     pub fn key_free(&self, id: MsgId, m: &Message, now: Nanos) -> bool {
         let Some(k) = m.key.as_ref().and_then(|k| self.keys.get(k)) else { return true };
-        // What was sent before went behind all others of its key.
-        let is_behind_lost = now >= self.all_keys_rest || m.attempts > 0;
-        let has_rested = now >= k.rest.0 || k.rest.1 == id;
-        k.line.front() == Some(&id) && k.out == 0 && has_rested && is_behind_lost
+        k.line.front() == Some(&id) && k.out == 0 && (now >= k.rest.0 || k.rest.1 == id)
     }
 
     /// An attempt of a message with this key has its outcome; others of the key wait until `rest`.
@@ -62,9 +59,4 @@
         let resting = self.keys.iter().filter(move |(_, line)| line.rest.0 > now);
         resting.map(|(key, line)| (key.as_str(), line.rest.0, line.rest.1))
     }
-
-    /// Attempts of an earlier life may have ended just now of which nobody knows: until then no key goes on.
-    pub fn rest_all_keys(&mut self, until: Nanos) {
-        self.all_keys_rest = self.all_keys_rest.max(until);
-    }
 }
--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -44,17 +44,6 @@
     OwedAttempts,
 }
 
-/// What this process follows.
-#[derive(Debug)]
-pub(super) enum Before {
-    /// Nothing: the folder was empty.
-    Nobody,
-    /// A process that is gone, with the calls that it had out.
-    Killed,
-    /// A process that told what its journal does not.
-    HandedOver(Box<Handover>),
-}
-
 impl Core {
     /// Stops deciding, and gives the journal away. `seq`: the version of discovery's list that is wholly in force; `adopts`: what
     /// the process that takes over can adopt.
@@ -76,7 +65,6 @@
             knowledge,
             names,
             keys,
-            all_keys_rest: self.facade.all_keys_rest(),
             has_lost_calls: false,
             calls,
             delivered: self.transactions.closed().delivered().cloned().collect(),
@@ -140,25 +128,28 @@
     }
 
     /// Takes in what another process handed over; its endpoints are known already.
-    pub(super) fn take_over(&mut self, now: Nanos, before: Before, last_out: &LastOut) {
-        let continues = matches!(before, Before::HandedOver(_));
-        let has_lost_calls = matches!(before, Before::Killed);
-        let handover = match before {
-            Before::HandedOver(handover) => *handover,
-            Before::Nobody | Before::Killed => Handover::default(),
-        };
+    pub(super) fn take_over(&mut self, now: Nanos, handover: Option<Handover>, last_out: &LastOut) {
+        let continues = handover.is_some();
+        // A process that is gone tells nothing of its calls.
+        let handover = handover.unwrap_or(Handover { has_lost_calls: true, ..Handover::default() });
         self.transactions.remember_delivered(now, &handover.delivered);
         let calls: Vec<LeftCall> =
             handover.calls.iter().filter_map(|call| self.left_call(now, call)).collect();
         let adopted = calls.iter().flat_map(|call| &call.attempts).map(|a| a.transaction).collect();
+        let outliving = self.transactions.take_keys_out();
+        let lost = if handover.has_lost_calls { self.locks_lost(outliving, &adopted) } else { Vec::new() };
+        for open in calls.iter().flat_map(|call| &call.attempts) {
+            self.transactions.note_key_out(open.transaction, open.lock.as_ref());
+        }
         let (asks, strange) = self.restored(now, &adopted);
         let (endpoint_outages, destination_outages) = self.outages_of_before(now, last_out);
         // What another process has learned of endpoints says more.
         let endpoint_outages = if continues { Vec::new() } else { endpoint_outages };
-        let all_keys_rest = self.rest_of_all_keys(now, has_lost_calls, &handover);
         let knowledge = continues.then(|| self.renumbered(handover.knowledge, &handover.names));
         let keys = handover.keys.iter();
         let keys = keys.map(|k| (k.key.clone(), k.until.saturating_sub(now), k.transaction));
+        let lost = lost.into_iter().map(|(no, KeyLock { key, rest })| (key, rest, no));
+        let keys = keys.chain(lost);
         let older = self.journal.classes().older().map(|(no, rules)| (no, rules.clone()));
         let left = Left {
             classes: older.collect(),
@@ -167,7 +158,6 @@
             destination_outages,
             knowledge,
             keys: keys.collect(),
-            all_keys_rest,
             calls: calls.clone(),
         };
         let (picked, adopted) = self.facade.restore(now, left);
@@ -184,14 +174,20 @@
         self.fail_all(now, strange);
     }
 
-    /// For how long all keys rest. Calls of which nobody tells ended with the process that made them.
-    fn rest_of_all_keys(&self, now: Nanos, has_lost_calls: bool, handover: &Handover) -> Nanos {
-        let handed = handover.all_keys_rest.saturating_sub(now);
-        if !(has_lost_calls || handover.has_lost_calls) {
-            return handed;
-        }
+    /// Keys of attempts that ended with the process that made them, at the latest as the journal was opened. Of messages that
+    /// were over, `outliving` are those that the journal tells of.
+    fn locks_lost(
+        &self,
+        outliving: BTreeMap<TransactionNo, String>,
+        adopted: &HashSet<TransactionNo>,
+    ) -> Vec<(TransactionNo, KeyLock)> {
         let older = self.journal.classes().older().map(|(_, rules)| rules.key_rest);
-        older.fold(self.facade.settings().key_rest, Nanos::max).max(handed)
+        let rest = older.fold(self.facade.settings().key_rest, Nanos::max);
+        // A message that is spent may have been out, too: a journal that is not whole tells no more of it.
+        let may_be_out = self.transactions.iter().filter(|(_, t)| t.out.is_some() || t.is_spent);
+        let open = may_be_out.filter_map(|(no, _)| Some((no, self.lock_of(no)?.key)));
+        let lost = open.chain(outliving).filter(|(no, _)| !adopted.contains(no));
+        lost.map(|(no, key)| (no, KeyLock { key, rest })).collect()
     }
 
     /// A call that goes on at the process that handed over; none where nothing of it is out.
--- a/src/routing/core/mod.rs
+++ b/src/routing/core/mod.rs
@@ -32,7 +32,7 @@
 use crate::memory::{Holder, MemoryBudget};
 use crate::settlement::Audit;
 use ends::Withheld;
-use handover::{Before, Begun};
+use handover::Begun;
 use outages::UnlistedOutages;
 use std::rc::Rc;
 use std::time::Duration;
@@ -129,11 +129,6 @@
         let former = Former::new(retune::calls_to_one(slots));
         let allowed = retune::messages_in_a_call(&settings);
         let mut journal = journal;
-        let before = match handover {
-            Some(handover) => Before::HandedOver(Box::new(handover)),
-            None if journal.bytes() == 0 && replayed.torn == 0 => Before::Nobody,
-            None => Before::Killed,
-        };
         journal.name_classes(&settings);
         let Replayed { transactions, next_no, last_out, torn, maintenance, .. } = replayed;
         let facade = Facade::new(settings.clone(), seed, !tells_delivery);
@@ -172,7 +167,7 @@
         core.transactions.closed_mut().ended_at(now);
         core.work.draining = Some(core.maintenance.is_draining()).filter(|draining| *draining);
         core.learn(now, known);
-        core.take_over(now, before, &last_out);
+        core.take_over(now, handover, &last_out);
         core
     }
 
--- a/src/routing/facade.rs
+++ b/src/routing/facade.rs
@@ -106,7 +106,6 @@
         events.extend(left.destination_outages.iter().map(destination_out));
         let rests = left.keys.into_iter();
         events.extend(rests.map(|(key, rest, id)| Event::KeyRests { key, rest, id }));
-        events.push(Event::AllKeysRest { rest: left.all_keys_rest });
         let mut calls = Vec::new();
         for LeftCall { endpoint, ago, attempts } in left.calls {
             let numbered: Vec<Attempt> =
@@ -253,11 +252,6 @@
         self.relay.resting_keys()
     }
 
-    /// Until when all keys rest.
-    pub fn all_keys_rest(&self) -> Nanos {
-        self.relay.all_keys_rest()
-    }
-
     /// Messages that wait for the destination of this next hop, and calls that are out to it.
     pub fn load_of(&self, endpoint: EndpointId) -> (usize, usize) {
         self.relay.load_of(endpoint)
--- a/src/routing/facade/values.rs
+++ b/src/routing/facade/values.rs
@@ -86,8 +86,6 @@
     pub knowledge: Option<Knowledge>,
     /// Keys that rest, and the message that does not wait for it.
     pub keys: Vec<(String, Nanos, TransactionNo)>,
-    /// For how long all keys rest, since attempts may have ended of which nobody knows.
-    pub all_keys_rest: Nanos,
     /// Calls that are out at another process.
     pub calls: Vec<LeftCall>,
 }
--- a/src/routing/handover/legacy.rs
+++ b/src/routing/handover/legacy.rs
@@ -58,7 +58,6 @@
             knowledge,
             names,
             keys,
-            all_keys_rest: 0,
             has_lost_calls: true,
             delivered,
             list,
--- a/src/routing/handover/mod.rs
+++ b/src/routing/handover/mod.rs
@@ -91,9 +91,7 @@
     pub names: Vec<(EndpointId, String)>,
     /// Keys that rest.
     pub keys: Vec<RestingKey>,
-    /// Until when all keys rest, since a process before ended with calls of which nobody tells.
-    pub all_keys_rest: Nanos,
-    /// Calls ended with the hand-over of which nobody tells.
+    /// Calls ended with the hand-over of which nobody tells but the journal.
     pub has_lost_calls: bool,
     /// Ids of messages delivered of late, the oldest first.
     pub delivered: Vec<String>,
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -38,6 +38,9 @@
 pub(super) const DESTINATION_OUTAGE: u8 = 13;
 pub(super) const DESTINATION_OUTAGES: u8 = 14;
 
+/// The code of keys of transactions that are over with an attempt out.
+pub(super) const KEYS_OUT: u8 = 15;
+
 /// What happens to a transaction, as the journal keeps it.
 #[derive(Debug)]
 pub enum Record<'a> {
@@ -74,6 +77,8 @@
     Maintenance(&'a Maintenance),
     /// Ids of transactions that were over when the file was copied, the oldest first.
     AllClosed(&'a [(&'a String, Closed)]),
+    /// Keys of transactions that were over when the file was copied, with an attempt out.
+    KeysOut(&'a BTreeMap<TransactionNo, String>),
     /// A class that transactions name by its key from now on.
     Class(&'a Class),
 }
@@ -177,6 +182,14 @@
             }
         }
         // Under the number 0 versions that do not know it pass it over.
+        Record::KeysOut(all) => {
+            out.push(KEYS_OUT);
+            for (no, key) in all.iter() {
+                out.extend(no.to_le_bytes());
+                put(&mut out, key.as_bytes());
+            }
+        }
+        // Under the number 0 versions that do not know it pass it over.
         Record::Class(class) => {
             out.push(CLASS);
             out.extend(class.encoded().1);
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -7,7 +7,7 @@
 use super::outages::Outages;
 use super::record::{
     ALL_CLOSED, BACK, CLASS, DELIVERED, DESTINATION_OUTAGE, DESTINATION_OUTAGES, ENDED, ENDING,
-    FINAL_ELSEWHERE, HEAD, OVER, SPENT,
+    FINAL_ELSEWHERE, HEAD, KEYS_OUT, OVER, SPENT,
 };
 use super::torn::TornEnd;
 use crate::interface::Nanos;
@@ -162,6 +162,12 @@
         }
         return Some(());
     }
+    if code == KEYS_OUT {
+        while let Some((no, key)) = r.u64().and_then(|no| Some((no, r.text()?))) {
+            into.transactions.insert_key_out(no, key);
+        }
+        return Some(());
+    }
     if code == CLASS {
         let class: Class = postcard::from_bytes(&r.0).ok()?;
         into.written.insert(class.encoded().0);
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -4,7 +4,7 @@
 use super::closed::{Closed, ClosedIds};
 use super::core::Offer;
 use super::values::{End, TransactionNo};
-use crate::interface::Nanos;
+use crate::interface::{KeyLock, Nanos};
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
 
@@ -92,6 +92,8 @@
     by_id: HashMap<String, TransactionNo>,
     closed: ClosedIds,
     bytes_held: u64,
+    /// Keys of transactions that are over while an attempt is out.
+    keys_out: BTreeMap<TransactionNo, String>,
 }
 
 impl Transactions {
@@ -114,9 +116,39 @@
         if self.by_id.get(&t.id) == Some(&no) {
             self.by_id.remove(&t.id);
         }
+        if let Some(key) = t.key.clone().filter(|_| t.out.is_some()) {
+            self.keys_out.insert(no, key);
+        }
         Some(t)
     }
 
+    /// Keys of transactions that are over while an attempt is, or was, out.
+    pub fn keys_out(&self) -> &BTreeMap<TransactionNo, String> {
+        &self.keys_out
+    }
+
+    /// The same, to be told of anew.
+    pub fn take_keys_out(&mut self) -> BTreeMap<TransactionNo, String> {
+        std::mem::take(&mut self.keys_out)
+    }
+
+    /// An attempt is out at another process that holds this key; only of a transaction that is over.
+    pub fn note_key_out(&mut self, no: TransactionNo, lock: Option<&KeyLock>) {
+        if let Some(lock) = lock.filter(|_| !self.by_no.contains_key(&no)) {
+            self.insert_key_out(no, lock.key.clone());
+        }
+    }
+
+    /// The journal tells of a transaction that was over with an attempt out.
+    pub fn insert_key_out(&mut self, no: TransactionNo, key: String) {
+        self.keys_out.insert(no, key);
+    }
+
+    /// The attempt of a transaction that is over has its outcome.
+    pub fn key_back(&mut self, no: TransactionNo) {
+        self.keys_out.remove(&no);
+    }
+
     /// Nothing more is owed for a transaction, which ended like this: what comes under its id again is no new one.
     pub fn close(&mut self, now: Nanos, no: TransactionNo, closed: Closed) -> Option<Transaction> {
         let t = self.remove(no)?;
