--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -254,3 +254,23 @@
     drop(journal);
     assert_eq!(state(&folder.open(3_000_000).1), [(true, false), (true, true), (false, false)]);
 }
+
+/// Guards the key of a message that was over while its call was out: the next start knows of it, also from a copy.
+#[test]
+fn a_key_that_is_out_behind_its_message_comes_back() {
+    let folder = Folder::new("key-out");
+    let (mut journal, ..) = folder.open(3_000_000);
+    journal.write(1, &Record::Taken(&transaction("m1", 10))).unwrap();
+    journal.write(1, &Record::Out { at: 100, zone: 3 }).unwrap();
+    journal.write(2, &Record::Taken(&transaction("m2", 10))).unwrap();
+    for no in [1, 2] {
+        journal.write(no, &Record::Over).unwrap();
+    }
+    drop(journal);
+    for is_copied in [false, true] {
+        let (mut journal, replayed, ..) = folder.open(3_000_000);
+        let keys: Vec<_> = replayed.keys_out().iter().map(|(no, key)| (*no, key.as_str())).collect();
+        assert_eq!(keys, [(1, "k")], "copied: {is_copied}");
+        journal.rewrite(&replayed).unwrap();
+    }
+}
