Play the seeds of four soaks by one piece of code

Need: the driver of the soaks (seeds named or usual, some at a time, a run that fails counts as broken) stood four times, once of them new with the order of keys.

Change: stand_ins::play_seeds serves order, smpp, drains and owed_ends. In drains and owed_ends a run that panics now fails the test as a seed by name, with what the other seeds broke; all that is broken is printed, not the first 20. What counts as broken is as before.

--- a/tests/drains/soak.rs
+++ b/tests/drains/soak.rs
@@ -6,7 +6,7 @@
 use crate::platform::Process;
 use crate::rig::{Rig, LIMIT};
 use crate::stand_ins::chance::Chance;
-use crate::stand_ins::soak_seeds;
+use crate::stand_ins::play_seeds;
 use rustix::process::Signal;
 use std::net::TcpStream;
 use std::thread::{sleep, spawn, JoinHandle};
@@ -187,12 +187,6 @@
 /// Guards drains from silences, whatever else goes on.
 #[test]
 fn drains_are_heeded_whatever_discovery_does() {
-    let seeds: Vec<u64> = soak_seeds(0..6).collect();
-    let mut broken = Vec::new();
-    for seeds in seeds.chunks(SIDE_BY_SIDE) {
-        let runs: Vec<_> =
-            seeds.iter().copied().map(|seed| spawn(move || Soak::start(seed).run(seed))).collect();
-        runs.into_iter().for_each(|run| broken.extend(run.join().unwrap()));
-    }
-    assert!(broken.is_empty(), "{} drains: {:#?}", broken.len(), &broken[..broken.len().min(20)]);
+    let broken = play_seeds(0..6, SIDE_BY_SIDE, |seed| Soak::start(seed).run(seed));
+    assert!(broken.is_empty(), "{broken:#?}");
 }
--- a/tests/order/soak.rs
+++ b/tests/order/soak.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::Act;
 use crate::platform::{Process, KILLED_AFTER};
 use crate::rig::{Message, Rig, PLAYED, QUICK};
-use crate::stand_ins::{chance::Chance, soak_seeds, status};
+use crate::stand_ins::{chance::Chance, play_seeds, status};
 use crate::world::World;
 use rustix::process::Signal;
 use std::io::Write;
@@ -218,26 +218,6 @@
 /// Guards the order of keys over whatever ends calls and processes. `BASALTLOOM_SOAK_SEEDS=FROM..TO` plays others than CI's.
 #[test]
 fn keys_keep_their_order_over_signals_in_series() {
-    let seeds: Vec<u64> = soak_seeds(0..6).collect();
-    let mut failed = Vec::new();
-    for some in seeds.chunks(SIDE_BY_SIDE) {
-        let runs: Vec<_> = some
-            .iter()
-            .map(|seed| {
-                (
-                    *seed,
-                    spawn({
-                        let seed = *seed;
-                        move || run(seed)
-                    }),
-                )
-            })
-            .collect();
-        for (seed, run) in runs {
-            let broken = run.join().unwrap_or_else(|_| vec!["the run failed".to_string()]);
-            eprintln!("seed {seed}: {} broken", broken.len());
-            failed.extend((!broken.is_empty()).then_some((seed, broken)));
-        }
-    }
-    assert!(failed.is_empty(), "{failed:#?}");
+    let broken = play_seeds(0..6, SIDE_BY_SIDE, run);
+    assert!(broken.is_empty(), "{broken:#?}");
 }
--- a/tests/owed_ends/soak.rs
+++ b/tests/owed_ends/soak.rs
@@ -5,7 +5,7 @@
 use crate::agent::Way;
 use crate::rig::{hand_in, hand_in_for, Handed, Rig, LATE_AFTER, TIME};
 use crate::stand_ins::chance::Chance;
-use crate::stand_ins::soak_seeds;
+use crate::stand_ins::play_seeds;
 use rustix::process::Signal;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -174,11 +174,6 @@
 /// Guards each end from whatever may be slow, whatever else goes on.
 #[test]
 fn ends_come_in_time_whatever_is_slow() {
-    let seeds: Vec<u64> = soak_seeds(0..6).collect();
-    let mut broken = Vec::new();
-    for seeds in seeds.chunks(SIDE_BY_SIDE) {
-        let runs: Vec<_> = seeds.iter().copied().map(|seed| spawn(move || run(seed))).collect();
-        runs.into_iter().for_each(|run| broken.extend(run.join().unwrap()));
-    }
-    assert!(broken.is_empty(), "{} ends: {:#?}", broken.len(), &broken[..broken.len().min(20)]);
+    let broken = play_seeds(0..6, SIDE_BY_SIDE, run);
+    assert!(broken.is_empty(), "{broken:#?}");
 }
--- a/tests/smpp/soak.rs
+++ b/tests/smpp/soak.rs
@@ -3,12 +3,12 @@
 
 use crate::platform::Process;
 use crate::rig::{copies, Esme, Rig, TIME};
-use crate::stand_ins::soak_seeds;
+use crate::stand_ins::play_seeds;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use std::collections::{BTreeMap, BTreeSet};
-use std::thread::{sleep, spawn};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 const LASTS: Duration = Duration::from_secs(14);
@@ -212,26 +212,6 @@
 /// Guards each message that was answered with 0: it has one end, one submit at a time, and goes in the order of its key.
 #[test]
 fn each_submit_that_is_accepted_has_one_end_whatever_happens() {
-    let seeds: Vec<u64> = soak_seeds(0..SIDE_BY_SIDE).collect();
-    let mut broken = Vec::new();
-    for some in seeds.chunks(SIDE_BY_SIDE as usize) {
-        let runs: Vec<_> = some
-            .iter()
-            .map(|seed| {
-                (
-                    *seed,
-                    spawn({
-                        let seed = *seed;
-                        move || run(seed)
-                    }),
-                )
-            })
-            .collect();
-        for (seed, run) in runs {
-            let violations = run.join().unwrap_or_else(|_| vec!["the run failed".to_string()]);
-            broken.extend((!violations.is_empty()).then_some((seed, violations)));
-        }
-    }
-    println!("{} of {} seeds broken", broken.len(), seeds.len());
+    let broken = play_seeds(0..SIDE_BY_SIDE, SIDE_BY_SIDE as usize, run);
     assert!(broken.is_empty(), "{broken:#?}");
 }
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -291,3 +291,27 @@
     });
     named.unwrap_or(usual)
 }
+
+/// Plays the seeds of a soak, so many at a time; what each run that broke something has to say. A run that fails has broken
+/// something, too.
+pub fn play_seeds(
+    usual: Range<u64>,
+    side_by_side: usize,
+    run: impl Fn(u64) -> Vec<String> + Clone + Send + 'static,
+) -> Vec<(u64, Vec<String>)> {
+    let seeds: Vec<u64> = soak_seeds(usual).collect();
+    let mut broken = Vec::new();
+    for some in seeds.chunks(side_by_side) {
+        let start = |seed: u64| {
+            let run = run.clone();
+            (seed, spawn(move || run(seed)))
+        };
+        let runs: Vec<_> = some.iter().copied().map(start).collect();
+        for (seed, run) in runs {
+            let violations = run.join().unwrap_or_else(|_| vec!["the run failed".to_string()]);
+            broken.extend((!violations.is_empty()).then_some((seed, violations)));
+        }
+    }
+    println!("{} of {} seeds broken", broken.len(), seeds.len());
+    broken
+}
