Rest at a start the keys of all messages that were tried

So, too, where a process decides again.

Change: what rests at a start are the keys of all messages that were tried, open or over (Transaction::may_be_running, Transactions::keys_tried): not those delivered by their only attempt. Keys of messages that are over count to the end of the message's time and for the longest time of any class behind it, since no call is waited for longer; 1,024 at most, the newest.

--- a/src/routing/core/handover.rs
+++ b/src/routing/core/handover.rs
@@ -136,11 +136,8 @@
         let calls: Vec<LeftCall> =
             handover.calls.iter().filter_map(|call| self.left_call(now, call)).collect();
         let adopted = calls.iter().flat_map(|call| &call.attempts).map(|a| a.transaction).collect();
-        let outliving = self.transactions.take_keys_out();
-        let lost = if handover.has_lost_calls { self.locks_lost(outliving, &adopted) } else { Vec::new() };
-        for open in calls.iter().flat_map(|call| &call.attempts) {
-            self.transactions.note_key_out(open.transaction, open.lock.as_ref());
-        }
+        self.forget_keys_tried(now);
+        let lost = if handover.has_lost_calls { self.locks_lost(&adopted) } else { Vec::new() };
         let (asks, strange) = self.restored(now, &adopted);
         let (endpoint_outages, destination_outages) = self.outages_of_before(now, last_out);
         // What another process has learned of endpoints says more.
@@ -174,22 +171,27 @@
         self.fail_all(now, strange);
     }
 
-    /// Keys of attempts that ended with the process that made them, at the latest as the journal was opened. Of messages that
-    /// were over, `outliving` are those that the journal tells of.
-    fn locks_lost(
-        &self,
-        outliving: BTreeMap<TransactionNo, String>,
-        adopted: &HashSet<TransactionNo>,
-    ) -> Vec<(TransactionNo, KeyLock)> {
+    /// Keys of attempts that ended with the process that made them, at the latest as the journal was opened, or shortly before
+    /// that without an answer: the journal does not tell when.
+    fn locks_lost(&self, adopted: &HashSet<TransactionNo>) -> Vec<(TransactionNo, KeyLock)> {
         let older = self.journal.classes().older().map(|(_, rules)| rules.key_rest);
         let rest = older.fold(self.facade.settings().key_rest, Nanos::max);
-        // A message that is spent may have been out, too: a journal that is not whole tells no more of it.
-        let may_be_out = self.transactions.iter().filter(|(_, t)| t.out.is_some() || t.is_spent);
-        let open = may_be_out.filter_map(|(no, _)| Some((no, self.lock_of(no)?.key)));
-        let lost = open.chain(outliving).filter(|(no, _)| !adopted.contains(no));
+        let tried = self.transactions.iter().filter(|(_, t)| t.may_be_running());
+        let open = tried.filter_map(|(no, _)| Some((no, self.lock_of(no)?.key)));
+        let over = self.transactions.keys_tried().iter().map(|(no, tried)| (*no, tried.key.clone()));
+        let lost = open.chain(over).filter(|(no, _)| !adopted.contains(no));
         lost.map(|(no, key)| (no, KeyLock { key, rest })).collect()
     }
 
+    /// Lets go of keys of which no call can have been out of late: none is waited for longer than a message may live, and none
+    /// begins behind its message's time.
+    pub(super) fn forget_keys_tried(&mut self, now: Nanos) {
+        let classes = self.facade.settings().classes.iter().map(|class| class.deadline);
+        let older = self.journal.classes().older().map(|(_, rules)| rules.class.deadline);
+        let longest = classes.chain(older).max().unwrap_or(0);
+        self.transactions.forget_keys_tried(now.saturating_sub(longest));
+    }
+
     /// A call that goes on at the process that handed over; none where nothing of it is out.
     fn left_call(&self, now: Nanos, call: &OpenCall) -> Option<LeftCall> {
         let endpoint = self.catalog.find(&call.endpoint)?;
--- a/src/routing/core/outcomes.rs
+++ b/src/routing/core/outcomes.rs
@@ -68,7 +68,6 @@
         let no = attempt.transaction;
         let begun = self.begun.remove(&(no, attempt.number));
         let Some(t) = self.transactions.get_mut(no) else {
-            self.transactions.key_back(no);
             let key = begun.and_then(|begun| Some(begun.lock?.key));
             message_log::outcome_behind_end(attempt, hop, &reply, key.as_deref());
             return None;
--- a/src/routing/journal/mod.rs
+++ b/src/routing/journal/mod.rs
@@ -321,7 +321,7 @@
             bytes.extend(self.encoded(0, &Record::Maintenance(&self.maintenance)));
         }
         bytes.extend(self.encoded(0, &Record::AllClosed(&self.newest_closed(all))));
-        bytes.extend(self.encoded(0, &Record::KeysOut(all.keys_out())));
+        bytes.extend(self.encoded(0, &Record::KeysTried(all.keys_tried())));
         let mut written = BTreeSet::new();
         for (no, t) in all.iter().filter(|(no, _)| self.live.contains_key(no)) {
             if let Some(key) = self.classes.key(t.class).filter(|key| written.insert(*key)) {
--- a/src/routing/journal/record.rs
+++ b/src/routing/journal/record.rs
@@ -2,7 +2,7 @@
 
 use super::super::classes::{Class, ClassKey, Classes};
 use super::super::closed::Closed;
-use super::super::transactions::{Ending, Transaction};
+use super::super::transactions::{Ending, Transaction, TriedKey};
 use super::super::values::{End, TransactionNo};
 use crate::interface::Nanos;
 use crate::maintenance::Maintenance;
@@ -38,8 +38,8 @@
 pub(super) const DESTINATION_OUTAGE: u8 = 13;
 pub(super) const DESTINATION_OUTAGES: u8 = 14;
 
-/// The code of keys of transactions that are over with an attempt out.
-pub(super) const KEYS_OUT: u8 = 15;
+/// The code of keys of transactions that are over and may have run.
+pub(super) const KEYS_TRIED: u8 = 15;
 
 /// What happens to a transaction, as the journal keeps it.
 #[derive(Debug)]
@@ -77,8 +77,8 @@
     Maintenance(&'a Maintenance),
     /// Ids of transactions that were over when the file was copied, the oldest first.
     AllClosed(&'a [(&'a String, Closed)]),
-    /// Keys of transactions that were over when the file was copied, with an attempt out.
-    KeysOut(&'a BTreeMap<TransactionNo, String>),
+    /// Keys of transactions that were over when the file was copied, of which an attempt may have been out.
+    KeysTried(&'a BTreeMap<TransactionNo, TriedKey>),
     /// A class that transactions name by its key from now on.
     Class(&'a Class),
 }
@@ -182,11 +182,12 @@
             }
         }
         // Under the number 0 versions that do not know it pass it over.
-        Record::KeysOut(all) => {
-            out.push(KEYS_OUT);
-            for (no, key) in all.iter() {
+        Record::KeysTried(all) => {
+            out.push(KEYS_TRIED);
+            for (no, tried) in all.iter() {
                 out.extend(no.to_le_bytes());
-                put(&mut out, key.as_bytes());
+                out.extend(tried.deadline.to_le_bytes());
+                put(&mut out, tried.key.as_bytes());
             }
         }
         // Under the number 0 versions that do not know it pass it over.
--- a/src/routing/journal/replay.rs
+++ b/src/routing/journal/replay.rs
@@ -2,12 +2,12 @@
 
 use super::super::classes::{Class, ClassKey, Classes, UNKNOWN};
 use super::super::closed::Closed;
-use super::super::transactions::{Ending, Transaction, Transactions};
+use super::super::transactions::{Ending, Transaction, Transactions, TriedKey};
 use super::super::values::{End, TransactionNo};
 use super::outages::Outages;
 use super::record::{
     ALL_CLOSED, BACK, CLASS, DELIVERED, DESTINATION_OUTAGE, DESTINATION_OUTAGES, ENDED, ENDING,
-    FINAL_ELSEWHERE, HEAD, KEYS_OUT, OVER, SPENT,
+    FINAL_ELSEWHERE, HEAD, KEYS_TRIED, OVER, SPENT,
 };
 use super::torn::TornEnd;
 use crate::interface::Nanos;
@@ -162,9 +162,10 @@
         }
         return Some(());
     }
-    if code == KEYS_OUT {
-        while let Some((no, key)) = r.u64().and_then(|no| Some((no, r.text()?))) {
-            into.transactions.insert_key_out(no, key);
+    if code == KEYS_TRIED {
+        while let Some(no) = r.u64() {
+            let (deadline, key) = (r.u64()?, r.text()?);
+            into.transactions.note_key_tried(no, TriedKey { key, deadline });
         }
         return Some(());
     }
--- a/src/routing/transactions.rs
+++ b/src/routing/transactions.rs
@@ -4,7 +4,7 @@
 use super::closed::{Closed, ClosedIds};
 use super::core::Offer;
 use super::values::{End, TransactionNo};
-use crate::interface::{KeyLock, Nanos};
+use crate::interface::Nanos;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
 
@@ -66,6 +66,13 @@
     }
 }
 
+impl Transaction {
+    /// Whether an attempt may be running, or have ended just now without an answer, as far as is known of it.
+    pub fn may_be_running(&self) -> bool {
+        self.out.is_some() || self.may_have_run.is_some() || self.is_spent
+    }
+}
+
 /// Bytes that a message takes beside its texts and its body, with what the decision module keeps of it.
 const MESSAGE_BYTES: usize = 1_024;
 
@@ -92,10 +99,21 @@
     by_id: HashMap<String, TransactionNo>,
     closed: ClosedIds,
     bytes_held: u64,
-    /// Keys of transactions that are over while an attempt is out.
-    keys_out: BTreeMap<TransactionNo, String>,
+    /// Keys that a process which follows a killed one has to rest.
+    keys_tried: BTreeMap<TransactionNo, TriedKey>,
+}
+
+/// The key of a transaction that is over, of which an attempt may be running or may have ended without an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TriedKey {
+    pub key: String,
+    /// When its time is up: no attempt begins behind that.
+    pub deadline: Nanos,
 }
 
+/// So many of them are kept at most, the newest.
+const KEYS_TRIED_MOST: usize = 1_024;
+
 impl Transactions {
     pub fn insert(&mut self, no: TransactionNo, t: Transaction) {
         self.bytes_held += t.bytes_held();
@@ -116,42 +134,37 @@
         if self.by_id.get(&t.id) == Some(&no) {
             self.by_id.remove(&t.id);
         }
-        if let Some(key) = t.key.clone().filter(|_| t.out.is_some()) {
-            self.keys_out.insert(no, key);
+        if let Some(key) = t.key.clone().filter(|_| t.may_be_running()) {
+            self.note_key_tried(no, TriedKey { key, deadline: t.deadline });
         }
         Some(t)
     }
 
-    /// Keys of transactions that are over while an attempt is, or was, out.
-    pub fn keys_out(&self) -> &BTreeMap<TransactionNo, String> {
-        &self.keys_out
+    /// Keys of transactions that are over, of which an attempt may be running or have ended without an answer.
+    pub fn keys_tried(&self) -> &BTreeMap<TransactionNo, TriedKey> {
+        &self.keys_tried
     }
 
-    /// The same, to be told of anew.
-    pub fn take_keys_out(&mut self) -> BTreeMap<TransactionNo, String> {
-        std::mem::take(&mut self.keys_out)
+    /// Lets go of those whose transactions had their time before this.
+    pub fn forget_keys_tried(&mut self, before: Nanos) {
+        self.keys_tried.retain(|_, tried| tried.deadline >= before);
     }
 
-    /// An attempt is out at another process that holds this key; only of a transaction that is over.
-    pub fn note_key_out(&mut self, no: TransactionNo, lock: Option<&KeyLock>) {
-        if let Some(lock) = lock.filter(|_| !self.by_no.contains_key(&no)) {
-            self.insert_key_out(no, lock.key.clone());
+    /// A transaction that is over was one of them.
+    pub fn note_key_tried(&mut self, no: TransactionNo, tried: TriedKey) {
+        self.keys_tried.insert(no, tried);
+        if self.keys_tried.len() > KEYS_TRIED_MOST {
+            self.keys_tried.pop_first();
         }
     }
 
-    /// The journal tells of a transaction that was over with an attempt out.
-    pub fn insert_key_out(&mut self, no: TransactionNo, key: String) {
-        self.keys_out.insert(no, key);
-    }
-
-    /// The attempt of a transaction that is over has its outcome.
-    pub fn key_back(&mut self, no: TransactionNo) {
-        self.keys_out.remove(&no);
-    }
-
     /// Nothing more is owed for a transaction, which ended like this: what comes under its id again is no new one.
     pub fn close(&mut self, now: Nanos, no: TransactionNo, closed: Closed) -> Option<Transaction> {
         let t = self.remove(no)?;
+        // Its one attempt ended with an answer.
+        if closed == Closed::Delivered && t.attempts <= 1 {
+            self.keys_tried.remove(&no);
+        }
         self.closed.note(now, t.id.clone(), closed);
         Some(t)
     }
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -3,6 +3,7 @@
 #[path = "fixture/journal.rs"]
 mod fixture;
 
+use basaltloom::routing::closed::Closed;
 use basaltloom::routing::journal::{Journal, OpenError, Outages, Record};
 use basaltloom::routing::transactions::{Ending, Transaction, Transactions};
 use basaltloom::routing::End;
@@ -255,22 +256,32 @@
     assert_eq!(state(&folder.open(3_000_000).1), [(true, false), (true, true), (false, false)]);
 }
 
-/// Guards the key of a message that was over while its call was out: the next start knows of it, also from a copy.
+/// Guards keys of messages that were over while a call of theirs was out, or had ended without an answer: the next start knows of
+/// them, also from a copy.
 #[test]
-fn a_key_that_is_out_behind_its_message_comes_back() {
-    let folder = Folder::new("key-out");
+fn keys_of_calls_that_may_run_behind_their_messages_come_back() {
+    let folder = Folder::new("keys-tried");
     let (mut journal, ..) = folder.open(3_000_000);
-    journal.write(1, &Record::Taken(&transaction("m1", 10))).unwrap();
-    journal.write(1, &Record::Out { at: 100, zone: 3 }).unwrap();
-    journal.write(2, &Record::Taken(&transaction("m2", 10))).unwrap();
-    for no in [1, 2] {
-        journal.write(no, &Record::Over).unwrap();
+    let back = Record::Back { may_have_run: true, is_final: false };
+    let delivered = Record::Closed(Closed::Delivered);
+    let out = Record::Out { at: 100, zone: 3 };
+    let lives: [&[&Record]; 5] = [
+        &[&out, &Record::Over],
+        &[&Record::Over],
+        &[&out, &back, &Record::Over],
+        &[&out, &delivered],
+        &[&out, &back, &out, &delivered],
+    ];
+    for (no, life) in (1..).zip(lives) {
+        journal.write(no, &Record::Taken(&transaction(&format!("m{no}"), 10))).unwrap();
+        life.iter().for_each(|record| journal.write(no, record).unwrap());
     }
     drop(journal);
     for is_copied in [false, true] {
         let (mut journal, replayed, ..) = folder.open(3_000_000);
-        let keys: Vec<_> = replayed.keys_out().iter().map(|(no, key)| (*no, key.as_str())).collect();
-        assert_eq!(keys, [(1, "k")], "copied: {is_copied}");
+        let keys: Vec<_> =
+            replayed.keys_tried().iter().map(|(no, tried)| (*no, tried.key.as_str())).collect();
+        assert_eq!(keys, [(1, "k"), (3, "k"), (5, "k")], "copied: {is_copied}");
         journal.rewrite(&replayed).unwrap();
     }
 }
--- a/tests/order/cases.rs
+++ b/tests/order/cases.rs
@@ -147,6 +147,23 @@
     SharedCall { rig, process }.delivers_in_turn(&[&next]);
 }
 
+/// Guards a rest that a kill falls into: the call had ended, and its message was over.
+#[test]
+fn a_key_rests_behind_a_call_that_ended_right_before_a_kill() {
+    let cut = Act::Cut(Duration::from_millis(200), "HTTP/1.1 4");
+    let rig = Rig::new(move |_| cut.clone(), |_| AT_ONCE);
+    let mut process = rig.platform.start_ready();
+    rig.take("update", "a@k", PLAYED, LONG_MS);
+    rig.take("update", "b@k", QUICK, LONG_MS);
+    rig.until_ended("a@k");
+    // Its record has to be written.
+    sleep(Duration::from_millis(15));
+    process.kill();
+    let next = rig.platform.start_ready();
+    rig.until_delivered("b@k", DELIVERED_WITHIN);
+    rig.kept_order(&[&process, &next]);
+}
+
 /// Guards a call that breaks within its answer: its key rests as behind any reset.
 #[test]
 fn a_key_rests_behind_an_answer_that_is_cut() {
